--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admits, queues or refuses requests by the callers' contracts.
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,51 @@
+//! Ids, sizes, rates, time and the objects of the world that every crate shares.
+//!
+//! Nothing here decides anything. The decision crates are state machines over
+//! these types: they take a [`Time`] and an input and give their outputs, and
+//! they own no socket, file, clock or unseeded randomness.
+
+mod contract;
+mod finding;
+mod host;
+mod id;
+mod name;
+mod rate;
+mod time;
+mod truth;
+
+pub use contract::Contract;
+pub use contract::Overflow;
+pub use contract::Priority;
+pub use finding::Finding;
+pub use finding::Findings;
+pub use finding::Place;
+pub use host::Assignment;
+pub use host::Duty;
+pub use host::Fencing;
+pub use host::HostReport;
+pub use host::Load;
+pub use host::ServiceReport;
+pub use id::CentreId;
+pub use id::ChangeId;
+pub use id::DomainId;
+pub use id::Fence;
+pub use id::HostId;
+pub use id::Incarnation;
+pub use id::NodeId;
+pub use id::ParseIdError;
+pub use id::ReplicaId;
+pub use id::RequestId;
+pub use id::Version;
+pub use name::CallerName;
+pub use name::ContractName;
+pub use name::ModelName;
+pub use name::NameError;
+pub use name::OrderKey;
+pub use name::OrgName;
+pub use name::ServiceName;
+pub use rate::ByteSize;
+pub use rate::RequestRate;
+pub use rate::TokenCount;
+pub use rate::TokenRate;
+pub use time::Time;
+pub use truth::Ran;
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,69 @@
+//! Measures the design beside naive versions: `bench <measure> [--seed N] [--json]`.
+
+mod config;
+mod control;
+mod crest;
+mod downtime;
+mod hol;
+mod order;
+mod path;
+mod report;
+
+use gumdrop::Options;
+
+use crate::report::Report;
+
+/// Options of the bench.
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "seed of the load and the faults", default = "1")]
+    seed: u64,
+    #[options(help = "write JSON instead of text")]
+    json: bool,
+    #[options(
+        free,
+        help = "config, control, crest, downtime, hol, order, path or all"
+    )]
+    measures: Vec<String>,
+}
+
+/// One measure.
+type Measure = (&'static str, fn(u64) -> Report);
+
+const MEASURES: [Measure; 7] = [
+    ("path", path::run),
+    ("config", config::run),
+    ("downtime", downtime::run),
+    ("crest", crest::run),
+    ("hol", hol::run),
+    ("order", order::run),
+    ("control", control::run),
+];
+
+fn main() {
+    let args = Args::parse_args_default_or_exit();
+    let wanted = |name: &str| args.measures.iter().any(|m| m == name || m == "all");
+    if let Some(unknown) = args.measures.iter().find(|name| !is_known(name)) {
+        eprintln!("no measure is called \"{unknown}\"");
+        std::process::exit(2);
+    }
+    for (name, run) in MEASURES {
+        if wanted(name) {
+            print(&run(args.seed), args.json);
+        }
+    }
+}
+
+fn is_known(name: &str) -> bool {
+    name == "all" || MEASURES.iter().any(|(known, _)| *known == name)
+}
+
+fn print(report: &Report, json: bool) {
+    if json {
+        println!("{}", serde_json::to_string(report).unwrap_or_default());
+    } else {
+        println!("{report}");
+    }
+}
--- /dev/null
+++ b/crates/disk/src/lib.rs
@@ -0,0 +1,1 @@
+//! A durable log with snapshots in one data folder.
--- /dev/null
+++ b/crates/members/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of the entry nodes and the bounded exchange between them.
--- /dev/null
+++ b/crates/plan/src/lib.rs
@@ -0,0 +1,1 @@
+//! Forms, repairs and releases the replicas of one data centre.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Chooses a replica for each request.
--- /dev/null
+++ b/crates/rules/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' file of rules: parsed, checked and turned into contracts.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! A node's settings, checked as a whole.
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated state: configuration and the ledger of orders.
--- /dev/null
+++ b/crates/vote/src/lib.rs
@@ -0,0 +1,1 @@
+//! Agreement among the voters on one log of commands.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between processes and their JSON-RPC methods.
