Add HTTP plumbing, settings, messages and the stand-ins

Cause: the thin path needs a server with bounds, a client that knows whether a byte can have left, checked settings, and upstreams to talk to. Ruled out: a pooled client for orders and chats, since after a reused connection fails nothing tells whether the request was taken.

--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,30 @@
+//! The process's clock. It goes on while the host sleeps.
+
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
+use base::Incarnation;
+use base::Time;
+
+/// Now.
+pub fn now() -> Time {
+    let spec = clock_gettime(ClockId::Boottime);
+    let secs = u64::try_from(spec.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(spec.tv_nsec).unwrap_or(0);
+    Time(secs * 1_000_000 + nanos / 1_000)
+}
+
+/// Time since 1970 on the host's wall clock.
+pub fn wall() -> Duration {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or(Duration::ZERO)
+}
+
+/// A life that is larger than that of any earlier process on this host.
+pub fn new_incarnation() -> Incarnation {
+    Incarnation(wall().as_micros() as u64)
+}
--- /dev/null
+++ b/crates/daemon/src/events.rs
@@ -0,0 +1,112 @@
+//! The numbered events of the log. `docs/EVENTS.md` lists them.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use derive_more::Display;
+use log::Level;
+
+use base::CentreId;
+use base::Fence;
+use base::HostId;
+use base::NodeId;
+use base::ReplicaId;
+use base::ServiceName;
+use base::Version;
+
+macro_rules! events {
+    ($($number:literal $level:ident $name:ident $fields:tt $text:literal;)*) => {
+        /// Something that an operator may want to know of.
+        #[derive(Clone, Debug, Display)]
+        pub enum Event<'a> {
+            $(
+                #[doc = $text]
+                #[display($text)]
+                $name $fields,
+            )*
+            /// Never made; it holds the lifetime of the others.
+            #[display("")]
+            #[doc(hidden)]
+            #[allow(dead_code)]
+            Never(std::convert::Infallible, &'a ()),
+        }
+
+        impl Event<'_> {
+            fn number_and_level(&self) -> (u16, Level) {
+                match self {
+                    $(Self::$name { .. } => ($number, Level::$level),)*
+                    Self::Never(never, _) => match *never {},
+                }
+            }
+        }
+
+        /// Number, level, name and text of every event.
+        pub const CATALOGUE: &[(u16, &str, &str, &str)] =
+            &[$(($number, stringify!($level), stringify!($name), $text),)*];
+    };
+}
+
+events! {
+    100 Info Started { node: NodeId, centre: CentreId, callers: SocketAddr, internal: SocketAddr }
+        "{node} in {centre} serves callers at {callers} and the system at {internal}";
+    101 Info Stopping { in_flight: usize }
+        "stopping: not ready any more, {in_flight} requests in flight";
+    102 Info Stopped { cut: usize }
+        "stopped, {cut} requests cut off";
+    110 Warn ListenFailed { addr: SocketAddr, error: String }
+        "cannot listen on {addr}: {error}";
+    200 Info ConfigInForce { version: Version }
+        "configuration {version} is in force";
+    201 Error ConfigUnreadable { version: Version, error: String }
+        "configuration {version} cannot be read: {error}";
+    300 Info HostHeard { host: HostId, addr: SocketAddr }
+        "host {host} announced itself at {addr}";
+    301 Warn HostLost { host: HostId, silence: Duration }
+        "host {host} was not heard for {silence:?}";
+    302 Info HostLeaving { host: HostId }
+        "host {host} is leaving";
+    310 Info ServiceHeard { service: &'a ServiceName, addr: SocketAddr }
+        "service {service} announced itself at {addr}";
+    311 Warn ServiceLost { service: &'a ServiceName, addr: SocketAddr }
+        "service {service} at {addr} is not heard any more";
+    400 Info ControllerHere { centre: CentreId, fence: Fence }
+        "this node orders the hosts of {centre} under {fence}";
+    401 Warn ControllerGone { centre: CentreId }
+        "this node does not order the hosts of {centre} any more";
+    410 Info OrderSent { replica: ReplicaId, host: HostId, what: &'a str }
+        "ordered {host} to {what} {replica}";
+    411 Warn OrderFailed { replica: ReplicaId, host: HostId, error: String }
+        "an order for {replica} to {host} failed: {error}";
+    500 Info Leading { term: u64 }
+        "this voter leads in term {term}";
+    501 Info Following { leader: NodeId }
+        "this voter follows {leader}";
+    502 Error VoterLost { reason: String }
+        "this voter is not counted: {reason}";
+    510 Error DiskFailed { folder: &'a Path, error: String }
+        "the state in {folder:?} cannot be written: {error}";
+    600 Warn OrderUnknown { service: &'a ServiceName, key: String }
+        "the outcome of order {key} to {service} is unknown";
+    601 Info OrderRecorded { service: &'a ServiceName, key: String }
+        "order {key} to {service} is recorded";
+    700 Warn AnswerRejected { replica: ReplicaId, error: String }
+        "an answer of {replica} was rejected: {error}";
+    701 Info AnswerResumed { replica: ReplicaId, delivered: u32 }
+        "an answer was resumed at {replica} after {delivered} tokens";
+}
+
+/// Writes an event to the log.
+pub fn emit(event: &Event<'_>) {
+    let (number, level) = event.number_and_level();
+    log::log!(target: "berylbay", level, "[{number}] {event}");
+}
+
+/// The catalogue as a Markdown table.
+pub fn catalogue() -> String {
+    let mut text = String::from("| number | level | name | text |\n|---|---|---|---|\n");
+    for (number, level, name, what) in CATALOGUE {
+        text += &format!("| {number} | {level} | {name} | {what} |\n");
+    }
+    text
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,110 @@
+//! What a node counts and times, in the form that Prometheus reads.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Bounds of the buckets of all times, in seconds.
+const TIME_BUCKETS: [f64; 16] = [
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.38, 0.5, 1.0, 2.0, 5.0, 10.0, 60.0,
+];
+
+/// A contract and the organisation that pays for it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Class {
+    /// The organisation.
+    pub org: String,
+    /// The contract, or the service's name for calls.
+    pub class: String,
+}
+
+/// A refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    /// Why.
+    pub reason: String,
+    /// Whether the request ran.
+    pub ran: String,
+}
+
+/// Histograms of times by class.
+type Times = Family<Class, Histogram, fn() -> Histogram>;
+
+/// The metrics of one node.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// From a request's arrival to its being sent.
+    pub queueing: Times,
+    /// From a request's arrival to its first token.
+    pub first_token: Times,
+    /// Between two tokens.
+    pub between_tokens: Times,
+    /// From a request's arrival to the end of its answer.
+    pub total: Times,
+    /// Refusals by reason.
+    pub refusals: Family<RefusalLabels, Counter>,
+    /// Requests that were sent once more.
+    pub retries: Counter,
+    /// Claims of orders that were granted.
+    pub claims: Counter,
+    /// Requests in progress.
+    pub in_flight: Gauge,
+    /// Version of the configuration in force.
+    pub config_version: Gauge,
+    /// One while this node orders the hosts of its data centre.
+    pub controller: Gauge,
+}
+
+fn times() -> Times {
+    Family::new_with_constructor(|| Histogram::new(TIME_BUCKETS))
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("berylbay"),
+            queueing: times(),
+            first_token: times(),
+            between_tokens: times(),
+            total: times(),
+            refusals: Family::default(),
+            retries: Counter::default(),
+            claims: Counter::default(),
+            in_flight: Gauge::default(),
+            config_version: Gauge::default(),
+            controller: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("queueing_seconds", "Arrival to being sent", self.queueing.clone());
+        r.register("first_token_seconds", "Arrival to first token", self.first_token.clone());
+        r.register("between_tokens_seconds", "Between two tokens", self.between_tokens.clone());
+        r.register("total_seconds", "Arrival to end of answer", self.total.clone());
+        r.register("refusals", "Refusals by reason", self.refusals.clone());
+        r.register("retries", "Requests sent once more", self.retries.clone());
+        r.register("claims", "Claims of orders granted", self.claims.clone());
+        r.register("in_flight_requests", "Requests in progress", self.in_flight.clone());
+        r.register("config_version", "Configuration in force", self.config_version.clone());
+        r.register("controller", "One while ordering hosts", self.controller.clone());
+    }
+
+    /// All metrics as text.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(_) => String::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/problem.rs
@@ -0,0 +1,72 @@
+//! Refusals, as `application/problem+json`.
+//!
+//! Each says whether the request ran and when to come back.
+
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use serde::Serialize;
+
+use base::Ran;
+use net::Body;
+
+/// A refusal.
+#[derive(Clone, Debug, Serialize)]
+pub struct Problem {
+    /// A name of the kind of refusal, the same for all of its kind.
+    #[serde(rename = "type")]
+    pub kind: &'static str,
+    /// HTTP's status.
+    pub status: u16,
+    /// What is wrong, in full.
+    pub detail: String,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// When to come back.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Problem {
+    /// A refusal of a request that did not run.
+    pub fn not_run(status: StatusCode, kind: &'static str, detail: impl ToString) -> Self {
+        Self {
+            kind,
+            status: status.as_u16(),
+            detail: detail.to_string(),
+            ran: Ran::NotRun,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Says what is known of the request's execution.
+    pub fn ran(mut self, ran: Ran) -> Self {
+        self.ran = ran;
+        self
+    }
+
+    /// Says when to come back.
+    pub fn retry_after(mut self, span: Duration) -> Self {
+        self.retry_after_ms = Some(span.as_millis() as u64);
+        self
+    }
+
+    /// The refusal as an answer.
+    pub fn into_response(self) -> Response<Body> {
+        let json = serde_json::to_vec(&self).unwrap_or_default();
+        let mut response = Response::new(Body::whole(json));
+        *response.status_mut() = StatusCode::from_u16(self.status).unwrap_or_default();
+        let headers = response.headers_mut();
+        let kind = HeaderValue::from_static("application/problem+json");
+        headers.insert("content-type", kind);
+        if let Some(ms) = self.retry_after_ms {
+            // Whole seconds, rounded up: coming back early would only be refused again.
+            headers.insert("retry-after", HeaderValue::from(ms.div_ceil(1000).max(1)));
+        }
+        let ran = HeaderValue::from_str(&self.ran.to_string());
+        headers.insert("x-ran", ran.unwrap_or(HeaderValue::from_static("unknown")));
+        response
+    }
+}
--- /dev/null
+++ b/crates/net/src/methods.rs
@@ -0,0 +1,67 @@
+//! The JSON-RPC methods that a process offers to one kind of callers.
+
+use std::rc::Rc;
+
+use jsonrpsee::RpcModule;
+use jsonrpsee::types::ErrorObjectOwned;
+use send_wrapper::SendWrapper;
+
+use wire::Call;
+use wire::Fault;
+
+/// Room for one notification. None is ever sent.
+const NOTIFICATION_BUFFER: usize = 1;
+
+/// The methods of one process, by name.
+#[derive(Debug)]
+pub struct Methods<Context: 'static> {
+    module: RpcModule<SendWrapper<Rc<Context>>>,
+}
+
+impl<Context: 'static> Methods<Context> {
+    /// No methods yet.
+    pub fn new(cx: Rc<Context>) -> Self {
+        Self {
+            module: RpcModule::new(SendWrapper::new(cx)),
+        }
+    }
+
+    /// Adds the method of one kind of calls.
+    pub fn on<C, Handler, Answer>(mut self, handler: Handler) -> Self
+    where
+        C: Call,
+        Handler: Fn(Rc<Context>, C) -> Answer + Clone + 'static,
+        Answer: Future<Output = Result<C::Reply, Fault>> + 'static,
+    {
+        let handler = SendWrapper::new(handler);
+        let added = self
+            .module
+            .register_async_method(C::METHOD, move |params, cx, _| {
+                let call = params.one::<C>();
+                let cx = Rc::clone(&**cx);
+                let handler = (*handler).clone();
+                SendWrapper::new(async move {
+                    let reply = handler(cx, call?).await.map_err(ErrorObjectOwned::from)?;
+                    let reply = serde_json::to_value(reply).map_err(Fault::unknown);
+                    reply.map_err(ErrorObjectOwned::from)
+                })
+            });
+        debug_assert!(added.is_ok(), "{} is registered twice", C::METHOD);
+        self
+    }
+
+    /// Answers the bytes of one call.
+    pub async fn answer(&self, bytes: &[u8]) -> Vec<u8> {
+        let Ok(text) = std::str::from_utf8(bytes) else {
+            return Vec::new();
+        };
+        match self
+            .module
+            .raw_json_request(text, NOTIFICATION_BUFFER)
+            .await
+        {
+            Ok((reply, _)) => reply.get().as_bytes().to_vec(),
+            Err(_) => Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,149 @@
+//! Accepts connections within bounds and serves HTTP/1 on each.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpListener;
+use compio::net::TcpStream;
+use cyper_core::CompioTimer;
+use cyper_core::HyperStream;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+
+use crate::Body;
+
+/// What one listener takes at most.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Open connections.
+    pub connections: usize,
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Time for a request's head to arrive.
+    pub header_time: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            connections: 1024,
+            header_bytes: 16 * 1024,
+            header_time: Duration::from_secs(10),
+        }
+    }
+}
+
+/// A listener that serves until it is dropped or closed.
+#[derive(Debug)]
+pub struct Server {
+    addr: SocketAddr,
+    open: Rc<Cell<usize>>,
+    accepting: Rc<Cell<bool>>,
+}
+
+/// Counts a connection for as long as it lives.
+struct Slot(Rc<Cell<usize>>);
+
+impl Slot {
+    fn take(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Server {
+    /// Listens on `addr` and serves each request with `handler`.
+    pub async fn bind<Handler, Answer>(
+        addr: SocketAddr,
+        bounds: Bounds,
+        handler: Handler,
+    ) -> io::Result<Self>
+    where
+        Handler: Fn(Request<Incoming>) -> Answer + Clone + 'static,
+        Answer: Future<Output = Response<Body>> + 'static,
+    {
+        let listener = TcpListener::bind(addr).await?;
+        let server = Self {
+            addr: listener.local_addr()?,
+            open: Rc::default(),
+            accepting: Rc::new(Cell::new(true)),
+        };
+        let open = Rc::clone(&server.open);
+        let accepting = Rc::clone(&server.accepting);
+        compio::runtime::spawn(accept(listener, bounds, open, accepting, handler)).detach();
+        Ok(server)
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// How many connections are open.
+    pub fn connections(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Takes no further connections. Open ones go on.
+    pub fn close(&self) {
+        self.accepting.set(false);
+    }
+}
+
+async fn accept<Handler, Answer>(
+    listener: TcpListener,
+    bounds: Bounds,
+    open: Rc<Cell<usize>>,
+    accepting: Rc<Cell<bool>>,
+    handler: Handler,
+) where
+    Handler: Fn(Request<Incoming>) -> Answer + Clone + 'static,
+    Answer: Future<Output = Response<Body>> + 'static,
+{
+    while accepting.get() {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of file descriptors, most likely. Give open connections time to end.
+            compio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        if bounds.connections <= open.get() {
+            continue;
+        }
+        let slot = Slot::take(&open);
+        let handler = handler.clone();
+        compio::runtime::spawn(serve(stream, bounds, slot, handler)).detach();
+    }
+}
+
+async fn serve<Handler, Answer>(stream: TcpStream, bounds: Bounds, slot: Slot, handler: Handler)
+where
+    Handler: Fn(Request<Incoming>) -> Answer + 'static,
+    Answer: Future<Output = Response<Body>> + 'static,
+{
+    let _slot = slot;
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req| {
+        let answer = handler(req);
+        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+    });
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(bounds.header_time)
+        .max_buf_size(bounds.header_bytes.max(8192))
+        .serve_connection(HyperStream::new_plain(stream), service)
+        .await;
+    if let Err(e) = served {
+        log::debug!("a connection ended: {e}");
+    }
+}
--- /dev/null
+++ b/crates/settings/src/load.rs
@@ -0,0 +1,304 @@
+//! Loads the settings of one node.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use toml_edit::Document;
+use toml_edit::Item;
+
+use base::CentreId;
+use base::Findings;
+use base::NodeId;
+use base::Place;
+
+use crate::Limits;
+use crate::Secret;
+use crate::Secrets;
+use crate::reader::Reader;
+use crate::reader::Section;
+use crate::secret::MIN_SECRET_BYTES;
+
+/// The settings of one node, checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// This node.
+    pub node: NodeSettings,
+    /// All nodes of the system, this one included.
+    pub peers: BTreeMap<NodeId, Peer>,
+    /// The secrets that processes name themselves by.
+    pub secrets: Secrets,
+    /// Bounds of what is taken from outside.
+    pub limits: Limits,
+}
+
+/// What one node is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeSettings {
+    /// Its id.
+    pub id: NodeId,
+    /// Its data centre.
+    pub centre: CentreId,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where other nodes, upstreams and operators reach it, by TCP and UDP.
+    pub internal: SocketAddr,
+    /// Its folder for durable state.
+    pub data: Option<PathBuf>,
+}
+
+/// What part a node has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Role {
+    /// Takes requests.
+    #[default]
+    Entry,
+    /// Takes requests and holds the durable state.
+    Voter,
+}
+
+/// A node of the system.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its data centre.
+    pub centre: CentreId,
+    /// Where other nodes reach it.
+    pub internal: SocketAddr,
+    /// Its part.
+    pub role: Role,
+}
+
+impl Settings {
+    /// Loads a file and the secret files it names. Relative paths start at its folder.
+    pub fn load(file: &Path) -> Result<Self, Findings> {
+        let text = fs::read_to_string(file).map_err(|e| unreadable(file, &e))?;
+        Self::parse(file, &text)
+    }
+
+    /// Checks a text as if it stood in `file`.
+    pub fn parse(file: &Path, text: &str) -> Result<Self, Findings> {
+        let reader = Reader::new(file, text);
+        let settings = match Document::parse(text) {
+            Ok(document) => read(&reader, document.as_item()),
+            Err(e) => {
+                let offset = e.span().map_or(0, |span| span.start);
+                reader.find(offset, "syntax", e.message());
+                None
+            }
+        };
+        let findings = reader.findings.take();
+        match settings {
+            Some(settings) => findings.into_result(settings),
+            None => Err(findings.into_result(()).err().unwrap_or_default()),
+        }
+    }
+
+    /// This node's own entry among the peers.
+    pub fn me(&self) -> &Peer {
+        &self.peers[&self.node.id]
+    }
+
+    /// The nodes that hold the durable state.
+    pub fn voters(&self) -> impl Iterator<Item = NodeId> + '_ {
+        let voters = self.peers.iter();
+        voters
+            .filter(|(_, peer)| peer.role == Role::Voter)
+            .map(|(id, _)| *id)
+    }
+
+    /// The nodes of this node's data centre.
+    pub fn neighbours(&self) -> impl Iterator<Item = NodeId> + '_ {
+        let centre = self.node.centre;
+        let peers = self.peers.iter();
+        peers
+            .filter(move |(_, peer)| peer.centre == centre)
+            .map(|(id, _)| *id)
+    }
+}
+
+fn unreadable(file: &Path, error: &std::io::Error) -> Findings {
+    let mut findings = Findings::default();
+    let place = Place::of_offset(file, "", 0);
+    findings.push(place, "file", format_args!("cannot be read: {error}"));
+    findings
+}
+
+fn read<'a>(reader: &'a Reader<'a>, root: &'a Item) -> Option<Settings> {
+    let node = read_node(reader, reader.section(root.get("node"), "node"));
+    let secrets = read_secrets(reader, reader.section(root.get("secrets"), "secrets"));
+    let limits = Limits::read(&mut reader.section(root.get("limits"), "limits"));
+    let peers = read_peers(reader, root.get("peers"));
+    find_unknown_tables(reader, root);
+    let settings = Settings {
+        node: node?,
+        peers,
+        secrets: secrets?,
+        limits,
+    };
+    find_contradictions(reader, root, &settings);
+    Some(settings)
+}
+
+fn read_node(reader: &Reader<'_>, mut section: Section<'_>) -> Option<NodeSettings> {
+    let id = section.required("id");
+    let centre = section.required("centre");
+    let callers = section.required("callers");
+    let internal = section.required("internal");
+    let data: Option<PathBuf> = section.optional("data");
+    let folder = reader.file.parent().unwrap_or(Path::new("."));
+    section.finish();
+    Some(NodeSettings {
+        id: id?,
+        centre: centre?,
+        callers: callers?,
+        internal: internal?,
+        data: data.map(|data| folder.join(data)),
+    })
+}
+
+fn read_secrets(reader: &Reader<'_>, mut section: Section<'_>) -> Option<Secrets> {
+    let peers = read_secret(reader, &mut section, "peers");
+    let upstreams = read_secret(reader, &mut section, "upstreams");
+    let operators = read_secret(reader, &mut section, "operators");
+    section.finish();
+    let secrets = Secrets {
+        peers: peers?,
+        upstreams: upstreams?,
+        operators: operators?,
+    };
+    let repeated = secrets.peers == secrets.upstreams
+        || secrets.peers == secrets.operators
+        || secrets.upstreams == secrets.operators;
+    if repeated {
+        section.find("peers", "the three secrets must differ from each other");
+    }
+    Some(secrets)
+}
+
+fn read_secret(
+    reader: &Reader<'_>,
+    section: &mut Section<'_>,
+    key: &'static str,
+) -> Option<Secret> {
+    let path: PathBuf = section.required(key)?;
+    let folder = reader.file.parent().unwrap_or(Path::new("."));
+    let path = folder.join(path);
+    let text = match fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(e) => {
+            section.find(key, format_args!("cannot read {}: {e}", path.display()));
+            return None;
+        }
+    };
+    let secret = Secret::of_text(&text);
+    if secret.is_none() {
+        let at = path.display();
+        section.find(
+            key,
+            format_args!("{at} holds fewer than {MIN_SECRET_BYTES} bytes"),
+        );
+    }
+    secret
+}
+
+fn read_peers<'a>(reader: &'a Reader<'a>, item: Option<&'a Item>) -> BTreeMap<NodeId, Peer> {
+    let mut peers = BTreeMap::new();
+    let Some(tables) = item.and_then(Item::as_table_like) else {
+        reader.find(0, "peers", "is missing: name every node, this one included");
+        return peers;
+    };
+    for (key, item) in tables.iter() {
+        let path = format!("peers.{key}");
+        let mut section = reader.section(Some(item), &path);
+        let id: Option<NodeId> = match key.parse() {
+            Ok(id) => Some(id),
+            Err(e) => {
+                reader.find(section.start(), &path, e);
+                None
+            }
+        };
+        let peer = read_peer(&mut section);
+        if let (Some(id), Some(peer)) = (id, peer) {
+            peers.insert(id, peer);
+        }
+    }
+    peers
+}
+
+fn read_peer(section: &mut Section<'_>) -> Option<Peer> {
+    let centre = section.required("centre");
+    let internal = section.required("internal");
+    let role = match section.flag("voter") {
+        true => Role::Voter,
+        false => Role::Entry,
+    };
+    section.finish();
+    Some(Peer {
+        centre: centre?,
+        internal: internal?,
+        role,
+    })
+}
+
+fn find_unknown_tables(reader: &Reader<'_>, root: &Item) {
+    let Some(table) = root.as_table_like() else {
+        return;
+    };
+    for (key, item) in table.iter() {
+        if !matches!(key, "node" | "secrets" | "limits" | "peers") {
+            let start = item.span().map_or(0, |span| span.start);
+            reader.find(start, key, "is not a known table");
+        }
+    }
+}
+
+fn find_contradictions<'a>(reader: &'a Reader<'a>, root: &'a Item, settings: &Settings) {
+    let node = reader.section(root.get("node"), "node");
+    if !node.is_present() {
+        return;
+    }
+    let me = settings.node.id;
+    match settings.peers.get(&me) {
+        None => node.find("id", format_args!("{me} is not among the peers")),
+        Some(peer) => find_own_contradictions(&node, settings, peer),
+    }
+    let start = root
+        .get("peers")
+        .and_then(Item::span)
+        .map_or(0, |span| span.start);
+    let mut seen = BTreeMap::new();
+    for (id, peer) in &settings.peers {
+        if let Some(other) = seen.insert(peer.internal, *id) {
+            let what = format_args!("{id} and {other} have the same address {}", peer.internal);
+            reader.find(start, "peers", what);
+        }
+    }
+    let voters = settings.voters().count();
+    if !matches!(voters, 1 | 3 | 5) {
+        let what = format_args!("there must be 1, 3 or 5 voters, these are {voters}");
+        reader.find(start, "peers", what);
+    }
+}
+
+fn find_own_contradictions(node: &Section<'_>, settings: &Settings, peer: &Peer) {
+    let mine = &settings.node;
+    if peer.centre != mine.centre {
+        let what = format_args!("{} here, but {} among the peers", mine.centre, peer.centre);
+        node.find("centre", what);
+    }
+    if peer.internal != mine.internal {
+        let what = format_args!(
+            "{} here, but {} among the peers",
+            mine.internal, peer.internal
+        );
+        node.find("internal", what);
+    }
+    if mine.callers == mine.internal {
+        node.find("callers", "must differ from internal");
+    }
+    if peer.role == Role::Voter && mine.data.is_none() {
+        node.find("data", "is missing: a voter needs a folder for its state");
+    }
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,3 +1,76 @@
-//! Entry point.
+//! Small stand-ins for model engines and plain services, for tests and the demo.
+//!
+//! `standin engine` is one host of a model engine, `standin service` one
+//! process of a plain service. Both announce themselves to entry nodes.
 
-fn main() {}
+mod announce;
+mod batch;
+mod engine;
+mod group;
+mod prompt;
+mod service;
+
+use std::fs;
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+
+use gumdrop::Options;
+
+/// Options of the stand-ins.
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "one host of a model engine")]
+    Engine(engine::EngineArgs),
+    #[options(help = "one process of a plain service")]
+    Service(service::ServiceArgs),
+}
+
+/// Any free port of loopback.
+const FREE_PORT: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0));
+
+/// What both kinds need to announce themselves.
+#[derive(Clone, Debug)]
+struct Place {
+    listen: SocketAddr,
+    entries: Vec<SocketAddr>,
+    secret: String,
+}
+
+impl Place {
+    fn read(
+        listen: Option<SocketAddr>,
+        entries: &[SocketAddr],
+        secret_file: &str,
+    ) -> io::Result<Self> {
+        Ok(Self {
+            listen: listen.unwrap_or(FREE_PORT),
+            entries: entries.to_vec(),
+            secret: fs::read_to_string(secret_file)?.trim().to_owned(),
+        })
+    }
+}
+
+#[compio::main]
+async fn main() {
+    env_logger::init();
+    let args = Args::parse_args_default_or_exit();
+    let done = match args.command {
+        Some(Command::Engine(args)) => engine::run(args).await,
+        Some(Command::Service(args)) => service::run(args).await,
+        None => Err(io::Error::other("say engine or service; --help tells more")),
+    };
+    if let Err(e) = done {
+        eprintln!("standin: {e}");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,187 @@
+//! One process of a plain service, such as stock checks or orders.
+//!
+//! It counts what it runs for each key, so that tests can tell whether anything
+//! ran twice. It takes no care of its own against running twice.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use gumdrop::Options;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use base::CentreId;
+use base::ServiceName;
+use base::ServiceReport;
+use net::Body;
+use net::Bounds;
+use net::RpcClient;
+use net::Server;
+use net::read_body;
+use wire::upstream::AnnounceService;
+
+use crate::Place;
+use crate::announce::announce;
+use crate::announce::new_incarnation;
+
+const BODY_BYTES: usize = 1024 * 1024;
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// Options of a plain service.
+#[derive(Debug, Options)]
+pub(crate) struct ServiceArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "name of the service")]
+    name: Option<ServiceName>,
+    #[options(required, help = "its data centre, such as dc1")]
+    centre: CentreId,
+    #[options(help = "address to listen on, any free port of loopback by default")]
+    listen: Option<SocketAddr>,
+    #[options(help = "internal address of an entry node; may be repeated")]
+    entry: Vec<SocketAddr>,
+    #[options(required, help = "file with the upstreams' secret")]
+    secret_file: String,
+    #[options(no_short, help = "milliseconds that a call takes", default = "5")]
+    delay_ms: u64,
+    #[options(
+        no_short,
+        help = "run this many calls, but drop the link before the answer",
+        default = "0"
+    )]
+    drop_answers: u32,
+}
+
+#[derive(Debug)]
+struct Service {
+    name: ServiceName,
+    delay: Duration,
+    drops: Cell<u32>,
+    runs: RefCell<BTreeMap<String, u32>>,
+    leaving: Cell<bool>,
+}
+
+/// What a call gives.
+#[derive(Debug, Serialize)]
+struct Outcome {
+    service: ServiceName,
+    key: String,
+    /// How often this key has run.
+    runs: u32,
+}
+
+pub(crate) async fn run(args: ServiceArgs) -> io::Result<()> {
+    let place = Place::read(args.listen, &args.entry, &args.secret_file)?;
+    let name = args
+        .name
+        .ok_or_else(|| io::Error::other("--name is missing"))?;
+    let service = Rc::new(Service {
+        name: name.clone(),
+        delay: Duration::from_millis(args.delay_ms),
+        drops: Cell::new(args.drop_answers),
+        runs: RefCell::default(),
+        leaving: Cell::new(false),
+    });
+    let handled = Rc::clone(&service);
+    let server = Server::bind(place.listen, Bounds::default(), move |req| {
+        handle(Rc::clone(&handled), req)
+    })
+    .await?;
+    println!("service {name} listens on {}", server.addr());
+    let incarnation = new_incarnation();
+    let addr = server.addr();
+    let client = RpcClient::open(place.secret.clone()).map_err(io::Error::other)?;
+    let reporter = Rc::clone(&service);
+    let announcing = announce(client, place.entries.clone(), move |sequence| {
+        AnnounceService {
+            report: ServiceReport {
+                service: reporter.name.clone(),
+                incarnation,
+                sequence,
+                centre: args.centre,
+                addr,
+                leaving: reporter.leaving.get(),
+            },
+        }
+    });
+    compio::runtime::spawn(announcing).detach();
+    const SIGTERM: i32 = 15;
+    let _ = compio::signal::unix::signal(SIGTERM).await;
+    service.leaving.set(true);
+    compio::time::sleep(Duration::from_secs(1)).await;
+    Ok(())
+}
+
+async fn handle(service: Rc<Service>, req: Request<Incoming>) -> Response<Body> {
+    let (head, body) = req.into_parts();
+    let key = head.headers.get("idempotency-key");
+    let key = key
+        .and_then(|key| key.to_str().ok())
+        .unwrap_or("-")
+        .to_owned();
+    if read_body(body, BODY_BYTES, BODY_TIME).await.is_err() {
+        return answer(
+            StatusCode::BAD_REQUEST,
+            Body::whole("the body cannot be read"),
+        );
+    }
+    match head.uri.path() {
+        "/outcome" => service.outcome(&key),
+        "/runs" => service.all_runs(),
+        _ => service.run(key).await,
+    }
+}
+
+impl Service {
+    async fn run(&self, key: String) -> Response<Body> {
+        compio::time::sleep(self.delay).await;
+        let runs = {
+            let mut all = self.runs.borrow_mut();
+            let runs = all.entry(key.clone()).or_default();
+            *runs += 1;
+            *runs
+        };
+        if 0 < self.drops.get() {
+            self.drops.set(self.drops.get() - 1);
+            // An answer that never ends: its reader gives up with the outcome unknown.
+            std::future::pending::<()>().await;
+        }
+        self.answer_for(key, runs)
+    }
+
+    fn outcome(&self, key: &str) -> Response<Body> {
+        match self.runs.borrow().get(key) {
+            Some(runs) => self.answer_for(key.to_owned(), *runs),
+            None => answer(StatusCode::NOT_FOUND, Body::whole("never seen")),
+        }
+    }
+
+    fn answer_for(&self, key: String, runs: u32) -> Response<Body> {
+        let service = self.name.clone();
+        let outcome = Outcome { service, key, runs };
+        let json = serde_json::to_vec(&outcome).unwrap_or_default();
+        let mut response = answer(StatusCode::OK, Body::whole(json));
+        let json = http::HeaderValue::from_static("application/json");
+        response.headers_mut().insert("content-type", json);
+        response
+    }
+
+    fn all_runs(&self) -> Response<Body> {
+        let json = serde_json::to_vec(&*self.runs.borrow()).unwrap_or_default();
+        answer(StatusCode::OK, Body::whole(json))
+    }
+}
+
+fn answer(status: StatusCode, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,20 @@
 //! Messages between processes and their JSON-RPC methods.
+//!
+//! Each call is a type that names its method and its reply. Entry nodes offer
+//! the calls in [`upstream`] to hosts and services, those in [`operator`] to
+//! the command-line tool and those in [`peer`] to each other. Engines offer
+//! the calls in [`engine`].
+
+pub mod engine;
+pub mod operator;
+pub mod peer;
+pub mod upstream;
+
+mod call;
+
+pub use call::Call;
+pub use call::Fault;
+pub use call::FaultKind;
+pub use call::UnreadableReply;
+pub use call::decode_reply;
+pub use call::encode_call;
--- /dev/null
+++ b/crates/wire/src/operator.rs
@@ -0,0 +1,1 @@
+//! Calls that the operators' tool makes to an entry node.
