Read the operators' rules, one a line, all findings together

Each line is read as a TOML document of its own, so that a broken line hides no finding of another. Reading the whole file first was ruled out: the library stops at the first syntax error.

--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -1,1 +1,28 @@
 //! The operators' file of rules: parsed, checked and turned into contracts.
+//!
+//! The file is TOML with one rule on each line, and every rule ends with a
+//! comment that names who asked for it. Rules speak of organisations, callers,
+//! models, services and contracts, never of hosts. [`Rules::parse`] reports
+//! every finding of a file together, each with its line and column.
+
+mod check;
+mod field;
+mod line;
+mod read;
+mod rules;
+mod secret;
+mod section;
+mod unit;
+
+pub use rules::Ask;
+pub use rules::Asker;
+pub use rules::Caller;
+pub use rules::ContractRule;
+pub use rules::MAX_FILE_BYTES;
+pub use rules::Model;
+pub use rules::Org;
+pub use rules::Repeat;
+pub use rules::Rules;
+pub use rules::Service;
+pub use secret::ParseSecretError;
+pub use secret::SecretDigest;
