--- a/crates/rules/src/check.rs
+++ b/crates/rules/src/check.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeSet;
 
+use crate::Rules;
+use crate::read::Places;
+use crate::section::Section;
 use base::CallerName;
 use base::ContractName;
 use base::Findings;
@@ -9,10 +12,6 @@
 use base::Overflow;
 use base::Place;
 
-use crate::Rules;
-use crate::read::Places;
-use crate::section::Section;
-
 /// Fills in the indexes of the rules and reports what contradicts itself.
 pub(crate) fn check(rules: &mut Rules, places: &Places, findings: &mut Findings) {
     let mut report = Report { places, findings };
--- a/crates/rules/src/field.rs
+++ b/crates/rules/src/field.rs
@@ -4,11 +4,10 @@
 
 use toml_edit::Value;
 
+use crate::line::Line;
 use base::Findings;
 use base::Place;
 
-use crate::line::Line;
-
 /// The fields of one rule while they are read.
 pub(crate) struct Fields<'a> {
     line: &'a Line,
--- a/crates/rules/src/line.rs
+++ b/crates/rules/src/line.rs
@@ -11,11 +11,10 @@
 use toml_edit::InlineTable;
 use toml_edit::Item;
 
-use base::Findings;
-use base::Place;
-
 use crate::Asker;
 use crate::section::Section;
+use base::Findings;
+use base::Place;
 
 /// Findings after which the rest of a file is not read.
 const MAX_FINDINGS: usize = 1_000;
--- a/crates/rules/src/read.rs
+++ b/crates/rules/src/read.rs
@@ -7,16 +7,6 @@
 
 use toml_edit::Value;
 
-use base::CallerName;
-use base::Contract;
-use base::Findings;
-use base::ModelName;
-use base::Overflow;
-use base::Place;
-use base::Priority;
-use base::RequestRate;
-use base::TokenRate;
-
 use crate::Ask;
 use crate::Caller;
 use crate::ContractRule;
@@ -37,6 +27,15 @@
 use crate::line::Line;
 use crate::section::Section;
 use crate::unit;
+use base::CallerName;
+use base::Contract;
+use base::Findings;
+use base::ModelName;
+use base::Overflow;
+use base::Place;
+use base::Priority;
+use base::RequestRate;
+use base::TokenRate;
 
 const MAX_WEIGHT: u32 = 1_000;
 const MAX_WIDTH: u32 = 64;
--- a/crates/rules/src/rules.rs
+++ b/crates/rules/src/rules.rs
@@ -9,6 +9,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::SecretDigest;
+use crate::read;
 use base::CallerName;
 use base::Contract;
 use base::ContractName;
@@ -17,9 +19,6 @@
 use base::OrgName;
 use base::ServiceName;
 
-use crate::SecretDigest;
-use crate::read;
-
 /// The largest file that is read.
 pub const MAX_FILE_BYTES: usize = 1024 * 1024;
 
