Add the daemon's callers' side, announcements, and the operators' tool

Cause: the thin path from a caller through an entry node to an engine. Ruled out: passing engines' frames on unchecked; each is matched by request id and index, and a stream without its end marker ends in an error event.

--- /dev/null
+++ b/crates/cli/src/link.rs
@@ -0,0 +1,64 @@
+//! Calls one node after the other until one answers.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use net::RpcClient;
+use net::RpcError;
+use wire::Call;
+use wire::FaultKind;
+
+use crate::args::Args;
+use crate::exit::CliError;
+
+/// The nodes that may be called.
+#[derive(Debug)]
+pub struct Link {
+    client: RpcClient,
+    nodes: Vec<SocketAddr>,
+    span: Duration,
+}
+
+impl Link {
+    /// The nodes that the command line names.
+    pub fn open(args: &Args) -> Result<Self, CliError> {
+        let missing = |what| CliError::Missing { what };
+        let file = args.secret_file.clone().ok_or(missing("--secret-file"))?;
+        if args.node.is_empty() {
+            return Err(missing("--node"));
+        }
+        let secret = fs::read_to_string(&file).map_err(|error| CliError::File { file, error })?;
+        Ok(Self {
+            client: RpcClient::open(secret.trim()).map_err(CliError::Client)?,
+            nodes: args.node.clone(),
+            span: Duration::from_millis(args.timeout_ms),
+        })
+    }
+
+    /// Calls the nodes in turn until one answers.
+    pub async fn call<C: Call>(&self, call: &C) -> Result<C::Reply, CliError> {
+        let mut last = None;
+        let mut maybe_done = false;
+        for addr in &self.nodes {
+            match self.client.call(*addr, call, self.span).await {
+                Ok(reply) => return Ok(reply),
+                Err(e) => {
+                    maybe_done |= may_have_acted(&e);
+                    last = Some(e);
+                }
+            }
+        }
+        let missing = CliError::Missing { what: "--node" };
+        Err(last.map_or(missing, |last| CliError::NoAnswer { last, maybe_done }))
+    }
+}
+
+fn may_have_acted(error: &RpcError) -> bool {
+    match error {
+        RpcError::Refused { fault, .. } => fault.kind == FaultKind::Unknown,
+        RpcError::Unreachable { .. } | RpcError::Timeout { .. } | RpcError::Unreadable { .. } => {
+            true
+        }
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,32 @@
-//! Entry point.
+//! `berylbay`, the operators' tool.
 
-fn main() {}
+mod args;
+mod exit;
+mod link;
+mod pending;
+mod run;
+mod table;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use crate::args::Args;
+
+fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("berylbay: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run::run(args)) {
+        Ok(exit) => exit.into(),
+        Err(e) => {
+            eprintln!("berylbay: {e}");
+            e.exit().into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/auth.rs
@@ -0,0 +1,41 @@
+//! Finds out who asks, by the bearer secret.
+
+use http::HeaderMap;
+use http::StatusCode;
+use sha2::Digest;
+use sha2::Sha256;
+
+use base::CallerName;
+use base::OrgName;
+
+use crate::node::Node;
+use crate::problem::Problem;
+
+/// A caller that has proved who it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// The caller.
+    pub name: CallerName,
+    /// Its organisation.
+    pub org: OrgName,
+}
+
+/// The bearer secret in a request's head.
+pub fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get("authorization")?.to_str().ok()?;
+    value.strip_prefix("Bearer ").map(str::trim)
+}
+
+/// The caller that a request's head names.
+pub fn caller(node: &Node, headers: &HeaderMap) -> Result<Known, Problem> {
+    let unauthorized = |what| Problem::not_run(StatusCode::UNAUTHORIZED, "unknown-caller", what);
+    let secret = bearer(headers).ok_or_else(|| unauthorized("a bearer secret is missing"))?;
+    let digest: [u8; 32] = Sha256::digest(secret.as_bytes()).into();
+    let rules = node.rules();
+    let found = rules.caller_by_secret(&digest);
+    let (name, caller) = found.ok_or_else(|| unauthorized("no caller has this bearer secret"))?;
+    Ok(Known {
+        name: name.clone(),
+        org: caller.org.clone(),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/entry/chat.rs
@@ -0,0 +1,399 @@
+//! Chat completions: admitted, placed, streamed, resumed or refused.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::select_biased;
+use http::Response;
+use http::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+
+use base::Contract;
+use base::ModelName;
+use base::Ran;
+use base::Time;
+use base::TokenCount;
+use net::Body;
+use net::BodySender;
+
+use crate::clock;
+use crate::dispatch;
+use crate::dispatch::Placed;
+use crate::dispatch::Wish;
+use crate::dispatch::Work;
+use crate::entry::Arrival;
+use crate::entry::chunk::DONE;
+use crate::entry::chunk::Follower;
+use crate::entry::chunk::Frame;
+use crate::entry::exchange::Break;
+use crate::entry::exchange::Exchange;
+use crate::events::Event;
+use crate::events::emit;
+use crate::metrics::Class;
+use crate::node::InFlight;
+use crate::node::Node;
+use crate::problem::Problem;
+
+/// Tokens of an answer if the caller sets no bound.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// The largest bound on an answer's tokens.
+const MOST_TOKENS: u32 = 32_768;
+
+/// How often one answer is resumed after its link broke.
+const MOST_RESUMES: u32 = 3;
+
+/// What is read of a chat request. The rest goes to the engine as it came.
+#[derive(Debug, Deserialize)]
+struct ChatRequest {
+    model: ModelName,
+    #[serde(rename = "messages")]
+    _messages: Vec<serde::de::IgnoredAny>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// A whole answer, for callers that don't want a stream.
+#[derive(Debug, Serialize)]
+struct Completion<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a ModelName,
+    choices: [WholeChoice; 1],
+    usage: Usage,
+}
+
+#[derive(Debug, Serialize)]
+struct WholeChoice {
+    index: u32,
+    message: Message,
+    finish_reason: String,
+}
+
+#[derive(Debug, Serialize)]
+struct Message {
+    role: &'static str,
+    content: String,
+}
+
+#[derive(Debug, Serialize)]
+struct Usage {
+    completion_tokens: u32,
+}
+
+/// An answer that is coming in.
+struct Answer {
+    node: Rc<Node>,
+    work: Work,
+    id: String,
+    body: Bytes,
+    exchange: Exchange,
+    follower: Follower,
+    /// The frame that was read to see that the answer began.
+    first: Option<(Frame, String)>,
+    resumes: u32,
+    class: Class,
+    arrived: Time,
+    last: Time,
+    _in_flight: InFlight,
+}
+
+/// Serves one chat.
+pub async fn chat(node: &Rc<Node>, arrival: Arrival) -> Result<Response<Body>, Problem> {
+    let chat = parse(&arrival.body)?;
+    let contract = contract(node, &arrival, &chat.model)?;
+    let wish = wish(node, &arrival, &chat, contract);
+    let class = Class {
+        org: arrival.caller.org.to_string(),
+        class: wish.contract.name.to_string(),
+    };
+    let answer = begin(node, arrival, wish, class).await?;
+    match chat.stream {
+        true => Ok(stream(answer)),
+        false => collect(answer).await,
+    }
+}
+
+fn parse(body: &[u8]) -> Result<ChatRequest, Problem> {
+    let invalid = |e| Problem::not_run(StatusCode::BAD_REQUEST, "invalid-request", e);
+    serde_json::from_slice(body).map_err(invalid)
+}
+
+fn contract(node: &Node, arrival: &Arrival, model: &ModelName) -> Result<Contract, Problem> {
+    let rules = node.rules();
+    let found = rules.contract_for(&arrival.caller.name, model).cloned();
+    found.ok_or_else(|| {
+        let what = format_args!(
+            "no contract gives {} the model {model}",
+            arrival.caller.name
+        );
+        Problem::not_run(StatusCode::FORBIDDEN, "no-contract", what)
+    })
+}
+
+fn wish(node: &Node, arrival: &Arrival, chat: &ChatRequest, contract: Contract) -> Wish {
+    const BYTES_PER_TOKEN: usize = 4;
+    let max_tokens = chat.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    Wish {
+        request: node.next_request(),
+        contract,
+        prompt: TokenCount((arrival.body.len() / BYTES_PER_TOKEN) as u32),
+        max_tokens: TokenCount(max_tokens.min(MOST_TOKENS)),
+        prefix: Some(prefix_of(&arrival.body)),
+        arrived: arrival.arrived,
+    }
+}
+
+/// A number that stands for the start of a prompt.
+fn prefix_of(body: &[u8]) -> u64 {
+    const PREFIX_BYTES: usize = 1024;
+    let start = &body[..body.len().min(PREFIX_BYTES)];
+    start.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
+/// Finds a replica and waits for the first frame, trying others while that is safe.
+async fn begin(
+    node: &Rc<Node>,
+    arrival: Arrival,
+    wish: Wish,
+    class: Class,
+) -> Result<Answer, Problem> {
+    let mut ran = Ran::NotRun;
+    loop {
+        let work = dispatch::place(node, &wish).await.map_err(|p| p.ran(ran))?;
+        let queued = clock::now().since(arrival.arrived);
+        node.metrics
+            .queueing
+            .get_or_create(&class)
+            .observe(queued.as_secs_f64());
+        let id = node.name_of(node.next_request());
+        let mut follower = Follower::new(id.clone());
+        match first_frame(work.placed(), &id, &arrival.body, &mut follower).await {
+            Ok((exchange, first)) => {
+                work.first_token();
+                let waited = clock::now().since(arrival.arrived);
+                node.metrics
+                    .first_token
+                    .get_or_create(&class)
+                    .observe(waited.as_secs_f64());
+                return Ok(Answer {
+                    node: Rc::clone(node),
+                    work,
+                    id,
+                    body: arrival.body,
+                    exchange,
+                    follower,
+                    first: Some(first),
+                    resumes: 0,
+                    class,
+                    arrived: arrival.arrived,
+                    last: clock::now(),
+                    _in_flight: arrival.in_flight,
+                });
+            }
+            Err(e) => {
+                if e.may_have_run() {
+                    ran = Ran::Unknown;
+                }
+                report_break(work.placed(), &e);
+                let retry = work.failed(&e);
+                if !retry {
+                    return Err(broken_off(&e).ran(ran));
+                }
+                node.metrics.retries.inc();
+            }
+        }
+    }
+}
+
+async fn first_frame(
+    placed: &Placed,
+    id: &str,
+    body: &Bytes,
+    follower: &mut Follower,
+) -> Result<(Exchange, (Frame, String)), Break> {
+    let mut exchange = Exchange::open(placed, id, body.clone(), 0).await?;
+    let first = exchange.next(follower).await?;
+    Ok((exchange, first))
+}
+
+impl Answer {
+    /// The next frame. Resumes after the last delivered token if the link breaks.
+    async fn next(&mut self) -> Result<(Frame, String), Break> {
+        if let Some(first) = self.first.take() {
+            return Ok(first);
+        }
+        loop {
+            let broken = match self.exchange.next(&mut self.follower).await {
+                Ok(frame) => {
+                    self.note(&frame.0);
+                    return Ok(frame);
+                }
+                Err(e) => e,
+            };
+            report_break(self.work.placed(), &broken);
+            if MOST_RESUMES <= self.resumes {
+                return Err(broken);
+            }
+            self.resumes += 1;
+            self.resume().await?;
+        }
+    }
+
+    async fn resume(&mut self) -> Result<(), Break> {
+        let placed = self.work.placed();
+        let delivered = self.follower.delivered();
+        if !dispatch::is_routed(&self.node, placed) {
+            return Err(Break::Lost);
+        }
+        self.exchange = Exchange::open(placed, &self.id, self.body.clone(), delivered).await?;
+        self.node.metrics.retries.inc();
+        let replica = placed.replica;
+        emit(&Event::AnswerResumed { replica, delivered });
+        Ok(())
+    }
+
+    fn note(&mut self, frame: &Frame) {
+        if !matches!(frame, Frame::Token { .. }) {
+            return;
+        }
+        let now = clock::now();
+        let gap = now.since(self.last);
+        self.last = now;
+        self.work.token();
+        let times = &self.node.metrics.between_tokens;
+        times.get_or_create(&self.class).observe(gap.as_secs_f64());
+    }
+
+    fn finish(&self) {
+        self.work.finished();
+        let total = clock::now().since(self.arrived);
+        let times = &self.node.metrics.total;
+        times
+            .get_or_create(&self.class)
+            .observe(total.as_secs_f64());
+    }
+}
+
+/// Streams an answer to its caller in the background.
+fn stream(answer: Answer) -> Response<Body> {
+    let (tx, body) = Body::stream();
+    let id = answer.id.clone();
+    compio::runtime::spawn(pump(answer, tx)).detach();
+    let mut response = Response::new(body);
+    let headers = response.headers_mut();
+    headers.insert(
+        "content-type",
+        http::HeaderValue::from_static("text/event-stream"),
+    );
+    headers.insert("cache-control", http::HeaderValue::from_static("no-store"));
+    if let Ok(id) = id.parse() {
+        headers.insert("x-request-id", id);
+    }
+    response
+}
+
+/// Passes frames on until the answer is whole, breaks or its caller has gone.
+///
+/// Dropping the answer closes the engine's connection, which cancels its work.
+async fn pump(mut answer: Answer, tx: BodySender) {
+    let stall = answer.node.settings.limits.stall;
+    loop {
+        let next = {
+            let mut gone = Box::pin(tx.closed()).fuse();
+            let mut next = Box::pin(answer.next()).fuse();
+            select_biased! {
+                next = next => next,
+                () = gone => return,
+            }
+        };
+        match next {
+            Ok((Frame::Repeated, _)) => {}
+            Ok((Frame::Done, _)) => {
+                let _ = tx.send(event(DONE), stall).await;
+                answer.finish();
+                return;
+            }
+            Ok((Frame::Token { .. } | Frame::Finish { .. }, data)) => {
+                if tx.send(event(&data), stall).await.is_err() {
+                    return;
+                }
+            }
+            Err(e) => {
+                let _ = tx.send(error_event(&e), stall).await;
+                answer.work.failed(&e);
+                return;
+            }
+        }
+    }
+}
+
+/// Reads an answer to its end and gives it as a whole.
+async fn collect(mut answer: Answer) -> Result<Response<Body>, Problem> {
+    let mut content = String::new();
+    let mut finish_reason = String::new();
+    loop {
+        match answer.next().await {
+            Ok((Frame::Token { text }, _)) => content += &text,
+            Ok((Frame::Finish { reason }, _)) => finish_reason = reason,
+            Ok((Frame::Repeated, _)) => {}
+            Ok((Frame::Done, _)) => break,
+            Err(e) => {
+                answer.work.failed(&e);
+                return Err(broken_off(&e).ran(Ran::Run));
+            }
+        }
+    }
+    answer.finish();
+    let completion = Completion {
+        id: &answer.id,
+        object: "chat.completion",
+        model: &answer.work.placed().model,
+        choices: [WholeChoice {
+            index: 0,
+            message: Message {
+                role: "assistant",
+                content,
+            },
+            finish_reason,
+        }],
+        usage: Usage {
+            completion_tokens: answer.follower.delivered(),
+        },
+    };
+    let json = serde_json::to_vec(&completion).unwrap_or_default();
+    let mut response = Response::new(Body::whole(json));
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert("content-type", json);
+    Ok(response)
+}
+
+fn event(data: &str) -> Bytes {
+    Bytes::from(format!("data: {data}\n\n"))
+}
+
+/// The last event of an answer that broke off. No end marker follows it.
+fn error_event(error: &Break) -> Bytes {
+    let problem = broken_off(error).ran(Ran::Run);
+    let json = serde_json::to_string(&problem).unwrap_or_default();
+    Bytes::from(format!("event: error\ndata: {{\"error\":{json}}}\n\n"))
+}
+
+fn broken_off(error: &Break) -> Problem {
+    let what = format_args!("the answer broke off: {error}");
+    let problem = Problem::not_run(StatusCode::BAD_GATEWAY, "answer-broken", what);
+    problem.retry_after(Duration::from_secs(1))
+}
+
+fn report_break(placed: &Placed, error: &Break) {
+    let replica = placed.replica;
+    let error = error.to_string();
+    emit(&Event::AnswerRejected { replica, error });
+}
--- /dev/null
+++ b/crates/daemon/src/entry/mod.rs
@@ -0,0 +1,165 @@
+//! The callers' side: chats and calls of services by HTTP.
+
+mod auth;
+mod call;
+mod chat;
+mod chunk;
+mod exchange;
+
+pub use auth::bearer;
+pub use exchange::Break;
+
+use std::rc::Rc;
+
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::request::Parts;
+use hyper::body::Incoming;
+
+use net::Body;
+use net::BodyError;
+use net::Bounds;
+use net::Server;
+use net::read_body;
+
+use crate::clock;
+use crate::metrics::RefusalLabels;
+use crate::node::Node;
+use crate::node::Phase;
+use crate::problem::Problem;
+
+/// Listens for callers.
+pub async fn bind(node: &Rc<Node>) -> std::io::Result<Server> {
+    let limits = &node.settings.limits;
+    let bounds = Bounds {
+        connections: limits.connections,
+        header_bytes: limits.header_bytes.0 as usize,
+        header_time: limits.arrival,
+    };
+    let node = Rc::clone(node);
+    let addr = node.settings.node.callers;
+    Server::bind(addr, bounds, move |req| answer(Rc::clone(&node), req)).await
+}
+
+async fn answer(node: Rc<Node>, req: Request<Incoming>) -> Response<Body> {
+    match req.uri().path() {
+        "/live" => return plain(StatusCode::OK, "live"),
+        "/ready" => return ready(&node),
+        _ => {}
+    }
+    match serve(&node, req).await {
+        Ok(response) => response,
+        Err(problem) => {
+            let labels = RefusalLabels {
+                reason: problem.kind.to_owned(),
+                ran: problem.ran.to_string(),
+            };
+            node.metrics.refusals.get_or_create(&labels).inc();
+            problem.into_response()
+        }
+    }
+}
+
+async fn serve(node: &Rc<Node>, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
+    let arrived = clock::now();
+    check_room(node)?;
+    let in_flight = node.count_request();
+    let (head, body) = req.into_parts();
+    let caller = auth::caller(node, &head.headers)?;
+    let limits = &node.settings.limits;
+    let read = read_body(body, limits.body_bytes.0 as usize, limits.arrival).await;
+    let body = read.map_err(unreadable)?;
+    let arrival = Arrival {
+        caller,
+        body,
+        arrived,
+        in_flight,
+    };
+    match route(&head) {
+        Route::Chat => chat::chat(node, arrival).await,
+        Route::Service(service) => call::call(node, arrival, service, &head.headers).await,
+        Route::Unknown => {
+            let what = format_args!("there is no {} {}", head.method, head.uri.path());
+            Err(Problem::not_run(
+                StatusCode::NOT_FOUND,
+                "no-such-path",
+                what,
+            ))
+        }
+    }
+}
+
+/// A request whose caller is known and whose body was read.
+#[derive(Debug)]
+pub struct Arrival {
+    /// Who asks.
+    pub caller: auth::Known,
+    /// The body.
+    pub body: bytes::Bytes,
+    /// When the request arrived.
+    pub arrived: base::Time,
+    /// Counts it.
+    pub in_flight: crate::node::InFlight,
+}
+
+#[derive(Debug)]
+enum Route<'a> {
+    Chat,
+    Service(&'a str),
+    Unknown,
+}
+
+fn route(head: &Parts) -> Route<'_> {
+    let path = head.uri.path();
+    let is_post = head.method == http::Method::POST;
+    match path.strip_prefix("/v1/services/") {
+        Some(service) if is_post => Route::Service(service),
+        None if is_post && path == "/v1/chat/completions" => Route::Chat,
+        _ => Route::Unknown,
+    }
+}
+
+fn check_room(node: &Node) -> Result<(), Problem> {
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    let soon = std::time::Duration::from_secs(1);
+    match node.phase.get() {
+        Phase::Starting => {
+            let what = "this node has no configuration yet";
+            return Err(Problem::not_run(unavailable, "starting", what).retry_after(soon));
+        }
+        Phase::Draining => {
+            let what = "this node is stopping";
+            return Err(Problem::not_run(unavailable, "stopping", what).retry_after(soon));
+        }
+        Phase::Serving | Phase::Leaving => {}
+    }
+    if node.settings.limits.requests <= node.in_flight() {
+        let what = "this node has as many requests in progress as it takes";
+        return Err(Problem::not_run(unavailable, "node-full", what).retry_after(soon));
+    }
+    Ok(())
+}
+
+fn unreadable(error: BodyError) -> Problem {
+    let (status, kind) = match error {
+        BodyError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+        BodyError::TooSlow { .. } => (StatusCode::REQUEST_TIMEOUT, "body-too-slow"),
+        BodyError::Broken => (StatusCode::BAD_REQUEST, "body-broken"),
+    };
+    Problem::not_run(status, kind, error)
+}
+
+fn ready(node: &Node) -> Response<Body> {
+    match node.phase.get() {
+        Phase::Serving => plain(StatusCode::OK, "ready"),
+        Phase::Starting => plain(StatusCode::SERVICE_UNAVAILABLE, "starting"),
+        Phase::Leaving | Phase::Draining => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
+    let mut response = Response::new(Body::whole(text));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/inner/announce.rs
@@ -0,0 +1,68 @@
+//! Announcements of hosts and services.
+
+use std::rc::Rc;
+
+use base::HostReport;
+use base::ServiceReport;
+use net::Methods;
+use wire::upstream::AnnounceHost;
+use wire::upstream::AnnounceService;
+use wire::upstream::Heard;
+
+use crate::clock;
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+use crate::upstreams::Hearing;
+
+pub fn methods(methods: Methods<Node>) -> Methods<Node> {
+    methods
+        .on(|node: Rc<Node>, call: AnnounceHost| async move {
+            if hear_host(&node, &call.report) {
+                node.relay
+                    .borrow_mut()
+                    .hosts
+                    .insert(call.report.host, call.report);
+            }
+            Ok(Heard { by: node.id() })
+        })
+        .on(|node: Rc<Node>, call: AnnounceService| async move {
+            if hear_service(&node, &call.report) {
+                let key = (call.report.service.clone(), call.report.addr);
+                node.relay.borrow_mut().services.insert(key, call.report);
+            }
+            Ok(Heard { by: node.id() })
+        })
+}
+
+/// Takes a host's report, heard directly or from a neighbour. True if it was news.
+pub fn hear_host(node: &Node, report: &HostReport) -> bool {
+    let mut upstreams = node.upstreams.borrow_mut();
+    let was_leaving = upstreams
+        .host(report.host)
+        .is_some_and(|h| h.report.leaving);
+    let hearing = upstreams.hear_host(report, clock::now());
+    let host = report.host;
+    if hearing == Hearing::New {
+        let addr = report.addr;
+        emit(&Event::HostHeard { host, addr });
+    }
+    if report.leaving && !was_leaving && hearing != Hearing::Ignored {
+        emit(&Event::HostLeaving { host });
+    }
+    hearing != Hearing::Ignored
+}
+
+/// Takes a service's report. True if it was news.
+pub fn hear_service(node: &Node, report: &ServiceReport) -> bool {
+    let hearing = node
+        .upstreams
+        .borrow_mut()
+        .hear_service(report, clock::now());
+    if hearing == Hearing::New {
+        let service = &report.service;
+        let addr = report.addr;
+        emit(&Event::ServiceHeard { service, addr });
+    }
+    hearing != Hearing::Ignored
+}
--- /dev/null
+++ b/crates/daemon/src/inner/mod.rs
@@ -0,0 +1,98 @@
+//! The system's own side: upstreams, operators and other nodes, by JSON-RPC.
+//!
+//! Each of the three proves what it is by a secret of its own, and reaches only
+//! the methods that are meant for it.
+
+mod announce;
+mod pull;
+mod relay;
+
+use std::rc::Rc;
+
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+
+use net::Body;
+use net::Bounds;
+use net::Methods;
+use net::Server;
+use net::read_body;
+
+use crate::entry::bearer;
+use crate::node::Node;
+
+pub use pull::bring_into_force;
+pub use pull::pull_on;
+pub use relay::Untold;
+pub use relay::relay_on;
+
+/// The largest call: a snapshot's part or a rules file, with room for its envelope.
+const CALL_BYTES: usize = 8 * 1024 * 1024;
+
+/// The methods for each kind of process.
+struct Offered {
+    peers: Methods<Node>,
+    upstreams: Methods<Node>,
+    operators: Methods<Node>,
+}
+
+impl Offered {
+    fn new(node: &Rc<Node>) -> Self {
+        let cx = || Rc::clone(node);
+        Self {
+            peers: pull::methods(relay::methods(Methods::new(cx()))),
+            upstreams: announce::methods(Methods::new(cx())),
+            operators: Methods::new(cx()),
+        }
+    }
+
+    /// The methods that a request's secret opens.
+    fn to(&self, node: &Node, headers: &HeaderMap) -> Option<&Methods<Node>> {
+        let secrets = &node.settings.secrets;
+        let given = bearer(headers)?;
+        if secrets.peers.matches(given) {
+            return Some(&self.peers);
+        }
+        if secrets.upstreams.matches(given) {
+            return Some(&self.upstreams);
+        }
+        secrets.operators.matches(given).then_some(&self.operators)
+    }
+}
+
+/// Listens for the system's own processes.
+pub async fn bind(node: &Rc<Node>) -> std::io::Result<Server> {
+    let bounds = Bounds::default();
+    let offered = Rc::new(Offered::new(node));
+    let node = Rc::clone(node);
+    let addr = node.settings.node.internal;
+    Server::bind(addr, bounds, move |req| {
+        answer(Rc::clone(&node), Rc::clone(&offered), req)
+    })
+    .await
+}
+
+async fn answer(node: Rc<Node>, offered: Rc<Offered>, req: Request<Incoming>) -> Response<Body> {
+    match req.uri().path() {
+        "/metrics" => return Response::new(Body::whole(node.metrics.encode())),
+        "/rpc" => {}
+        _ => return status(StatusCode::NOT_FOUND),
+    }
+    let (head, body) = req.into_parts();
+    let Some(methods) = offered.to(&node, &head.headers) else {
+        return status(StatusCode::UNAUTHORIZED);
+    };
+    match read_body(body, CALL_BYTES, node.settings.limits.arrival).await {
+        Ok(bytes) => Response::new(Body::whole(methods.answer(&bytes).await)),
+        Err(_) => status(StatusCode::BAD_REQUEST),
+    }
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::default());
+    *response.status_mut() = status;
+    response
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,70 @@
-//! Entry point.
+//! `berylbayd`, one node of the system: `berylbayd --settings FILE`.
 
-fn main() {}
+mod clock;
+mod dispatch;
+mod entry;
+mod events;
+mod inner;
+mod metrics;
+mod node;
+mod problem;
+mod run;
+mod upstreams;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use settings::Settings;
+
+/// Exit code for settings that cannot be used.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Exit code for anything that fails at the start.
+const EXIT_FAILED: u8 = 1;
+
+/// Options of the daemon.
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "the node's settings, a TOML file")]
+    settings: Option<PathBuf>,
+    #[options(no_short, help = "only check the settings")]
+    check: bool,
+    #[options(no_short, help = "print the catalogue of log events")]
+    events: bool,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    if args.events {
+        print!("{}", events::catalogue());
+        return ExitCode::SUCCESS;
+    }
+    let Some(file) = args.settings else {
+        eprintln!("berylbayd: --settings is missing; --help tells more");
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    let settings = match Settings::load(&file) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if args.check {
+        println!("{}: no findings", file.display());
+        return ExitCode::SUCCESS;
+    }
+    let env = env_logger::Env::new().filter_or("BERYLBAY_LOG", "info");
+    env_logger::Builder::from_env(env).init();
+    match run::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("berylbayd: {e}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -87,16 +87,44 @@
 impl Metrics {
     fn register(&mut self) {
         let r = &mut self.registry;
-        r.register("queueing_seconds", "Arrival to being sent", self.queueing.clone());
-        r.register("first_token_seconds", "Arrival to first token", self.first_token.clone());
-        r.register("between_tokens_seconds", "Between two tokens", self.between_tokens.clone());
-        r.register("total_seconds", "Arrival to end of answer", self.total.clone());
+        r.register(
+            "queueing_seconds",
+            "Arrival to being sent",
+            self.queueing.clone(),
+        );
+        r.register(
+            "first_token_seconds",
+            "Arrival to first token",
+            self.first_token.clone(),
+        );
+        r.register(
+            "between_tokens_seconds",
+            "Between two tokens",
+            self.between_tokens.clone(),
+        );
+        r.register(
+            "total_seconds",
+            "Arrival to end of answer",
+            self.total.clone(),
+        );
         r.register("refusals", "Refusals by reason", self.refusals.clone());
         r.register("retries", "Requests sent once more", self.retries.clone());
         r.register("claims", "Claims of orders granted", self.claims.clone());
-        r.register("in_flight_requests", "Requests in progress", self.in_flight.clone());
-        r.register("config_version", "Configuration in force", self.config_version.clone());
-        r.register("controller", "One while ordering hosts", self.controller.clone());
+        r.register(
+            "in_flight_requests",
+            "Requests in progress",
+            self.in_flight.clone(),
+        );
+        r.register(
+            "config_version",
+            "Configuration in force",
+            self.config_version.clone(),
+        );
+        r.register(
+            "controller",
+            "One while ordering hosts",
+            self.controller.clone(),
+        );
     }
 
     /// All metrics as text.
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,153 @@
+//! One node: what all tasks of the process share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::Incarnation;
+use base::NodeId;
+use base::ReplicaId;
+use base::RequestId;
+use base::Version;
+use net::RpcClient;
+use rules::Rules;
+use settings::Settings;
+
+use crate::clock;
+use crate::inner::Untold;
+use crate::metrics::Metrics;
+use crate::upstreams::Upstreams;
+
+/// What a node is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// No configuration is known yet.
+    Starting,
+    /// Takes requests.
+    Serving,
+    /// Says that it isn't ready, but still takes requests.
+    Leaving,
+    /// Takes no more requests and finishes those in flight.
+    Draining,
+}
+
+/// The configuration in force.
+#[derive(Clone, Debug, Default)]
+pub struct InForce {
+    /// Its version.
+    pub version: Version,
+    /// The operators' text.
+    pub text: Rc<str>,
+    /// The rules it holds.
+    pub rules: Rc<Rules>,
+}
+
+/// What all tasks of the process share.
+#[derive(Debug)]
+pub struct Node {
+    /// Its settings.
+    pub settings: Settings,
+    /// This life of the process.
+    pub incarnation: Incarnation,
+    /// What it is doing.
+    pub phase: Cell<Phase>,
+    /// The configuration in force.
+    pub config: RefCell<InForce>,
+    /// What it heard from upstreams.
+    pub upstreams: RefCell<Upstreams>,
+    /// What it heard and has not yet told other nodes.
+    pub relay: RefCell<Untold>,
+    /// Requests in progress by replica.
+    pub flying: RefCell<BTreeMap<ReplicaId, u32>>,
+    /// What it counts.
+    pub metrics: Metrics,
+    /// Calls other nodes.
+    pub peers: RpcClient,
+    /// Calls engines.
+    pub engines: RpcClient,
+    in_flight: Cell<usize>,
+    last_request: Cell<u64>,
+}
+
+/// A request in progress, counted until it is dropped.
+#[derive(Debug)]
+pub struct InFlight(Rc<Node>);
+
+impl Node {
+    /// A node that does not listen yet.
+    pub fn open(settings: Settings) -> Result<Rc<Self>, cyper::Error> {
+        let peers = RpcClient::open(settings.secrets.peers.expose())?;
+        let engines = RpcClient::open(settings.secrets.upstreams.expose())?;
+        Ok(Rc::new(Self {
+            settings,
+            incarnation: clock::new_incarnation(),
+            phase: Cell::new(Phase::Starting),
+            config: RefCell::default(),
+            upstreams: RefCell::default(),
+            relay: RefCell::default(),
+            flying: RefCell::default(),
+            metrics: Metrics::default(),
+            peers,
+            engines,
+            in_flight: Cell::new(0),
+            last_request: Cell::new(0),
+        }))
+    }
+
+    /// This node's id.
+    pub fn id(&self) -> NodeId {
+        self.settings.node.id
+    }
+
+    /// The rules in force.
+    pub fn rules(&self) -> Rc<Rules> {
+        Rc::clone(&self.config.borrow().rules)
+    }
+
+    /// The version of the configuration in force.
+    pub fn version(&self) -> Version {
+        self.config.borrow().version
+    }
+
+    /// A request id that this life of the node has not given before.
+    pub fn next_request(&self) -> RequestId {
+        let next = self.last_request.get() + 1;
+        self.last_request.set(next);
+        RequestId(next)
+    }
+
+    /// A name for a request that no other node and no other life gives.
+    pub fn name_of(&self, request: RequestId) -> String {
+        format!("{}.{}.{request}", self.id(), self.incarnation)
+    }
+
+    /// Counts a request for as long as the result lives.
+    pub fn count_request(self: &Rc<Self>) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        self.metrics.in_flight.inc();
+        InFlight(Rc::clone(self))
+    }
+
+    /// Requests in progress.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    /// Waits until no request is in progress, at most for `limit`.
+    pub async fn drained(&self, limit: Duration) {
+        const LOOK_EVERY: Duration = Duration::from_millis(20);
+        let start = clock::now();
+        while 0 < self.in_flight() && clock::now().since(start) < limit {
+            compio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.0.metrics.in_flight.dec();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,92 @@
+//! The life of the process: start, serve, stop gracefully.
+
+use std::io;
+use std::rc::Rc;
+
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use futures_util::FutureExt;
+use futures_util::select_biased;
+
+use settings::Settings;
+
+use crate::entry;
+use crate::events::Event;
+use crate::events::emit;
+use crate::inner;
+use crate::node::Node;
+use crate::node::Phase;
+
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
+
+/// Why the process cannot run.
+#[derive(Debug, Display, Error, From)]
+pub enum RunError {
+    /// A listener, a file or the runtime failed.
+    #[display("{_0}")]
+    Io(io::Error),
+    /// The HTTP client cannot be made.
+    #[display("{_0}")]
+    Client(cyper::Error),
+}
+
+/// Runs a node until it is told to stop.
+pub fn run(settings: Settings) -> Result<(), RunError> {
+    compio::runtime::Runtime::new()?.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), RunError> {
+    let node = Node::open(settings)?;
+    let inner = listening(inner::bind(&node).await, node.settings.node.internal)?;
+    let entry = listening(entry::bind(&node).await, node.settings.node.callers)?;
+    compio::runtime::spawn(inner::relay_on(Rc::clone(&node))).detach();
+    compio::runtime::spawn(inner::pull_on(Rc::clone(&node))).detach();
+    emit(&Event::Started {
+        node: node.id(),
+        centre: node.settings.node.centre,
+        callers: entry.addr(),
+        internal: inner.addr(),
+    });
+    told_to_stop().await;
+    stop(&node).await;
+    entry.close();
+    inner.close();
+    Ok(())
+}
+
+fn listening(
+    bound: io::Result<net::Server>,
+    addr: std::net::SocketAddr,
+) -> io::Result<net::Server> {
+    if let Err(e) = &bound {
+        let error = e.to_string();
+        emit(&Event::ListenFailed { addr, error });
+    }
+    bound
+}
+
+async fn told_to_stop() {
+    let mut term = Box::pin(compio::signal::unix::signal(SIGTERM)).fuse();
+    let mut int = Box::pin(compio::signal::unix::signal(SIGINT)).fuse();
+    select_biased! {
+        _ = term => {}
+        _ = int => {}
+    }
+}
+
+/// Says that it isn't ready, takes requests a little longer, then finishes what it has.
+async fn stop(node: &Rc<Node>) {
+    let limits = &node.settings.limits;
+    let in_flight = node.in_flight();
+    emit(&Event::Stopping { in_flight });
+    node.phase.set(Phase::Leaving);
+    compio::time::sleep(limits.notice).await;
+    node.phase.set(Phase::Draining);
+    node.drained(limits.drain).await;
+    // The last frames are with the connections: give them a moment to leave.
+    compio::time::sleep(std::time::Duration::from_millis(100)).await;
+    let cut = node.in_flight();
+    emit(&Event::Stopped { cut });
+}
--- a/crates/daemon/src/upstreams.rs
+++ b/crates/daemon/src/upstreams.rs
@@ -52,7 +52,8 @@
         let hearing = match self.hosts.get(&report.host) {
             Some(known) => {
                 let known = &known.report;
-                let newer = (known.incarnation, known.sequence) < (report.incarnation, report.sequence);
+                let newer =
+                    (known.incarnation, known.sequence) < (report.incarnation, report.sequence);
                 judge(newer, known.incarnation == report.incarnation)
             }
             None if MAX_HOSTS <= self.hosts.len() => Hearing::Ignored,
@@ -71,7 +72,8 @@
         let hearing = match self.services.get(&key) {
             Some(known) => {
                 let known = &known.report;
-                let newer = (known.incarnation, known.sequence) < (report.incarnation, report.sequence);
+                let newer =
+                    (known.incarnation, known.sequence) < (report.incarnation, report.sequence);
                 judge(newer, known.incarnation == report.incarnation)
             }
             None if MAX_SERVICES <= self.services.len() => Hearing::Ignored,
@@ -88,7 +90,9 @@
     pub fn expire(&mut self, now: Time) -> Expired {
         let is_over = |at: Time| ANNOUNCEMENT_LIFE < now.since(at);
         let hosts = self.hosts.extract_if(.., |_, heard| is_over(heard.at));
-        let hosts = hosts.map(|(host, heard)| (host, now.since(heard.at))).collect();
+        let hosts = hosts
+            .map(|(host, heard)| (host, now.since(heard.at)))
+            .collect();
         let services = self.services.extract_if(.., |_, heard| is_over(heard.at));
         let services = services.map(|(key, _)| key).collect();
         Expired { hosts, services }
@@ -114,7 +118,8 @@
         &'a self,
         service: &'a ServiceName,
     ) -> impl Iterator<Item = &'a ServiceReport> {
-        self.services().filter(move |s| s.service == *service && !s.leaving)
+        self.services()
+            .filter(move |s| s.service == *service && !s.leaving)
     }
 }
 
