Form, fence and repair replicas: first usable controller, route table and planner

Cause: nothing decided yet which hosts form which replica, nor who may route to them. The controller, the entry nodes' route table and the planner are pure state machines.

--- /dev/null
+++ b/crates/plan/src/controller.rs
@@ -0,0 +1,334 @@
+//! The one process of a data centre that orders its hosts and grants routes.
+//!
+//! The controller believes only what hosts say of themselves. What it ordered is
+//! no proof of anything: a replica is routed to while each of its hosts says, in
+//! a recent report, that it is ready in just this replica. Hosts' reports are
+//! heard whether or not the controller holds the tenure, so that a successor
+//! can grant at once. It orders only after [`Config::settle`], when the
+//! predecessor's routes and orders have all ended.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use base::DomainId;
+use base::Fence;
+use base::HostId;
+use base::HostReport;
+use base::ModelName;
+use base::ReplicaId;
+use base::Time;
+
+use crate::Config;
+use crate::Demand;
+use crate::GrantId;
+use crate::Order;
+use crate::OrderId;
+use crate::OrderOutcome;
+use crate::Phase;
+use crate::Plan;
+use crate::Reason;
+use crate::Route;
+use crate::RouteGrant;
+use crate::RoutePoll;
+use crate::ShortRoute;
+use crate::Tenure;
+use crate::host::Host;
+use crate::ledger::Ledger;
+use crate::replica::Replica;
+
+/// An order whose outcome is not known yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Outstanding {
+    pub host: HostId,
+    pub replica: ReplicaId,
+    pub issued: Time,
+    pub deadline: Time,
+}
+
+/// Where demand has been out of step with what stands, and since when.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Trend {
+    /// Models with replicas too many.
+    pub surplus: BTreeMap<ModelName, Time>,
+    /// Models with a replica that found no place.
+    pub unplaced: BTreeMap<ModelName, Time>,
+    /// Domains in which a model lately lost a replica.
+    pub homes: BTreeMap<(ModelName, DomainId), Time>,
+}
+
+/// Orders the hosts of one data centre and grants the routes to them.
+#[derive(Clone, Debug)]
+pub struct Controller {
+    pub(crate) cfg: Config,
+    pub(crate) hosts: BTreeMap<HostId, Host>,
+    pub(crate) replicas: BTreeMap<ReplicaId, Replica>,
+    pub(crate) demand: BTreeMap<ModelName, Demand>,
+    pub(crate) orders: BTreeMap<OrderId, Outstanding>,
+    pub(crate) ledger: Ledger,
+    pub(crate) trend: Trend,
+    pub(crate) plan: Plan,
+    pub(crate) next_plan: Time,
+    pub(crate) last_order: OrderId,
+    pub(crate) last_replica: u64,
+    tenure: Option<Tenure>,
+    settled_at: Time,
+    last_grant: u64,
+    last_tick: Time,
+    deaf_until: Time,
+}
+
+impl Controller {
+    /// A controller that has heard nothing yet.
+    pub fn open(cfg: Config, now: Time) -> Self {
+        Self {
+            cfg,
+            hosts: BTreeMap::new(),
+            replicas: BTreeMap::new(),
+            demand: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            ledger: Ledger::default(),
+            trend: Trend::default(),
+            plan: Plan::default(),
+            next_plan: now,
+            last_order: OrderId::default(),
+            last_replica: 0,
+            tenure: None,
+            settled_at: Time::NEVER,
+            last_grant: 0,
+            last_tick: now,
+            deaf_until: Time::ZERO,
+        }
+    }
+
+    /// Takes a host's report. One that is heard right after this process was
+    /// frozen may be old, and is passed over.
+    pub fn report(&mut self, report: &HostReport, now: Time) {
+        self.notice_pause(now);
+        if report.centre != self.cfg.centre || now < self.deaf_until {
+            return;
+        }
+        let host = self.hosts.entry(report.host);
+        let host = host.or_insert_with(|| Host::open(report.clone(), now));
+        host.hear(report, &self.cfg, now);
+    }
+
+    /// Marks a host as slow, with its speed as a share of that of its like, or
+    /// takes the mark back. A restart takes it back as well.
+    pub fn slow(&mut self, host: HostId, speed: Option<f64>) {
+        if let Some(host) = self.hosts.get_mut(&host) {
+            host.speed = speed;
+        }
+    }
+
+    /// Takes the demand for each model. A model that is missing needs no replica.
+    pub fn demand(&mut self, demand: BTreeMap<ModelName, Demand>) {
+        self.demand = demand;
+    }
+
+    /// Takes what became of an order.
+    pub fn outcome(&mut self, order: OrderId, outcome: OrderOutcome, now: Time) {
+        let Some(outstanding) = self.orders.remove(&order) else {
+            return;
+        };
+        if let Some(host) = self.hosts.get_mut(&outstanding.host) {
+            host.order = None;
+            match outcome {
+                OrderOutcome::Done => host.quiet_until = now,
+                OrderOutcome::Refused => {}
+                OrderOutcome::Unknown => {
+                    host.quiet_until = outstanding.issued + self.cfg.order_life;
+                }
+            }
+        }
+        let replica = self.replicas.get_mut(&outstanding.replica);
+        if let Some(replica) = replica
+            && outcome == OrderOutcome::Refused
+            && replica.phase == Phase::Forming
+        {
+            let why = Reason::OrderRefused(outstanding.host);
+            replica.enter(Phase::Broken, Some(why), now);
+        }
+    }
+
+    /// True if the order may be sent now. Asked right before it is sent.
+    pub fn may_send(&self, order: OrderId, now: Time) -> bool {
+        let outstanding = self.orders.get(&order);
+        self.holds_tenure(now) && outstanding.is_some_and(|order| now < order.deadline)
+    }
+
+    /// Goes on in time. Without a tenure it orders nothing.
+    ///
+    /// Called several times a second with the tenure as the lease has it now.
+    pub fn tick(&mut self, tenure: Option<Tenure>, now: Time) -> Vec<Order> {
+        self.notice_pause(now);
+        self.last_tick = now;
+        self.take_tenure(tenure, now);
+        self.forget_hosts(now);
+        if !self.holds_tenure(now) {
+            return Vec::new();
+        }
+        self.ledger.expire(self.cfg.route_wait(), now);
+        self.expire_orders(now);
+        self.adopt(now);
+        self.advance(now);
+        if now < self.settled_at {
+            return Vec::new();
+        }
+        let mut orders = self.release(now);
+        orders.extend(self.replan(now));
+        orders
+    }
+
+    /// Answers an entry node's poll. `None` without a tenure, or to an old poll.
+    pub fn routes(&mut self, poll: &RoutePoll, now: Time) -> Option<RouteGrant> {
+        let tenure = self.tenure.filter(|tenure| now < tenure.until)?;
+        if !self.ledger.acknowledge(poll) {
+            return None;
+        }
+        let mut live = BTreeMap::new();
+        for (id, replica) in &self.replicas {
+            if let Some(left) = self.confirmed_for(replica, now) {
+                live.insert(*id, left);
+            }
+        }
+        self.last_grant += 1;
+        let id = GrantId {
+            fence: tenure.fence,
+            sequence: self.last_grant,
+        };
+        Some(self.grant(poll, id, &live, now))
+    }
+
+    /// The fencing number that new orders carry.
+    pub(crate) fn fence(&self) -> Fence {
+        self.tenure.map_or(Fence::default(), |tenure| tenure.fence)
+    }
+
+    /// True while its tenure has not ended.
+    pub fn holds_tenure(&self, now: Time) -> bool {
+        self.tenure.is_some_and(|tenure| now < tenure.until)
+    }
+
+    /// True once no route or order of a predecessor can be left.
+    pub fn is_settled(&self, now: Time) -> bool {
+        self.holds_tenure(now) && self.settled_at <= now
+    }
+
+    /// True if an entry node may still route to the replica.
+    pub(crate) fn may_route(&self, replica: ReplicaId, now: Time) -> bool {
+        let wait = self.cfg.route_wait();
+        now < self.settled_at || self.ledger.may_route(replica, wait, now)
+    }
+
+    fn notice_pause(&mut self, now: Time) {
+        if self.last_tick + self.cfg.pause_limit < now {
+            self.last_tick = now;
+            self.deaf_until = now + self.cfg.pause_deaf;
+        }
+    }
+
+    fn take_tenure(&mut self, tenure: Option<Tenure>, now: Time) {
+        let tenure = tenure.filter(|tenure| now < tenure.until);
+        let before = self.tenure.map(|tenure| tenure.fence);
+        self.tenure = tenure;
+        if tenure.map(|tenure| tenure.fence) == before {
+            return;
+        }
+        self.forget_books(now);
+        self.settled_at = now + self.cfg.settle();
+    }
+
+    /// A tenure starts without books: in between another may have ordered.
+    fn forget_books(&mut self, now: Time) {
+        self.replicas.clear();
+        self.orders.clear();
+        self.ledger = Ledger::default();
+        self.trend = Trend::default();
+        self.plan = Plan::default();
+        self.next_plan = now;
+        self.last_grant = 0;
+        self.last_replica = 0;
+        for host in self.hosts.values_mut() {
+            host.owner = None;
+            host.order = None;
+            host.stray_since = None;
+            host.quiet_until = Time::ZERO;
+        }
+    }
+
+    fn forget_hosts(&mut self, now: Time) {
+        let limit = self.cfg.forget_after;
+        let is_kept = |host: &Host| host.owner.is_some() || now < host.heard + limit;
+        self.hosts.retain(|_, host| is_kept(host));
+    }
+
+    fn expire_orders(&mut self, now: Time) {
+        let life = self.cfg.order_life;
+        let is_past = |order: &Outstanding| order.issued + life <= now;
+        let past = self.orders.iter().filter(|(_, order)| is_past(order));
+        let past: Vec<_> = past.map(|(id, _)| *id).collect();
+        for id in past {
+            self.outcome(id, OrderOutcome::Unknown, now);
+        }
+    }
+
+    /// How long a replica may be routed to, if every host confirms it.
+    fn confirmed_for(&self, replica: &Replica, now: Time) -> Option<Duration> {
+        if replica.phase != Phase::Serving {
+            return None;
+        }
+        let mut oldest = now;
+        for id in &replica.assignment.hosts {
+            let host = self.hosts.get(id)?;
+            if !host.is_fresh(&self.cfg, now) || !replica.is_confirmed_by(host) {
+                return None;
+            }
+            oldest = oldest.min(host.heard);
+        }
+        let left = (oldest + self.cfg.confirm_life).since(now);
+        Some(left.min(self.cfg.route_life))
+    }
+
+    fn grant(
+        &mut self,
+        poll: &RoutePoll,
+        id: GrantId,
+        live: &BTreeMap<ReplicaId, Duration>,
+        now: Time,
+    ) -> RouteGrant {
+        let base = self.ledger.base(poll);
+        let ids: BTreeSet<_> = live.keys().copied().collect();
+        let ids = self.ledger.grant(poll, id, ids, now);
+        let none = BTreeSet::new();
+        let before = base.as_ref().map_or(&none, |(_, routes)| routes);
+        let valid_for = self.cfg.route_life;
+        let is_short = |left: &Duration| *left < valid_for;
+        let short = live.iter().filter(|(_, left)| is_short(left));
+        RouteGrant {
+            centre: self.cfg.centre,
+            id,
+            poll: poll.number,
+            base: base.as_ref().map(|(id, _)| *id),
+            added: ids
+                .difference(before)
+                .filter_map(|id| self.route(*id))
+                .collect(),
+            removed: before.difference(&ids).copied().collect(),
+            valid_for,
+            shorter: short.map(|(id, left)| ShortRoute::of(*id, *left)).collect(),
+        }
+    }
+
+    fn route(&self, id: ReplicaId) -> Option<Route> {
+        let assignment = &self.replicas.get(&id)?.assignment;
+        let first = self.hosts.get(assignment.hosts.first()?)?;
+        Some(Route {
+            replica: id,
+            fence: assignment.fence,
+            model: assignment.model.clone(),
+            hosts: assignment.hosts.clone(),
+            addr: first.report.addr,
+        })
+    }
+}
--- /dev/null
+++ b/crates/plan/src/host.rs
@@ -0,0 +1,139 @@
+//! A host as its controller knows it.
+
+use std::time::Duration;
+
+use base::Assignment;
+use base::Duty;
+use base::HostReport;
+use base::ReplicaId;
+use base::Time;
+
+use crate::Config;
+use crate::OrderId;
+
+/// What a controller knows of one host.
+#[derive(Clone, Debug)]
+pub(crate) struct Host {
+    /// Its newest report.
+    pub report: HostReport,
+    /// When that was heard.
+    pub heard: Time,
+    /// The replica that the host belongs to in the controller's books.
+    pub owner: Option<ReplicaId>,
+    /// The order that is on its way to it.
+    pub order: Option<OrderId>,
+    /// An order whose outcome is unknown may reach it until then.
+    pub quiet_until: Time,
+    /// Since when it has held an assignment that is in no book.
+    pub stray_since: Option<Time>,
+    /// True if it restarted and still claims an assignment.
+    pub distrusted: bool,
+    /// Losses that count towards the hold-down.
+    pub flaps: u32,
+    /// When it was last lost.
+    pub last_flap: Time,
+    /// It joins no replica before then.
+    pub held_until: Time,
+    /// Its speed as a share of that of its like, if it was marked as slow.
+    pub speed: Option<f64>,
+}
+
+impl Host {
+    /// A host that is heard for the first time.
+    pub fn open(report: HostReport, now: Time) -> Self {
+        Self {
+            report,
+            heard: now,
+            owner: None,
+            order: None,
+            quiet_until: Time::ZERO,
+            stray_since: None,
+            distrusted: false,
+            flaps: 0,
+            last_flap: Time::ZERO,
+            held_until: Time::ZERO,
+            speed: None,
+        }
+    }
+
+    /// Takes a report. One that is older than the newest changes nothing.
+    pub fn hear(&mut self, report: &HostReport, cfg: &Config, now: Time) {
+        let known = (self.report.incarnation, self.report.sequence);
+        if (report.incarnation, report.sequence) <= known {
+            return;
+        }
+        let restarted = self.report.incarnation < report.incarnation;
+        if restarted || self.is_lost(cfg, now) {
+            self.flap(cfg, now);
+        }
+        if restarted {
+            self.distrusted = true;
+            self.speed = None;
+        }
+        if report.duty == Duty::Idle {
+            self.distrusted = false;
+        }
+        self.report = report.clone();
+        self.heard = now;
+    }
+
+    /// Counts a loss and holds the host back.
+    pub fn flap(&mut self, cfg: &Config, now: Time) {
+        if cfg.flap_forget < now.since(self.last_flap) {
+            self.flaps = 0;
+        }
+        self.flaps += 1;
+        self.last_flap = now;
+        self.held_until = now + hold_down(self.flaps, cfg);
+    }
+
+    /// True if its report is recent enough to route on.
+    pub fn is_fresh(&self, cfg: &Config, now: Time) -> bool {
+        now < self.heard + cfg.confirm_life
+    }
+
+    /// True if it has been silent so long that its replica is broken.
+    pub fn is_lost(&self, cfg: &Config, now: Time) -> bool {
+        self.heard + cfg.lost_after <= now
+    }
+
+    /// What it says it belongs to.
+    pub fn assignment(&self) -> Option<&Assignment> {
+        self.report.duty.assignment()
+    }
+
+    /// True if no order can reach it unexpectedly and its report was heard since.
+    pub fn is_settled(&self, now: Time) -> bool {
+        self.order.is_none() && self.quiet_until <= now && self.quiet_until <= self.heard
+    }
+
+    /// True if it is in no replica, by the books and by its own word.
+    pub fn is_free(&self, cfg: &Config, now: Time) -> bool {
+        self.owner.is_none()
+            && self.report.duty == Duty::Idle
+            && self.is_fresh(cfg, now)
+            && self.is_settled(now)
+    }
+
+    /// True if it may join a replica now.
+    pub fn is_usable(&self, cfg: &Config, now: Time) -> bool {
+        self.is_free(cfg, now)
+            && !self.report.leaving
+            && self.held_until <= now
+            && self.speed.is_none()
+    }
+
+    /// Requests in its engine, by its newest report.
+    pub fn in_flight(&self) -> u32 {
+        self.report.load.running + self.report.load.waiting
+    }
+}
+
+/// No hold-down for the first loss, then doubling.
+fn hold_down(flaps: u32, cfg: &Config) -> Duration {
+    if flaps <= 1 {
+        return Duration::ZERO;
+    }
+    let factor = 1_u32 << (flaps - 2).min(16);
+    cfg.hold_first.saturating_mul(factor).min(cfg.hold_max)
+}
--- /dev/null
+++ b/crates/plan/src/ordering.rs
@@ -0,0 +1,286 @@
+//! Turns the plan into orders, and releases what belongs to no replica.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use base::Assignment;
+use base::DomainId;
+use base::Fence;
+use base::HostId;
+use base::ModelName;
+use base::ReplicaId;
+use base::Time;
+
+use crate::Action;
+use crate::Controller;
+use crate::Drain;
+use crate::DrainReason;
+use crate::Form;
+use crate::Order;
+use crate::Phase;
+use crate::Placed;
+use crate::PlacedState;
+use crate::Plan;
+use crate::Reason;
+use crate::View;
+use crate::controller::Outstanding;
+use crate::host::Host;
+use crate::plan;
+use crate::replica::Replica;
+use crate::replica::replica_id;
+
+impl Controller {
+    /// Orders hosts to be idle that are leaving a replica or claim one that is no more.
+    pub(crate) fn release(&mut self, now: Time) -> Vec<Order> {
+        let due = self
+            .hosts
+            .iter()
+            .filter(|(_, host)| self.must_release(host, now));
+        let due: Vec<_> = due.map(|(id, _)| *id).collect();
+        let release = |id| self.order(id, None, Action::Release, now);
+        due.into_iter().filter_map(release).collect()
+    }
+
+    fn must_release(&self, host: &Host, now: Time) -> bool {
+        if host.assignment().is_none() || !host.is_settled(now) {
+            return false;
+        }
+        if host.is_lost(&self.cfg, now) {
+            return false;
+        }
+        match host.owner.and_then(|id| self.replicas.get(&id)) {
+            Some(replica) => replica.phase == Phase::Releasing,
+            None => {
+                let wait = self.cfg.stray_wait;
+                let is_past = |since: Time| since + wait <= now;
+                host.distrusted || host.stray_since.is_some_and(is_past)
+            }
+        }
+    }
+
+    /// Makes a new plan when one is due, and orders what it calls for.
+    pub(crate) fn replan(&mut self, now: Time) -> Vec<Order> {
+        if now < self.next_plan {
+            return Vec::new();
+        }
+        self.next_plan = now + self.cfg.plan_every;
+        self.plan = plan(&self.view(now), &self.demand);
+        let plan = std::mem::take(&mut self.plan);
+        self.note_trend(&plan, now);
+        for drain in &plan.drains {
+            self.start_drain(drain, now);
+        }
+        let mut orders = Vec::new();
+        for form in &plan.forms {
+            orders.extend(self.form(form, now));
+        }
+        for moving in &plan.moves {
+            if self.may_move(&moving.for_model, now) {
+                orders.extend(self.form(&moving.form, now));
+            }
+        }
+        self.plan = plan;
+        orders
+    }
+
+    /// What the planner sees.
+    pub(crate) fn view(&self, now: Time) -> View {
+        let mut free: BTreeMap<DomainId, Vec<HostId>> = BTreeMap::new();
+        for (id, host) in &self.hosts {
+            let hosts = free.entry(host.report.domain).or_default();
+            if host.is_usable(&self.cfg, now) {
+                hosts.push(*id);
+            }
+        }
+        let mut homes: BTreeMap<ModelName, BTreeSet<DomainId>> = BTreeMap::new();
+        for (model, domain) in self.trend.homes.keys() {
+            homes.entry(model.clone()).or_default().insert(*domain);
+        }
+        View {
+            free,
+            replicas: self
+                .replicas
+                .values()
+                .filter_map(|r| self.placed(r))
+                .collect(),
+            homes,
+        }
+    }
+
+    /// A replica as the planner sees it, if it counts towards demand.
+    fn placed(&self, replica: &Replica) -> Option<Placed> {
+        let is_copy = replica.replaces.is_some_and(|id| self.is_serving(id));
+        let state = match replica.phase {
+            Phase::Forming if is_copy => return None,
+            Phase::Forming => PlacedState::Fixed,
+            Phase::Serving if self.has_copy(replica.id()) => PlacedState::Fixed,
+            Phase::Serving => self.settled_state(replica),
+            Phase::Draining | Phase::Broken | Phase::Releasing => return None,
+        };
+        Some(Placed {
+            replica: replica.id(),
+            model: replica.assignment.model.clone(),
+            domain: replica.domain,
+            width: replica.assignment.hosts.len(),
+            state,
+        })
+    }
+
+    fn is_serving(&self, id: ReplicaId) -> bool {
+        self.replicas
+            .get(&id)
+            .is_some_and(|r| r.phase == Phase::Serving)
+    }
+
+    fn has_copy(&self, id: ReplicaId) -> bool {
+        self.replicas.values().any(|r| r.replaces == Some(id))
+    }
+
+    fn settled_state(&self, replica: &Replica) -> PlacedState {
+        let hosts = replica.assignment.hosts.iter();
+        let speeds = hosts.filter_map(|id| self.hosts.get(id)?.speed);
+        let slow: Vec<f64> = speeds
+            .filter(|speed| self.pays_to_replace(*speed))
+            .collect();
+        if slow.is_empty() {
+            PlacedState::Settled
+        } else {
+            PlacedState::Slow(slow.len())
+        }
+    }
+
+    /// True if what a slow host costs over the horizon is more than a load costs.
+    fn pays_to_replace(&self, speed: f64) -> bool {
+        let lost = (1.0 - speed) * self.cfg.slow_horizon.as_secs_f64();
+        self.cfg.load_expected.as_secs_f64() < lost
+    }
+
+    fn note_trend(&mut self, plan: &Plan, now: Time) {
+        let limit = self.cfg.load_limit;
+        self.trend.homes.retain(|_, since| now < *since + limit);
+        let surplus = plan.drains.iter().filter(|d| d.why == DrainReason::Surplus);
+        let surplus = surplus.filter_map(|d| self.replicas.get(&d.replica));
+        let surplus: BTreeSet<_> = surplus.map(|r| r.assignment.model.clone()).collect();
+        keep_since(&mut self.trend.surplus, surplus, now);
+        let unplaced = plan.unplaced.keys().cloned().collect();
+        keep_since(&mut self.trend.unplaced, unplaced, now);
+    }
+
+    fn start_drain(&mut self, drain: &Drain, now: Time) {
+        match drain.why {
+            DrainReason::Surplus => self.drain_surplus(drain.replica, now),
+            DrainReason::Preempted => self.drain(drain.replica, Reason::Preempted, now),
+            DrainReason::Slow => self.drain(drain.replica, Reason::HostSlow, now),
+        }
+    }
+
+    /// Ends one replica of a model whose demand has been lower for long enough.
+    fn drain_surplus(&mut self, id: ReplicaId, now: Time) {
+        let Some(replica) = self.replicas.get(&id) else {
+            return;
+        };
+        let since = self.trend.surplus.get(&replica.assignment.model);
+        let hold = self.cfg.surplus_hold;
+        if since.is_some_and(|since| *since + hold <= now) {
+            self.drain(id, Reason::Surplus, now);
+        }
+    }
+
+    fn may_move(&self, model: &ModelName, now: Time) -> bool {
+        let wait = self.cfg.move_after;
+        let since = self.trend.unplaced.get(model);
+        let is_due = since.is_some_and(|since| *since + wait <= now);
+        let moving = self
+            .replicas
+            .values()
+            .filter(|r| r.replaces.is_some())
+            .count();
+        is_due && moving < self.cfg.moves_at_once
+    }
+
+    /// Orders all hosts of a new replica, if the weight store has room for a load.
+    fn form(&mut self, form: &Form, now: Time) -> Vec<Order> {
+        let loading = self.replicas.values().filter(|r| r.phase == Phase::Forming);
+        if self.cfg.loads_at_once <= loading.count() {
+            return Vec::new();
+        }
+        self.last_replica += 1;
+        let id = replica_id(self.cfg.centre, self.fence(), self.last_replica);
+        let assignment = Assignment {
+            replica: id,
+            fence: self.fence(),
+            model: form.model.clone(),
+            hosts: form.hosts.clone(),
+        };
+        let replica = self.open_replica(assignment, form, now);
+        self.replicas.insert(id, replica);
+        let hosts = form.hosts.iter().copied();
+        let action = Action::Form {
+            model: form.model.clone(),
+            hosts: form.hosts.clone(),
+        };
+        let orders = hosts.filter_map(|host| self.order(host, Some(id), action.clone(), now));
+        orders.collect()
+    }
+
+    fn open_replica(&mut self, assignment: Assignment, form: &Form, now: Time) -> Replica {
+        let mut lives = BTreeMap::new();
+        for id in &form.hosts {
+            if let Some(host) = self.hosts.get_mut(id) {
+                host.owner = Some(assignment.replica);
+                lives.insert(*id, host.report.incarnation);
+            }
+        }
+        Replica {
+            assignment,
+            domain: form.domain,
+            lives,
+            seen: BTreeSet::new(),
+            phase: Phase::Forming,
+            since: now,
+            why: None,
+            replaces: form.replaces,
+            unroutable_at: None,
+        }
+    }
+
+    /// An order to a host. A release names the replica that the host claims.
+    fn order(
+        &mut self,
+        id: HostId,
+        replica: Option<ReplicaId>,
+        action: Action,
+        now: Time,
+    ) -> Option<Order> {
+        let fence: Fence = self.fence();
+        let host = self.hosts.get_mut(&id)?;
+        let claimed = host.assignment().map(|assignment| assignment.replica);
+        self.last_order.0 += 1;
+        let order = Order {
+            id: self.last_order,
+            host: id,
+            addr: host.report.addr,
+            fence,
+            replica: replica.or(claimed)?,
+            action,
+            deadline: now + self.cfg.order_deadline,
+        };
+        host.order = Some(order.id);
+        let outstanding = Outstanding {
+            host: id,
+            replica: order.replica,
+            issued: now,
+            deadline: order.deadline,
+        };
+        self.orders.insert(order.id, outstanding);
+        Some(order)
+    }
+}
+
+/// Keeps since when each of these models has been on the list.
+fn keep_since(list: &mut BTreeMap<ModelName, Time>, on: BTreeSet<ModelName>, now: Time) {
+    list.retain(|model, _| on.contains(model));
+    for model in on {
+        list.entry(model).or_insert(now);
+    }
+}
--- /dev/null
+++ b/crates/plan/src/planner.rs
@@ -0,0 +1,206 @@
+//! Decides which hosts form which replica.
+//!
+//! All hosts of a replica are of one domain. Promised replicas come before
+//! those that the load calls for, and among equals the model goes first that
+//! has the smallest share of its target. What fits in the free hosts is chosen
+//! in this order and then placed widest first, each in the tightest domain that
+//! holds it, so that narrow replicas don't break up the room of wide ones. For
+//! what found no place, [`crate::moves`] looks for replicas to move aside.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use base::DomainId;
+use base::ModelName;
+
+use crate::Demand;
+use crate::Drain;
+use crate::DrainReason;
+use crate::Form;
+use crate::Placed;
+use crate::PlacedState;
+use crate::Plan;
+use crate::View;
+use crate::moves::Moves;
+use crate::space::Space;
+
+/// How much a replica is needed. Smaller is more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Need {
+    /// Promised by the rules.
+    Promised,
+    /// Called for by the load.
+    Wanted,
+}
+
+/// One replica that a model lacks.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Unit {
+    pub need: Need,
+    share: u64,
+    narrowness: usize,
+    pub model: ModelName,
+    pub width: usize,
+}
+
+/// Computes what to do about the demand, given what stands.
+pub fn plan(view: &View, demand: &BTreeMap<ModelName, Demand>) -> Plan {
+    let mut space = Space::of(&view.free);
+    let units = lacking(view, demand);
+    let (forms, unplaced) = place(&mut space, units, &view.homes);
+    let mut plan = Plan {
+        forms,
+        ..Plan::default()
+    };
+    plan.drains = surplus(view, demand, &space);
+    for unit in &unplaced {
+        *plan.unplaced.entry(unit.model.clone()).or_default() += 1;
+    }
+    if unplaced.is_empty() {
+        replace_slow(view, &mut space, &mut plan);
+    } else {
+        Moves::open(view, demand, &mut space).find(&unplaced, &mut plan);
+    }
+    plan
+}
+
+/// The replicas that models lack, the most needed first.
+fn lacking(view: &View, demand: &BTreeMap<ModelName, Demand>) -> Vec<Unit> {
+    let have = counts(view);
+    let mut units = Vec::new();
+    for (model, demand) in demand {
+        let target = demand.target();
+        if demand.width == 0 {
+            continue;
+        }
+        for index in have.get(model).copied().unwrap_or(0)..target {
+            units.push(unit(model, demand, index));
+        }
+    }
+    units.sort();
+    units
+}
+
+fn unit(model: &ModelName, demand: &Demand, index: usize) -> Unit {
+    let (need, of) = if index < demand.min {
+        (Need::Promised, demand.min)
+    } else {
+        (Need::Wanted, demand.target())
+    };
+    Unit {
+        need,
+        share: index as u64 * 1_000_000 / of as u64,
+        narrowness: usize::MAX - demand.width,
+        model: model.clone(),
+        width: demand.width,
+    }
+}
+
+fn counts(view: &View) -> BTreeMap<&ModelName, usize> {
+    let mut have = BTreeMap::new();
+    for placed in &view.replicas {
+        *have.entry(&placed.model).or_default() += 1;
+    }
+    have
+}
+
+type Homes = BTreeMap<ModelName, BTreeSet<DomainId>>;
+
+/// Places what fits. Gives the forms in the order of need, and the rest.
+fn place(space: &mut Space, units: Vec<Unit>, homes: &Homes) -> (Vec<Form>, Vec<Unit>) {
+    let mut order: Vec<usize> = (0..units.len()).collect();
+    let fitting = fitting(space, &units);
+    order[..fitting].sort_by_key(|at| (units[*at].need, units[*at].narrowness));
+    let mut forms = BTreeMap::new();
+    for at in order {
+        let unit = &units[at];
+        if let Some(domain) = domain_for(space, unit, homes) {
+            forms.insert(at, form(space, unit, domain));
+        }
+    }
+    let is_unplaced = |at: &usize| !forms.contains_key(at);
+    let unplaced = (0..units.len()).filter(is_unplaced);
+    let unplaced = unplaced.map(|at| units[at].clone()).collect();
+    (forms.into_values().collect(), unplaced)
+}
+
+/// How many of the most needed units have hosts enough, wherever these are.
+fn fitting(space: &Space, units: &[Unit]) -> usize {
+    let mut left = space.total();
+    let fits = |unit: &&Unit| {
+        let fits = unit.width <= left;
+        left = left.saturating_sub(unit.width);
+        fits
+    };
+    units.iter().take_while(fits).count()
+}
+
+fn domain_for(space: &Space, unit: &Unit, homes: &Homes) -> Option<DomainId> {
+    let mut homes = homes.get(&unit.model).into_iter().flatten();
+    let home = homes.find(|domain| unit.width <= space.room(**domain));
+    home.copied().or_else(|| space.tightest(unit.width, None))
+}
+
+fn form(space: &mut Space, unit: &Unit, domain: DomainId) -> Form {
+    Form {
+        model: unit.model.clone(),
+        domain,
+        hosts: space.take(domain, unit.width),
+        replaces: None,
+    }
+}
+
+/// Replicas beyond their model's target: slow ones first, then from the domain
+/// that has the most room.
+fn surplus(view: &View, demand: &BTreeMap<ModelName, Demand>, space: &Space) -> Vec<Drain> {
+    let mut drains = Vec::new();
+    for (model, have) in counts(view) {
+        let target = demand.get(model).map_or(0, Demand::target);
+        if have <= target {
+            continue;
+        }
+        let mut placed: Vec<_> = view.replicas.iter().filter(|p| p.model == *model).collect();
+        placed.sort_by_key(|p| (rank(p), usize::MAX - space.room(p.domain)));
+        let ended = placed.into_iter().take(have - target);
+        drains.extend(ended.map(|p| drain(p, DrainReason::Surplus)));
+    }
+    drains
+}
+
+fn rank(placed: &Placed) -> u8 {
+    match placed.state {
+        PlacedState::Slow(_) => 0,
+        PlacedState::Fixed => 1,
+        PlacedState::Settled => 2,
+    }
+}
+
+pub(crate) fn drain(placed: &Placed, why: DrainReason) -> Drain {
+    Drain {
+        replica: placed.replica,
+        why,
+    }
+}
+
+/// Replaces slow replicas: by a copy where a whole one fits, else with spares.
+fn replace_slow(view: &View, space: &mut Space, plan: &mut Plan) {
+    for placed in &view.replicas {
+        let PlacedState::Slow(slow) = placed.state else {
+            continue;
+        };
+        if plan.drains.iter().any(|d| d.replica == placed.replica) {
+            continue;
+        }
+        if let Some(domain) = space.tightest(placed.width, None) {
+            plan.forms.push(Form {
+                model: placed.model.clone(),
+                domain,
+                hosts: space.take(domain, placed.width),
+                replaces: Some(placed.replica),
+            });
+        } else if slow <= space.room(placed.domain) {
+            space.take(placed.domain, slow);
+            plan.drains.push(drain(placed, DrainReason::Slow));
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/space.rs
@@ -0,0 +1,78 @@
+//! The free hosts of a data centre while a plan is made.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use base::DomainId;
+use base::HostId;
+
+/// Free hosts by domain, and domains by the number of their free hosts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Space {
+    free: BTreeMap<DomainId, Vec<HostId>>,
+    by_room: BTreeMap<usize, BTreeSet<DomainId>>,
+    total: usize,
+}
+
+impl Space {
+    /// The space of these free hosts. They are taken in the order given.
+    pub fn of(free: &BTreeMap<DomainId, Vec<HostId>>) -> Self {
+        let mut space = Self::default();
+        for (domain, hosts) in free {
+            let mut hosts = hosts.clone();
+            hosts.reverse();
+            space.give(*domain, hosts);
+        }
+        space
+    }
+
+    /// Free hosts of all domains.
+    pub fn total(&self) -> usize {
+        self.total
+    }
+
+    /// Free hosts of a domain.
+    pub fn room(&self, domain: DomainId) -> usize {
+        self.free.get(&domain).map_or(0, Vec::len)
+    }
+
+    /// The domain with the least room that still suffices.
+    pub fn tightest(&self, width: usize, except: Option<DomainId>) -> Option<DomainId> {
+        let rooms = self.by_room.range(width..);
+        let mut domains = rooms.flat_map(|(_, domains)| domains);
+        domains.find(|domain| Some(**domain) != except).copied()
+    }
+
+    /// Takes hosts out of a domain, fewer if it has not as many.
+    pub fn take(&mut self, domain: DomainId, width: usize) -> Vec<HostId> {
+        let Some(hosts) = self.free.get_mut(&domain) else {
+            return Vec::new();
+        };
+        let before = hosts.len();
+        let mut taken = hosts.split_off(before.saturating_sub(width));
+        taken.reverse();
+        let after = hosts.len();
+        self.shift(domain, before, after);
+        taken
+    }
+
+    /// Gives hosts back to a domain.
+    pub fn give(&mut self, domain: DomainId, mut hosts: Vec<HostId>) {
+        let list = self.free.entry(domain).or_default();
+        let before = list.len();
+        list.append(&mut hosts);
+        let after = list.len();
+        self.shift(domain, before, after);
+    }
+
+    fn shift(&mut self, domain: DomainId, before: usize, after: usize) {
+        if let Some(domains) = self.by_room.get_mut(&before) {
+            domains.remove(&domain);
+            if domains.is_empty() {
+                self.by_room.remove(&before);
+            }
+        }
+        self.by_room.entry(after).or_default().insert(domain);
+        self.total = self.total + after - before;
+    }
+}
--- /dev/null
+++ b/crates/plan/src/stranded.rs
@@ -0,0 +1,125 @@
+//! Healthy hosts that serve nothing, and why.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use base::DomainId;
+use base::HostId;
+use base::Time;
+
+use crate::Controller;
+use crate::host::Host;
+
+/// A healthy host in no replica.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Stranded {
+    /// The host.
+    pub host: HostId,
+    /// Its domain.
+    pub domain: DomainId,
+    /// Why it is idle.
+    pub reason: StrandedReason,
+}
+
+/// Why a healthy host is idle.
+#[derive(Clone, Copy, Debug, PartialEq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StrandedReason {
+    /// No model lacks a replica.
+    #[display("spare: no model lacks a replica")]
+    Spare,
+    /// Its domain has too few free hosts for any model that lacks a replica.
+    #[display("its domain has {free} free hosts, the narrowest need is {width}")]
+    TooFew {
+        /// Free hosts of the domain.
+        free: usize,
+        /// Hosts that the narrowest replica needs that found no place.
+        width: usize,
+    },
+    /// Planned into a replica, and waiting for the weight store.
+    #[display("waits for a load")]
+    Queued,
+    /// Held back after repeated losses.
+    #[display("held back for {} s after {losses} losses", left.as_secs())]
+    Held {
+        /// Losses that count.
+        losses: u32,
+        /// For how long still.
+        left: Duration,
+    },
+    /// Marked as slow.
+    #[display("marked as slow")]
+    Slow,
+    /// About to leave.
+    #[display("about to leave")]
+    Leaving,
+    /// Claims a replica that is no more, and is being released.
+    #[display("is being released from a former replica")]
+    Claims,
+    /// An order to it is under way or its outcome is being waited out.
+    #[display("an order to it is under way")]
+    Ordered,
+}
+
+impl Controller {
+    /// Every healthy host in no replica.
+    pub(crate) fn stranded(&self, now: Time) -> Vec<Stranded> {
+        let mut free: BTreeMap<DomainId, usize> = BTreeMap::new();
+        for host in self.hosts.values() {
+            if host.is_usable(&self.cfg, now) {
+                *free.entry(host.report.domain).or_default() += 1;
+            }
+        }
+        let idle = |host: &&Host| host.owner.is_none() && host.is_fresh(&self.cfg, now);
+        let idle = self.hosts.values().filter(idle);
+        let stranded = idle.map(|host| Stranded {
+            host: host.report.host,
+            domain: host.report.domain,
+            reason: self.reason(host, &free, now),
+        });
+        stranded.collect()
+    }
+
+    fn reason(&self, host: &Host, free: &BTreeMap<DomainId, usize>, now: Time) -> StrandedReason {
+        if host.report.leaving {
+            return StrandedReason::Leaving;
+        }
+        if host.assignment().is_some() {
+            return StrandedReason::Claims;
+        }
+        if !host.is_settled(now) {
+            return StrandedReason::Ordered;
+        }
+        if now < host.held_until {
+            return StrandedReason::Held {
+                losses: host.flaps,
+                left: host.held_until.since(now),
+            };
+        }
+        if host.speed.is_some() {
+            return StrandedReason::Slow;
+        }
+        self.reason_of_plan(host, free)
+    }
+
+    fn reason_of_plan(&self, host: &Host, free: &BTreeMap<DomainId, usize>) -> StrandedReason {
+        let id = &host.report.host;
+        let mut forms = self.plan.forms.iter();
+        if forms.any(|form| form.hosts.contains(id)) {
+            return StrandedReason::Queued;
+        }
+        let unplaced = self.plan.unplaced.keys();
+        let widths = unplaced.filter_map(|model| self.demand.get(model));
+        match widths.map(|demand| demand.width).min() {
+            None => StrandedReason::Spare,
+            Some(width) => StrandedReason::TooFew {
+                free: free.get(&host.report.domain).copied().unwrap_or(0),
+                width,
+            },
+        }
+    }
+}
