Choose replicas by a forecast from lagging reports

A first router: forecasts corrected by own sends and the pool's trend, a bounded sample, near before far, prefix hints, slow replicas left out.

--- /dev/null
+++ b/crates/route/src/candidate.rs
@@ -0,0 +1,84 @@
+//! What the router is told of replicas, what it is asked, and what it answers.
+
+use std::time::Duration;
+
+use base::CentreId;
+use base::Load;
+use base::ReplicaId;
+use base::TokenCount;
+use base::TokenRate;
+use derive_more::Display;
+
+use crate::Forecast;
+
+/// A replica that may serve a model, with its latest load report.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Candidate {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Its data centre.
+    pub centre: CentreId,
+    /// Its load as last reported.
+    pub load: Load,
+    /// How old the report is.
+    pub age: Duration,
+    /// Delay of the link to it, one way.
+    pub link: Duration,
+}
+
+/// Whether a request is long next to most others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum Length {
+    /// Most requests.
+    #[default]
+    #[display("short")]
+    Short,
+    /// A request that holds its slot or the prefill many times longer.
+    #[display("long")]
+    Long,
+}
+
+/// A request that needs a replica.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ask {
+    /// Tokens of the prompt.
+    pub prompt: TokenCount,
+    /// Whether it is long.
+    pub length: Length,
+    /// A hash of the prompt's prefix, if it may be cached somewhere.
+    pub prefix: Option<u64>,
+    /// Time left until the first token is due.
+    pub budget: Duration,
+    /// Tokens a second that the answer needs.
+    pub token_rate: TokenRate,
+    /// Share of a replica's slots that may be taken when this request is added.
+    pub fill: f64,
+    /// Long requests that this node may have at one replica. A fraction stands for a
+    /// share of the replicas.
+    pub long_quota: f64,
+    /// A replica that has just failed the request.
+    pub avoid: Option<ReplicaId>,
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// What the request can expect there.
+    pub forecast: Forecast,
+}
+
+/// Why no replica was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum Miss {
+    /// No replica serves the model.
+    #[display("no replica serves the model")]
+    NoReplica,
+    /// Every replica that was looked at has its share of slots taken.
+    #[display("all replicas are full")]
+    Full,
+    /// A replica has room, but too late or too slow.
+    #[display("no replica answers in time")]
+    Late,
+}
--- /dev/null
+++ b/crates/route/src/forecast.rs
@@ -0,0 +1,84 @@
+//! What a request can expect at a replica.
+
+use std::time::Duration;
+
+use base::TokenRate;
+
+use crate::Ask;
+use crate::replica::Replica;
+
+/// Prefill rate taken for a replica that has not reported one, in tokens a second.
+const UNKNOWN_PREFILL: f64 = 4_000.0;
+
+/// What a request can expect at a replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Forecast {
+    /// Time to the first token as this node sees it.
+    pub first_token: Duration,
+    /// Tokens a second once it runs.
+    pub token_rate: TokenRate,
+    /// Share of the slots taken, this request included. May exceed one.
+    pub fill: f64,
+    /// The part of `first_token` that the request takes alone.
+    pub alone: Duration,
+    /// The backlog of prompt tokens at the replica, as time.
+    pub backlog: Duration,
+}
+
+/// What the router has learned over all replicas of a model.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Learned {
+    /// Seconds that a request holds a slot.
+    pub residence: f64,
+    /// Part of the reported prefill backlog that a short request waits for.
+    pub behind: f64,
+    /// Growth of a replica's occupancy by the other nodes, requests a second.
+    pub others: f64,
+}
+
+impl Forecast {
+    /// Predicts a request at a replica.
+    pub(crate) fn of(replica: &Replica, learned: &Learned, ask: &Ask, now: base::Time) -> Self {
+        let load = &replica.load;
+        let slots = f64::from(load.slots.max(1));
+        let age = now.since(replica.at).as_secs_f64().min(2.0);
+        let others = learned.others * age;
+        let occupied = (replica.occupied() + others).max(0.0) + 1.0;
+        let prefill_rate = if 0.0 < load.prefill_rate.0 {
+            load.prefill_rate.0
+        } else {
+            UNKNOWN_PREFILL
+        };
+        let done = age * prefill_rate;
+        let reported = (f64::from(load.prefill.0) - done).max(0.0);
+        let backlog = (reported + replica.unseen_prompt()) / prefill_rate;
+        let slot_wait = (occupied - slots).max(0.0) * learned.residence / slots;
+        let step = if 0.0 < load.token_rate.0 {
+            1.0 / load.token_rate.0
+        } else {
+            0.0
+        };
+        let link = 2.0 * replica.link.as_secs_f64();
+        let alone = link + step + f64::from(ask.prompt.0) / prefill_rate;
+        let first_token = alone + slot_wait + learned.behind * backlog;
+        Self {
+            first_token: Duration::from_secs_f64(first_token),
+            token_rate: rate_at(replica, occupied),
+            fill: occupied / slots,
+            alone: Duration::from_secs_f64(alone),
+            backlog: Duration::from_secs_f64(backlog),
+        }
+    }
+}
+
+/// The token rate once the batch has grown to `occupied` requests.
+fn rate_at(replica: &Replica, occupied: f64) -> TokenRate {
+    let load = &replica.load;
+    if load.token_rate.0 <= 0.0 {
+        return TokenRate(f64::INFINITY);
+    }
+    let slots = f64::from(load.slots.max(1));
+    let running = f64::from(load.running);
+    let grown = occupied.min(slots).max(running);
+    TokenRate(load.token_rate.0 * (slots + running) / (slots + grown))
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,26 @@
 //! Chooses a replica for each request.
+//!
+//! One [`Router`] stands at each entry node. It predicts the time to the first
+//! token and the token rate of a request at each replica from load reports that
+//! lag, corrected by what this node sent since and by what the other nodes
+//! probably sent. It takes a nearby replica unless a far one is worth the link,
+//! treats cached prefixes as a hint, and leaves out replicas that turned slow.
+
+mod candidate;
+mod config;
+mod flight;
+mod forecast;
+mod outlier;
+mod pool;
+mod prefix;
+mod replica;
+mod router;
+
+pub use candidate::Ask;
+pub use candidate::Candidate;
+pub use candidate::Choice;
+pub use candidate::Length;
+pub use candidate::Miss;
+pub use config::Config;
+pub use forecast::Forecast;
+pub use router::Router;
--- /dev/null
+++ b/crates/route/src/router.rs
@@ -0,0 +1,211 @@
+//! The router of one entry node.
+
+use std::collections::BTreeMap;
+
+use base::ModelName;
+use base::ReplicaId;
+use base::RequestId;
+use base::Time;
+
+use crate::Ask;
+use crate::Candidate;
+use crate::Choice;
+use crate::Config;
+use crate::Length;
+use crate::Miss;
+use crate::flight::Flight;
+use crate::pool::Pool;
+
+/// A backlog shorter than this teaches nothing, in seconds.
+const MIN_BACKLOG: f64 = 0.01;
+
+/// The router of one entry node.
+#[derive(Clone, Debug)]
+pub struct Router {
+    cfg: Config,
+    rng: fastrand::Rng,
+    pools: BTreeMap<ModelName, Pool>,
+    flights: BTreeMap<RequestId, Flight>,
+}
+
+impl Router {
+    /// A router that knows no replica yet.
+    pub fn open(cfg: Config, seed: u64) -> Self {
+        Self {
+            cfg,
+            rng: fastrand::Rng::with_seed(seed),
+            pools: BTreeMap::new(),
+            flights: BTreeMap::new(),
+        }
+    }
+
+    /// Sets how many entry nodes send to the same replicas, this one included.
+    pub fn set_senders(&mut self, senders: u32) {
+        self.cfg.senders = senders.max(1);
+    }
+
+    /// Replaces the replicas that serve a model.
+    pub fn replicas(&mut self, model: &ModelName, candidates: Vec<Candidate>, now: Time) {
+        let pool = self.pools.entry(model.clone()).or_default();
+        pool.replace(candidates, now);
+    }
+
+    /// Takes one newer report of a known replica.
+    pub fn report(&mut self, model: &ModelName, candidate: Candidate, now: Time) {
+        if let Some(pool) = self.pools.get_mut(model) {
+            pool.report(candidate, now);
+        }
+    }
+
+    /// Chooses a replica. Nothing is counted until [`Self::sent`].
+    pub fn choose(&mut self, model: &ModelName, ask: &Ask, now: Time) -> Result<Choice, Miss> {
+        let pool = self.pools.get_mut(model).ok_or(Miss::NoReplica)?;
+        pool.choose(&self.cfg, ask, &mut self.rng, now)
+    }
+
+    /// Counts a request that goes to the chosen replica.
+    pub fn sent(
+        &mut self,
+        id: RequestId,
+        model: &ModelName,
+        ask: &Ask,
+        choice: &Choice,
+        now: Time,
+    ) {
+        let Some(pool) = self.pools.get_mut(model) else {
+            return;
+        };
+        pool.grow(1.0, now);
+        if let Some(prefix) = ask.prefix {
+            pool.remember(prefix, choice.replica, self.cfg.prefixes);
+        }
+        if let Some(replica) = pool.get(choice.replica) {
+            let expected = choice.forecast.first_token;
+            replica.sent(id, ask.prompt, ask.length, expected, now);
+        }
+        let flight = Flight {
+            model: model.clone(),
+            replica: choice.replica,
+            length: ask.length,
+            sent: now,
+            alone: choice.forecast.alone,
+            expected: choice.forecast.first_token,
+            backlog: choice.forecast.backlog,
+            last: None,
+        };
+        self.flights.insert(id, flight);
+    }
+
+    /// Takes the first token of a request.
+    pub fn first_token(&mut self, id: RequestId, now: Time) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        if flight.last.is_some() {
+            return;
+        }
+        flight.last = Some(now);
+        let flight = flight.clone();
+        let Some(pool) = self.pools.get_mut(&flight.model) else {
+            return;
+        };
+        let took = now.since(flight.sent);
+        let backlog = flight.backlog.as_secs_f64();
+        if MIN_BACKLOG < backlog {
+            let waited = took.saturating_sub(flight.alone).as_secs_f64();
+            pool.waited(flight.length, waited / backlog);
+        }
+        if let Some((replica, usual)) = pool.with_usual(flight.replica) {
+            replica.pending.remove(&id);
+            if flight.length == Length::Short {
+                let expected = flight.expected.as_secs_f64().max(1e-3);
+                replica.outlier.first(usual, took.as_secs_f64() / expected);
+            }
+        }
+        pool.judge(&self.cfg, flight.replica, now);
+    }
+
+    /// Takes `count` further tokens of a request.
+    pub fn tokens(&mut self, id: RequestId, count: u32, now: Time) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let Some(last) = flight.last.filter(|_| 0 < count) else {
+            return;
+        };
+        flight.last = Some(now);
+        let gap = now.since(last).as_secs_f64() / f64::from(count);
+        let replica = flight.replica;
+        let Some(pool) = self.pools.get_mut(&flight.model) else {
+            return;
+        };
+        if let Some((seen, usual)) = pool.with_usual(replica) {
+            seen.outlier.gap(usual, gap);
+        }
+        pool.judge(&self.cfg, replica, now);
+    }
+
+    /// Takes the end of a request that was answered whole.
+    pub fn finished(&mut self, id: RequestId, now: Time) {
+        if let Some(flight) = self.end(id, now)
+            && let Some(pool) = self.pools.get_mut(&flight.model)
+        {
+            pool.held(now.since(flight.sent));
+        }
+    }
+
+    /// Takes the end of a request that failed or was cancelled.
+    pub fn failed(&mut self, id: RequestId, now: Time) {
+        self.end(id, now);
+    }
+
+    fn end(&mut self, id: RequestId, now: Time) -> Option<Flight> {
+        let flight = self.flights.remove(&id)?;
+        let pool = self.pools.get_mut(&flight.model)?;
+        pool.grow(-1.0, now);
+        if let Some(replica) = pool.get(flight.replica) {
+            replica.ended(id, flight.length, now);
+        }
+        Some(flight)
+    }
+
+    /// Takes a cache event: the replica holds the prefix.
+    pub fn cached(&mut self, model: &ModelName, replica: ReplicaId, prefix: u64) {
+        if let Some(pool) = self.pools.get_mut(model) {
+            pool.remember(prefix, replica, self.cfg.prefixes);
+        }
+    }
+
+    /// Takes a cache event: the replica dropped the prefix.
+    pub fn evicted(&mut self, model: &ModelName, replica: ReplicaId, prefix: u64) {
+        if let Some(pool) = self.pools.get_mut(model) {
+            pool.forget(prefix, replica);
+        }
+    }
+
+    /// Requests sent that have not ended.
+    pub fn in_flight(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// How many replicas serve a model.
+    pub fn count(&self, model: &ModelName) -> usize {
+        self.pools.get(model).map_or(0, Pool::len)
+    }
+
+    /// Slots over all replicas of a model.
+    pub fn slots(&self, model: &ModelName) -> u64 {
+        self.pools.get(model).map_or(0, Pool::slots)
+    }
+
+    /// Seconds that a request of the model holds a slot.
+    pub fn residence(&self, model: &ModelName) -> f64 {
+        self.pools.get(model).map_or(1.0, Pool::residence)
+    }
+
+    /// Replicas of a model that are left out because they turned slow.
+    pub fn ejected(&self, model: &ModelName, now: Time) -> Vec<ReplicaId> {
+        let pool = self.pools.get(model);
+        pool.map_or_else(Vec::new, |pool| pool.ejected(now))
+    }
+}
