Admit, queue or refuse by contract at each entry node

First usable interface of the dispatcher: limits shared by demand between nodes, lanes fair by weight, forecasts against deadlines, retries within a budget.

--- /dev/null
+++ b/crates/admit/src/arrival.rs
@@ -0,0 +1,23 @@
+//! A request as it arrives at an entry node.
+
+use base::ContractName;
+use base::RequestId;
+use base::Time;
+use base::TokenCount;
+
+/// A request as it arrives at an entry node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Its id, never used again at this node.
+    pub request: RequestId,
+    /// The rule that it falls under.
+    pub contract: ContractName,
+    /// Tokens of the prompt.
+    pub prompt: TokenCount,
+    /// The most tokens that the answer may have.
+    pub max_tokens: TokenCount,
+    /// A hash of the prompt's prefix, if another request may share it.
+    pub prefix: Option<u64>,
+    /// When it arrived.
+    pub now: Time,
+}
--- /dev/null
+++ b/crates/admit/src/bucket.rs
@@ -0,0 +1,202 @@
+//! A token bucket that all entry nodes hold together.
+//!
+//! Each node keeps its own copy of the whole bucket's level, lowered by what it
+//! admits and, with each exchange, by what the others say they admitted.
+//! Between two exchanges a node may admit only its share of the level and of
+//! the refill. What was admitted in excess shows as debt at every node, so an
+//! excess never adds up.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::Incarnation;
+use base::NodeId;
+use base::Time;
+
+/// Time over which demand is averaged.
+const DEMAND: Duration = Duration::from_millis(400);
+/// Part of a limit that is spread evenly, whatever the demand.
+const EVEN: f64 = 0.1;
+
+/// One node's copy of a bucket.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    /// Units a second over all nodes.
+    pub rate: f64,
+    /// Units that may come at once over all nodes.
+    pub burst: f64,
+    /// Units needed in the bucket before one more request is admitted.
+    unit: f64,
+    /// The whole bucket's level as this node knows it. Negative is debt.
+    level: f64,
+    /// What this node may still admit before the next exchange.
+    local: f64,
+    at: Time,
+    /// This node's share among the nodes it sees.
+    share: f64,
+    /// The part of the limit that is for the nodes it sees.
+    scale: f64,
+    /// Refill that was left to nodes out of sight.
+    left: f64,
+    spent: f64,
+    demand: f64,
+    seen: BTreeMap<NodeId, (Incarnation, f64)>,
+}
+
+/// What another node said of the same bucket.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PeerUse {
+    /// The node.
+    pub node: NodeId,
+    /// Its process's life.
+    pub incarnation: Incarnation,
+    /// Units asked for a second.
+    pub demand: f64,
+    /// Units admitted in this life.
+    pub spent: f64,
+}
+
+impl Bucket {
+    /// A bucket at this node's even part of its burst.
+    pub fn open(rate: f64, burst: f64, unit: f64, scale: f64, now: Time) -> Self {
+        Self {
+            rate,
+            burst,
+            unit,
+            level: burst * scale,
+            local: burst * scale,
+            at: now,
+            share: 1.0,
+            scale,
+            left: 0.0,
+            spent: 0.0,
+            demand: 0.0,
+            seen: BTreeMap::new(),
+        }
+    }
+
+    /// Admits a request of this many units, if the limit allows it.
+    pub fn take(&mut self, units: f64, now: Time) -> bool {
+        self.advance(now);
+        self.demand += units / DEMAND.as_secs_f64();
+        if !self.is_open() {
+            return false;
+        }
+        self.charge(units);
+        true
+    }
+
+    /// True if the next request would be admitted.
+    fn is_open(&self) -> bool {
+        self.rate.is_infinite() || (self.unit <= self.level + 1e-9 && 0.0 < self.local)
+    }
+
+    /// Corrects what an admitted request took.
+    pub fn charge(&mut self, units: f64) {
+        self.level -= units;
+        self.local -= units;
+        self.spent += units;
+    }
+
+    /// How long until the next request would be admitted, from the level and this
+    /// node's share of the refill.
+    pub fn wait(&self) -> Duration {
+        if self.is_open() {
+            return Duration::ZERO;
+        }
+        let refill = (self.rate * self.scale).max(1e-6);
+        let level = (self.unit - self.level) / refill;
+        let local = -self.local / (refill * self.share.max(1e-3));
+        Duration::from_secs_f64(level.max(local).clamp(0.001, 3_600.0))
+    }
+
+    /// Units asked for a second at this node.
+    pub fn demand(&self) -> f64 {
+        self.demand
+    }
+
+    /// Units admitted at this node.
+    pub fn spent(&self) -> f64 {
+        self.spent
+    }
+
+    /// The level of the whole bucket as this node knows it.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// Refills up to now.
+    pub fn advance(&mut self, now: Time) {
+        let span = now.since(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.demand *= (-span / DEMAND.as_secs_f64()).exp();
+        if self.rate.is_infinite() || span <= 0.0 {
+            return;
+        }
+        let refill = self.rate * self.scale * span;
+        let full = self.burst * self.scale;
+        self.left += self.rate * (1.0 - self.scale) * span;
+        self.level = (self.level + refill).min(full);
+        self.local = (self.local + refill * self.share).min(full * self.share);
+    }
+
+    /// Takes what the nodes in sight said. `scale` is the part of the limit for them.
+    pub fn exchange(&mut self, peers: &[PeerUse], live: usize, scale: f64, now: Time) {
+        self.advance(now);
+        for peer in peers {
+            self.pay(*peer);
+        }
+        self.scale = scale;
+        if 1.0 <= scale {
+            self.left = 0.0;
+        }
+        let total: f64 = peers.iter().map(|p| p.demand).sum::<f64>() + self.demand;
+        let even = 1.0 / live.max(1) as f64;
+        let wanted = if total <= 0.0 {
+            even
+        } else {
+            self.demand / total
+        };
+        self.share = EVEN * even + (1.0 - EVEN) * wanted;
+        self.level = self.level.min(self.burst * scale);
+        self.local = self.share * self.level.max(0.0);
+    }
+
+    /// Lowers the level by what a peer admitted since it was last heard.
+    fn pay(&mut self, peer: PeerUse) {
+        let before = self.seen.insert(peer.node, (peer.incarnation, peer.spent));
+        let used = match before {
+            Some((life, spent)) if life == peer.incarnation => peer.spent - spent,
+            Some((life, _)) if life < peer.incarnation => peer.spent,
+            Some(newer) => {
+                self.seen.insert(peer.node, newer);
+                0.0
+            }
+            None => 0.0,
+        };
+        let own = used.clamp(0.0, self.left);
+        self.left -= own;
+        let most = self.burst + self.rate;
+        self.level = (self.level - (used - own)).max(-most);
+    }
+
+    /// Limits this node to its part of the settings, because it hears of no other.
+    pub fn isolate(&mut self, scale: f64, now: Time) {
+        self.advance(now);
+        self.scale = scale;
+        self.share = 1.0;
+        self.level = self.level.min(self.burst * scale);
+        self.local = self.local.min(self.level);
+    }
+
+    /// Takes a changed rate and burst.
+    pub fn set(&mut self, rate: f64, burst: f64, now: Time) {
+        self.advance(now);
+        if self.rate.is_infinite() {
+            self.level = burst * self.scale;
+            self.local = self.level * self.share;
+        }
+        self.rate = rate;
+        self.burst = burst;
+    }
+}
--- /dev/null
+++ b/crates/admit/src/demand.rs
@@ -0,0 +1,47 @@
+//! What entry nodes tell each other about the use of the contracts.
+
+use base::ContractName;
+use base::Incarnation;
+use base::ModelName;
+use base::NodeId;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One node's use of the contracts. A later one replaces an earlier one.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DemandReport {
+    /// The node.
+    pub node: NodeId,
+    /// Its process's life. Totals start at zero in each.
+    pub incarnation: Incarnation,
+    /// Counts the reports of this life.
+    pub sequence: u64,
+    /// The contracts in use.
+    pub contracts: Vec<ContractDemand>,
+    /// The models in use.
+    pub models: Vec<ModelDemand>,
+}
+
+/// One node's use of one contract.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ContractDemand {
+    /// The contract.
+    pub contract: ContractName,
+    /// Requests asked for a second.
+    pub requests: f64,
+    /// Tokens asked for a second.
+    pub tokens: f64,
+    /// Requests admitted in this life.
+    pub spent_requests: f64,
+    /// Tokens admitted in this life.
+    pub spent_tokens: f64,
+}
+
+/// One node's long work for one model.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ModelDemand {
+    /// The model.
+    pub model: ModelName,
+    /// Long requests that run or wait.
+    pub long: f64,
+}
--- /dev/null
+++ b/crates/admit/src/dispatcher.rs
@@ -0,0 +1,280 @@
+//! The dispatcher of one entry node: arrivals and the calls around them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::Contract;
+use base::ContractName;
+use base::ModelName;
+use base::Overflow;
+use base::Priority;
+use base::RequestId;
+use base::Time;
+use base::TokenCount;
+use route::Candidate;
+use route::Length;
+use route::Router;
+
+use crate::Arrival;
+use crate::Beyond;
+use crate::Config;
+use crate::Decision;
+use crate::Reason;
+use crate::Standing;
+use crate::flight::Flight;
+use crate::lane::Waiting;
+use crate::queue::Queue;
+use crate::retry::RetryBudget;
+use crate::terms::Terms;
+
+/// Where a request that waits stands.
+#[derive(Clone, Debug)]
+pub(crate) struct Spot {
+    pub model: ModelName,
+    pub org: base::OrgName,
+    pub standing: Standing,
+    pub length: Length,
+}
+
+/// The dispatcher of one entry node.
+#[derive(Clone, Debug)]
+pub struct Dispatcher {
+    pub(crate) cfg: Config,
+    pub(crate) router: Router,
+    pub(crate) terms: BTreeMap<ContractName, Terms>,
+    pub(crate) queues: BTreeMap<ModelName, Queue>,
+    pub(crate) spots: BTreeMap<RequestId, Spot>,
+    pub(crate) flights: BTreeMap<RequestId, Flight>,
+    pub(crate) retries: RetryBudget,
+    /// Decisions that wait for the next poll.
+    pub(crate) decided: Vec<(RequestId, Decision)>,
+    pub(crate) polled: Time,
+    pub(crate) swept: Time,
+    pub(crate) exchanged: Time,
+    pub(crate) sequence: u64,
+}
+
+impl Dispatcher {
+    /// A dispatcher that knows no contract and no replica yet.
+    pub fn open(cfg: Config, seed: u64) -> Self {
+        let router = Router::open(cfg.route.clone(), seed);
+        Self {
+            cfg,
+            router,
+            terms: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            spots: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            retries: RetryBudget::default(),
+            decided: Vec::new(),
+            polled: Time::ZERO,
+            swept: Time::ZERO,
+            exchanged: Time::ZERO,
+            sequence: 0,
+        }
+    }
+
+    /// Puts a version of the contracts in force. What was used of a contract that stays
+    /// remains used, and requests already taken keep their terms.
+    pub fn configure(&mut self, contracts: &[Contract], now: Time) {
+        let scale = self.alone_scale();
+        let mut old = std::mem::take(&mut self.terms);
+        for contract in contracts {
+            let terms = match old.remove(&contract.name) {
+                Some(mut terms) => {
+                    terms.set(contract.clone(), now);
+                    terms
+                }
+                None => Terms::open(contract.clone(), scale, now),
+            };
+            self.terms.insert(contract.name.clone(), terms);
+        }
+    }
+
+    /// Replaces the replicas that serve a model.
+    pub fn replicas(&mut self, model: &ModelName, candidates: Vec<Candidate>, now: Time) {
+        self.router.replicas(model, candidates, now);
+    }
+
+    /// Takes one newer load report of a known replica.
+    pub fn report(&mut self, model: &ModelName, candidate: Candidate, now: Time) {
+        self.router.report(model, candidate, now);
+    }
+
+    /// The router, for its feedback that has no other way in and for figures.
+    pub fn router(&mut self) -> &mut Router {
+        &mut self.router
+    }
+
+    /// Decides on a request. Decisions on others that this brings about come with the
+    /// next poll.
+    pub fn arrive(&mut self, arrival: Arrival) -> Decision {
+        let now = arrival.now;
+        self.isolate_if_stale(now);
+        let waiting = match self.accept(&arrival) {
+            Ok(waiting) => waiting,
+            Err(refusal) => return refusal,
+        };
+        let request = waiting.request;
+        let model = waiting.model.clone();
+        self.enqueue(waiting);
+        self.pump(&model, now);
+        let mine = self.decided.iter().position(|(id, _)| *id == request);
+        match mine {
+            Some(at) => self.decided.remove(at).1,
+            None => Decision::Queued,
+        }
+    }
+
+    /// Checks the contract and its limits.
+    fn accept(&mut self, arrival: &Arrival) -> Result<Waiting, Decision> {
+        let now = arrival.now;
+        let Some(terms) = self.terms.get_mut(&arrival.contract) else {
+            return Err(refuse(Reason::NoContract, Duration::ZERO));
+        };
+        let contract = &terms.contract;
+        let queue = self.queues.entry(contract.model.clone()).or_default();
+        let estimate = terms.estimate(arrival.max_tokens);
+        let work = crate::length::work(arrival.prompt, estimate);
+        queue.usual.add(work);
+        let length = queue.usual.classify(work, self.cfg.long_factor);
+        let standing = match take_limits(terms, estimate, now) {
+            Ok(()) => Standing::Within,
+            Err(refusal) => match self.cfg.beyond {
+                Beyond::Refuse => return Err(refusal),
+                Beyond::Lend => Standing::Beyond,
+            },
+        };
+        let contract = &terms.contract;
+        Ok(Waiting {
+            request: arrival.request,
+            contract: arrival.contract.clone(),
+            org: contract.org.clone(),
+            weight: f64::from(contract.weight.max(1)),
+            model: contract.model.clone(),
+            standing,
+            length,
+            priority: engine_priority(contract.priority, standing, length),
+            prompt: arrival.prompt,
+            max_tokens: arrival.max_tokens,
+            prefix: arrival.prefix,
+            estimate,
+            token_rate: contract.token_rate,
+            due: now + terms.allowed(),
+            from: TokenCount(0),
+            avoid: None,
+            attempts: 0,
+        })
+    }
+
+    /// Puts a request at the end of its line.
+    pub(crate) fn enqueue(&mut self, waiting: Waiting) {
+        self.note_spot(&waiting);
+        let queue = self.queues.entry(waiting.model.clone()).or_default();
+        queue.lane_of(&waiting).push(waiting);
+    }
+
+    /// Puts a request at the head of its line.
+    pub(crate) fn enqueue_first(&mut self, waiting: Waiting) {
+        self.note_spot(&waiting);
+        let queue = self.queues.entry(waiting.model.clone()).or_default();
+        queue.lane_of(&waiting).push_front(waiting);
+    }
+
+    fn note_spot(&mut self, waiting: &Waiting) {
+        let spot = Spot {
+            model: waiting.model.clone(),
+            org: waiting.org.clone(),
+            standing: waiting.standing,
+            length: waiting.length,
+        };
+        self.spots.insert(waiting.request, spot);
+    }
+
+    /// Decides on requests that wait, and finds attempts that fell silent.
+    pub fn poll(&mut self, now: Time) -> Vec<(RequestId, Decision)> {
+        self.polled = now;
+        self.isolate_if_stale(now);
+        self.sweep_if_due(now);
+        let models: Vec<_> = self.queues.keys().cloned().collect();
+        for model in models {
+            self.pump(&model, now);
+        }
+        std::mem::take(&mut self.decided)
+    }
+
+    /// When the next poll is due.
+    pub fn next_deadline(&self) -> Time {
+        if !self.decided.is_empty() {
+            return self.polled;
+        }
+        if !self.spots.is_empty() {
+            return self.polled + self.cfg.tick;
+        }
+        if !self.flights.is_empty() {
+            return self.swept + SWEEP;
+        }
+        Time::NEVER
+    }
+
+    /// Requests that wait at this node.
+    pub fn waiting(&self) -> usize {
+        self.spots.len()
+    }
+
+    /// Requests at replicas.
+    pub fn in_flight(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// The model that a request falls back on.
+    pub(crate) fn other_model(&self, contract: &ContractName) -> Option<ModelName> {
+        let terms = self.terms.get(contract)?;
+        match &terms.contract.overflow {
+            Overflow::Model(model) => Some(model.clone()),
+            Overflow::Refuse | Overflow::Wait(_) => None,
+        }
+    }
+}
+
+/// Time between two looks for attempts that fell silent.
+pub(crate) const SWEEP: Duration = Duration::from_secs(1);
+
+/// Counts a request against the limits of its contract.
+fn take_limits(terms: &mut Terms, estimate: f64, now: Time) -> Result<(), Decision> {
+    if !terms.requests.take(1.0, now) {
+        let wait = terms.requests.wait();
+        return Err(refuse(Reason::RequestRate, terms.come_back(wait, now)));
+    }
+    if !terms.tokens.take(estimate, now) {
+        terms.requests.charge(-1.0);
+        let wait = terms.tokens.wait();
+        return Err(refuse(Reason::TokenRate, terms.come_back(wait, now)));
+    }
+    Ok(())
+}
+
+pub(crate) fn refuse(reason: Reason, retry_after: Duration) -> Decision {
+    Decision::Refuse {
+        reason,
+        retry_after,
+    }
+}
+
+/// The band of priorities for long requests.
+const LONG_BAND: u8 = 64;
+/// The band of priorities for requests beyond their contracts.
+const BEYOND_BAND: u8 = 128;
+
+/// Short goes before long, within before beyond, then by the contract.
+pub(crate) fn engine_priority(contract: Priority, standing: Standing, length: Length) -> Priority {
+    let long = match length {
+        Length::Short => 0,
+        Length::Long => LONG_BAND,
+    };
+    let beyond = match standing {
+        Standing::Within => 0,
+        Standing::Beyond => BEYOND_BAND,
+    };
+    Priority(contract.0.min(LONG_BAND - 1) + long + beyond)
+}
--- /dev/null
+++ b/crates/admit/src/exchange.rs
@@ -0,0 +1,139 @@
+//! What this node tells the other entry nodes, and what it takes from them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use base::ContractName;
+use base::NodeId;
+use base::Time;
+use route::Length;
+
+use crate::ContractDemand;
+use crate::DemandReport;
+use crate::Dispatcher;
+use crate::ModelDemand;
+use crate::PeerUse;
+
+/// Demand added to each node's long work, so that one without any keeps a share.
+const LONG_FLOOR: f64 = 1.0;
+
+impl Dispatcher {
+    /// This node's report for the others, due every [`crate::Config::exchange`].
+    pub fn demand(&mut self, now: Time) -> DemandReport {
+        self.sequence += 1;
+        let contracts = self.terms.iter_mut().map(|(name, terms)| {
+            terms.requests.advance(now);
+            terms.tokens.advance(now);
+            ContractDemand {
+                contract: name.clone(),
+                requests: terms.requests.demand(),
+                tokens: terms.tokens.demand(),
+                spent_requests: terms.requests.spent(),
+                spent_tokens: terms.tokens.spent(),
+            }
+        });
+        let contracts = contracts.collect();
+        let models = self.queues.iter().map(|(model, queue)| ModelDemand {
+            model: model.clone(),
+            long: f64::from(queue.running(Length::Long)) + queue.waiting(Length::Long) as f64,
+        });
+        DemandReport {
+            node: self.cfg.node,
+            incarnation: self.cfg.incarnation,
+            sequence: self.sequence,
+            contracts,
+            models: models.collect(),
+        }
+    }
+
+    /// Takes the latest reports of the other nodes, and which nodes are in sight. Call it
+    /// every [`crate::Config::exchange`], also when nothing changed.
+    pub fn peers(&mut self, reports: &[DemandReport], live: &BTreeSet<NodeId>, now: Time) {
+        self.exchanged = now;
+        let own = self.cfg.node;
+        let heard = reports
+            .iter()
+            .filter(|r| r.node != own && live.contains(&r.node));
+        let heard: Vec<_> = heard.collect();
+        let count = 1 + live.iter().filter(|node| **node != own).count();
+        self.router.set_senders(count as u32);
+        let scale = self.scale(live);
+        let mut uses: BTreeMap<&ContractName, Vec<(PeerUse, PeerUse)>> = BTreeMap::new();
+        for report in &heard {
+            for demand in &report.contracts {
+                let pair = uses_of(report, demand);
+                uses.entry(&demand.contract).or_default().push(pair);
+            }
+        }
+        for (name, terms) in &mut self.terms {
+            let pairs = uses.remove(name).unwrap_or_default();
+            let requests: Vec<_> = pairs.iter().map(|pair| pair.0).collect();
+            let tokens: Vec<_> = pairs.iter().map(|pair| pair.1).collect();
+            terms.requests.exchange(&requests, count, scale, now);
+            terms.tokens.exchange(&tokens, count, scale, now);
+        }
+        self.share_long(&heard, count);
+    }
+
+    /// Divides the slots for long work by the nodes' demand.
+    fn share_long(&mut self, heard: &[&DemandReport], count: usize) {
+        for (model, queue) in &mut self.queues {
+            let of = |report: &&DemandReport| -> f64 {
+                let found = report.models.iter().find(|m| m.model == *model);
+                found.map_or(0.0, |m| m.long)
+            };
+            let others: f64 = heard.iter().map(of).sum();
+            let own = f64::from(queue.running(Length::Long)) + queue.waiting(Length::Long) as f64;
+            let total = others + own + LONG_FLOOR * count as f64;
+            queue.long_share = (own + LONG_FLOOR) / total;
+        }
+    }
+
+    /// The part of the limits that is for the nodes in sight: the settings' nodes of each
+    /// data centre of which one is in sight.
+    fn scale(&self, live: &BTreeSet<NodeId>) -> f64 {
+        let nodes = &self.cfg.nodes;
+        if nodes.is_empty() {
+            return 1.0;
+        }
+        let is_seen = |node: &NodeId| *node == self.cfg.node || live.contains(node);
+        let seen = nodes.iter().filter(|(node, _)| is_seen(node));
+        let centres: BTreeSet<_> = seen.map(|(_, centre)| *centre).collect();
+        let counted = nodes.values().filter(|centre| centres.contains(centre));
+        counted.count() as f64 / nodes.len() as f64
+    }
+
+    /// This node's part of the limits when it sees no other.
+    pub(crate) fn alone_scale(&self) -> f64 {
+        1.0 / self.cfg.nodes.len().max(1) as f64
+    }
+
+    /// Limits this node to its own part once it has not heard of the others for long.
+    pub(crate) fn isolate_if_stale(&mut self, now: Time) {
+        if now < self.exchanged + self.cfg.stale {
+            return;
+        }
+        self.exchanged = now;
+        let scale = self.alone_scale();
+        for terms in self.terms.values_mut() {
+            terms.requests.isolate(scale, now);
+            terms.tokens.isolate(scale, now);
+        }
+    }
+}
+
+/// The use of a contract's requests and tokens.
+fn uses_of(report: &DemandReport, demand: &ContractDemand) -> (PeerUse, PeerUse) {
+    let requests = PeerUse {
+        node: report.node,
+        incarnation: report.incarnation,
+        demand: demand.requests,
+        spent: demand.spent_requests,
+    };
+    let tokens = PeerUse {
+        demand: demand.tokens,
+        spent: demand.spent_tokens,
+        ..requests
+    };
+    (requests, tokens)
+}
--- /dev/null
+++ b/crates/admit/src/length.rs
@@ -0,0 +1,40 @@
+//! Tells long requests from the rest by the work they probably are.
+
+use base::TokenCount;
+use route::Length;
+
+/// Prompt tokens that cost as much as one generated token.
+const PROMPT_WEIGHT: f64 = 10.0;
+/// Step of the running median, as a part of its value.
+const STEP: f64 = 0.02;
+
+/// The work of a request in generated tokens.
+pub(crate) fn work(prompt: TokenCount, generated: f64) -> f64 {
+    f64::from(prompt.0) / PROMPT_WEIGHT + generated
+}
+
+/// The median work of a model's requests, as a running estimate.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Usual {
+    median: f64,
+}
+
+impl Usual {
+    pub fn add(&mut self, work: f64) {
+        if self.median <= 0.0 {
+            self.median = work;
+        } else if work < self.median {
+            self.median *= 1.0 - STEP;
+        } else {
+            self.median *= 1.0 + STEP;
+        }
+    }
+
+    pub fn classify(&self, work: f64, long_factor: f64) -> Length {
+        if 0.0 < self.median && self.median * long_factor < work {
+            Length::Long
+        } else {
+            Length::Short
+        }
+    }
+}
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,1 +1,42 @@
 //! Admits, queues or refuses requests by the callers' contracts.
+//!
+//! One [`Dispatcher`] stands at each entry node. It counts requests against the
+//! limits that hold over all entry nodes together, sends a request to a replica
+//! that will answer in time, lets it wait while that is still likely, and else
+//! refuses it at once with a time to come back. It owns the [`route::Router`].
+//!
+//! The caller of this crate gives the time with every call, acts on each
+//! [`Decision`], reports what became of what was sent, publishes
+//! [`Dispatcher::demand`] every [`Config::exchange`], and calls
+//! [`Dispatcher::poll`] at [`Dispatcher::next_deadline`] and after each end of a
+//! request.
+
+mod arrival;
+mod bucket;
+mod config;
+mod decision;
+mod demand;
+mod dispatcher;
+mod exchange;
+mod feedback;
+mod flight;
+mod lane;
+mod length;
+mod pump;
+mod queue;
+mod retry;
+mod terms;
+
+pub use arrival::Arrival;
+pub use bucket::Bucket;
+pub use bucket::PeerUse;
+pub use config::Beyond;
+pub use config::Config;
+pub use decision::Decision;
+pub use decision::Failure;
+pub use decision::Reason;
+pub use demand::ContractDemand;
+pub use demand::DemandReport;
+pub use demand::ModelDemand;
+pub use dispatcher::Dispatcher;
+pub use lane::Standing;
--- /dev/null
+++ b/crates/admit/src/terms.rs
@@ -0,0 +1,94 @@
+//! A contract with its use at this node.
+
+use std::time::Duration;
+
+use base::Contract;
+use base::Overflow;
+use base::Time;
+use base::TokenCount;
+
+use crate::bucket::Bucket;
+
+/// Tokens may come at once for this long at the contract's rate.
+const TOKEN_BURST: Duration = Duration::from_secs(2);
+/// Refused callers are told to come back within this time of the earliest moment.
+const LONGEST_SPREAD: Duration = Duration::from_secs(10);
+/// Weight of one answer in the estimate of lengths.
+const LEARN: f64 = 0.05;
+
+/// A contract with its use at this node.
+#[derive(Clone, Debug)]
+pub(crate) struct Terms {
+    pub contract: Contract,
+    pub requests: Bucket,
+    pub tokens: Bucket,
+    /// Tokens generated over the most allowed, of recent answers.
+    ratio: f64,
+    /// The latest time that a refused caller was told to come back.
+    pub returning: Time,
+}
+
+impl Terms {
+    pub fn open(contract: Contract, scale: f64, now: Time) -> Self {
+        let (rate, burst) = request_limit(&contract);
+        let requests = Bucket::open(rate, burst, 1.0, scale, now);
+        let (rate, burst) = token_limit(&contract);
+        let tokens = Bucket::open(rate, burst, 0.0, scale, now);
+        Self {
+            contract,
+            requests,
+            tokens,
+            ratio: 1.0,
+            returning: Time::ZERO,
+        }
+    }
+
+    /// Takes a changed contract. What was used stays used.
+    pub fn set(&mut self, contract: Contract, now: Time) {
+        let (rate, burst) = request_limit(&contract);
+        self.requests.set(rate, burst, now);
+        let (rate, burst) = token_limit(&contract);
+        self.tokens.set(rate, burst, now);
+        self.contract = contract;
+    }
+
+    /// Tokens that an answer probably has.
+    pub fn estimate(&self, max_tokens: TokenCount) -> f64 {
+        (f64::from(max_tokens.0) * self.ratio).max(1.0)
+    }
+
+    /// Learns from a whole answer.
+    pub fn learn(&mut self, generated: u32, max_tokens: TokenCount) {
+        let ratio = f64::from(generated) / f64::from(max_tokens.0.max(1));
+        self.ratio += LEARN * (ratio.min(1.0) - self.ratio);
+    }
+
+    /// When a refused caller should come back: after `wait`, and after those that were
+    /// told to come back before, one interval of the request rate apart.
+    pub fn come_back(&mut self, wait: Duration, now: Time) -> Duration {
+        let rate = self.requests.rate.max(1e-3);
+        let apart = Duration::from_secs_f64((1.0 / rate).min(1.0));
+        let earliest = now + wait;
+        let at = earliest.max(self.returning + apart);
+        self.returning = at.min(now + wait + LONGEST_SPREAD);
+        self.returning.since(now)
+    }
+
+    /// Time from arrival until the first token is due.
+    pub fn allowed(&self) -> Duration {
+        match &self.contract.overflow {
+            Overflow::Wait(longest) => self.contract.first_token + *longest,
+            Overflow::Refuse | Overflow::Model(_) => self.contract.first_token,
+        }
+    }
+}
+
+fn request_limit(contract: &Contract) -> (f64, f64) {
+    let burst = f64::from(contract.burst).max(1.0);
+    (contract.request_rate.0, burst)
+}
+
+fn token_limit(contract: &Contract) -> (f64, f64) {
+    let rate = contract.total_token_rate.0;
+    (rate, rate * TOKEN_BURST.as_secs_f64())
+}
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -5,6 +5,7 @@
 
 use base::ReplicaId;
 use base::Time;
+use base::TokenCount;
 
 use crate::Ask;
 use crate::Candidate;
@@ -115,6 +116,18 @@
         self.replicas.len()
     }
 
+    /// Time to the first token at the nearest replica if it were idle.
+    pub fn alone(&self, prompt: TokenCount) -> Duration {
+        let Some(first) = self.replicas.first() else {
+            return Duration::ZERO;
+        };
+        let rate = first.load.prefill_rate;
+        if rate.0 <= 0.0 {
+            return 2 * first.link;
+        }
+        2 * first.link + rate.time_for(prompt)
+    }
+
     /// Slots over all replicas.
     pub fn slots(&self) -> u64 {
         self.replicas.iter().map(|r| u64::from(r.load.slots)).sum()
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,11 +1,13 @@
 //! The router of one entry node.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use base::ModelName;
 use base::ReplicaId;
 use base::RequestId;
 use base::Time;
+use base::TokenCount;
 
 use crate::Ask;
 use crate::Candidate;
@@ -183,6 +185,28 @@
         }
     }
 
+    /// Counts a request as long from now on, because it ran longer than estimated.
+    pub fn relabel_long(&mut self, id: RequestId) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        if flight.length == Length::Long {
+            return;
+        }
+        flight.length = Length::Long;
+        let (model, replica) = (&flight.model, flight.replica);
+        if let Some(replica) = self.pools.get_mut(model).and_then(|p| p.get(replica)) {
+            replica.pending.remove(&id);
+            replica.long += 1;
+        }
+    }
+
+    /// The least time to a first token that any replica of the model could give.
+    pub fn alone(&self, model: &ModelName, prompt: TokenCount) -> Duration {
+        let pool = self.pools.get(model);
+        pool.map_or(Duration::ZERO, |pool| pool.alone(prompt))
+    }
+
     /// Requests sent that have not ended.
     pub fn in_flight(&self) -> usize {
         self.flights.len()
