--- a/crates/lease/src/bid.rs
+++ b/crates/lease/src/bid.rs
@@ -3,12 +3,11 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::Config;
 use base::Fence;
 use base::NodeId;
 use base::Time;
 
-use crate::Config;
-
 /// A fencing number that was asked for, and who granted it when.
 #[derive(Clone, Debug)]
 pub(crate) struct Bid {
--- a/crates/lease/src/candidate.rs
+++ b/crates/lease/src/candidate.rs
@@ -8,11 +8,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use base::Fence;
-use base::Incarnation;
-use base::NodeId;
-use base::Time;
-
 use crate::Config;
 use crate::Holder;
 use crate::Message;
@@ -21,6 +16,10 @@
 use crate::WallTime;
 use crate::bid::Bid;
 use crate::fence::raise;
+use base::Fence;
+use base::Incarnation;
+use base::NodeId;
+use base::Time;
 
 /// The right to order the engines of a data centre.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/lease/src/granter.rs
+++ b/crates/lease/src/granter.rs
@@ -9,9 +9,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use base::Fence;
-use base::Time;
-
 use crate::Holder;
 use crate::MAX_FENCE;
 use crate::MAX_SPAN;
@@ -19,6 +16,8 @@
 use crate::Refusal;
 use crate::WallTime;
 use crate::fence::raise;
+use base::Fence;
+use base::Time;
 
 /// What a granter must not forget, for a granter that has a disk.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -1,10 +1,5 @@
 //! The granter and the candidate of one node, behind one inbox.
 
-use base::Fence;
-use base::Incarnation;
-use base::NodeId;
-use base::Time;
-
 use crate::Candidate;
 use crate::Config;
 use crate::Granter;
@@ -13,6 +8,10 @@
 use crate::Promise;
 use crate::Send;
 use crate::WallTime;
+use base::Fence;
+use base::Incarnation;
+use base::NodeId;
+use base::Time;
 
 /// A message to send once a promise is durable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/lease/tests/schedules.rs
+++ b/crates/lease/tests/schedules.rs
@@ -5,12 +5,12 @@
 
 use std::time::Duration;
 
+use crate::world::Clock;
+use crate::world::Faults;
+use crate::world::STEP;
+use crate::world::World;
 use base::NodeId;
 use lease::Config;
-use world::Clock;
-use world::Faults;
-use world::STEP;
-use world::World;
 
 /// Longest time without a controller once a majority can talk without loss.
 const BOUND: Duration = Duration::from_secs(13);
