Wire admission, routes, the controller's lease and its orders into the node

Cause: requests went to the replica with fewest requests, without contracts, and replicas could only be claimed by engines themselves. Ruled out: routing by hosts' reports at the entry node, since nothing bounds how long a frozen node would go on; routes come from polls and end on its clock.

--- /dev/null
+++ b/crates/daemon/src/control/demand.rs
@@ -0,0 +1,56 @@
+//! How many replicas of each model this data centre should have.
+
+use std::collections::BTreeMap;
+
+use plan::Demand;
+use plan::Phase;
+
+use base::ModelName;
+use rules::Model;
+
+use crate::node::Node;
+
+/// Share of a replica's slots that may be in use before another replica is wanted.
+const TARGET_USE: f64 = 0.7;
+
+/// The demand for each model: the rules' bounds shared by the data centres, and the load.
+pub fn demand(node: &Node) -> BTreeMap<ModelName, Demand> {
+    let centres = node.settings.centres().max(1);
+    let rules = node.rules();
+    let used = slots_in_use(node);
+    let demand_for = |name: &ModelName, model: &Model| Demand {
+        width: model.width as usize,
+        min: (model.min_replicas as usize).div_ceil(centres),
+        max: (model.max_replicas as usize).div_ceil(centres),
+        wanted: used.get(name).copied().unwrap_or(0),
+    };
+    let models = rules.models.iter();
+    models
+        .map(|(name, model)| (name.clone(), demand_for(name, model)))
+        .collect()
+}
+
+/// Replicas that the present load would keep at [`TARGET_USE`].
+fn slots_in_use(node: &Node) -> BTreeMap<ModelName, usize> {
+    let status = node.control.status();
+    let upstreams = node.upstreams.borrow();
+    let mut loads: BTreeMap<ModelName, (f64, f64, usize)> = BTreeMap::new();
+    for replica in status.replicas.iter().filter(|r| r.phase == Phase::Serving) {
+        let first = replica.hosts.first().and_then(|host| upstreams.host(*host));
+        if let Some(heard) = first {
+            let load = &heard.report.load;
+            let entry = loads.entry(replica.model.clone()).or_default();
+            entry.0 += f64::from(load.running + load.waiting);
+            entry.1 += f64::from(load.slots);
+            entry.2 += 1;
+        }
+    }
+    let wanted = |(busy, slots, count): (f64, f64, usize)| {
+        let per_replica = slots / count as f64;
+        (busy / (per_replica * TARGET_USE).max(1.0)).ceil() as usize
+    };
+    loads
+        .into_iter()
+        .map(|(model, load)| (model, wanted(load)))
+        .collect()
+}
--- /dev/null
+++ b/crates/daemon/src/control/lease_link.rs
@@ -0,0 +1,65 @@
+//! Carries the lease's messages between the nodes of the data centre.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use lease::Output;
+
+use base::NodeId;
+use net::Methods;
+use wire::peer::LeaseAnswer;
+use wire::peer::LeaseMessage;
+
+use crate::clock;
+use crate::node::Node;
+
+/// How long a message may take.
+const WITHIN: Duration = Duration::from_millis(1_000);
+
+pub fn methods(methods: Methods<Node>) -> Methods<Node> {
+    methods.on(|node: Rc<Node>, call: LeaseMessage| async move {
+        let is_near = node.settings.neighbours().any(|id| id == call.from);
+        let output = match is_near {
+            true => receive(&node, call.from, call.message),
+            false => None,
+        };
+        let message = output.map(|output| output.send.message);
+        Ok(LeaseAnswer { message })
+    })
+}
+
+/// Sends messages, each in its own time. An answer comes back on the same way.
+pub fn send(node: &Rc<Node>, outputs: Vec<Output>) {
+    for output in outputs {
+        let to = output.send.to;
+        if to == node.id() {
+            let back = receive(node, to, output.send.message);
+            send(node, back.into_iter().collect());
+            continue;
+        }
+        let Some(peer) = node.settings.peers.get(&to) else {
+            continue;
+        };
+        let addr = peer.internal;
+        let call = LeaseMessage {
+            from: node.id(),
+            message: output.send.message,
+        };
+        let node = Rc::clone(node);
+        compio::runtime::spawn(async move {
+            let answer = node.peers.call(addr, &call, WITHIN).await;
+            if let Ok(LeaseAnswer {
+                message: Some(message),
+            }) = answer
+            {
+                receive(&node, to, message);
+            }
+        })
+        .detach();
+    }
+}
+
+fn receive(node: &Node, from: NodeId, message: lease::Message) -> Option<Output> {
+    let mut lease = node.control.lease.borrow_mut();
+    lease.receive(from, message, clock::now())
+}
--- /dev/null
+++ b/crates/daemon/src/control/polls.rs
@@ -0,0 +1,132 @@
+//! Polls of entry nodes for routes: asked of each data centre's controller, and answered.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::CentreId;
+use base::NodeId;
+use base::Time;
+use net::Methods;
+use wire::peer::LoadRow;
+use wire::peer::PollRoutes;
+use wire::peer::PolledRoutes;
+
+use crate::clock;
+use crate::dispatch::HeardLoad;
+use crate::node::Node;
+
+/// How often each data centre's controller is polled.
+const POLL_EVERY: Duration = Duration::from_millis(400);
+
+/// How long an answer may take.
+const WITHIN: Duration = Duration::from_millis(1_000);
+
+/// A load that was not heard of for this long is dropped.
+const LOAD_LIFE: Duration = Duration::from_secs(10);
+
+pub fn methods(methods: Methods<Node>) -> Methods<Node> {
+    methods.on(|node: Rc<Node>, call: PollRoutes| async move { Ok(answer(&node, &call)) })
+}
+
+fn answer(node: &Node, call: &PollRoutes) -> PolledRoutes {
+    let grant = {
+        let mut controller = node.control.controller.borrow_mut();
+        controller.routes(&call.poll, clock::now())
+    };
+    let loads = match grant.is_some() {
+        true => loads(node),
+        false => Vec::new(),
+    };
+    PolledRoutes {
+        grant,
+        controller: node.control.controller(),
+        loads,
+    }
+}
+
+/// The loads of all replicas, as their first hosts reported them.
+fn loads(node: &Node) -> Vec<LoadRow> {
+    let now = clock::now();
+    let upstreams = node.upstreams.borrow();
+    let status = node.control.status();
+    let row = |replica: &plan::ReplicaStatus| {
+        let heard = upstreams.host(*replica.hosts.first()?)?;
+        let age = now.since(heard.at).as_millis() as u32;
+        Some(LoadRow::of(replica.replica, age, &heard.report.load))
+    };
+    status.replicas.iter().filter_map(row).collect()
+}
+
+/// Polls every data centre, for as long as the node runs.
+pub async fn poll_on(node: Rc<Node>) {
+    let mut centres: BTreeMap<CentreId, Vec<NodeId>> = BTreeMap::new();
+    for (id, peer) in &node.settings.peers {
+        centres.entry(peer.centre).or_default().push(*id);
+    }
+    for (centre, nodes) in centres {
+        compio::runtime::spawn(poll_centre(Rc::clone(&node), centre, nodes)).detach();
+    }
+}
+
+async fn poll_centre(node: Rc<Node>, centre: CentreId, nodes: Vec<NodeId>) {
+    let mut at = 0;
+    let mut told: Option<NodeId> = None;
+    loop {
+        let asked = told.unwrap_or(nodes[at % nodes.len()]);
+        let granted = ask(&node, centre, asked).await;
+        told = match granted {
+            Asked::Granted => Some(asked),
+            Asked::Elsewhere(controller) if controller != asked => Some(controller),
+            Asked::Elsewhere(_) | Asked::Nothing => None,
+        };
+        if told.is_none() {
+            at += 1;
+        }
+        compio::time::sleep(POLL_EVERY).await;
+    }
+}
+
+/// What one poll brought.
+enum Asked {
+    Granted,
+    Elsewhere(NodeId),
+    Nothing,
+}
+
+async fn ask(node: &Rc<Node>, centre: CentreId, asked: NodeId) -> Asked {
+    let Some(peer) = node.settings.peers.get(&asked) else {
+        return Asked::Nothing;
+    };
+    let addr = peer.internal;
+    let sent = clock::now();
+    let poll = node.dispatch.routes.borrow_mut().poll(centre, sent);
+    let call = PollRoutes { poll };
+    let polled = match asked == node.id() {
+        true => answer(node, &call),
+        false => match node.peers.call(addr, &call, WITHIN).await {
+            Ok(polled) => polled,
+            Err(_) => return Asked::Nothing,
+        },
+    };
+    match polled.grant {
+        Some(grant) => {
+            node.dispatch.routes.borrow_mut().apply(&grant);
+            take_loads(node, centre, &polled.loads, sent);
+            Asked::Granted
+        }
+        None => polled.controller.map_or(Asked::Nothing, Asked::Elsewhere),
+    }
+}
+
+/// Takes the loads of a data centre. They are at least as old as the poll's way there.
+fn take_loads(node: &Node, centre: CentreId, rows: &[LoadRow], sent: Time) {
+    let mut loads = node.dispatch.loads.borrow_mut();
+    for row in rows {
+        let at = sent - Duration::from_millis(u64::from(row.1));
+        let row = *row;
+        loads.insert(row.0, HeardLoad { row, at, centre });
+    }
+    let now = clock::now();
+    loads.retain(|_, heard| now.since(heard.at) < LOAD_LIFE);
+}
--- /dev/null
+++ b/crates/daemon/src/dispatch/work.rs
@@ -0,0 +1,167 @@
+//! A request that was admitted, until it is over.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use admit::Decision;
+use admit::Failure;
+use admit::Reason;
+use http::StatusCode;
+
+use base::RequestId;
+
+use crate::clock;
+use crate::dispatch::Placed;
+use crate::dispatch::refresh::decide;
+use crate::entry::Break;
+use crate::node::Node;
+use crate::problem::Problem;
+
+/// A request that was admitted. Dropped before its end, it counts as cancelled.
+#[derive(Debug)]
+pub struct Work {
+    turn: Turn,
+    placed: Placed,
+}
+
+/// A request's turn with the dispatcher, given back on drop.
+#[derive(Debug)]
+struct Turn {
+    node: Rc<Node>,
+    request: RequestId,
+    over: bool,
+}
+
+impl Work {
+    /// Acts on a request's decision until it is placed or refused.
+    pub(super) async fn settle(
+        node: &Rc<Node>,
+        request: RequestId,
+        decision: Decision,
+    ) -> Result<Self, Problem> {
+        let mut turn = Turn {
+            node: Rc::clone(node),
+            request,
+            over: false,
+        };
+        let placed = turn.settle(decision).await?;
+        Ok(Self { turn, placed })
+    }
+
+    /// Where it was placed.
+    pub fn placed(&self) -> &Placed {
+        &self.placed
+    }
+
+    /// Its first token came.
+    pub fn first_token(&self) {
+        let mut dispatcher = self.turn.node.dispatch.dispatcher.borrow_mut();
+        dispatcher.first_token(self.turn.request, clock::now());
+    }
+
+    /// A further token came.
+    pub fn token(&self) {
+        let mut dispatcher = self.turn.node.dispatch.dispatcher.borrow_mut();
+        dispatcher.tokens(self.turn.request, 1, clock::now());
+    }
+
+    /// Its answer is whole.
+    pub fn finished(&mut self) {
+        self.turn.over = true;
+        let node = &self.turn.node;
+        let mut dispatcher = node.dispatch.dispatcher.borrow_mut();
+        dispatcher.finished(self.turn.request, clock::now());
+        drop(dispatcher);
+        decide(node);
+    }
+
+    /// It broke off: places it again, or says why not.
+    pub async fn again(&mut self, error: &Break) -> Result<(), Problem> {
+        let failure = match error.may_have_run() {
+            true => Failure::Lost,
+            false => Failure::Refused,
+        };
+        let decision = self.turn.fail(failure);
+        self.placed = self.turn.settle(decision).await?;
+        Ok(())
+    }
+}
+
+impl Turn {
+    async fn settle(&mut self, mut decision: Decision) -> Result<Placed, Problem> {
+        loop {
+            decision = match decision {
+                Decision::Send {
+                    replica,
+                    priority,
+                    model,
+                    ..
+                } => match self.node.dispatch.placed(replica, &model, priority) {
+                    Some(placed) => return Ok(placed),
+                    // The route ended since the dispatcher was told of it.
+                    None => self.fail(Failure::Refused),
+                },
+                Decision::Queued => self.wait().await,
+                Decision::Refuse {
+                    reason,
+                    retry_after,
+                } => {
+                    self.over = true;
+                    return Err(refusal(reason, retry_after));
+                }
+            };
+        }
+    }
+
+    fn fail(&self, failure: Failure) -> Decision {
+        let mut dispatcher = self.node.dispatch.dispatcher.borrow_mut();
+        let decision = dispatcher.failed(self.request, failure, clock::now());
+        decision.unwrap_or(Decision::Refuse {
+            reason: Reason::Failed,
+            retry_after: Duration::from_secs(1),
+        })
+    }
+
+    async fn wait(&self) -> Decision {
+        let (tx, rx) = async_channel::bounded(1);
+        let waiting = &self.node.dispatch.waiting;
+        waiting.borrow_mut().insert(self.request, tx);
+        let decision = rx.recv().await;
+        decision.unwrap_or(Decision::Refuse {
+            reason: Reason::Late,
+            retry_after: Duration::from_secs(1),
+        })
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        if self.over {
+            return;
+        }
+        let dispatch = &self.node.dispatch;
+        dispatch.waiting.borrow_mut().remove(&self.request);
+        dispatch
+            .dispatcher
+            .borrow_mut()
+            .cancelled(self.request, clock::now());
+        decide(&self.node);
+    }
+}
+
+fn refusal(reason: Reason, retry_after: Duration) -> Problem {
+    let (status, kind) = match reason {
+        Reason::NoContract => (StatusCode::FORBIDDEN, "no-contract"),
+        Reason::RequestRate => (StatusCode::TOO_MANY_REQUESTS, "request-rate"),
+        Reason::TokenRate => (StatusCode::TOO_MANY_REQUESTS, "token-rate"),
+        Reason::NoReplica => (StatusCode::SERVICE_UNAVAILABLE, "no-replica"),
+        Reason::Late => (StatusCode::SERVICE_UNAVAILABLE, "late"),
+        Reason::Failed => (StatusCode::BAD_GATEWAY, "replica-failed"),
+        Reason::Interrupted => (StatusCode::BAD_GATEWAY, "interrupted"),
+    };
+    let problem = Problem::not_run(status, kind, reason).ran(reason.ran());
+    match reason {
+        Reason::NoContract => problem,
+        _ => problem.retry_after(retry_after),
+    }
+}
--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -166,14 +166,14 @@
     class: Class,
 ) -> Result<Answer, Problem> {
     let mut ran = Ran::NotRun;
+    let id = node.name_of(wish.request);
+    let mut work = dispatch::place(node, &wish).await?;
     loop {
-        let work = dispatch::place(node, &wish).await.map_err(|p| p.ran(ran))?;
         let queued = clock::now().since(arrival.arrived);
         node.metrics
             .queueing
             .get_or_create(&class)
             .observe(queued.as_secs_f64());
-        let id = node.name_of(node.next_request());
         let mut follower = Follower::new(id.clone());
         match first_frame(work.placed(), &id, &arrival.body, &mut follower).await {
             Ok((exchange, first)) => {
@@ -203,10 +203,7 @@
                     ran = Ran::Unknown;
                 }
                 report_break(work.placed(), &e);
-                let retry = work.failed(&e);
-                if !retry {
-                    return Err(broken_off(&e).ran(ran));
-                }
+                work.again(&e).await.map_err(|p| p.at_least(ran))?;
                 node.metrics.retries.inc();
             }
         }
@@ -243,16 +240,18 @@
                 return Err(broken);
             }
             self.resumes += 1;
-            self.resume().await?;
+            self.resume(&broken).await?;
         }
     }
 
-    async fn resume(&mut self) -> Result<(), Break> {
-        let placed = self.work.placed();
+    /// Goes on after the last delivered token, at the same replica while it may be used.
+    async fn resume(&mut self, broken: &Break) -> Result<(), Break> {
         let delivered = self.follower.delivered();
-        if !dispatch::is_routed(&self.node, placed) {
-            return Err(Break::Lost);
+        if !self.node.dispatch.allows(self.work.placed()) {
+            let again = self.work.again(broken).await;
+            again.map_err(|_| broken.clone())?;
         }
+        let placed = self.work.placed();
         self.exchange = Exchange::open(placed, &self.id, self.body.clone(), delivered).await?;
         self.node.metrics.retries.inc();
         let replica = placed.replica;
@@ -272,7 +271,7 @@
         times.get_or_create(&self.class).observe(gap.as_secs_f64());
     }
 
-    fn finish(&self) {
+    fn finish(&mut self) {
         self.work.finished();
         let total = clock::now().since(self.arrived);
         let times = &self.node.metrics.total;
@@ -328,7 +327,6 @@
             }
             Err(e) => {
                 let _ = tx.send(error_event(&e), stall).await;
-                answer.work.failed(&e);
                 return;
             }
         }
@@ -346,7 +344,6 @@
             Ok((Frame::Repeated, _)) => {}
             Ok((Frame::Done, _)) => break,
             Err(e) => {
-                answer.work.failed(&e);
                 return Err(broken_off(&e).ran(Ran::Run));
             }
         }
--- a/crates/daemon/src/inner/announce.rs
+++ b/crates/daemon/src/inner/announce.rs
@@ -50,6 +50,12 @@
     if report.leaving && !was_leaving && hearing != Hearing::Ignored {
         emit(&Event::HostLeaving { host });
     }
+    if report.leaving {
+        node.dispatch.leaving(host);
+    }
+    if hearing != Hearing::Ignored {
+        node.control.hear(report);
+    }
     hearing != Hearing::Ignored
 }
 
--- a/crates/daemon/src/inner/mod.rs
+++ b/crates/daemon/src/inner/mod.rs
@@ -21,10 +21,10 @@
 use net::Server;
 use net::read_body;
 
+use crate::control;
 use crate::entry::bearer;
 use crate::node::Node;
 
-pub use pull::bring_into_force;
 pub use pull::pull_on;
 pub use relay::Untold;
 pub use relay::relay_on;
@@ -43,7 +43,7 @@
     fn new(node: &Rc<Node>) -> Self {
         let cx = || Rc::clone(node);
         Self {
-            peers: pull::methods(relay::methods(Methods::new(cx()))),
+            peers: control::methods(pull::methods(relay::methods(Methods::new(cx())))),
             upstreams: announce::methods(Methods::new(cx())),
             operators: Methods::new(cx()),
         }
--- a/crates/daemon/src/inner/pull.rs
+++ b/crates/daemon/src/inner/pull.rs
@@ -14,6 +14,7 @@
 use wire::peer::PullConfig;
 use wire::peer::Pulled;
 
+use crate::dispatch;
 use crate::events::Event;
 use crate::events::emit;
 use crate::node::InForce;
@@ -77,6 +78,7 @@
         text: text.into(),
         rules: Rc::new(rules),
     });
+    dispatch::configure(node);
     node.metrics.config_version.set(version.0 as i64);
     if node.phase.get() == Phase::Starting {
         node.phase.set(Phase::Serving);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,13 +2,11 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use base::Incarnation;
 use base::NodeId;
-use base::ReplicaId;
 use base::RequestId;
 use base::Version;
 use net::RpcClient;
@@ -16,6 +14,8 @@
 use settings::Settings;
 
 use crate::clock;
+use crate::control::Control;
+use crate::dispatch::Dispatch;
 use crate::inner::Untold;
 use crate::metrics::Metrics;
 use crate::upstreams::Upstreams;
@@ -59,8 +59,10 @@
     pub upstreams: RefCell<Upstreams>,
     /// What it heard and has not yet told other nodes.
     pub relay: RefCell<Untold>,
-    /// Requests in progress by replica.
-    pub flying: RefCell<BTreeMap<ReplicaId, u32>>,
+    /// What it knows for placing requests.
+    pub dispatch: Dispatch,
+    /// Its part in ordering the hosts of its data centre.
+    pub control: Control,
     /// What it counts.
     pub metrics: Metrics,
     /// Calls other nodes.
@@ -80,14 +82,18 @@
     pub fn open(settings: Settings) -> Result<Rc<Self>, cyper::Error> {
         let peers = RpcClient::open(settings.secrets.peers.expose())?;
         let engines = RpcClient::open(settings.secrets.upstreams.expose())?;
+        let incarnation = clock::new_incarnation();
+        let control = Control::open(&settings, incarnation);
+        let dispatch = Dispatch::open(admission(&settings, incarnation));
         Ok(Rc::new(Self {
             settings,
-            incarnation: clock::new_incarnation(),
+            incarnation,
             phase: Cell::new(Phase::Starting),
             config: RefCell::default(),
             upstreams: RefCell::default(),
             relay: RefCell::default(),
-            flying: RefCell::default(),
+            dispatch,
+            control,
             metrics: Metrics::default(),
             peers,
             engines,
@@ -145,6 +151,16 @@
     }
 }
 
+fn admission(settings: &Settings, incarnation: Incarnation) -> admit::Config {
+    let peers = settings.peers.iter();
+    admit::Config {
+        node: settings.node.id,
+        incarnation,
+        nodes: peers.map(|(id, peer)| (*id, peer.centre)).collect(),
+        ..admit::Config::default()
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.0.in_flight.set(self.0.in_flight.get() - 1);
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -47,6 +47,12 @@
         self
     }
 
+    /// Says that an earlier attempt may have run, if it may.
+    pub fn at_least(mut self, ran: Ran) -> Self {
+        self.ran = self.ran.max(ran);
+        self
+    }
+
     /// Says when to come back.
     pub fn retry_after(mut self, span: Duration) -> Self {
         self.retry_after_ms = Some(span.as_millis() as u64);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -11,6 +11,8 @@
 
 use settings::Settings;
 
+use crate::control;
+use crate::dispatch;
 use crate::entry;
 use crate::events::Event;
 use crate::events::emit;
@@ -43,6 +45,9 @@
     let entry = listening(entry::bind(&node).await, node.settings.node.callers)?;
     compio::runtime::spawn(inner::relay_on(Rc::clone(&node))).detach();
     compio::runtime::spawn(inner::pull_on(Rc::clone(&node))).detach();
+    compio::runtime::spawn(control::control_on(Rc::clone(&node))).detach();
+    compio::runtime::spawn(control::poll_on(Rc::clone(&node))).detach();
+    compio::runtime::spawn(dispatch::dispatch_on(Rc::clone(&node))).detach();
     emit(&Event::Started {
         node: node.id(),
         centre: node.settings.node.centre,
@@ -84,6 +89,7 @@
     node.phase.set(Phase::Leaving);
     compio::time::sleep(limits.notice).await;
     node.phase.set(Phase::Draining);
+    control::give_back(node).await;
     node.drained(limits.drain).await;
     // The last frames are with the connections: give them a moment to leave.
     compio::time::sleep(std::time::Duration::from_millis(100)).await;
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -1,6 +1,7 @@
 //! Loads the settings of one node.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -108,6 +109,12 @@
             .map(|(id, _)| *id)
     }
 
+    /// How many data centres there are.
+    pub fn centres(&self) -> usize {
+        let centres: BTreeSet<CentreId> = self.peers.values().map(|peer| peer.centre).collect();
+        centres.len()
+    }
+
     /// The nodes of this node's data centre.
     pub fn neighbours(&self) -> impl Iterator<Item = NodeId> + '_ {
         let centre = self.node.centre;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -4,9 +4,16 @@
 use serde::Serialize;
 
 use base::HostReport;
+use base::Load;
 use base::NodeId;
+use base::ReplicaId;
 use base::ServiceReport;
+use base::TokenCount;
+use base::TokenRate;
 use base::Version;
+use lease::Message;
+use plan::RouteGrant;
+use plan::RoutePoll;
 
 use crate::Call;
 
@@ -57,3 +64,89 @@
     const METHOD: &'static str = "pull_config";
     type Reply = Pulled;
 }
+
+/// A message about the lease of a data centre's controller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseMessage {
+    /// Who sends it.
+    pub from: NodeId,
+    /// What.
+    pub message: Message,
+}
+
+/// The answer to [`LeaseMessage`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseAnswer {
+    /// What the granter says, if anything.
+    pub message: Option<Message>,
+}
+
+/// An entry node asks a data centre's controller for its routes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PollRoutes {
+    /// The poll.
+    pub poll: RoutePoll,
+}
+
+/// The answer to [`PollRoutes`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PolledRoutes {
+    /// The grant, if the node that was asked is the controller.
+    pub grant: Option<RouteGrant>,
+    /// The controller, as far as that node knows.
+    pub controller: Option<NodeId>,
+    /// Loads of the replicas that are granted.
+    pub loads: Vec<LoadRow>,
+}
+
+/// A replica's load in few bytes: replica, age in milliseconds, running, waiting,
+/// prefill tokens, slots, prefill rate and token rate, both in whole tokens a second.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadRow(
+    pub ReplicaId,
+    pub u32,
+    pub u32,
+    pub u32,
+    pub u32,
+    pub u32,
+    pub u32,
+    pub u32,
+);
+
+impl LoadRow {
+    /// The row of a load that is `age_ms` old.
+    pub fn of(replica: ReplicaId, age_ms: u32, load: &Load) -> Self {
+        Self(
+            replica,
+            age_ms,
+            load.running,
+            load.waiting,
+            load.prefill.0,
+            load.slots,
+            load.prefill_rate.0 as u32,
+            load.token_rate.0 as u32,
+        )
+    }
+
+    /// The load.
+    pub fn load(&self) -> Load {
+        Load {
+            running: self.2,
+            waiting: self.3,
+            prefill: TokenCount(self.4),
+            slots: self.5,
+            prefill_rate: TokenRate(f64::from(self.6)),
+            token_rate: TokenRate(f64::from(self.7)),
+        }
+    }
+}
+
+impl Call for LeaseMessage {
+    const METHOD: &'static str = "lease";
+    type Reply = LeaseAnswer;
+}
+
+impl Call for PollRoutes {
+    const METHOD: &'static str = "poll_routes";
+    type Reply = PolledRoutes;
+}
