Add the replicated state: configuration register and ledger of orders

A withdrawn key stays closed for a while to calls that came in before the withdrawal: without that, a caller could be told "not run" at one node while an earlier call of the same key was about to be granted at another.

--- /dev/null
+++ b/crates/state/src/digest.rs
@@ -0,0 +1,37 @@
+//! Digests of contents, so that two can be compared without being kept.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest as _;
+use sha2::Sha256;
+
+/// The SHA-256 digest of a content.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Digest(pub [u8; 32]);
+
+impl Digest {
+    /// The digest of several parts. Moving a byte from one part to the next changes it.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.finalize().into())
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
--- /dev/null
+++ b/crates/state/src/entry.rs
@@ -0,0 +1,98 @@
+//! What is remembered of one key.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use base::OrderKey;
+use base::ServiceName;
+
+use crate::AttemptId;
+use crate::CLOSED_FOR;
+use crate::Claim;
+use crate::Digest;
+use crate::Millis;
+use crate::Standing;
+use crate::StoredAnswer;
+
+/// Bytes that a record takes up besides its key and answer.
+const RECORD_BYTES: u64 = 320;
+
+/// Where a record's call stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Phase {
+    /// Granted, and not heard of since.
+    Claimed,
+    /// It ran.
+    Done(Arc<StoredAnswer>),
+    /// It may have run.
+    Unknown,
+    /// It did not run, and a caller may have been told so.
+    Closed {
+        /// The index of the log at which it was closed.
+        at: u64,
+    },
+}
+
+/// What is remembered of one key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Entry {
+    pub(crate) body: Digest,
+    /// None of a closed key.
+    pub(crate) service: Option<ServiceName>,
+    pub(crate) attempt: AttemptId,
+    pub(crate) phase: Phase,
+    /// When it came into its phase.
+    pub(crate) since: Millis,
+    /// When its phase ends: claimed becomes unknown, all else is forgotten.
+    pub(crate) due: Millis,
+    pub(crate) retention: Duration,
+}
+
+impl Entry {
+    pub(crate) fn claimed(claim: &Claim, service: ServiceName, now: Millis) -> Self {
+        Self {
+            body: claim.body,
+            service: Some(service),
+            attempt: claim.attempt,
+            phase: Phase::Claimed,
+            since: now,
+            due: now + claim.run_for,
+            retention: claim.retention,
+        }
+    }
+
+    /// A key that is refused to calls that came in before now.
+    pub(crate) fn closed(attempt: AttemptId, at: u64, now: Millis) -> Self {
+        Self {
+            body: Digest([0; 32]),
+            service: None,
+            attempt,
+            phase: Phase::Closed { at },
+            since: now,
+            due: now + CLOSED_FOR,
+            retention: CLOSED_FOR,
+        }
+    }
+
+    /// Bytes that it takes up.
+    pub(crate) fn bytes(&self, key: &OrderKey) -> u64 {
+        let answer = match &self.phase {
+            Phase::Done(answer) => answer.bytes() as u64,
+            Phase::Claimed | Phase::Unknown | Phase::Closed { .. } => 0,
+        };
+        RECORD_BYTES + key.as_str().len() as u64 + answer
+    }
+
+    pub(crate) fn standing(&self) -> Standing {
+        let since = self.since;
+        match &self.phase {
+            Phase::Claimed => Standing::Running { since },
+            Phase::Done(answer) => Standing::Done(answer.clone()),
+            Phase::Unknown => Standing::Unknown { since },
+            Phase::Closed { .. } => Standing::Free,
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/ledger.rs
@@ -0,0 +1,333 @@
+//! The ledger of orders.
+//!
+//! A key is claimed by one attempt of one entry node. Only that attempt can end
+//! the claim: by an outcome, or by withdrawing before it sent anything. A claim
+//! that nobody ends becomes unknown, and unknown never becomes free within the
+//! retention window. An answer that arrives late turns unknown into done.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use base::Incarnation;
+use base::NodeId;
+use base::OrderKey;
+use base::OrgName;
+use base::ServiceName;
+
+use crate::AttemptId;
+use crate::Claim;
+use crate::ClaimReply;
+use crate::Learn;
+use crate::Limits;
+use crate::Millis;
+use crate::Outcome;
+use crate::Record;
+use crate::RecordReply;
+use crate::Standing;
+use crate::StoredAnswer;
+use crate::Withdraw;
+use crate::entry::Entry;
+use crate::entry::Phase;
+use crate::session::Session;
+
+/// How long a withdrawn key refuses calls that came in before the withdrawal.
+/// No entry node sends a call that it took in longer ago.
+pub const CLOSED_FOR: Duration = Duration::from_secs(10);
+
+/// Records whose time is up that one command ends.
+const ENDED_AT_ONCE: usize = 256;
+
+/// All records and the sessions of the entry nodes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ledger {
+    orgs: BTreeMap<OrgName, Org>,
+    sessions: BTreeMap<NodeId, Session>,
+    #[serde(skip)]
+    index: Index,
+}
+
+/// One organisation's records.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Org {
+    records: BTreeMap<OrderKey, Entry>,
+    #[serde(skip)]
+    bytes: u64,
+}
+
+/// What follows from the records and is rebuilt with them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Index {
+    due: BTreeSet<(Millis, OrgName, OrderKey)>,
+    claimed: BTreeMap<AttemptId, (OrgName, OrderKey)>,
+    services: BTreeSet<ServiceName>,
+    bytes: u64,
+    records: u64,
+}
+
+impl Ledger {
+    /// What is known of a key.
+    pub fn standing(&self, org: &OrgName, key: &OrderKey) -> Standing {
+        let entry = self.orgs.get(org).and_then(|org| org.records.get(key));
+        entry.map_or(Standing::Free, Entry::standing)
+    }
+
+    /// Records held.
+    pub fn records(&self) -> u64 {
+        self.index.records
+    }
+
+    /// Claims that have no outcome yet.
+    pub fn claimed(&self) -> u64 {
+        self.index.claimed.len() as u64
+    }
+
+    /// Bytes that the records take up, as the limits count them.
+    pub fn bytes(&self) -> u64 {
+        self.index.bytes
+    }
+
+    pub(crate) fn claim(&mut self, claim: &Claim, now: Millis, limits: &Limits) -> ClaimReply {
+        let session = self.sessions.entry(claim.attempt.node).or_default();
+        let admitted = session.admits(claim.attempt, claim.floor);
+        if let Some(entry) = self.entry(&claim.org, &claim.key)
+            && let Some(reply) = again(entry, claim, admitted)
+        {
+            return reply;
+        }
+        if !admitted {
+            return ClaimReply::Withdrawn;
+        }
+        self.remove(&claim.org, &claim.key);
+        let service = self.index.service(&claim.service);
+        let entry = Entry::claimed(claim, service, now);
+        let bytes = entry.bytes(&claim.key);
+        let org_bytes = self.orgs.get(&claim.org).map_or(0, |org| org.bytes);
+        if limits.ledger_bytes < self.index.bytes + bytes || limits.org_bytes < org_bytes + bytes {
+            return ClaimReply::Full;
+        }
+        self.insert(&claim.org, claim.key.clone(), entry);
+        ClaimReply::Granted
+    }
+
+    pub(crate) fn record(&mut self, record: &Record, now: Millis, limits: &Limits) -> RecordReply {
+        let Some(entry) = self.entry(&record.org, &record.key) else {
+            return RecordReply::Kept(Standing::Free);
+        };
+        if entry.attempt != record.attempt {
+            return RecordReply::Kept(entry.standing());
+        }
+        match (&entry.phase, &record.outcome) {
+            (Phase::Done(_), Outcome::Done(_)) | (Phase::Unknown, Outcome::Unknown) => {
+                return RecordReply::Stored;
+            }
+            (Phase::Done(_), Outcome::Unknown) | (Phase::Closed { .. }, _) => {
+                return RecordReply::Kept(entry.standing());
+            }
+            (Phase::Claimed, _) | (Phase::Unknown, Outcome::Done(_)) => {}
+        }
+        let phase = match &record.outcome {
+            Outcome::Done(answer) => Phase::Done(self.fitted(&record.org, answer, limits)),
+            Outcome::Unknown => Phase::Unknown,
+        };
+        self.enter(&record.org, &record.key, phase, now);
+        RecordReply::Stored
+    }
+
+    pub(crate) fn learn(&mut self, learn: &Learn, now: Millis, limits: &Limits) -> RecordReply {
+        let Some(entry) = self.entry(&learn.org, &learn.key) else {
+            return RecordReply::Kept(Standing::Free);
+        };
+        match entry.phase {
+            Phase::Done(_) | Phase::Closed { .. } => return RecordReply::Kept(entry.standing()),
+            Phase::Claimed | Phase::Unknown => {}
+        }
+        let answer = self.fitted(&learn.org, &learn.answer, limits);
+        self.enter(&learn.org, &learn.key, Phase::Done(answer), now);
+        RecordReply::Stored
+    }
+
+    pub(crate) fn withdraw(&mut self, withdraw: &Withdraw, index: u64, now: Millis) -> Standing {
+        let Withdraw {
+            org,
+            key,
+            attempt,
+            floor,
+        } = withdraw;
+        let session = self.sessions.entry(attempt.node).or_default();
+        session.withdraw(*attempt, *floor);
+        let Some(entry) = self.entry(org, key) else {
+            self.insert(org, key.clone(), Entry::closed(*attempt, index, now));
+            return Standing::Free;
+        };
+        match entry.phase {
+            Phase::Claimed if entry.attempt == *attempt => {}
+            Phase::Closed { .. } => {}
+            Phase::Claimed | Phase::Done(_) | Phase::Unknown => return entry.standing(),
+        }
+        self.remove(org, key);
+        self.insert(org, key.clone(), Entry::closed(*attempt, index, now));
+        Standing::Free
+    }
+
+    pub(crate) fn gone(&mut self, node: NodeId, before: Incarnation, now: Millis) -> u64 {
+        self.sessions.entry(node).or_default().begin(before);
+        let first = AttemptId {
+            node,
+            ..AttemptId::default()
+        };
+        let end = AttemptId {
+            incarnation: before,
+            ..first
+        };
+        let lost = self.index.claimed.range(first..end.max(first));
+        let lost: Vec<_> = lost.map(|(_, place)| place.clone()).collect();
+        for (org, key) in &lost {
+            self.enter(org, key, Phase::Unknown, now);
+        }
+        lost.len() as u64
+    }
+
+    /// Ends the phases whose time is up.
+    pub(crate) fn end_due(&mut self, now: Millis) {
+        for _ in 0..ENDED_AT_ONCE {
+            let Some((due, org, key)) = self.index.due.first().cloned() else {
+                return;
+            };
+            if now < due {
+                return;
+            }
+            let claimed = self
+                .entry(&org, &key)
+                .is_some_and(|entry| entry.phase == Phase::Claimed);
+            if claimed {
+                self.enter(&org, &key, Phase::Unknown, now);
+            } else {
+                self.remove(&org, &key);
+            }
+        }
+    }
+
+    /// Restores what is not part of a snapshot.
+    pub(crate) fn rebuild(&mut self) {
+        self.index = Index::default();
+        for (name, org) in &mut self.orgs {
+            org.bytes = 0;
+            for (key, entry) in &mut org.records {
+                entry.service = entry.service.take().map(|s| self.index.service(&s));
+                org.bytes += self.index.add(name, key, entry);
+            }
+        }
+    }
+
+    fn entry(&self, org: &OrgName, key: &OrderKey) -> Option<&Entry> {
+        self.orgs.get(org)?.records.get(key)
+    }
+
+    /// The answer, without its body if that does not fit.
+    fn fitted(
+        &self,
+        org: &OrgName,
+        answer: &Arc<StoredAnswer>,
+        limits: &Limits,
+    ) -> Arc<StoredAnswer> {
+        let bytes = answer.bytes() as u64;
+        let org_bytes = self.orgs.get(org).map_or(0, |org| org.bytes);
+        let fits = bytes <= limits.answer_bytes
+            && self.index.bytes + bytes <= limits.ledger_bytes
+            && org_bytes + bytes <= limits.org_bytes;
+        if fits {
+            answer.clone()
+        } else {
+            Arc::new(answer.without_body())
+        }
+    }
+
+    /// Moves a record to another phase, for its whole retention from now.
+    fn enter(&mut self, org: &OrgName, key: &OrderKey, phase: Phase, now: Millis) {
+        let Some(mut entry) = self.remove(org, key) else {
+            return;
+        };
+        entry.phase = phase;
+        entry.since = now;
+        entry.due = now + entry.retention;
+        self.insert(org, key.clone(), entry);
+    }
+
+    fn insert(&mut self, name: &OrgName, key: OrderKey, entry: Entry) {
+        // The indexes share the map's own copy of the organisation's name.
+        let name = match self.orgs.get_key_value(name) {
+            Some((name, _)) => name.clone(),
+            None => name.clone(),
+        };
+        let org = self.orgs.entry(name.clone()).or_default();
+        org.bytes += self.index.add(&name, &key, &entry);
+        org.records.insert(key, entry);
+    }
+
+    fn remove(&mut self, name: &OrgName, key: &OrderKey) -> Option<Entry> {
+        let org = self.orgs.get_mut(name)?;
+        let entry = org.records.remove(key)?;
+        org.bytes -= self.index.remove(name, key, &entry);
+        if org.records.is_empty() {
+            self.orgs.remove(name);
+        }
+        Some(entry)
+    }
+}
+
+impl Index {
+    fn add(&mut self, org: &OrgName, key: &OrderKey, entry: &Entry) -> u64 {
+        let bytes = entry.bytes(key);
+        self.due.insert((entry.due, org.clone(), key.clone()));
+        if entry.phase == Phase::Claimed {
+            let place = (org.clone(), key.clone());
+            self.claimed.insert(entry.attempt, place);
+        }
+        self.bytes += bytes;
+        self.records += 1;
+        bytes
+    }
+
+    fn remove(&mut self, org: &OrgName, key: &OrderKey, entry: &Entry) -> u64 {
+        let bytes = entry.bytes(key);
+        self.due.remove(&(entry.due, org.clone(), key.clone()));
+        if entry.phase == Phase::Claimed {
+            self.claimed.remove(&entry.attempt);
+        }
+        self.bytes -= bytes;
+        self.records -= 1;
+        bytes
+    }
+
+    /// The one copy of a service's name.
+    fn service(&mut self, service: &ServiceName) -> ServiceName {
+        if let Some(known) = self.services.get(service) {
+            return known.clone();
+        }
+        self.services.insert(service.clone());
+        service.clone()
+    }
+}
+
+/// The answer to a claim for a key that has a record, if that decides it.
+fn again(entry: &Entry, claim: &Claim, admitted: bool) -> Option<ClaimReply> {
+    let since = entry.since;
+    if let Phase::Closed { at } = entry.phase {
+        let late = claim.seen < at;
+        return late.then_some(ClaimReply::Closed { at });
+    }
+    if entry.body != claim.body || entry.service.as_ref() != Some(&claim.service) {
+        return Some(ClaimReply::OtherBody);
+    }
+    Some(match &entry.phase {
+        Phase::Done(answer) => ClaimReply::Done(answer.clone()),
+        Phase::Unknown => ClaimReply::Unknown { since },
+        Phase::Claimed if entry.attempt == claim.attempt && admitted => ClaimReply::Granted,
+        Phase::Claimed | Phase::Closed { .. } => ClaimReply::Running { since },
+    })
+}
--- /dev/null
+++ b/crates/state/src/millis.rs
@@ -0,0 +1,32 @@
+//! The log's own time.
+
+use std::ops::Add;
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Milliseconds of the log's time. They count from no known day.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+#[display("{_0}ms")]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// How long ago `earlier` was, zero if it is still to come.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Millis {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(millis))
+    }
+}
--- /dev/null
+++ b/crates/state/src/register.rs
@@ -0,0 +1,123 @@
+//! The configuration in force and the changes that led to it.
+//!
+//! A change is accepted only if it was made from the current version, so that
+//! of several made from one version the first alone is accepted. The accepted
+//! change of each version is remembered for a bounded number of versions. That
+//! suffices to answer resends: an id that is remembered was accepted, and one
+//! whose base has a remembered successor was not.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use base::ChangeId;
+use base::Version;
+
+use crate::Change;
+use crate::ChangeReply;
+use crate::Digest;
+use crate::Limits;
+
+/// A change that became a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Accepted {
+    id: ChangeId,
+    digest: Digest,
+}
+
+/// The configuration in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Register {
+    version: Version,
+    text: Arc<str>,
+    accepted: BTreeMap<Version, Accepted>,
+    #[serde(skip)]
+    by_id: BTreeMap<ChangeId, Version>,
+}
+
+impl Register {
+    /// The version in force.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// The file in force.
+    pub fn text(&self) -> &Arc<str> {
+        &self.text
+    }
+
+    /// The change that became a version, while it is remembered.
+    pub fn accepted_as(&self, version: Version) -> Option<ChangeId> {
+        self.accepted.get(&version).map(|accepted| accepted.id)
+    }
+
+    pub(crate) fn apply(&mut self, change: &Change, limits: &Limits) -> ChangeReply {
+        let digest = digest(change);
+        if let Some(version) = self.by_id.get(&change.id).copied() {
+            return self.resent(version, digest);
+        }
+        if self.version < change.base {
+            let current = self.version;
+            return ChangeReply::NoSuchBase { current };
+        }
+        if change.base < self.version {
+            return self.outrun(change.base);
+        }
+        let bytes = change.text.len() as u64;
+        let max = limits.text_bytes;
+        if max < bytes {
+            return ChangeReply::TooLarge { bytes, max };
+        }
+        self.accept(change, digest, limits)
+    }
+
+    /// Restores what is not part of a snapshot.
+    pub(crate) fn rebuild(&mut self) {
+        let ids = self.accepted.iter();
+        self.by_id = ids.map(|(version, a)| (a.id, *version)).collect();
+    }
+
+    fn accept(&mut self, change: &Change, digest: Digest, limits: &Limits) -> ChangeReply {
+        let version = self.version.next();
+        let id = change.id;
+        self.version = version;
+        self.text = change.text.clone();
+        self.accepted.insert(version, Accepted { id, digest });
+        self.by_id.insert(id, version);
+        while limits.changes < self.accepted.len() as u64 {
+            let Some((_, oldest)) = self.accepted.pop_first() else {
+                break;
+            };
+            self.by_id.remove(&oldest.id);
+        }
+        ChangeReply::Accepted { version }
+    }
+
+    fn resent(&self, version: Version, digest: Digest) -> ChangeReply {
+        let same = self.accepted.get(&version).map(|a| a.digest) == Some(digest);
+        if same {
+            ChangeReply::Accepted { version }
+        } else {
+            ChangeReply::OtherContent { version }
+        }
+    }
+
+    fn outrun(&self, base: Version) -> ChangeReply {
+        let version = base.next();
+        match self.accepted.get(&version) {
+            Some(Accepted { id: winner, .. }) => ChangeReply::Conflict {
+                winner: *winner,
+                version,
+            },
+            None => ChangeReply::Unknown {
+                current: self.version,
+            },
+        }
+    }
+}
+
+fn digest(change: &Change) -> Digest {
+    Digest::of(&[&change.base.0.to_le_bytes(), change.text.as_bytes()])
+}
--- /dev/null
+++ b/crates/state/src/snapshot.rs
@@ -0,0 +1,49 @@
+//! The state as bytes.
+
+use derive_more::Display;
+use derive_more::Error;
+
+use crate::State;
+
+/// The form in which the state is written.
+const FORMAT: u8 = 1;
+
+/// Bytes that are not a state.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum SnapshotError {
+    /// Written by another release in a form that this one does not know.
+    #[display("the snapshot has format {found}, this release reads format {FORMAT}")]
+    Format {
+        /// The format found.
+        found: u8,
+    },
+    /// Nothing to read.
+    #[display("the snapshot is empty")]
+    Empty,
+    /// Not a state.
+    #[display("the snapshot cannot be read: {source}")]
+    Content {
+        /// What the codec says.
+        source: postcard::Error,
+    },
+}
+
+impl State {
+    /// The state as bytes, the same for equal states.
+    pub fn encode(&self) -> Vec<u8> {
+        let start = vec![FORMAT];
+        postcard::to_extend(self, start).expect("the state has no type that cannot be written")
+    }
+
+    /// Reads what [`State::encode`] wrote.
+    pub fn decode(bytes: &[u8]) -> Result<Self, SnapshotError> {
+        let (format, content) = bytes.split_first().ok_or(SnapshotError::Empty)?;
+        if *format != FORMAT {
+            return Err(SnapshotError::Format { found: *format });
+        }
+        let state = postcard::from_bytes::<Self>(content);
+        let mut state = state.map_err(|source| SnapshotError::Content { source })?;
+        state.rebuild();
+        Ok(state)
+    }
+}
--- /dev/null
+++ b/crates/state/src/state.rs
@@ -0,0 +1,81 @@
+//! The state machine that the voters' log drives.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Command;
+use crate::Ledger;
+use crate::Limits;
+use crate::Millis;
+use crate::Op;
+use crate::Register;
+use crate::Reply;
+
+/// All that the voters have agreed on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    applied: u64,
+    now: Millis,
+    limits: Limits,
+    register: Register,
+    ledger: Ledger,
+}
+
+impl State {
+    /// The state before the first command.
+    pub fn with_limits(limits: Limits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Applies the log's entry at `index`. An entry that was applied before is skipped.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Reply {
+        if index <= self.applied {
+            return Reply::Skipped;
+        }
+        self.applied = index;
+        self.now = self.now.max(command.at);
+        let now = self.now;
+        self.ledger.end_due(now);
+        let limits = &self.limits;
+        match &command.op {
+            Op::Nothing => Reply::Nothing,
+            Op::Change(change) => Reply::Change(self.register.apply(change, limits)),
+            Op::Claim(claim) => Reply::Claim(self.ledger.claim(claim, now, limits)),
+            Op::Record(record) => Reply::Record(self.ledger.record(record, now, limits)),
+            Op::Learn(learn) => Reply::Record(self.ledger.learn(learn, now, limits)),
+            Op::Withdraw(withdraw) => Reply::Withdraw(self.ledger.withdraw(withdraw, index, now)),
+            Op::Gone { node, before } => Reply::Gone {
+                orders: self.ledger.gone(*node, *before, now),
+            },
+        }
+    }
+
+    /// The index of the last applied entry.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// The log's time at the last applied entry.
+    pub fn now(&self) -> Millis {
+        self.now
+    }
+
+    /// The configuration.
+    pub fn register(&self) -> &Register {
+        &self.register
+    }
+
+    /// The orders.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Restores what is not part of a snapshot.
+    pub(crate) fn rebuild(&mut self) {
+        self.register.rebuild();
+        self.ledger.rebuild();
+    }
+}
