Add the way of an order at its entry node

Pure state machine: claim, connect, check the send window, write once, record. Refusals say what the ledger says of the key, so a node that cannot reach the ledger says "unknown" of the key and that this call was not sent, unless the caller says that it is the key's first call.

--- /dev/null
+++ b/crates/order/src/attempt.rs
@@ -0,0 +1,187 @@
+//! One call from its arrival to the end of all that follows from it.
+
+use std::mem;
+use std::time::Duration;
+
+use base::Ran;
+use base::Time;
+use state::AttemptId;
+
+use crate::Answer;
+use crate::Call;
+use crate::Content;
+use crate::Event;
+use crate::Key;
+use crate::Kind;
+use crate::Refusal;
+use crate::Sent;
+use crate::Step;
+use crate::stage::Stage;
+
+/// Connections that are tried for one call.
+const MAX_CONNECTS: u32 = 3;
+
+/// Whether the caller has its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Told {
+    NotYet,
+    Yes,
+}
+
+/// One call of a service at its entry node.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub(crate) id: AttemptId,
+    pub(crate) call: Call,
+    pub(crate) stage: Stage,
+    /// The node's lowest sequence that may still be claimed for.
+    pub(crate) floor: u64,
+    pub(crate) opened_at: Time,
+    /// When the present stage began.
+    pub(crate) stage_at: Time,
+    /// When the last proposal, question or connection was made.
+    pub(crate) tried_at: Time,
+    pub(crate) connects: u32,
+    pub(crate) sent: Sent,
+    pub(crate) told: Told,
+    pub(crate) steps: Vec<Step>,
+}
+
+impl Attempt {
+    /// Takes in a call. `floor` is the node's lowest open sequence.
+    pub fn open(call: Call, id: AttemptId, floor: u64, now: Time) -> (Self, Vec<Step>) {
+        let mut attempt = Self {
+            id,
+            call,
+            stage: Stage::Claiming,
+            floor,
+            opened_at: now,
+            stage_at: now,
+            tried_at: now,
+            connects: 0,
+            sent: Sent::No,
+            told: Told::NotYet,
+            steps: Vec::new(),
+        };
+        match attempt.call.kind {
+            Kind::Keyed(_) => attempt.propose_claim(now),
+            Kind::Repeatable | Kind::Keyless => attempt.connect(now),
+        }
+        let steps = mem::take(&mut attempt.steps);
+        (attempt, steps)
+    }
+
+    /// Takes in an event.
+    pub fn on(&mut self, event: Event, floor: u64, now: Time) -> Vec<Step> {
+        self.floor = floor;
+        match event {
+            Event::Reply(reply) => self.on_reply(reply, now),
+            Event::ProposalLost(proposal) => self.on_proposal_lost(proposal, now),
+            Event::Connected => self.on_connected(now),
+            Event::ConnectFailed => self.on_connect_failed(now),
+            Event::Declined => self.on_declined(now),
+            Event::Answered(answer) => self.on_answered(answer, now),
+            Event::Lost => self.on_lost(now),
+            Event::Asked(reply) => self.on_asked(reply, now),
+            Event::CallerGone => self.on_caller_gone(now),
+            Event::Tick => self.on_tick(now),
+        }
+        mem::take(&mut self.steps)
+    }
+
+    /// When the next [`Event::Tick`] is wanted.
+    pub fn wake_at(&self) -> Time {
+        match self.stage {
+            Stage::Closed => Time::NEVER,
+            _ => self.next_wake(),
+        }
+    }
+
+    /// Whether a claim of this attempt may still be on its way to the log.
+    pub(crate) fn may_claim(&self) -> bool {
+        matches!(self.stage, Stage::Claiming | Stage::Withdrawing(_))
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.stage == Stage::Closed
+    }
+
+    /// The key and its terms, of calls that have one.
+    pub(crate) fn key(&self) -> Option<&Key> {
+        match &self.call.kind {
+            Kind::Keyed(key) => Some(key),
+            Kind::Repeatable | Kind::Keyless => None,
+        }
+    }
+
+    pub(crate) fn send_by(&self) -> Time {
+        self.opened_at + self.call.send_window()
+    }
+
+    pub(crate) fn answer_by(&self) -> Time {
+        self.opened_at + self.call.deadline
+    }
+
+    pub(crate) fn go(&mut self, stage: Stage, now: Time) {
+        self.stage = stage;
+        self.stage_at = now;
+        self.tried_at = now;
+    }
+
+    pub(crate) fn step(&mut self, step: Step) {
+        self.steps.push(step);
+    }
+
+    /// Tells the caller, unless it was told before.
+    pub(crate) fn tell(&mut self, ran: Ran, content: Content) {
+        if self.told == Told::Yes {
+            return;
+        }
+        self.told = Told::Yes;
+        let sent = self.sent;
+        self.step(Step::Answer(Answer { ran, sent, content }));
+    }
+
+    pub(crate) fn refuse(&mut self, ran: Ran, refusal: Refusal) {
+        self.tell(ran, Content::Refused(refusal));
+    }
+
+    pub(crate) fn close(&mut self, now: Time) {
+        if self.is_closed() {
+            return;
+        }
+        self.go(Stage::Closed, now);
+        self.step(Step::Close);
+    }
+
+    pub(crate) fn connect(&mut self, now: Time) {
+        self.connects += 1;
+        self.go(Stage::Connecting, now);
+        self.step(Step::Connect);
+    }
+
+    pub(crate) fn may_connect_again(&self, now: Time) -> bool {
+        self.connects < MAX_CONNECTS && now < self.send_by()
+    }
+
+    pub(crate) fn waited(&self, since: Time, span: Duration, now: Time) -> bool {
+        since + span <= now
+    }
+
+    fn on_caller_gone(&mut self, now: Time) {
+        self.told = Told::Yes;
+        match self.stage {
+            Stage::Claiming => self.give_up(Refusal::CallerGone, now),
+            Stage::Connecting => {
+                self.step(Step::Abandon);
+                self.give_up(Refusal::CallerGone, now);
+            }
+            Stage::AskingEarlier(_) => self.close(now),
+            Stage::Written if self.key().is_none() => {
+                self.step(Step::Abandon);
+                self.close(now);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/order/src/book.rs
@@ -0,0 +1,108 @@
+//! The attempts of one node's life.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+use derive_more::Error;
+
+use base::Incarnation;
+use base::NodeId;
+use base::Time;
+use state::AttemptId;
+
+use crate::Attempt;
+use crate::Call;
+use crate::Event;
+use crate::Step;
+
+/// The node has as many attempts open as it can hold. The call was not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[display("the node has {open} calls open and takes no more")]
+pub struct Busy {
+    /// Attempts that are open.
+    pub open: usize,
+}
+
+/// The attempts of one node's life.
+#[derive(Clone, Debug)]
+pub struct Book {
+    node: NodeId,
+    incarnation: Incarnation,
+    next: u64,
+    max_open: usize,
+    open: BTreeMap<u64, Attempt>,
+}
+
+impl Book {
+    /// An empty book that holds at most `max_open` attempts.
+    pub fn new(node: NodeId, incarnation: Incarnation, max_open: usize) -> Self {
+        Self {
+            node,
+            incarnation,
+            next: 1,
+            max_open,
+            open: BTreeMap::new(),
+        }
+    }
+
+    /// Attempts that are open.
+    pub fn open_attempts(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Takes in a call. The sequence names it in what follows.
+    pub fn open(&mut self, call: Call, now: Time) -> Result<(u64, Vec<Step>), Busy> {
+        let open = self.open.len();
+        let floor = self.floor();
+        if self.max_open <= open || state::WINDOW <= self.next - floor {
+            return Err(Busy { open });
+        }
+        let sequence = self.next;
+        self.next += 1;
+        let id = AttemptId {
+            node: self.node,
+            incarnation: self.incarnation,
+            sequence,
+        };
+        let (attempt, steps) = Attempt::open(call, id, floor, now);
+        self.open.insert(sequence, attempt);
+        Ok((sequence, steps))
+    }
+
+    /// Takes in an event of one attempt. Nothing comes of one that is closed.
+    pub fn on(&mut self, sequence: u64, event: Event, now: Time) -> Vec<Step> {
+        let floor = self.floor();
+        let Some(attempt) = self.open.get_mut(&sequence) else {
+            return Vec::new();
+        };
+        let steps = attempt.on(event, floor, now);
+        if attempt.is_closed() {
+            self.open.remove(&sequence);
+        }
+        steps
+    }
+
+    /// Wakes the attempts whose time has come.
+    pub fn tick(&mut self, now: Time) -> Vec<(u64, Step)> {
+        let due = self.open.iter().filter(|(_, a)| a.wake_at() <= now);
+        let due: Vec<_> = due.map(|(sequence, _)| *sequence).collect();
+        let mut steps = Vec::new();
+        for sequence in due {
+            let found = self.on(sequence, Event::Tick, now);
+            steps.extend(found.into_iter().map(|step| (sequence, step)));
+        }
+        steps
+    }
+
+    /// When [`Book::tick`] is next wanted.
+    pub fn wake_at(&self) -> Time {
+        let wakes = self.open.values().map(Attempt::wake_at);
+        wakes.min().unwrap_or(Time::NEVER)
+    }
+
+    /// The lowest sequence that may still be claimed for.
+    fn floor(&self) -> u64 {
+        let claiming = self.open.iter().find(|(_, attempt)| attempt.may_claim());
+        claiming.map_or(self.next, |(sequence, _)| *sequence)
+    }
+}
--- /dev/null
+++ b/crates/order/src/call.rs
@@ -0,0 +1,83 @@
+//! What is to be called, and under which rules.
+
+use std::time::Duration;
+
+use base::OrderKey;
+use base::OrgName;
+use base::ServiceName;
+use state::Digest;
+
+/// Time after a call came in within which it may be sent.
+pub const SEND_WINDOW: Duration = Duration::from_secs(2);
+
+// A key that was told "not run" is open to new calls only when no earlier call
+// can be sent any more.
+const _: () = assert!(2 * SEND_WINDOW.as_secs() < state::CLOSED_FOR.as_secs());
+
+/// Whether a service can be asked for the outcome of a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Ask {
+    /// It may be asked.
+    Allowed,
+    /// It cannot be asked.
+    Never,
+}
+
+/// What the caller says of earlier calls under the key.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Resend {
+    /// Nothing: there may have been earlier calls.
+    #[default]
+    Possible,
+    /// This is the first call under the key.
+    First,
+}
+
+/// An order's key and what holds for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Key {
+    /// The caller's organisation.
+    pub org: OrgName,
+    /// The key.
+    pub key: OrderKey,
+    /// The digest of method, path and body.
+    pub body: Digest,
+    /// Whether the service can be asked for the key's outcome.
+    pub ask: Ask,
+    /// What the caller says of earlier calls.
+    pub resend: Resend,
+    /// How long the outcome is remembered.
+    pub retention: Duration,
+    /// The latest index of the log that the node knew when the call came in.
+    pub seen: u64,
+}
+
+/// How often a call may run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Idempotent: a lost call is sent again.
+    Repeatable,
+    /// At most once under its key.
+    Keyed(Key),
+    /// Not to be repeated, and without a key: sent once, and nothing is
+    /// remembered of it.
+    Keyless,
+}
+
+/// One call of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// The service.
+    pub service: ServiceName,
+    /// How often it may run.
+    pub kind: Kind,
+    /// Time until the caller has its answer.
+    pub deadline: Duration,
+}
+
+impl Call {
+    /// Time after the call came in within which it may be sent.
+    pub fn send_window(&self) -> Duration {
+        SEND_WINDOW.min(self.deadline / 2)
+    }
+}
--- /dev/null
+++ b/crates/order/src/send_way.rs
@@ -0,0 +1,128 @@
+//! The part of the way between the node and the service.
+
+use std::sync::Arc;
+
+use base::Ran;
+use base::Time;
+use state::Millis;
+use state::StoredAnswer;
+
+use crate::Ask;
+use crate::AskReply;
+use crate::Attempt;
+use crate::Content;
+use crate::Kind;
+use crate::Refusal;
+use crate::Sent;
+use crate::Step;
+use crate::attempt::Told;
+use crate::stage::Stage;
+
+impl Attempt {
+    pub(crate) fn on_connected(&mut self, now: Time) {
+        if self.stage != Stage::Connecting {
+            return;
+        }
+        // The node may have been frozen since the claim was granted.
+        if self.send_by() <= now {
+            self.step(Step::Abandon);
+            return self.give_up(Refusal::TooLate, now);
+        }
+        self.sent = Sent::Yes;
+        self.go(Stage::Written, now);
+        self.step(Step::Write);
+    }
+
+    pub(crate) fn on_connect_failed(&mut self, now: Time) {
+        if self.stage != Stage::Connecting {
+            return;
+        }
+        if self.may_connect_again(now) {
+            return self.connect(now);
+        }
+        self.give_up(Refusal::NoUpstream, now);
+    }
+
+    pub(crate) fn on_declined(&mut self, now: Time) {
+        if self.stage != Stage::Written {
+            return;
+        }
+        self.give_up(Refusal::Declined, now);
+    }
+
+    pub(crate) fn on_answered(&mut self, answer: Arc<StoredAnswer>, now: Time) {
+        match self.stage {
+            Stage::Written | Stage::Asking | Stage::Recording(None) => {}
+            _ => return,
+        }
+        if self.key().is_some() {
+            return self.record(Some(answer), now);
+        }
+        self.tell(Ran::Run, Content::Fresh(answer));
+        self.close(now);
+    }
+
+    pub(crate) fn on_lost(&mut self, now: Time) {
+        if self.stage != Stage::Written {
+            return;
+        }
+        match &self.call.kind {
+            Kind::Repeatable if self.may_connect_again(now) => self.connect(now),
+            Kind::Repeatable | Kind::Keyless => self.end_unknown(now),
+            Kind::Keyed(key) if key.ask == Ask::Allowed && now < self.answer_by() => {
+                self.go(Stage::Asking, now);
+                self.step(Step::Ask);
+            }
+            Kind::Keyed(_) => self.record(None, now),
+        }
+    }
+
+    pub(crate) fn on_asked(&mut self, reply: AskReply, now: Time) {
+        match (&self.stage, reply) {
+            (Stage::Asking | Stage::Recording(None), AskReply::Ran(answer)) => {
+                self.record(Some(answer), now);
+            }
+            (Stage::AskingEarlier(_), AskReply::Ran(answer)) => self.learn(answer, now),
+            (Stage::AskingEarlier(refusal), AskReply::NotKnown | AskReply::Failed) => {
+                let refusal = refusal.clone();
+                self.refuse(Ran::Unknown, refusal);
+                self.close(now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Handles a key whose earlier call has an unknown outcome.
+    pub(crate) fn on_earlier_unknown(&mut self, since: Millis, now: Time) {
+        let refusal = Refusal::OutcomeUnknown { since };
+        if self.key().is_some_and(|key| key.ask == Ask::Allowed) {
+            self.go(Stage::AskingEarlier(refusal), now);
+            return self.step(Step::Ask);
+        }
+        self.refuse(Ran::Unknown, refusal);
+        self.close(now);
+    }
+
+    /// Gives up a call that did not run and will not.
+    pub(crate) fn give_up(&mut self, refusal: Refusal, now: Time) {
+        if self.key().is_some() {
+            return self.withdraw(refusal, now);
+        }
+        // An earlier connection of a repeatable call may have carried it.
+        let earlier = 1 < self.connects && self.sent == Sent::Yes;
+        let ran = if earlier { Ran::Unknown } else { Ran::NotRun };
+        self.refuse(ran, refusal);
+        self.close(now);
+    }
+
+    /// Ends a call without a key whose answer did not come.
+    pub(crate) fn end_unknown(&mut self, now: Time) {
+        self.refuse(Ran::Unknown, Refusal::AnswerLost);
+        self.close(now);
+    }
+
+    /// Whether the answer of the call, should it still come, is of use.
+    pub(crate) fn awaits_late_answer(&self) -> bool {
+        self.told == Told::Yes && self.key().is_some()
+    }
+}
--- /dev/null
+++ b/crates/order/src/step.rs
@@ -0,0 +1,24 @@
+//! What an attempt wants done.
+
+use state::Op;
+
+use crate::Answer;
+
+/// What an attempt wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Propose this to the voters.
+    Propose(Op),
+    /// Get a connection to a process of the service and write nothing yet.
+    Connect,
+    /// Write the call at once, without waiting for anything before.
+    Write,
+    /// Ask the service for the outcome of the key.
+    Ask,
+    /// Tell the caller. Comes once.
+    Answer(Answer),
+    /// Drop the connection to the service.
+    Abandon,
+    /// Forget the attempt. Comes once, last.
+    Close,
+}
--- a/crates/state/src/claim.rs
+++ b/crates/state/src/claim.rs
@@ -121,8 +121,10 @@
 /// The answer to a [`Record`] or a [`Learn`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RecordReply {
-    /// The outcome stands in the ledger.
-    Stored,
+    /// The answer stands in the ledger.
+    Done,
+    /// That the outcome is unknown stands in the ledger.
+    Unknown,
     /// The ledger says something else, which stays.
     Kept(Standing),
 }
--- a/crates/state/src/ledger.rs
+++ b/crates/state/src/ledger.rs
@@ -122,20 +122,22 @@
             return RecordReply::Kept(entry.standing());
         }
         match (&entry.phase, &record.outcome) {
-            (Phase::Done(_), Outcome::Done(_)) | (Phase::Unknown, Outcome::Unknown) => {
-                return RecordReply::Stored;
-            }
+            (Phase::Done(_), Outcome::Done(_)) => return RecordReply::Done,
+            (Phase::Unknown, Outcome::Unknown) => return RecordReply::Unknown,
             (Phase::Done(_), Outcome::Unknown) | (Phase::Closed { .. }, _) => {
                 return RecordReply::Kept(entry.standing());
             }
             (Phase::Claimed, _) | (Phase::Unknown, Outcome::Done(_)) => {}
         }
-        let phase = match &record.outcome {
-            Outcome::Done(answer) => Phase::Done(self.fitted(&record.org, answer, limits)),
-            Outcome::Unknown => Phase::Unknown,
+        let (phase, reply) = match &record.outcome {
+            Outcome::Done(answer) => {
+                let answer = self.fitted(&record.org, answer, limits);
+                (Phase::Done(answer), RecordReply::Done)
+            }
+            Outcome::Unknown => (Phase::Unknown, RecordReply::Unknown),
         };
         self.enter(&record.org, &record.key, phase, now);
-        RecordReply::Stored
+        reply
     }
 
     pub(crate) fn learn(&mut self, learn: &Learn, now: Millis, limits: &Limits) -> RecordReply {
@@ -148,10 +150,16 @@
         }
         let answer = self.fitted(&learn.org, &learn.answer, limits);
         self.enter(&learn.org, &learn.key, Phase::Done(answer), now);
-        RecordReply::Stored
+        RecordReply::Done
     }
 
-    pub(crate) fn withdraw(&mut self, withdraw: &Withdraw, index: u64, now: Millis) -> Standing {
+    pub(crate) fn withdraw(
+        &mut self,
+        withdraw: &Withdraw,
+        index: u64,
+        now: Millis,
+        limits: &Limits,
+    ) -> Standing {
         let Withdraw {
             org,
             key,
@@ -161,6 +169,10 @@
         let session = self.sessions.entry(attempt.node).or_default();
         session.withdraw(*attempt, *floor);
         let Some(entry) = self.entry(org, key) else {
+            // Without a mark, an earlier call could still be granted.
+            if limits.ledger_bytes + limits.ledger_bytes / 4 < self.index.bytes {
+                return Standing::Unknown { since: now };
+            }
             self.insert(org, key.clone(), Entry::closed(*attempt, index, now));
             return Standing::Free;
         };
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -46,7 +46,9 @@
             Op::Claim(claim) => Reply::Claim(self.ledger.claim(claim, now, limits)),
             Op::Record(record) => Reply::Record(self.ledger.record(record, now, limits)),
             Op::Learn(learn) => Reply::Record(self.ledger.learn(learn, now, limits)),
-            Op::Withdraw(withdraw) => Reply::Withdraw(self.ledger.withdraw(withdraw, index, now)),
+            Op::Withdraw(withdraw) => {
+                Reply::Withdraw(self.ledger.withdraw(withdraw, index, now, limits))
+            }
             Op::Gone { node, before } => Reply::Gone {
                 orders: self.ledger.gone(*node, *before, now),
             },
