Drive the voters, orders and operators' calls from the node

Cause: configuration, orders and operators' commands need the replicated state. Ruled out: syncing on the loop, which would hold up streams; batches are written on a blocking thread and what comes in meanwhile shares the next sync.

--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -148,7 +148,7 @@
     if !args.json {
         match &reply.record {
             Some(record) => show_order(record),
-            None => println!("no record of this key: it never ran, or its retention is over"),
+            None => println!("no record: it did not run, or its retention is over"),
         }
     }
     Ok(Exit::Done)
@@ -277,16 +277,5 @@
 
 fn show_order(record: &OrderRow) {
     let status = record.status.map_or("-".to_owned(), |s| s.to_string());
-    let claimed = record.claimed_ms.to_string();
-    let cells = vec![
-        record.service.to_string(),
-        record.state.clone(),
-        status,
-        record.by.to_string(),
-        claimed,
-    ];
-    table::print(
-        &["service", "state", "status", "claimed by", "claimed (ms)"],
-        &[cells],
-    );
+    table::print(&["state", "status"], &[vec![record.state.clone(), status]]);
 }
--- a/crates/daemon/src/dispatch/work.rs
+++ b/crates/daemon/src/dispatch/work.rs
@@ -45,6 +45,7 @@
             over: false,
         };
         let placed = turn.settle(decision).await?;
+        node.count_placed(placed.replica, 1);
         Ok(Self { turn, placed })
     }
 
@@ -82,11 +83,21 @@
             false => Failure::Refused,
         };
         let decision = self.turn.fail(failure);
-        self.placed = self.turn.settle(decision).await?;
+        let placed = self.turn.settle(decision).await?;
+        let node = &self.turn.node;
+        node.count_placed(self.placed.replica, -1);
+        node.count_placed(placed.replica, 1);
+        self.placed = placed;
         Ok(())
     }
 }
 
+impl Drop for Work {
+    fn drop(&mut self) {
+        self.turn.node.count_placed(self.placed.replica, -1);
+    }
+}
+
 impl Turn {
     async fn settle(&mut self, mut decision: Decision) -> Result<Placed, Problem> {
         loop {
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -1,50 +1,45 @@
 //! Calls of plain services.
 //!
 //! A service whose calls may not be repeated takes them under an idempotency
-//! key, and each key runs at most once. Other calls are tried again while
-//! nothing was sent.
+//! key, and each key runs at most once. Without a key such a call is sent once,
+//! and nothing is remembered of it.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::HeaderMap;
-use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
+use order::Answer;
+use order::Ask;
+use order::Call;
+use order::Content;
+use order::Key;
+use order::Kind;
+use order::Others;
+use order::Refusal;
+use sha2::Digest as _;
+use sha2::Sha256;
+use state::Body as StoredBody;
+use state::Digest;
+use state::StoredAnswer;
 
+use base::OrderKey;
 use base::Ran;
 use base::ServiceName;
-use base::ServiceReport;
 use net::Body;
-use net::Connection;
-use net::SendError;
-use net::read_body;
 use rules::Repeat;
+use rules::Service;
 
 use crate::clock;
 use crate::entry::Arrival;
+use crate::entry::orders;
 use crate::metrics::Class;
 use crate::node::Node;
 use crate::problem::Problem;
 
-/// Time allowed to connect to a service.
-const CONNECT: Duration = Duration::from_millis(500);
-
-/// The largest answer of a service.
-const ANSWER_BYTES: usize = 1024 * 1024;
-
-/// A service's whole answer.
-#[derive(Clone, Debug)]
-pub struct ServiceAnswer {
-    /// HTTP's status.
-    pub status: StatusCode,
-    /// The kind of its content.
-    pub content_type: String,
-    /// Its body.
-    pub body: Bytes,
-}
+/// When to come back after a refusal that will pass.
+const SOON: Duration = Duration::from_secs(1);
 
 /// Serves one call.
 pub async fn call(
@@ -57,123 +52,145 @@
     let forbidden = |what: String| Problem::not_run(StatusCode::FORBIDDEN, "no-service", what);
     let name: ServiceName = service.parse().map_err(|e| forbidden(format!("{e}")))?;
     let rule = rules.service_for(&arrival.caller.name, &name);
-    let rule =
-        rule.ok_or_else(|| forbidden(format!("no rule lets {} call {name}", arrival.caller.name)))?;
+    let caller = &arrival.caller.name;
+    let rule = rule.ok_or_else(|| forbidden(format!("no rule lets {caller} call {name}")))?;
     let class = Class {
         org: arrival.caller.org.to_string(),
         class: name.to_string(),
     };
-    let arrived = arrival.arrived;
-    let answer = match rule.repeat {
-        Repeat::Allowed => repeatable(node, &arrival, &name, rule.deadline, headers).await?,
-        Repeat::Never => {
-            return Err(Problem::not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no-quorum",
-                "orders are not taken yet",
-            ));
-        }
+    let mut turn = node.count_class(class.clone());
+    let request = orders::Request {
+        call: Call {
+            service: name.clone(),
+            kind: kind(node, &arrival, &name, rule, headers)?,
+            deadline: rule.deadline,
+        },
+        body: arrival.body.clone(),
+        headers: headers.clone(),
     };
-    let total = clock::now().since(arrived);
-    node.metrics
-        .total
-        .get_or_create(&class)
-        .observe(total.as_secs_f64());
-    Ok(answer.into_response(Ran::Run))
+    let answer = orders::make(node, request).await;
+    let answer = answer.map_err(|e| {
+        let busy = StatusCode::SERVICE_UNAVAILABLE;
+        Problem::not_run(busy, "node-full", e).retry_after(SOON)
+    })?;
+    let response = respond(answer)?;
+    turn.answered();
+    let total = clock::now().since(arrival.arrived);
+    node.metrics.total.get_or_create(&class).observe(total.as_secs_f64());
+    Ok(response)
 }
 
-/// Sends a call that may be repeated, to another process if one fails.
-async fn repeatable(
+/// How often a call may run, by its service's rule and its key.
+fn kind(
     node: &Node,
     arrival: &Arrival,
-    service: &ServiceName,
-    deadline: Duration,
+    name: &ServiceName,
+    rule: &Service,
     headers: &HeaderMap,
-) -> Result<ServiceAnswer, Problem> {
-    let mut ran = Ran::NotRun;
-    for process in processes(node, service) {
-        let spent = clock::now().since(arrival.arrived);
-        let left = deadline.saturating_sub(spent);
-        if left.is_zero() {
-            break;
-        }
-        match send(&process, arrival.body.clone(), headers, left).await {
-            Ok(answer) => return Ok(answer),
-            Err(SendError::NotConnected { .. }) => {}
-            Err(_) => ran = Ran::Unknown,
-        }
+) -> Result<Kind, Problem> {
+    if rule.repeat == Repeat::Allowed {
+        return Ok(Kind::Repeatable);
     }
-    let what = format_args!("no process of {service} answered");
-    let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-upstream", what);
-    Err(problem.ran(ran).retry_after(Duration::from_secs(1)))
+    let Some(key) = headers.get("idempotency-key") else {
+        return Ok(Kind::Keyless);
+    };
+    let invalid = |e: String| Problem::not_run(StatusCode::BAD_REQUEST, "invalid-key", e);
+    let key = key.to_str().map_err(|e| invalid(e.to_string()))?;
+    let key: OrderKey = key.parse().map_err(|e| invalid(format!("{e}")))?;
+    Ok(Kind::Keyed(Key {
+        org: arrival.caller.org.clone(),
+        key,
+        body: digest(name, headers, &arrival.body),
+        ask: match rule.ask {
+            rules::Ask::Allowed => Ask::Allowed,
+            rules::Ask::Never => Ask::Never,
+        },
+        others: Others::Possible,
+        retention: rule.retention,
+        seen: node.known_index(),
+    }))
 }
 
-/// The processes of a service, those of this data centre first.
-pub fn processes(node: &Node, service: &ServiceName) -> Vec<ServiceReport> {
-    let upstreams = node.upstreams.borrow();
-    let mut processes: Vec<_> = upstreams.processes_of(service).cloned().collect();
-    fastrand::shuffle(&mut processes);
-    processes.sort_by_key(|p| p.centre != node.settings.node.centre);
-    processes
+fn digest(name: &ServiceName, headers: &HeaderMap, body: &[u8]) -> Digest {
+    let content_type = headers.get("content-type");
+    let content_type = content_type.map_or(&b""[..], |v| v.as_bytes());
+    let mut hash = Sha256::new();
+    for part in [name.as_str().as_bytes(), content_type, body] {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    Digest(hash.finalize().into())
 }
 
-/// Sends one call to one process.
-pub async fn send(
-    process: &ServiceReport,
-    body: Bytes,
-    headers: &HeaderMap,
-    span: Duration,
-) -> Result<ServiceAnswer, SendError> {
-    let addr = process.addr;
-    let started = clock::now();
-    let connection = Connection::open(addr, CONNECT.min(span)).await?;
-    let response = connection
-        .send(request(process, body, headers), span)
-        .await?;
-    let status = response.status();
-    let content_type = response.headers().get("content-type");
-    let content_type = content_type.and_then(|v| v.to_str().ok());
-    let content_type = content_type
-        .unwrap_or("application/octet-stream")
-        .to_owned();
-    let left = span.saturating_sub(clock::now().since(started));
-    let body = read_body(response.into_body(), ANSWER_BYTES, left).await;
-    let body = body.map_err(|_| SendError::Lost { addr })?;
-    Ok(ServiceAnswer {
-        status,
-        content_type,
-        body,
-    })
+fn respond(answer: Answer) -> Result<Response<Body>, Problem> {
+    match answer.content {
+        Content::Fresh(stored) => Ok(give(&stored, answer.ran, "fresh")),
+        Content::Stored(stored) => Ok(give(&stored, answer.ran, "stored")),
+        Content::Refused(refusal) => Err(refuse(&refusal).ran(answer.ran)),
+    }
 }
 
-fn request(process: &ServiceReport, body: Bytes, headers: &HeaderMap) -> Request<Full<Bytes>> {
-    const PASSED_ON: [&str; 2] = ["content-type", "idempotency-key"];
-    let mut req = Request::new(Full::new(body));
-    *req.method_mut() = http::Method::POST;
-    *req.uri_mut() = http::Uri::from_static("/call");
-    for name in PASSED_ON {
-        if let Some(value) = headers.get(name) {
-            req.headers_mut().insert(name, value.clone());
-        }
+/// A service's answer as the caller gets it.
+fn give(stored: &StoredAnswer, ran: Ran, origin: &'static str) -> Response<Body> {
+    let body = match &stored.body {
+        StoredBody::Kept(bytes) => Body::whole(bytes.to_vec()),
+        StoredBody::Dropped { .. } => Body::default(),
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or_default();
+    let headers = response.headers_mut();
+    if let Ok(kind) = stored.content_type.parse() {
+        headers.insert("content-type", kind);
     }
-    if let Ok(host) = process.addr.to_string().parse() {
-        req.headers_mut().insert("host", host);
+    if let Ok(ran) = ran.to_string().parse() {
+        headers.insert("x-ran", ran);
     }
-    req
+    headers.insert("x-answer", http::HeaderValue::from_static(origin));
+    if let StoredBody::Dropped { bytes } = &stored.body {
+        headers.insert("x-body-dropped-bytes", http::HeaderValue::from(*bytes));
+    }
+    response
 }
 
-impl ServiceAnswer {
-    /// The answer for the caller.
-    pub fn into_response(self, ran: Ran) -> Response<Body> {
-        let mut response = Response::new(Body::whole(self.body));
-        *response.status_mut() = self.status;
-        let headers = response.headers_mut();
-        if let Ok(kind) = self.content_type.parse() {
-            headers.insert("content-type", kind);
+fn refuse(refusal: &Refusal) -> Problem {
+    let conflict = StatusCode::CONFLICT;
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    let gateway = StatusCode::BAD_GATEWAY;
+    let (status, kind, what, retry) = match refusal {
+        Refusal::OtherBody => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "key-reused",
+            "the key was used for another call",
+            None,
+        ),
+        Refusal::LedgerFull => (unavailable, "ledger-full", "no room for another key", Some(SOON)),
+        Refusal::NoQuorum => (unavailable, "no-quorum", "the voters were not reached", Some(SOON)),
+        Refusal::Running { .. } => {
+            (conflict, "running", "a call under this key may be running", Some(SOON))
+        }
+        Refusal::OutcomeUnknown { .. } => (
+            conflict,
+            "outcome-unknown",
+            "a call under this key may have run; it is never run again",
+            None,
+        ),
+        Refusal::JustRefused => {
+            (unavailable, "just-refused", "a call under this key was just refused", Some(SOON))
         }
-        if let Ok(ran) = ran.to_string().parse() {
-            headers.insert("x-ran", ran);
+        Refusal::NoUpstream => {
+            (unavailable, "no-upstream", "no process of the service was reached", Some(SOON))
         }
-        response
+        Refusal::Declined => (unavailable, "declined", "the service did not take it", Some(SOON)),
+        Refusal::TooLate => {
+            (unavailable, "too-late", "it could not be sent in time", Some(SOON))
+        }
+        Refusal::AnswerLost => (gateway, "answer-lost", "it was sent, its answer was lost", None),
+        Refusal::CallerGone => (unavailable, "caller-gone", "the caller left", None),
+        Refusal::Busy => (unavailable, "node-full", "too many calls are open", Some(SOON)),
+    };
+    let problem = Problem::not_run(status, kind, what);
+    match retry {
+        Some(span) => problem.retry_after(span),
+        None => problem,
     }
 }
--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -33,6 +33,7 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::metrics::Class;
+use crate::node::ClassTurn;
 use crate::node::InFlight;
 use crate::node::Node;
 use crate::problem::Problem;
@@ -98,6 +99,7 @@
     first: Option<(Frame, String)>,
     resumes: u32,
     class: Class,
+    turn: ClassTurn,
     arrived: Time,
     last: Time,
     _in_flight: InFlight,
@@ -112,7 +114,8 @@
         org: arrival.caller.org.to_string(),
         class: wish.contract.name.to_string(),
     };
-    let answer = begin(node, arrival, wish, class).await?;
+    let turn = node.count_class(class);
+    let answer = begin(node, arrival, wish, turn).await?;
     match chat.stream {
         true => Ok(stream(answer)),
         false => collect(answer).await,
@@ -163,8 +166,9 @@
     node: &Rc<Node>,
     arrival: Arrival,
     wish: Wish,
-    class: Class,
+    turn: ClassTurn,
 ) -> Result<Answer, Problem> {
+    let class = turn.class.clone();
     let mut ran = Ran::NotRun;
     let id = node.name_of(wish.request);
     let mut work = dispatch::place(node, &wish).await?;
@@ -193,6 +197,7 @@
                     first: Some(first),
                     resumes: 0,
                     class,
+                    turn,
                     arrived: arrival.arrived,
                     last: clock::now(),
                     _in_flight: arrival.in_flight,
@@ -273,6 +278,7 @@
 
     fn finish(&mut self) {
         self.work.finished();
+        self.turn.answered();
         let total = clock::now().since(self.arrived);
         let times = &self.node.metrics.total;
         times
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -5,9 +5,13 @@
 mod chat;
 mod chunk;
 mod exchange;
+mod orders;
+mod service;
 
 pub use auth::bearer;
 pub use exchange::Break;
+pub use orders::Orders;
+pub use orders::orders_on;
 
 use std::rc::Rc;
 
--- a/crates/daemon/src/inner/mod.rs
+++ b/crates/daemon/src/inner/mod.rs
@@ -4,8 +4,11 @@
 //! the methods that are meant for it.
 
 mod announce;
+mod kept;
+mod operate;
 mod pull;
 mod relay;
+mod status;
 
 use std::rc::Rc;
 
@@ -24,7 +27,10 @@
 use crate::control;
 use crate::entry::bearer;
 use crate::node::Node;
+use crate::voters;
 
+pub use kept::restore;
+pub use pull::bring_into_force;
 pub use pull::pull_on;
 pub use relay::Untold;
 pub use relay::relay_on;
@@ -43,9 +49,9 @@
     fn new(node: &Rc<Node>) -> Self {
         let cx = || Rc::clone(node);
         Self {
-            peers: control::methods(pull::methods(relay::methods(Methods::new(cx())))),
+            peers: voters::methods(control::methods(pull::methods(relay::methods(Methods::new(cx()))))),
             upstreams: announce::methods(Methods::new(cx())),
-            operators: Methods::new(cx()),
+            operators: operate::methods(Methods::new(cx())),
         }
     }
 
--- /dev/null
+++ b/crates/daemon/src/inner/operate.rs
@@ -0,0 +1,107 @@
+//! What the operators' tool may ask of a node.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use state::Change;
+use state::ChangeReply;
+use state::Op;
+use state::Reply;
+use state::Standing;
+
+use net::Methods;
+use rules::Rules;
+use wire::Fault;
+use wire::operator::Apply;
+use wire::operator::ApplyReply;
+use wire::operator::FindOrder;
+use wire::operator::OrderReply;
+use wire::operator::OrderRow;
+use wire::operator::RulesReply;
+use wire::operator::ShowRules;
+use wire::operator::ShowStatus;
+
+use crate::clock;
+use crate::inner::status;
+use crate::node::Node;
+use crate::voters;
+use crate::voters::Fate;
+
+/// How long a change looks for the voters' leader.
+const APPLY_WITHIN: Duration = Duration::from_millis(3_500);
+
+pub fn methods(methods: Methods<Node>) -> Methods<Node> {
+    methods
+        .on(|node: Rc<Node>, call: Apply| async move { apply(&node, call).await })
+        .on(|node: Rc<Node>, _: ShowRules| async move { Ok(rules(&node)) })
+        .on(|node: Rc<Node>, _: ShowStatus| async move { Ok(status::status(&node)) })
+        .on(|node: Rc<Node>, call: FindOrder| async move { find_order(&node, call).await })
+}
+
+async fn apply(node: &Rc<Node>, call: Apply) -> Result<ApplyReply, Fault> {
+    if let Err(findings) = Rules::parse(Path::new("rules"), &call.text) {
+        return Ok(ApplyReply::Rejected { findings });
+    }
+    let change = Change {
+        id: call.change,
+        base: call.base,
+        text: Arc::from(call.text),
+    };
+    let until = clock::now() + APPLY_WITHIN;
+    match voters::propose(node, Op::Change(change), until).await {
+        Fate::Accepted(Reply::Change(reply)) => reply_of(reply),
+        Fate::Accepted(_) | Fate::Unknown => {
+            Err(Fault::unknown("the voters' answer was lost: send the same change again"))
+        }
+        Fate::Refused => Err(Fault::unavailable("no voter leads, so no change is accepted")),
+    }
+}
+
+fn reply_of(reply: ChangeReply) -> Result<ApplyReply, Fault> {
+    Ok(match reply {
+        ChangeReply::Accepted { version } => ApplyReply::Accepted { version },
+        ChangeReply::Conflict { winner, version } => ApplyReply::Conflict {
+            winner: Some(winner),
+            version,
+        },
+        ChangeReply::OtherContent { .. } => ApplyReply::Reused,
+        ChangeReply::NoSuchBase { current } => ApplyReply::Conflict {
+            winner: None,
+            version: current,
+        },
+        ChangeReply::Unknown { current } => ApplyReply::Forgotten { version: current },
+        ChangeReply::TooLarge { bytes, max } => {
+            let what = format!("the file has {bytes} bytes, {max} are allowed");
+            return Err(Fault::invalid(what));
+        }
+    })
+}
+
+fn rules(node: &Node) -> RulesReply {
+    let config = node.config.borrow();
+    RulesReply {
+        version: config.version,
+        text: config.text.to_string(),
+        nodes: status::nodes(node),
+    }
+}
+
+async fn find_order(node: &Rc<Node>, call: FindOrder) -> Result<OrderReply, Fault> {
+    let standing = voters::standing(node, &call.org, &call.key).await;
+    let standing = standing.ok_or_else(|| {
+        Fault::unavailable("no voter leads, so what is known of the order cannot be told")
+    })?;
+    let row = |state: &str, status| OrderRow {
+        state: state.to_owned(),
+        status,
+    };
+    let record = match standing {
+        Standing::Free => None,
+        Standing::Running { .. } => Some(row("running", None)),
+        Standing::Done(answer) => Some(row("done", Some(answer.status))),
+        Standing::Unknown { .. } => Some(row("unknown", None)),
+    };
+    Ok(OrderReply { record })
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -11,6 +11,7 @@
 mod problem;
 mod run;
 mod upstreams;
+mod voters;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -14,7 +14,7 @@
 ];
 
 /// A contract and the organisation that pays for it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, EncodeLabelSet)]
 pub struct Class {
     /// The organisation.
     pub org: String,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,12 +2,15 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use base::Incarnation;
 use base::NodeId;
+use base::ReplicaId;
 use base::RequestId;
+use base::Time;
 use base::Version;
 use net::RpcClient;
 use rules::Rules;
@@ -16,9 +19,12 @@
 use crate::clock;
 use crate::control::Control;
 use crate::dispatch::Dispatch;
+use crate::entry::Orders;
 use crate::inner::Untold;
+use crate::metrics::Class;
 use crate::metrics::Metrics;
 use crate::upstreams::Upstreams;
+use crate::voters::Voters;
 
 /// What a node is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +50,26 @@
     pub rules: Rc<Rules>,
 }
 
+/// The configuration that another node said it has in force.
+#[derive(Clone, Copy, Debug)]
+pub struct HeardVersion {
+    /// Its version.
+    pub version: Version,
+    /// When it said so.
+    pub at: Time,
+}
+
+/// Requests of one class.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ClassCount {
+    /// Answered.
+    pub answered: u64,
+    /// Refused.
+    pub refused: u64,
+    /// In progress.
+    pub running: u32,
+}
+
 /// What all tasks of the process share.
 #[derive(Debug)]
 pub struct Node {
@@ -63,6 +89,19 @@
     pub dispatch: Dispatch,
     /// Its part in ordering the hosts of its data centre.
     pub control: Control,
+    /// Calls of services that are open.
+    pub orders: Orders,
+    /// An index of the voters' log that is known to be applied.
+    pub applied: Cell<u64>,
+    /// Its part among the voters, if it is one.
+    pub voters: Option<Voters>,
+    /// The voter that led when it was last asked.
+    pub leader_hint: Cell<Option<NodeId>>,
+    /// The configuration that other nodes said they have in force.
+    pub versions: RefCell<BTreeMap<NodeId, HeardVersion>>,
+    /// Requests by class, for operators.
+    pub classes: RefCell<BTreeMap<Class, ClassCount>>,
+    placed: RefCell<BTreeMap<ReplicaId, u32>>,
     /// What it counts.
     pub metrics: Metrics,
     /// Calls other nodes.
@@ -73,17 +112,46 @@
     last_request: Cell<u64>,
 }
 
+/// A request of a class. Dropped without an answer it counts as refused.
+#[derive(Debug)]
+pub struct ClassTurn {
+    node: Rc<Node>,
+    /// The class.
+    pub class: Class,
+    answered: bool,
+}
+
+impl ClassTurn {
+    /// Counts the request as answered.
+    pub fn answered(&mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for ClassTurn {
+    fn drop(&mut self) {
+        let mut classes = self.node.classes.borrow_mut();
+        let count = classes.entry(self.class.clone()).or_default();
+        count.running = count.running.saturating_sub(1);
+        match self.answered {
+            true => count.answered += 1,
+            false => count.refused += 1,
+        }
+    }
+}
+
 /// A request in progress, counted until it is dropped.
 #[derive(Debug)]
 pub struct InFlight(Rc<Node>);
 
 impl Node {
     /// A node that does not listen yet.
-    pub fn open(settings: Settings) -> Result<Rc<Self>, cyper::Error> {
+    pub fn open(settings: Settings, voters: Option<Voters>) -> Result<Rc<Self>, cyper::Error> {
         let peers = RpcClient::open(settings.secrets.peers.expose())?;
         let engines = RpcClient::open(settings.secrets.upstreams.expose())?;
         let incarnation = clock::new_incarnation();
         let control = Control::open(&settings, incarnation);
+        let orders = Orders::open(settings.node.id, incarnation);
         let dispatch = Dispatch::open(admission(&settings, incarnation));
         Ok(Rc::new(Self {
             settings,
@@ -94,6 +162,13 @@
             relay: RefCell::default(),
             dispatch,
             control,
+            orders,
+            applied: Cell::new(0),
+            voters,
+            leader_hint: Cell::new(None),
+            versions: RefCell::default(),
+            classes: RefCell::default(),
+            placed: RefCell::default(),
             metrics: Metrics::default(),
             peers,
             engines,
@@ -141,11 +216,42 @@
         self.in_flight.get()
     }
 
+    /// The latest index of the voters' log that this node knows to be applied.
+    pub fn known_index(&self) -> u64 {
+        let own = self.voters.as_ref().map_or(0, Voters::applied);
+        self.applied.get().max(own)
+    }
+
+    /// Requests in progress at each replica.
+    pub fn requests_by_replica(&self) -> BTreeMap<ReplicaId, u32> {
+        self.placed.borrow().clone()
+    }
+
+    /// Counts a request at a replica, or counts it off.
+    pub fn count_placed(&self, replica: ReplicaId, change: i32) {
+        let mut placed = self.placed.borrow_mut();
+        let count = placed.entry(replica).or_default();
+        *count = count.saturating_add_signed(change);
+        if *count == 0 {
+            placed.remove(&replica);
+        }
+    }
+
+    /// Counts a request of a class as in progress until the result is dropped.
+    pub fn count_class(self: &Rc<Self>, class: Class) -> ClassTurn {
+        self.classes.borrow_mut().entry(class.clone()).or_default().running += 1;
+        ClassTurn {
+            node: Rc::clone(self),
+            class,
+            answered: false,
+        }
+    }
+
     /// Waits until no request is in progress, at most for `limit`.
     pub async fn drained(&self, limit: Duration) {
         const LOOK_EVERY: Duration = Duration::from_millis(20);
         let start = clock::now();
-        while 0 < self.in_flight() && clock::now().since(start) < limit {
+        while 0 < self.in_flight() + self.orders.open_calls() && clock::now().since(start) < limit {
             compio::time::sleep(LOOK_EVERY).await;
         }
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -19,6 +19,7 @@
 use crate::inner;
 use crate::node::Node;
 use crate::node::Phase;
+use crate::voters;
 
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
@@ -40,13 +41,19 @@
 }
 
 async fn serve(settings: Settings) -> Result<(), RunError> {
-    let node = Node::open(settings)?;
+    let (voters, writes) = voters::open(&settings)?.unzip();
+    let node = Node::open(settings, voters)?;
+    inner::restore(&node);
     let inner = listening(inner::bind(&node).await, node.settings.node.internal)?;
     let entry = listening(entry::bind(&node).await, node.settings.node.callers)?;
     compio::runtime::spawn(inner::relay_on(Rc::clone(&node))).detach();
     compio::runtime::spawn(inner::pull_on(Rc::clone(&node))).detach();
+    if let Some(writes) = writes {
+        compio::runtime::spawn(voters::drive_on(Rc::clone(&node), writes)).detach();
+    }
     compio::runtime::spawn(control::control_on(Rc::clone(&node))).detach();
     compio::runtime::spawn(control::poll_on(Rc::clone(&node))).detach();
+    compio::runtime::spawn(entry::orders_on(Rc::clone(&node))).detach();
     compio::runtime::spawn(dispatch::dispatch_on(Rc::clone(&node))).detach();
     emit(&Event::Started {
         node: node.id(),
--- /dev/null
+++ b/crates/daemon/src/voters/driver.rs
@@ -0,0 +1,251 @@
+//! Drives this node's voter: carries out its effects and applies what is committed.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use disk::Log;
+use state::Command;
+use state::LogClock;
+use state::Reply;
+use state::State;
+use vote::Batch;
+use vote::Entry;
+use vote::Index;
+use vote::Outgoing;
+use vote::Payload;
+use vote::Role;
+use vote::Standing;
+use vote::Term;
+use vote::Voter;
+
+use base::Version;
+use settings::Role as Part;
+use settings::Settings;
+use wire::peer::VoteMessage;
+
+use crate::clock;
+use crate::events::Event;
+use crate::events::emit;
+use crate::inner::bring_into_force;
+use crate::node::Node;
+use crate::voters::disk_writer;
+
+/// How often the voter goes on in time.
+const TICK: Duration = Duration::from_millis(20);
+
+/// How long a message to another voter may take.
+const WITHIN: Duration = Duration::from_millis(1_000);
+
+/// Applied entries between two snapshots.
+const SNAPSHOT_EVERY: u64 = 10_000;
+
+/// This node's part among the voters.
+#[derive(Debug)]
+pub struct Voters {
+    /// Its voter.
+    pub voter: RefCell<Voter>,
+    /// The state that the committed entries make.
+    pub state: RefCell<State>,
+    clock: RefCell<LogClock>,
+    batches: Sender<Batch>,
+    waiting: RefCell<BTreeMap<Index, Waiter>>,
+    compacted: RefCell<u64>,
+    reported: RefCell<Option<(Role, Standing)>>,
+}
+
+/// A proposal that waits for its entry.
+#[derive(Debug)]
+struct Waiter {
+    term: Term,
+    done: Sender<Option<Reply>>,
+}
+
+/// The log and the batches that are to be written to it.
+pub struct Writes {
+    log: Log,
+    batches: Receiver<Batch>,
+}
+
+/// Opens the voter of this node, if its settings make it one.
+pub fn open(settings: &Settings) -> io::Result<Option<(Voters, Writes)>> {
+    let folder = match (settings.me().role, &settings.node.data) {
+        (Part::Voter, Some(folder)) => folder.join("log"),
+        _ => return Ok(None),
+    };
+    let (log, restored) = Log::open(folder).map_err(io::Error::other)?;
+    let held = disk_writer::decode(&restored).map_err(io::Error::other)?;
+    let cfg = vote::Config::new(settings.node.id, restored.disk, settings.voters());
+    let now = clock::now();
+    let (batches, queue) = async_channel::unbounded();
+    let voters = Voters {
+        voter: RefCell::new(Voter::open(cfg, held, now)),
+        state: RefCell::default(),
+        clock: RefCell::new(LogClock::open(state::Millis(0), now)),
+        batches,
+        waiting: RefCell::default(),
+        compacted: RefCell::default(),
+        reported: RefCell::default(),
+    };
+    let writes = Writes {
+        log,
+        batches: queue,
+    };
+    Ok(Some((voters, writes)))
+}
+
+/// Drives the voter, for as long as the node runs.
+pub async fn drive_on(node: Rc<Node>, writes: Writes) {
+    let writing = disk_writer::write_on(Rc::clone(&node), writes.log, writes.batches);
+    compio::runtime::spawn(writing).detach();
+    loop {
+        if let Some(voters) = &node.voters {
+            voters.voter.borrow_mut().tick(clock::now());
+        }
+        step(&node);
+        compio::time::sleep(TICK).await;
+    }
+}
+
+/// Carries out what the voter asks for. Called after each input.
+pub fn step(node: &Rc<Node>) {
+    let Some(voters) = &node.voters else {
+        return;
+    };
+    let effects = voters.voter.borrow_mut().take();
+    for outgoing in effects.sends {
+        send(node, outgoing);
+    }
+    if let Some(snapshot) = effects.install {
+        voters.install(&snapshot.state);
+    }
+    for entry in effects.committed {
+        voters.apply(&entry);
+    }
+    if let Some(batch) = effects.batch {
+        let _ = voters.batches.try_send(batch);
+    }
+    voters.compact();
+    voters.report();
+    let (version, text) = voters.configuration();
+    if node.version() < version {
+        bring_into_force(node, version, &text);
+    }
+}
+
+fn send(node: &Rc<Node>, outgoing: Outgoing) {
+    let Some(peer) = node.settings.peers.get(&outgoing.to) else {
+        return;
+    };
+    let addr = peer.internal;
+    let call = VoteMessage {
+        from: node.id(),
+        message: outgoing.message,
+    };
+    let node = Rc::clone(node);
+    compio::runtime::spawn(async move {
+        // The voter sends again what is not answered.
+        let _ = node.peers.call(addr, &call, WITHIN).await;
+    })
+    .detach();
+}
+
+impl Voters {
+    /// Proposes a command. The reply comes once it is applied, None if it was not accepted.
+    pub fn propose(&self, op: state::Op) -> Result<Receiver<Option<Reply>>, vote::ProposeError> {
+        let now = clock::now();
+        let at = self.clock.borrow().stamp(now);
+        let command = postcard::to_stdvec(&Command { at, op });
+        let command = command.expect("commands have no type that cannot be written");
+        let ticket = self.voter.borrow_mut().propose(command, now)?;
+        let (done, reply) = async_channel::bounded(1);
+        let waiter = Waiter {
+            term: ticket.term,
+            done,
+        };
+        self.waiting.borrow_mut().insert(ticket.index, waiter);
+        Ok(reply)
+    }
+
+    /// The index of the last applied entry.
+    pub fn applied(&self) -> u64 {
+        self.state.borrow().applied()
+    }
+
+    /// The configuration that was accepted last.
+    pub fn configuration(&self) -> (Version, std::sync::Arc<str>) {
+        let state = self.state.borrow();
+        let register = state.register();
+        (register.version(), register.text().clone())
+    }
+
+    fn install(&self, bytes: &[u8]) {
+        match State::decode(bytes) {
+            Ok(state) => {
+                self.compacted.replace(state.applied());
+                self.clock.borrow_mut().observe(state.now(), clock::now());
+                self.state.replace(state);
+            }
+            Err(e) => {
+                let reason = e.to_string();
+                emit(&Event::VoterLost { reason });
+            }
+        }
+    }
+
+    fn apply(&self, entry: &Entry) {
+        let reply = match &entry.payload {
+            Payload::Command(bytes) => match postcard::from_bytes::<Command>(bytes) {
+                Ok(command) => {
+                    self.clock.borrow_mut().observe(command.at, clock::now());
+                    Some(self.state.borrow_mut().apply(entry.index.0, &command))
+                }
+                Err(e) => {
+                    let reason = format!("entry {} cannot be read: {e}", entry.index);
+                    emit(&Event::VoterLost { reason });
+                    None
+                }
+            },
+            Payload::Nothing | Payload::Group(_) => None,
+        };
+        let waiter = self.waiting.borrow_mut().remove(&entry.index);
+        if let Some(waiter) = waiter {
+            // Another term at this place means that another leader's entry took it.
+            let reply = reply.filter(|_| waiter.term == entry.term);
+            let _ = waiter.done.try_send(reply);
+        }
+    }
+
+    fn compact(&self) {
+        let applied = self.state.borrow().applied();
+        if applied < *self.compacted.borrow() + SNAPSHOT_EVERY {
+            return;
+        }
+        self.compacted.replace(applied);
+        let bytes = self.state.borrow().encode();
+        self.voter.borrow_mut().compact(Index(applied), bytes);
+    }
+
+    /// Logs a change of this voter's part.
+    fn report(&self) {
+        let status = self.voter.borrow().status();
+        let now = (status.role, status.standing);
+        if *self.reported.borrow() == Some(now) {
+            return;
+        }
+        self.reported.replace(Some(now));
+        match (status.role, status.leader) {
+            (Role::Leader, _) => emit(&Event::Leading { term: status.term.0 }),
+            (_, Some(leader)) => emit(&Event::Following { leader }),
+            _ => {}
+        }
+        if matches!(status.standing, Standing::Replaced | Standing::Lost) {
+            let reason = format!("{:?}", status.standing);
+            emit(&Event::VoterLost { reason });
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/voters/mod.rs
@@ -0,0 +1,15 @@
+//! The durable state: this node's part among the voters, and the way to it for
+//! nodes that are none.
+
+mod disk_writer;
+mod driver;
+mod propose;
+mod rpc;
+
+pub use driver::Voters;
+pub use driver::drive_on;
+pub use driver::open;
+pub use propose::Fate;
+pub use propose::propose;
+pub use propose::standing;
+pub use rpc::methods;
--- /dev/null
+++ b/crates/daemon/src/voters/propose.rs
@@ -0,0 +1,156 @@
+//! Proposes commands to the voters' leader, from any node.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::time::timeout;
+use state::Op;
+use state::Reply;
+use vote::Blob;
+use vote::ProposeError;
+
+use base::NodeId;
+use base::OrderKey;
+use base::OrgName;
+use base::Time;
+use net::RpcError;
+use wire::FaultKind;
+use wire::peer::Propose;
+use wire::peer::Proposed;
+use wire::peer::ReadOrder;
+
+use crate::clock;
+use crate::node::Node;
+use crate::voters::driver::step;
+
+/// How long one node may take to get a command agreed on.
+const WITHIN: Duration = Duration::from_millis(1_500);
+
+/// Time between two rounds of asking the voters who leads.
+const ROUND_EVERY: Duration = Duration::from_millis(100);
+
+/// What became of a proposal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It was accepted, with this reply.
+    Accepted(Reply),
+    /// It was not accepted and never will be.
+    Refused,
+    /// It may have been accepted, or may still be.
+    Unknown,
+}
+
+/// Proposes a command, looking for the leader until `until`.
+pub async fn propose(node: &Rc<Node>, op: Op, until: Time) -> Fate {
+    let bytes = postcard::to_stdvec(&op).expect("commands have no type that cannot be written");
+    let call = Propose {
+        op: Blob::from(bytes),
+    };
+    let mut leader = None;
+    while clock::now() < until {
+        let first = leader.or(node.leader_hint.get());
+        let voters = node.settings.voters().filter(|v| Some(*v) != first);
+        let round: Vec<NodeId> = first.into_iter().chain(voters).collect();
+        for voter in round {
+            match ask(node, voter, &call, &op).await {
+                Ok(Proposed::Done { reply }) => {
+                    node.leader_hint.set(Some(voter));
+                    return decoded(&reply);
+                }
+                Ok(Proposed::NotLeader { leader: told }) => leader = told.or(leader),
+                Ok(Proposed::NotAccepted) => return Fate::Refused,
+                Err(Trouble::NotTaken) => {}
+                Err(Trouble::MaybeTaken) => return Fate::Unknown,
+            }
+        }
+        node.leader_hint.set(None);
+        compio::time::sleep(ROUND_EVERY).await;
+    }
+    Fate::Refused
+}
+
+enum Trouble {
+    NotTaken,
+    MaybeTaken,
+}
+
+async fn ask(node: &Rc<Node>, voter: NodeId, call: &Propose, op: &Op) -> Result<Proposed, Trouble> {
+    if voter == node.id() {
+        return propose_here(node, op.clone()).await.map_err(|()| Trouble::MaybeTaken);
+    }
+    let addr = node.settings.peers[&voter].internal;
+    match node.peers.call(addr, call, WITHIN).await {
+        Ok(proposed) => Ok(proposed),
+        Err(RpcError::Refused { fault, .. }) if fault.kind != FaultKind::Unknown => {
+            Err(Trouble::NotTaken)
+        }
+        // A voter that cannot be reached at all was not told anything, but a link
+        // that broke midway looks the same.
+        Err(_) => Err(Trouble::MaybeTaken),
+    }
+}
+
+/// Proposes at this node's own voter. An error means that the outcome is unknown.
+pub async fn propose_here(node: &Rc<Node>, op: Op) -> Result<Proposed, ()> {
+    let Some(voters) = &node.voters else {
+        return Ok(Proposed::NotLeader { leader: None });
+    };
+    let proposed = voters.propose(op);
+    let waiting = match proposed {
+        Ok(waiting) => waiting,
+        Err(ProposeError::NotLeader { leader }) => return Ok(Proposed::NotLeader { leader }),
+        Err(ProposeError::Busy | ProposeError::TooLarge { .. }) => {
+            return Ok(Proposed::NotAccepted);
+        }
+    };
+    step(node);
+    match timeout(WITHIN, waiting.recv()).await {
+        Ok(Ok(Some(reply))) => Ok(Proposed::Done {
+            reply: encoded(&reply),
+        }),
+        Ok(Ok(None)) => Ok(Proposed::NotAccepted),
+        Ok(Err(_)) | Err(_) => Err(()),
+    }
+}
+
+/// What the ledger says of a key now, as the leader knows it. None without a leader.
+pub async fn standing(node: &Rc<Node>, org: &OrgName, key: &OrderKey) -> Option<state::Standing> {
+    let call = ReadOrder {
+        org: org.clone(),
+        key: key.clone(),
+    };
+    for voter in node.settings.voters() {
+        let standing = match voter == node.id() {
+            true => standing_here(node, &call),
+            false => {
+                let addr = node.settings.peers[&voter].internal;
+                node.peers.call(addr, &call, WITHIN).await.ok().and_then(|r| r.standing)
+            }
+        };
+        if standing.is_some() {
+            return standing;
+        }
+    }
+    None
+}
+
+/// What the ledger says of a key, if this node leads and its state is current.
+pub fn standing_here(node: &Node, call: &ReadOrder) -> Option<state::Standing> {
+    let voters = node.voters.as_ref()?;
+    let lease = voters.voter.borrow().lease(clock::now())?;
+    let state = voters.state.borrow();
+    let is_current = lease.index.0 <= state.applied();
+    is_current.then(|| state.ledger().standing(&call.org, &call.key))
+}
+
+fn encoded(reply: &Reply) -> Blob {
+    let bytes = postcard::to_stdvec(reply);
+    Blob::from(bytes.expect("replies have no type that cannot be written"))
+}
+
+fn decoded(bytes: &[u8]) -> Fate {
+    match postcard::from_bytes(bytes) {
+        Ok(reply) => Fate::Accepted(reply),
+        Err(_) => Fate::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/voters/rpc.rs
@@ -0,0 +1,41 @@
+//! What voters offer to other nodes.
+
+use std::rc::Rc;
+
+use state::Op;
+
+use net::Methods;
+use wire::Fault;
+use wire::peer::OrderStanding;
+use wire::peer::Propose;
+use wire::peer::ReadOrder;
+use wire::peer::Taken;
+use wire::peer::VoteMessage;
+
+use crate::clock;
+use crate::node::Node;
+use crate::voters::driver::step;
+use crate::voters::propose::propose_here;
+use crate::voters::propose::standing_here;
+
+pub fn methods(methods: Methods<Node>) -> Methods<Node> {
+    methods
+        .on(|node: Rc<Node>, call: VoteMessage| async move {
+            if let Some(voters) = &node.voters {
+                let mut voter = voters.voter.borrow_mut();
+                voter.receive(call.from, call.message, clock::now());
+                drop(voter);
+                step(&node);
+            }
+            Ok(Taken {})
+        })
+        .on(|node: Rc<Node>, call: Propose| async move {
+            let op: Op = postcard::from_bytes(&call.op).map_err(Fault::invalid)?;
+            let proposed = propose_here(&node, op).await;
+            proposed.map_err(|()| Fault::unknown("the voters did not agree in time"))
+        })
+        .on(|node: Rc<Node>, call: ReadOrder| async move {
+            let standing = standing_here(&node, &call);
+            Ok(OrderStanding { standing })
+        })
+}
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -68,6 +68,11 @@
         Ok(Self { addr, sender })
     }
 
+    /// Whom it is to.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Sends the one request and waits at most `span` for the head of its answer.
     pub async fn send(
         mut self,
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -188,16 +188,10 @@
 /// An order's record.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderRow {
-    /// The service that was called.
-    pub service: ServiceName,
-    /// `running`, `done`, `unknown` or `not-run`.
+    /// `running`, `done` or `unknown`.
     pub state: String,
     /// HTTP status of its answer, if it is done.
     pub status: Option<u16>,
-    /// The node that claimed it.
-    pub by: NodeId,
-    /// When it was claimed, milliseconds since 1970.
-    pub claimed_ms: u64,
 }
 
 impl Call for Apply {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,6 +6,8 @@
 use base::HostReport;
 use base::Load;
 use base::NodeId;
+use base::OrderKey;
+use base::OrgName;
 use base::ReplicaId;
 use base::ServiceReport;
 use base::TokenCount;
@@ -14,6 +16,7 @@
 use lease::Message;
 use plan::RouteGrant;
 use plan::RoutePoll;
+use vote::Blob;
 
 use crate::Call;
 
@@ -40,6 +43,8 @@
 /// Asks for a configuration that is newer than the one this node has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PullConfig {
+    /// The node that asks.
+    pub from: NodeId,
     /// The version it has.
     pub have: Version,
 }
@@ -47,6 +52,10 @@
 /// The answer to [`PullConfig`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pulled {
+    /// The version that the node that was asked has.
+    pub have: Version,
+    /// An index of the voters' log that is applied.
+    pub applied: u64,
     /// The newer configuration, if there is one.
     pub newer: Option<Configuration>,
 }
@@ -150,3 +159,68 @@
     const METHOD: &'static str = "poll_routes";
     type Reply = PolledRoutes;
 }
+
+/// A message of one voter to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VoteMessage {
+    /// Who sends it.
+    pub from: NodeId,
+    /// What.
+    pub message: vote::Message,
+}
+
+/// Asks a voter to get a command agreed on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Propose {
+    /// The encoded `state::Op`.
+    pub op: Blob,
+}
+
+/// What became of a command.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Proposed {
+    /// It was accepted.
+    Done {
+        /// The encoded `state::Reply`.
+        reply: Blob,
+    },
+    /// Another voter leads. Nothing was done.
+    NotLeader {
+        /// Who leads, if known.
+        leader: Option<NodeId>,
+    },
+    /// It was not accepted and never will be.
+    NotAccepted,
+}
+
+/// Asks the voters' leader what the ledger says of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadOrder {
+    /// The organisation.
+    pub org: OrgName,
+    /// The key.
+    pub key: OrderKey,
+}
+
+/// The answer to [`ReadOrder`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderStanding {
+    /// What the ledger says, if the node that was asked leads.
+    pub standing: Option<state::Standing>,
+}
+
+impl Call for VoteMessage {
+    const METHOD: &'static str = "vote";
+    type Reply = Taken;
+}
+
+impl Call for Propose {
+    const METHOD: &'static str = "propose";
+    type Reply = Proposed;
+}
+
+impl Call for ReadOrder {
+    const METHOD: &'static str = "read_order";
+    type Reply = OrderStanding;
+}
