--- a/crates/plan/src/config.rs
+++ b/crates/plan/src/config.rs
@@ -21,6 +21,8 @@
     pub order_deadline: Duration,
     /// An order cannot reach an engine later than this after it was given out.
     pub order_life: Duration,
+    /// A report is heard at most this long after it was made.
+    pub report_lag: Duration,
     /// A replica that is not ready after this time is given up.
     pub load_limit: Duration,
     /// Replicas that may load from the weight store at once.
@@ -88,6 +90,7 @@
             lost_after: Duration::from_secs(5),
             order_deadline: Duration::from_secs(1),
             order_life: Duration::from_secs(3),
+            report_lag: Duration::from_millis(500),
             load_limit: Duration::from_secs(600),
             loads_at_once: 4,
             hold_first: Duration::from_secs(10),
--- a/crates/plan/src/controller.rs
+++ b/crates/plan/src/controller.rs
@@ -134,7 +134,7 @@
         if let Some(host) = self.hosts.get_mut(&outstanding.host) {
             host.order = None;
             match outcome {
-                OrderOutcome::Done => host.quiet_until = now,
+                OrderOutcome::Done => host.quiet_until = now + self.cfg.report_lag,
                 OrderOutcome::Refused => {}
                 OrderOutcome::Unknown => {
                     host.quiet_until = outstanding.issued + self.cfg.order_life;
@@ -239,7 +239,8 @@
         self.settled_at = now + self.cfg.settle();
     }
 
-    /// A tenure starts without books: in between another may have ordered.
+    /// A tenure starts without books: in between another may have ordered. The
+    /// counts go on, for a lapsed tenure may come back with the same number.
     fn forget_books(&mut self, now: Time) {
         self.replicas.clear();
         self.orders.clear();
@@ -247,8 +248,6 @@
         self.trend = Trend::default();
         self.plan = Plan::default();
         self.next_plan = now;
-        self.last_grant = 0;
-        self.last_replica = 0;
         for host in self.hosts.values_mut() {
             host.owner = None;
             host.order = None;
--- a/crates/plan/src/host.rs
+++ b/crates/plan/src/host.rs
@@ -117,7 +117,12 @@
 
     /// True if it may join a replica now.
     pub fn is_usable(&self, cfg: &Config, now: Time) -> bool {
-        self.is_free(cfg, now)
+        self.is_free(cfg, now) && self.will_be_usable(cfg, now)
+    }
+
+    /// True if it may join a replica once it is free.
+    pub fn will_be_usable(&self, cfg: &Config, now: Time) -> bool {
+        self.is_fresh(cfg, now)
             && !self.report.leaving
             && self.held_until <= now
             && self.speed.is_none()
--- a/crates/plan/src/moves.rs
+++ b/crates/plan/src/moves.rs
@@ -87,7 +87,7 @@
             } else if unit.need == Need::Promised
                 && let Some(way) = self.cheapest(unit, Self::endable)
             {
-                self.end(&way, plan);
+                self.end(&way, unit, plan);
             }
         }
     }
@@ -190,13 +190,14 @@
         self.claim(way, unit.width);
     }
 
-    fn end(&mut self, way: &Way<'a>, plan: &mut Plan) {
+    fn end(&mut self, way: &Way<'a>, unit: &Unit, plan: &mut Plan) {
         for placed in &way.replicas {
             if let Some(count) = self.counts.get_mut(&placed.model) {
                 *count -= 1;
             }
             if self.ended.insert(placed.replica) {
-                plan.drains.push(drain(placed, DrainReason::Preempted));
+                let why = DrainReason::Preempted(unit.model.clone());
+                plan.drains.push(drain(placed, why));
             }
         }
         self.claim(way, usize::MAX);
--- a/crates/plan/src/ordering.rs
+++ b/crates/plan/src/ordering.rs
@@ -98,6 +98,7 @@
         }
         View {
             free,
+            coming: self.coming(now),
             replicas: self
                 .replicas
                 .values()
@@ -107,6 +108,19 @@
         }
     }
 
+    /// Hosts of replicas that are ended or were ended to make room.
+    fn coming(&self, now: Time) -> BTreeMap<DomainId, usize> {
+        let mut coming = BTreeMap::new();
+        for host in self.hosts.values() {
+            let owner = host.owner.and_then(|id| self.replicas.get(&id));
+            let is_coming = owner.is_some_and(Replica::frees_hosts);
+            if is_coming && host.will_be_usable(&self.cfg, now) {
+                *coming.entry(host.report.domain).or_default() += 1;
+            }
+        }
+        coming
+    }
+
     /// A replica as the planner sees it, if it counts towards demand.
     fn placed(&self, replica: &Replica) -> Option<Placed> {
         let is_copy = replica.replaces.is_some_and(|id| self.is_serving(id));
@@ -167,9 +181,12 @@
     }
 
     fn start_drain(&mut self, drain: &Drain, now: Time) {
-        match drain.why {
+        match &drain.why {
             DrainReason::Surplus => self.drain_surplus(drain.replica, now),
-            DrainReason::Preempted => self.drain(drain.replica, Reason::Preempted, now),
+            DrainReason::Preempted(model) if self.is_long_unplaced(model, now) => {
+                self.drain(drain.replica, Reason::Preempted, now);
+            }
+            DrainReason::Preempted(_) => {}
             DrainReason::Slow => self.drain(drain.replica, Reason::HostSlow, now),
         }
     }
@@ -187,15 +204,18 @@
     }
 
     fn may_move(&self, model: &ModelName, now: Time) -> bool {
-        let wait = self.cfg.move_after;
-        let since = self.trend.unplaced.get(model);
-        let is_due = since.is_some_and(|since| *since + wait <= now);
         let moving = self
             .replicas
             .values()
             .filter(|r| r.replaces.is_some())
             .count();
-        is_due && moving < self.cfg.moves_at_once
+        self.is_long_unplaced(model, now) && moving < self.cfg.moves_at_once
+    }
+
+    fn is_long_unplaced(&self, model: &ModelName, now: Time) -> bool {
+        let wait = self.cfg.move_after;
+        let since = self.trend.unplaced.get(model);
+        since.is_some_and(|since| *since + wait <= now)
     }
 
     /// Orders all hosts of a new replica, if the weight store has room for a load.
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -45,7 +45,7 @@
 
 /// Computes what to do about the demand, given what stands.
 pub fn plan(view: &View, demand: &BTreeMap<ModelName, Demand>) -> Plan {
-    let mut space = Space::of(&view.free);
+    let mut space = Space::of(view);
     let units = lacking(view, demand);
     let (forms, unplaced) = place(&mut space, units, &view.homes);
     let mut plan = Plan {
@@ -106,19 +106,23 @@
 
 type Homes = BTreeMap<ModelName, BTreeSet<DomainId>>;
 
-/// Places what fits. Gives the forms in the order of need, and the rest.
+/// Places what fits. Gives the forms in the order of need, and the rest, but
+/// for those that only wait for hosts that are being released.
 fn place(space: &mut Space, units: Vec<Unit>, homes: &Homes) -> (Vec<Form>, Vec<Unit>) {
     let mut order: Vec<usize> = (0..units.len()).collect();
     let fitting = fitting(space, &units);
     order[..fitting].sort_by_key(|at| (units[*at].need, units[*at].narrowness));
     let mut forms = BTreeMap::new();
+    let mut awaited = BTreeSet::new();
     for at in order {
         let unit = &units[at];
         if let Some(domain) = domain_for(space, unit, homes) {
             forms.insert(at, form(space, unit, domain));
+        } else if space.await_room(unit.width) {
+            awaited.insert(at);
         }
     }
-    let is_unplaced = |at: &usize| !forms.contains_key(at);
+    let is_unplaced = |at: &usize| !forms.contains_key(at) && !awaited.contains(at);
     let unplaced = (0..units.len()).filter(is_unplaced);
     let unplaced = unplaced.map(|at| units[at].clone()).collect();
     (forms.into_values().collect(), unplaced)
--- a/crates/plan/src/replica.rs
+++ b/crates/plan/src/replica.rs
@@ -116,6 +116,18 @@
         self.assignment.replica
     }
 
+    /// True if its hosts come free within seconds, or were ended for others' sake.
+    pub fn frees_hosts(&self) -> bool {
+        match self.phase {
+            Phase::Broken | Phase::Releasing => true,
+            Phase::Draining => matches!(
+                self.why,
+                Some(Reason::Moved | Reason::Preempted | Reason::HostSlow)
+            ),
+            Phase::Forming | Phase::Serving => false,
+        }
+    }
+
     /// Takes a further step of its life.
     pub fn enter(&mut self, phase: Phase, why: Option<Reason>, now: Time) {
         self.phase = phase;
--- a/crates/plan/src/space.rs
+++ b/crates/plan/src/space.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::View;
 use base::DomainId;
 use base::HostId;
 
@@ -11,14 +12,18 @@
 pub(crate) struct Space {
     free: BTreeMap<DomainId, Vec<HostId>>,
     by_room: BTreeMap<usize, BTreeSet<DomainId>>,
+    coming: BTreeMap<DomainId, usize>,
     total: usize,
 }
 
 impl Space {
     /// The space of these free hosts. They are taken in the order given.
-    pub fn of(free: &BTreeMap<DomainId, Vec<HostId>>) -> Self {
-        let mut space = Self::default();
-        for (domain, hosts) in free {
+    pub fn of(view: &View) -> Self {
+        let mut space = Self {
+            coming: view.coming.clone(),
+            ..Self::default()
+        };
+        for (domain, hosts) in &view.free {
             let mut hosts = hosts.clone();
             hosts.reverse();
             space.give(*domain, hosts);
@@ -43,6 +48,21 @@
         domains.find(|domain| Some(**domain) != except).copied()
     }
 
+    /// Sets aside the free hosts of a domain that will hold the width once hosts
+    /// that are being released have come free. False if there is none.
+    pub fn await_room(&mut self, width: usize) -> bool {
+        let room = |(domain, coming): (&DomainId, &usize)| (self.room(*domain) + coming, *domain);
+        let rooms = self.coming.iter().map(room);
+        let Some((_, domain)) = rooms.filter(|(room, _)| width <= *room).min() else {
+            return false;
+        };
+        let free = self.take(domain, width).len();
+        if let Some(coming) = self.coming.get_mut(&domain) {
+            *coming -= width - free;
+        }
+        true
+    }
+
     /// Takes hosts out of a domain, fewer if it has not as many.
     pub fn take(&mut self, domain: DomainId, width: usize) -> Vec<HostId> {
         let Some(hosts) = self.free.get_mut(&domain) else {
--- a/crates/plan/src/view.rs
+++ b/crates/plan/src/view.rs
@@ -13,6 +13,8 @@
 pub struct View {
     /// Hosts that may join a replica now, by domain.
     pub free: BTreeMap<DomainId, Vec<HostId>>,
+    /// Hosts that will be free soon, by domain: their replica is being released.
+    pub coming: BTreeMap<DomainId, usize>,
     /// Replicas that count towards demand.
     pub replicas: Vec<Placed>,
     /// Domains in which a model lately lost a replica. It goes back there first.
@@ -68,7 +70,7 @@
 }
 
 /// A replica to end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Drain {
     /// The replica.
     pub replica: ReplicaId,
@@ -77,12 +79,12 @@
 }
 
 /// Why a replica is to end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DrainReason {
     /// The model has more replicas than its target.
     Surplus,
-    /// Another model lacks a promised replica, and this one has more than its promise.
-    Preempted,
+    /// This model lacks a promised replica, and the replica's own has more than its promise.
+    Preempted(ModelName),
     /// A host of it is slow and spares stand ready in its domain.
     Slow,
 }
