Measure the crest and short work behind long in virtual time

Engines with continuous batches, chunked prefill and late reports; both users' mixes; round robin with FIFO and a single node without lag beside the design.

Lending takes room from work within its contract, and long drafts within their contract are refused under limits: both are to be found out.

--- /dev/null
+++ b/crates/bench/src/crest/decide.rs
@@ -0,0 +1,99 @@
+//! Time that a choice of a replica takes, over the number of replicas.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use base::CentreId;
+use base::Load;
+use base::ModelName;
+use base::ReplicaId;
+use base::RequestId;
+use base::Time;
+use base::TokenCount;
+use base::TokenRate;
+use route::Ask;
+use route::Candidate;
+use route::Config;
+use route::Router;
+
+use crate::report::Table;
+
+const SIZES: [usize; 3] = [60, 1_000, 12_000];
+const CHOICES: u64 = 20_000;
+
+/// Time per request over several sizes, beside a linear search.
+pub fn table(seed: u64) -> Table {
+    let columns = [
+        "replicas",
+        "choice us",
+        "linear search us",
+        "replace all us",
+    ];
+    let mut table = Table::new("time to choose a replica and count the request", &columns);
+    for size in SIZES {
+        let sampled = Config::default();
+        let linear = Config {
+            near_sample: size,
+            far_sample: size,
+            ..Config::default()
+        };
+        let (choice, replace) = measure(sampled, size, CHOICES, seed);
+        let (search, _) = measure(linear, size, CHOICES / 20, seed);
+        table.row([
+            size.to_string(),
+            format!("{choice:.2}"),
+            format!("{search:.2}"),
+            format!("{replace:.0}"),
+        ]);
+    }
+    table
+}
+
+fn measure(cfg: Config, size: usize, choices: u64, seed: u64) -> (f64, f64) {
+    let model: ModelName = "assistant".parse().expect("a valid name");
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut router = Router::open(cfg, seed);
+    let start = Instant::now();
+    router.replicas(&model, candidates(size, &mut rng), Time::ZERO);
+    let replace = start.elapsed().as_secs_f64() * 1e6;
+    let ask = Ask {
+        prompt: TokenCount(300),
+        budget: Duration::from_millis(380),
+        fill: 1.06,
+        ..Ask::default()
+    };
+    let start = Instant::now();
+    for request in 0..choices {
+        let now = Time::from_millis(request);
+        let id = RequestId(request);
+        if let Ok(choice) = router.choose(&model, &ask, now) {
+            router.sent(id, &model, &ask, &choice, now);
+        }
+        if let Some(ended) = request.checked_sub(100) {
+            router.first_token(RequestId(ended), now);
+            router.finished(RequestId(ended), now);
+        }
+    }
+    (
+        start.elapsed().as_secs_f64() * 1e6 / choices as f64,
+        replace,
+    )
+}
+
+fn candidates(size: usize, rng: &mut fastrand::Rng) -> Vec<Candidate> {
+    let candidate = |at: usize| Candidate {
+        replica: ReplicaId(at as u64),
+        centre: CentreId((at % 20) as u16),
+        load: Load {
+            running: rng.u32(20..32),
+            slots: 32,
+            prefill: TokenCount(rng.u32(0..2_000)),
+            prefill_rate: TokenRate(16_000.0),
+            token_rate: TokenRate(40.0),
+            ..Load::default()
+        },
+        age: Duration::from_millis(100),
+        link: Duration::from_micros(300 + 2_000 * (at % 20) as u64),
+    };
+    (0..size).map(candidate).collect()
+}
--- a/crates/bench/src/hol.rs
+++ b/crates/bench/src/hol.rs
@@ -1,8 +1,109 @@
 //! How long short work waits behind long work.
 
+use base::Time;
+
+use crate::load::Mix;
+use crate::load::Outcome;
+use crate::load::Policy;
+use crate::load::Profile;
+use crate::load::Request;
+use crate::load::Run;
+use crate::load::Summary;
+use crate::load::contracts;
+use crate::load::load_capacity;
+use crate::load::percentile;
+use crate::load::requests;
+use crate::load::run as run_load;
+use crate::load::terms_of;
+use crate::load::time_alone;
 use crate::report::Report;
+use crate::report::Table;
+
+/// Arrivals before this are left out of the figures.
+const WARM: Time = Time::from_millis(60_000);
+const END: Time = Time::from_millis(120_000);
+const LOADS: [f64; 2] = [0.8, 0.9];
+const POLICIES: [Policy; 3] = [Policy::Lend, Policy::Perfect, Policy::RoundRobin];
+const COLUMNS: [&str; 9] = [
+    "load",
+    "policy",
+    "long work",
+    "short p50 s",
+    "short p99 s",
+    "short in time %",
+    "long slowdown p50",
+    "long slowdown p99",
+    "long in time %",
+];
 
 /// Runs the measure.
 pub fn run(seed: u64) -> Report {
-    Report::new("hol", seed).note("not measured yet")
+    let mut report = Report::new("hol", seed)
+        .note("3 in 100 requests are 30 times as long; without them the same short requests run alone")
+        .note("slowdown: time to the whole answer over its time with an engine for itself");
+    for mix in [Mix::Lantern, Mix::Association] {
+        let mut table = Table::new(&format!("{mix}: short work's first token"), &COLUMNS);
+        for load in LOADS {
+            add_rows(&mut table, mix, load, seed);
+        }
+        report = report.table(table);
+    }
+    report
+}
+
+fn add_rows(table: &mut Table, mix: Mix, load: f64, seed: u64) {
+    let capacity = load_capacity(mix);
+    let with = requests(mix, &Profile::steady(load, END), capacity, seed);
+    let is_short = |request: &Request| !mix.work()[request.work].is_long;
+    let without: Vec<_> = with.iter().filter(|r| is_short(r)).cloned().collect();
+    for policy in POLICIES {
+        for (name, requests) in [("with", &with), ("without", &without)] {
+            let cfg = Run {
+                policy,
+                contracts: contracts(mix, capacity),
+                window: (WARM, END),
+                seed,
+            };
+            let outcomes = run_load(&cfg, requests);
+            table.row(cells(mix, load, policy, name, requests, &outcomes));
+        }
+    }
+}
+
+fn cells(
+    mix: Mix,
+    load: f64,
+    policy: Policy,
+    name: &str,
+    requests: &[Request],
+    outcomes: &[Outcome],
+) -> [String; 9] {
+    let works = mix.work();
+    let terms = terms_of(mix);
+    let of = |is_long: bool| {
+        let pairs = requests.iter().zip(outcomes);
+        let chosen = pairs.filter(|(r, _)| WARM <= r.at && works[r.work].is_long == is_long);
+        chosen.collect::<Vec<_>>()
+    };
+    let (short, long) = (of(false), of(true));
+    let mut slowdown: Vec<f64> = long.iter().filter_map(|(r, o)| slowdown(r, o)).collect();
+    slowdown.sort_by(f64::total_cmp);
+    let short = Summary::of(short.into_iter(), |r| terms[r.work]);
+    let long = Summary::of(long.into_iter(), |r| terms[r.work]);
+    [
+        load.to_string(),
+        policy.to_string(),
+        name.to_owned(),
+        format!("{:.3}", percentile(&short.first, 0.5)),
+        format!("{:.3}", percentile(&short.first, 0.99)),
+        format!("{:.1}", 100.0 * short.share()),
+        format!("{:.2}", percentile(&slowdown, 0.5)),
+        format!("{:.2}", percentile(&slowdown, 0.99)),
+        format!("{:.1}", 100.0 * long.share()),
+    ]
+}
+
+fn slowdown(request: &Request, outcome: &Outcome) -> Option<f64> {
+    let took = outcome.last?.since(request.at);
+    Some(took.as_secs_f64() / time_alone(request).as_secs_f64().max(1e-6))
 }
--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,28 @@
+//! A model of engines, callers and entry nodes in virtual time.
+//!
+//! Engines batch continuously, prefill in chunks and report their load late.
+//! The same seeded requests run under each [`Policy`].
+
+mod engine;
+mod mix;
+mod outcome;
+mod policy;
+mod traffic;
+mod world;
+
+pub use mix::Mix;
+pub use mix::contracts;
+pub use mix::load_capacity;
+pub use mix::orgs;
+pub use mix::terms_of;
+pub use outcome::Outcome;
+pub use outcome::Summary;
+pub use outcome::percentile;
+pub use policy::Policy;
+pub use traffic::Profile;
+pub use traffic::Request;
+pub use traffic::requests;
+pub use world::REPLICAS;
+pub use world::Run;
+pub use world::run;
+pub use world::time_alone;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 mod crest;
 mod downtime;
 mod hol;
+mod load;
 mod order;
 mod path;
 mod report;
