--- a/crates/order/src/attempt.rs
+++ b/crates/order/src/attempt.rs
@@ -3,10 +3,6 @@
 use std::mem;
 use std::time::Duration;
 
-use base::Ran;
-use base::Time;
-use state::AttemptId;
-
 use crate::Answer;
 use crate::Call;
 use crate::Content;
@@ -17,6 +13,9 @@
 use crate::Sent;
 use crate::Step;
 use crate::stage::Stage;
+use base::Ran;
+use base::Time;
+use state::AttemptId;
 
 /// Connections that are tried for one call.
 const MAX_CONNECTS: u32 = 3;
--- a/crates/order/src/book.rs
+++ b/crates/order/src/book.rs
@@ -5,15 +5,14 @@
 use derive_more::Display;
 use derive_more::Error;
 
-use base::Incarnation;
-use base::NodeId;
-use base::Time;
-use state::AttemptId;
-
 use crate::Attempt;
 use crate::Call;
 use crate::Event;
 use crate::Step;
+use base::Incarnation;
+use base::NodeId;
+use base::Time;
+use state::AttemptId;
 
 /// The node has as many attempts open as it can hold. The call was not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
--- a/crates/order/src/call.rs
+++ b/crates/order/src/call.rs
@@ -23,14 +23,14 @@
     Never,
 }
 
-/// What the caller says of earlier calls under the key.
+/// What the caller says of other calls under the key.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Resend {
-    /// Nothing: there may have been earlier calls.
+pub enum Others {
+    /// Nothing: there may have been some.
     #[default]
     Possible,
-    /// This is the first call under the key.
-    First,
+    /// This call is the first, and no other is made until it is answered.
+    Excluded,
 }
 
 /// An order's key and what holds for it.
@@ -44,8 +44,8 @@
     pub body: Digest,
     /// Whether the service can be asked for the key's outcome.
     pub ask: Ask,
-    /// What the caller says of earlier calls.
-    pub resend: Resend,
+    /// What the caller says of other calls.
+    pub others: Others,
     /// How long the outcome is remembered.
     pub retention: Duration,
     /// The latest index of the log that the node knew when the call came in.
--- a/crates/order/src/ledger_way.rs
+++ b/crates/order/src/ledger_way.rs
@@ -3,6 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::Attempt;
+use crate::Content;
+use crate::Others;
+use crate::Proposal;
+use crate::Refusal;
+use crate::Step;
+use crate::attempt::Told;
+use crate::stage::Stage;
 use base::Ran;
 use base::Time;
 use state::Claim;
@@ -17,15 +25,6 @@
 use state::StoredAnswer;
 use state::Withdraw;
 
-use crate::Attempt;
-use crate::Content;
-use crate::Proposal;
-use crate::Refusal;
-use crate::Resend;
-use crate::Step;
-use crate::attempt::Told;
-use crate::stage::Stage;
-
 /// Time after which a proposal without a reply is made again.
 const PROPOSE_AGAIN: Duration = Duration::from_millis(300);
 
@@ -289,8 +288,8 @@
     /// Tells what can be told of a call that was not run when the ledger cannot
     /// be reached: an earlier call under the key may have run.
     fn refuse_unconfirmed(&mut self) {
-        let first = self.key().is_some_and(|key| key.resend == Resend::First);
-        let ran = if first { Ran::NotRun } else { Ran::Unknown };
+        let alone = self.key().is_some_and(|key| key.others == Others::Excluded);
+        let ran = if alone { Ran::NotRun } else { Ran::Unknown };
         self.refuse(ran, Refusal::NoQuorum);
     }
 
--- a/crates/order/src/lib.rs
+++ b/crates/order/src/lib.rs
@@ -26,7 +26,7 @@
 pub use call::Call;
 pub use call::Key;
 pub use call::Kind;
-pub use call::Resend;
+pub use call::Others;
 pub use call::SEND_WINDOW;
 pub use event::AskReply;
 pub use event::Event;
--- a/crates/order/src/send_way.rs
+++ b/crates/order/src/send_way.rs
@@ -2,11 +2,6 @@
 
 use std::sync::Arc;
 
-use base::Ran;
-use base::Time;
-use state::Millis;
-use state::StoredAnswer;
-
 use crate::Ask;
 use crate::AskReply;
 use crate::Attempt;
@@ -17,6 +12,10 @@
 use crate::Step;
 use crate::attempt::Told;
 use crate::stage::Stage;
+use base::Ran;
+use base::Time;
+use state::Millis;
+use state::StoredAnswer;
 
 impl Attempt {
     pub(crate) fn on_connected(&mut self, now: Time) {
--- a/crates/order/src/stage.rs
+++ b/crates/order/src/stage.rs
@@ -2,9 +2,8 @@
 
 use std::sync::Arc;
 
-use state::StoredAnswer;
-
 use crate::Refusal;
+use state::StoredAnswer;
 
 /// How far an attempt has come.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/order/src/step.rs
+++ b/crates/order/src/step.rs
@@ -1,8 +1,7 @@
 //! What an attempt wants done.
 
-use state::Op;
-
 use crate::Answer;
+use state::Op;
 
 /// What an attempt wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/state/src/claim.rs
+++ b/crates/state/src/claim.rs
@@ -6,15 +6,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use base::OrderKey;
-use base::OrgName;
-use base::ServiceName;
-
 use crate::AttemptId;
 use crate::Digest;
 use crate::Millis;
 use crate::Standing;
 use crate::StoredAnswer;
+use base::OrderKey;
+use base::OrgName;
+use base::ServiceName;
 
 /// Asks for the right to send one call under a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -3,9 +3,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use base::Incarnation;
-use base::NodeId;
-
 use crate::Change;
 use crate::ChangeReply;
 use crate::Claim;
@@ -16,6 +13,8 @@
 use crate::RecordReply;
 use crate::Standing;
 use crate::Withdraw;
+use base::Incarnation;
+use base::NodeId;
 
 /// One entry of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/state/src/entry.rs
+++ b/crates/state/src/entry.rs
@@ -6,9 +6,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use base::OrderKey;
-use base::ServiceName;
-
 use crate::AttemptId;
 use crate::CLOSED_FOR;
 use crate::Claim;
@@ -16,6 +13,8 @@
 use crate::Millis;
 use crate::Standing;
 use crate::StoredAnswer;
+use base::OrderKey;
+use base::ServiceName;
 
 /// Bytes that a record takes up besides its key and answer.
 const RECORD_BYTES: u64 = 320;
--- a/crates/state/src/ledger.rs
+++ b/crates/state/src/ledger.rs
@@ -13,12 +13,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use base::Incarnation;
-use base::NodeId;
-use base::OrderKey;
-use base::OrgName;
-use base::ServiceName;
-
 use crate::AttemptId;
 use crate::Claim;
 use crate::ClaimReply;
@@ -34,6 +28,11 @@
 use crate::entry::Entry;
 use crate::entry::Phase;
 use crate::session::Session;
+use base::Incarnation;
+use base::NodeId;
+use base::OrderKey;
+use base::OrgName;
+use base::ServiceName;
 
 /// How long a withdrawn key refuses calls that came in before the withdrawal.
 /// No entry node sends a call that it took in longer ago.
@@ -43,7 +42,7 @@
 const ENDED_AT_ONCE: usize = 256;
 
 /// All records and the sessions of the entry nodes.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Ledger {
     orgs: BTreeMap<OrgName, Org>,
     sessions: BTreeMap<NodeId, Session>,
@@ -52,7 +51,7 @@
 }
 
 /// One organisation's records.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Org {
     records: BTreeMap<OrderKey, Entry>,
     #[serde(skip)]
@@ -60,7 +59,7 @@
 }
 
 /// What follows from the records and is rebuilt with them.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default)]
 struct Index {
     due: BTreeSet<(Millis, OrgName, OrderKey)>,
     claimed: BTreeMap<AttemptId, (OrgName, OrderKey)>,
--- a/crates/state/src/log_clock.rs
+++ b/crates/state/src/log_clock.rs
@@ -6,9 +6,8 @@
 //! Time that passes while nobody leads is lost, so records live longer, never
 //! shorter.
 
-use base::Time;
-
 use crate::Millis;
+use base::Time;
 
 /// The log's time as one node continues it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/state/src/register.rs
+++ b/crates/state/src/register.rs
@@ -12,13 +12,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use base::ChangeId;
-use base::Version;
-
 use crate::Change;
 use crate::ChangeReply;
 use crate::Digest;
 use crate::Limits;
+use base::ChangeId;
+use base::Version;
 
 /// A change that became a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/state/src/session.rs
+++ b/crates/state/src/session.rs
@@ -10,9 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use base::Incarnation;
-
 use crate::AttemptId;
+use base::Incarnation;
 
 /// Attempts that one node may have open at once.
 pub const WINDOW: u64 = 4_096;
--- a/crates/state/src/standing.rs
+++ b/crates/state/src/standing.rs
@@ -5,10 +5,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use base::Ran;
-
 use crate::Millis;
 use crate::StoredAnswer;
+use base::Ran;
 
 /// What the ledger says of a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -12,7 +12,7 @@
 use crate::Reply;
 
 /// All that the voters have agreed on.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct State {
     applied: u64,
     now: Millis,
--- /dev/null
+++ b/crates/state/tests/register.rs
@@ -0,0 +1,159 @@
+//! The register beside a plain list of accepted changes.
+
+use std::env;
+use std::sync::Arc;
+
+use base::ChangeId;
+use base::Version;
+use state::Change;
+use state::ChangeReply;
+use state::Command;
+use state::Limits;
+use state::Millis;
+use state::Op;
+use state::Reply;
+use state::State;
+
+/// Every accepted change, for ever.
+#[derive(Default)]
+struct Naive {
+    accepted: Vec<Change>,
+}
+
+impl Naive {
+    fn apply(&mut self, change: &Change) -> ChangeReply {
+        let current = Version(self.accepted.len() as u64);
+        if let Some(at) = self.accepted.iter().position(|a| a.id == change.id) {
+            let version = Version(at as u64 + 1);
+            return if self.accepted[at] == *change {
+                ChangeReply::Accepted { version }
+            } else {
+                ChangeReply::OtherContent { version }
+            };
+        }
+        if current < change.base {
+            return ChangeReply::NoSuchBase { current };
+        }
+        if let Some(winner) = self.accepted.get(change.base.0 as usize) {
+            let version = change.base.next();
+            let winner = winner.id;
+            return ChangeReply::Conflict { winner, version };
+        }
+        self.accepted.push(change.clone());
+        let version = current.next();
+        ChangeReply::Accepted { version }
+    }
+}
+
+fn seeds(count: u64) -> Vec<u64> {
+    match env::var("SEED") {
+        Ok(seed) => vec![seed.parse().expect("SEED is a number")],
+        Err(_) => (0..count).collect(),
+    }
+}
+
+fn apply(state: &mut State, index: u64, change: &Change) -> ChangeReply {
+    let command = Command {
+        at: Millis(index),
+        op: Op::Change(change.clone()),
+    };
+    match state.apply(index, &command) {
+        Reply::Change(reply) => reply,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn agrees_with_a_list_of_accepted_changes() {
+    for seed in seeds(200) {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let limits = Limits {
+            changes: rng.u64(3..40),
+            ..Limits::default()
+        };
+        let mut state = State::with_limits(limits);
+        let mut naive = Naive::default();
+        let mut sent: Vec<Change> = Vec::new();
+        for index in 1..400 {
+            let change = match rng.u8(0..4) {
+                0 if !sent.is_empty() => sent[rng.usize(0..sent.len())].clone(),
+                1 if !sent.is_empty() => Change {
+                    text: "another text".into(),
+                    ..sent[rng.usize(0..sent.len())].clone()
+                },
+                _ => Change {
+                    id: ChangeId(rng.u128(..)),
+                    base: Version(state.register().version().0.saturating_sub(rng.u64(0..3))),
+                    text: Arc::from(format!("text {index}")),
+                },
+            };
+            sent.push(change.clone());
+            let before = state.register().version();
+            let reply = apply(&mut state, index, &change);
+            // The naive list has no bound; a forgotten change must be told so.
+            let expected = naive.apply(&change);
+            if let ChangeReply::Unknown { current } = reply {
+                let forgotten = Version(before.0.saturating_sub(limits.changes));
+                assert!(change.base < forgotten, "seed {seed} at {index}");
+                assert_eq!(current, before, "seed {seed} at {index}");
+            } else {
+                assert_eq!(reply, expected, "seed {seed} at {index}");
+            }
+            assert_eq!(state.register().version().0, naive.accepted.len() as u64);
+            let text = naive.accepted.last().map(|change| &*change.text);
+            assert_eq!(&**state.register().text(), text.unwrap_or_default());
+            if rng.u8(0..20) == 0 {
+                let read = State::decode(&state.encode()).unwrap();
+                assert!(read.encode() == state.encode(), "seed {seed} at {index}");
+                state = read;
+            }
+        }
+    }
+}
+
+#[test]
+fn a_resend_gets_its_answer_after_hundreds_of_changes_and_a_restart() {
+    let mut state = State::default();
+    let change = |id: u128, base: u64| Change {
+        id: ChangeId(id),
+        base: Version(base),
+        text: Arc::from(format!("text {id}")),
+    };
+    let first = apply(&mut state, 1, &change(1, 0));
+    let loser = apply(&mut state, 2, &change(2, 0));
+    for n in 1..900 {
+        apply(&mut state, 2 + n, &change(100 + u128::from(n), n));
+    }
+    let mut state = State::decode(&state.encode()).unwrap();
+    assert_eq!(apply(&mut state, 2_000, &change(1, 0)), first);
+    assert_eq!(apply(&mut state, 2_001, &change(2, 0)), loser);
+    let winner = ChangeId(1);
+    let version = Version(1);
+    assert_eq!(loser, ChangeReply::Conflict { winner, version });
+    assert_eq!(state.register().version(), Version(900));
+}
+
+#[test]
+fn an_entry_of_the_log_is_applied_once() {
+    let mut state = State::default();
+    let change = Change {
+        id: ChangeId(1),
+        base: Version(0),
+        text: "a".into(),
+    };
+    apply(&mut state, 5, &change);
+    let command = Command {
+        at: Millis(9),
+        op: Op::Change(change),
+    };
+    assert_eq!(state.apply(5, &command), Reply::Skipped);
+    assert_eq!(state.now(), Millis(5));
+}
+
+#[test]
+fn a_damaged_snapshot_is_an_error() {
+    assert!(State::decode(&[]).is_err());
+    assert!(State::decode(&[9, 1, 2]).is_err());
+    let bytes = State::default().encode();
+    assert!(State::decode(&bytes[..bytes.len() / 2]).is_err());
+}
