Add the process harness, the demo and the way of orders at the node

Cause: the path must be shown by real processes, with one command. Ruled out: a shell script with an HTTP program, which a fresh machine may lack.

--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -18,8 +18,6 @@
 use order::Kind;
 use order::Others;
 use order::Refusal;
-use sha2::Digest as _;
-use sha2::Sha256;
 use state::Body as StoredBody;
 use state::Digest;
 use state::StoredAnswer;
@@ -76,7 +74,10 @@
     let response = respond(answer)?;
     turn.answered();
     let total = clock::now().since(arrival.arrived);
-    node.metrics.total.get_or_create(&class).observe(total.as_secs_f64());
+    node.metrics
+        .total
+        .get_or_create(&class)
+        .observe(total.as_secs_f64());
     Ok(response)
 }
 
@@ -114,12 +115,7 @@
 fn digest(name: &ServiceName, headers: &HeaderMap, body: &[u8]) -> Digest {
     let content_type = headers.get("content-type");
     let content_type = content_type.map_or(&b""[..], |v| v.as_bytes());
-    let mut hash = Sha256::new();
-    for part in [name.as_str().as_bytes(), content_type, body] {
-        hash.update((part.len() as u64).to_be_bytes());
-        hash.update(part);
-    }
-    Digest(hash.finalize().into())
+    Digest::of(&[name.as_str().as_bytes(), content_type, body])
 }
 
 fn respond(answer: Answer) -> Result<Response<Body>, Problem> {
@@ -163,30 +159,67 @@
             "the key was used for another call",
             None,
         ),
-        Refusal::LedgerFull => (unavailable, "ledger-full", "no room for another key", Some(SOON)),
-        Refusal::NoQuorum => (unavailable, "no-quorum", "the voters were not reached", Some(SOON)),
-        Refusal::Running { .. } => {
-            (conflict, "running", "a call under this key may be running", Some(SOON))
-        }
+        Refusal::LedgerFull => (
+            unavailable,
+            "ledger-full",
+            "no room for another key",
+            Some(SOON),
+        ),
+        Refusal::NoQuorum => (
+            unavailable,
+            "no-quorum",
+            "the voters were not reached",
+            Some(SOON),
+        ),
+        Refusal::Running { .. } => (
+            conflict,
+            "running",
+            "a call under this key may be running",
+            Some(SOON),
+        ),
         Refusal::OutcomeUnknown { .. } => (
             conflict,
             "outcome-unknown",
             "a call under this key may have run; it is never run again",
             None,
         ),
-        Refusal::JustRefused => {
-            (unavailable, "just-refused", "a call under this key was just refused", Some(SOON))
-        }
-        Refusal::NoUpstream => {
-            (unavailable, "no-upstream", "no process of the service was reached", Some(SOON))
-        }
-        Refusal::Declined => (unavailable, "declined", "the service did not take it", Some(SOON)),
-        Refusal::TooLate => {
-            (unavailable, "too-late", "it could not be sent in time", Some(SOON))
-        }
-        Refusal::AnswerLost => (gateway, "answer-lost", "it was sent, its answer was lost", None),
+        Refusal::JustRefused => (
+            unavailable,
+            "just-refused",
+            "a call under this key was just refused",
+            Some(SOON),
+        ),
+        Refusal::NoUpstream => (
+            unavailable,
+            "no-upstream",
+            "no process of the service was reached",
+            Some(SOON),
+        ),
+        Refusal::Declined => (
+            unavailable,
+            "declined",
+            "the service did not take it",
+            Some(SOON),
+        ),
+        Refusal::TooLate => (
+            unavailable,
+            "too-late",
+            "it could not be sent in time",
+            Some(SOON),
+        ),
+        Refusal::AnswerLost => (
+            gateway,
+            "answer-lost",
+            "it was sent, its answer was lost",
+            None,
+        ),
         Refusal::CallerGone => (unavailable, "caller-gone", "the caller left", None),
-        Refusal::Busy => (unavailable, "node-full", "too many calls are open", Some(SOON)),
+        Refusal::Busy => (
+            unavailable,
+            "node-full",
+            "too many calls are open",
+            Some(SOON),
+        ),
     };
     let problem = Problem::not_run(status, kind, what);
     match retry {
--- a/crates/daemon/src/entry/orders.rs
+++ b/crates/daemon/src/entry/orders.rs
@@ -15,7 +15,6 @@
 use compio::runtime::JoinHandle;
 use http::HeaderMap;
 use order::Answer;
-use order::AskReply;
 use order::Book;
 use order::Busy;
 use order::Call;
@@ -109,7 +108,11 @@
     let (tell, told) = async_channel::bounded(1);
     let service = request.call.service.clone();
     let key = key_of(&request.call);
-    let opened = node.orders.book.borrow_mut().open(request.call, clock::now());
+    let opened = node
+        .orders
+        .book
+        .borrow_mut()
+        .open(request.call, clock::now());
     let (sequence, steps) = opened?;
     let flight = Flight {
         service,
@@ -164,7 +167,11 @@
 }
 
 fn on(node: &Rc<Node>, sequence: u64, event: Event) {
-    let steps = node.orders.book.borrow_mut().on(sequence, event, clock::now());
+    let steps = node
+        .orders
+        .book
+        .borrow_mut()
+        .on(sequence, event, clock::now());
     carry_out(node, sequence, steps);
 }
 
@@ -208,7 +215,9 @@
         return;
     };
     let processes = service::processes(node, &flight.service);
-    let process = processes.get(flight.tried % processes.len().max(1)).cloned();
+    let process = processes
+        .get(flight.tried % processes.len().max(1))
+        .cloned();
     flight.tried += 1;
     let node = Rc::clone(node);
     let task = compio::runtime::spawn(async move {
@@ -249,7 +258,12 @@
             Ok(Err(Declined)) => Event::Declined,
             Err(_) => Event::Lost,
         };
-        let flight = node.orders.flights.borrow_mut().get_mut(&sequence).map(|f| f.exchange.take());
+        let flight = node
+            .orders
+            .flights
+            .borrow_mut()
+            .get_mut(&sequence)
+            .map(|f| f.exchange.take());
         if let Some(Some(own)) = flight {
             own.detach();
         }
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -76,7 +76,11 @@
     let addr = connection.addr();
     let response = connection.send(req, EXCHANGE).await?;
     let (head, body) = response.into_parts();
-    if head.headers.get("x-ran").is_some_and(|ran| ran == "not-run") {
+    if head
+        .headers
+        .get("x-ran")
+        .is_some_and(|ran| ran == "not-run")
+    {
         return Ok(Err(Declined));
     }
     let content_type = head.headers.get("content-type");
--- a/crates/daemon/src/inner/mod.rs
+++ b/crates/daemon/src/inner/mod.rs
@@ -49,7 +49,9 @@
     fn new(node: &Rc<Node>) -> Self {
         let cx = || Rc::clone(node);
         Self {
-            peers: voters::methods(control::methods(pull::methods(relay::methods(Methods::new(cx()))))),
+            peers: voters::methods(control::methods(pull::methods(relay::methods(
+                Methods::new(cx()),
+            )))),
             upstreams: announce::methods(Methods::new(cx())),
             operators: operate::methods(Methods::new(cx())),
         }
--- a/crates/daemon/src/inner/operate.rs
+++ b/crates/daemon/src/inner/operate.rs
@@ -52,10 +52,12 @@
     let until = clock::now() + APPLY_WITHIN;
     match voters::propose(node, Op::Change(change), until).await {
         Fate::Accepted(Reply::Change(reply)) => reply_of(reply),
-        Fate::Accepted(_) | Fate::Unknown => {
-            Err(Fault::unknown("the voters' answer was lost: send the same change again"))
-        }
-        Fate::Refused => Err(Fault::unavailable("no voter leads, so no change is accepted")),
+        Fate::Accepted(_) | Fate::Unknown => Err(Fault::unknown(
+            "the voters' answer was lost: send the same change again",
+        )),
+        Fate::Refused => Err(Fault::unavailable(
+            "no voter leads, so no change is accepted",
+        )),
     }
 }
 
--- a/crates/daemon/src/inner/pull.rs
+++ b/crates/daemon/src/inner/pull.rs
@@ -49,7 +49,9 @@
 
 fn hear_version(node: &Node, from: NodeId, version: Version) {
     let at = clock::now();
-    node.versions.borrow_mut().insert(from, HeardVersion { version, at });
+    node.versions
+        .borrow_mut()
+        .insert(from, HeardVersion { version, at });
 }
 
 /// Asks other nodes in turn, for as long as this one runs.
--- a/crates/daemon/src/inner/status.rs
+++ b/crates/daemon/src/inner/status.rs
@@ -54,7 +54,11 @@
             role: role(*id, peer, leader),
         }
     };
-    node.settings.peers.iter().map(|(id, peer)| row(id, peer)).collect()
+    node.settings
+        .peers
+        .iter()
+        .map(|(id, peer)| row(id, peer))
+        .collect()
 }
 
 fn standing(node: &Node, id: NodeId, version: Option<Version>) -> String {
@@ -111,7 +115,10 @@
     let routes = node.dispatch.routes.borrow();
     let rules = node.rules();
     let now = clock::now();
-    let routed = rules.models.keys().flat_map(|model| routes.routes(model, now));
+    let routed = rules
+        .models
+        .keys()
+        .flat_map(|model| routes.routes(model, now));
     let rows = routed.map(|r| ReplicaRow {
         replica: r.replica,
         model: r.model.clone(),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -239,7 +239,11 @@
 
     /// Counts a request of a class as in progress until the result is dropped.
     pub fn count_class(self: &Rc<Self>, class: Class) -> ClassTurn {
-        self.classes.borrow_mut().entry(class.clone()).or_default().running += 1;
+        self.classes
+            .borrow_mut()
+            .entry(class.clone())
+            .or_default()
+            .running += 1;
         ClassTurn {
             node: Rc::clone(self),
             class,
--- a/crates/daemon/src/voters/disk_writer.rs
+++ b/crates/daemon/src/voters/disk_writer.rs
@@ -104,7 +104,10 @@
 /// Reads what [`encode`] wrote.
 pub fn decode(restored: &disk::Restored) -> Result<vote::Restored, postcard::Error> {
     let snapshot = restored.snapshot.as_deref().map(postcard::from_bytes);
-    let records = restored.records.iter().map(|bytes| postcard::from_bytes::<Record>(bytes));
+    let records = restored
+        .records
+        .iter()
+        .map(|bytes| postcard::from_bytes::<Record>(bytes));
     Ok(vote::Restored {
         snapshot: snapshot.transpose()?,
         records: records.collect::<Result<_, _>>()?,
--- a/crates/daemon/src/voters/driver.rs
+++ b/crates/daemon/src/voters/driver.rs
@@ -210,7 +210,7 @@
                     None
                 }
             },
-            Payload::Nothing | Payload::Group(_) => None,
+            Payload::Blank | Payload::Group(_) => None,
         };
         let waiter = self.waiting.borrow_mut().remove(&entry.index);
         if let Some(waiter) = waiter {
@@ -239,11 +239,16 @@
         }
         self.reported.replace(Some(now));
         match (status.role, status.leader) {
-            (Role::Leader, _) => emit(&Event::Leading { term: status.term.0 }),
+            (Role::Leader, _) => emit(&Event::Leading {
+                term: status.term.0,
+            }),
             (_, Some(leader)) => emit(&Event::Following { leader }),
             _ => {}
         }
-        if matches!(status.standing, Standing::Replaced | Standing::Lost) {
+        if matches!(
+            status.standing,
+            Standing::OtherDisk(_) | Standing::RolledBack
+        ) {
             let reason = format!("{:?}", status.standing);
             emit(&Event::VoterLost { reason });
         }
--- a/crates/daemon/src/voters/propose.rs
+++ b/crates/daemon/src/voters/propose.rs
@@ -76,7 +76,9 @@
 
 async fn ask(node: &Rc<Node>, voter: NodeId, call: &Propose, op: &Op) -> Result<Proposed, Trouble> {
     if voter == node.id() {
-        return propose_here(node, op.clone()).await.map_err(|()| Trouble::MaybeTaken);
+        return propose_here(node, op.clone())
+            .await
+            .map_err(|()| Trouble::MaybeTaken);
     }
     let addr = node.settings.peers[&voter].internal;
     match node.peers.call(addr, call, WITHIN).await {
@@ -124,7 +126,11 @@
             true => standing_here(node, &call),
             false => {
                 let addr = node.settings.peers[&voter].internal;
-                node.peers.call(addr, &call, WITHIN).await.ok().and_then(|r| r.standing)
+                node.peers
+                    .call(addr, &call, WITHIN)
+                    .await
+                    .ok()
+                    .and_then(|r| r.standing)
             }
         };
         if standing.is_some() {
--- /dev/null
+++ b/crates/harness/src/caller.rs
@@ -0,0 +1,192 @@
+//! Talks to one node as a caller does.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use compio::runtime::Runtime;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+
+use net::Connection;
+use net::SendError;
+
+use crate::secret_of;
+
+/// Time allowed to connect.
+const CONNECT: Duration = Duration::from_secs(2);
+
+/// Time allowed to the head of an answer.
+const HEAD: Duration = Duration::from_secs(30);
+
+/// A caller with its secret, at one node.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    addr: SocketAddr,
+    secret: String,
+}
+
+/// An answer as it came.
+#[derive(Clone, Debug, Default)]
+pub struct Reply {
+    /// HTTP's status.
+    pub status: u16,
+    /// Its head.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: String,
+    /// From the request to each piece of the body.
+    pub pieces: Vec<Duration>,
+    /// Whether the body ended as it should.
+    pub whole: bool,
+}
+
+impl Caller {
+    /// A caller of this name.
+    pub fn new(addr: SocketAddr, name: &str) -> Self {
+        Self {
+            addr,
+            secret: secret_of(name),
+        }
+    }
+
+    /// Streams a chat.
+    pub fn chat(&self, prompt: &str, max_tokens: u32) -> Result<Reply, SendError> {
+        self.post(
+            "/v1/chat/completions",
+            &chat_body(prompt, max_tokens, true),
+            None,
+        )
+    }
+
+    /// Asks for a chat's whole answer at once.
+    pub fn whole_chat(&self, prompt: &str, max_tokens: u32) -> Result<Reply, SendError> {
+        self.post(
+            "/v1/chat/completions",
+            &chat_body(prompt, max_tokens, false),
+            None,
+        )
+    }
+
+    /// Calls a service, under a key if there is one.
+    pub fn call(&self, service: &str, body: &str, key: Option<&str>) -> Result<Reply, SendError> {
+        self.post(&format!("/v1/services/{service}"), body, key)
+    }
+
+    /// Fetches a path.
+    pub fn get(&self, path: &str) -> Result<Reply, SendError> {
+        let runtime = Runtime::new().expect("a runtime can be made");
+        runtime.block_on(self.exchange(Method::GET, path, "", None))
+    }
+
+    /// Posts a body.
+    pub fn post(&self, path: &str, body: &str, key: Option<&str>) -> Result<Reply, SendError> {
+        let runtime = Runtime::new().expect("a runtime can be made");
+        runtime.block_on(self.exchange(Method::POST, path, body, key))
+    }
+
+    /// Sends one request and reads its answer to the end.
+    pub async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: &str,
+        key: Option<&str>,
+    ) -> Result<Reply, SendError> {
+        let start = Instant::now();
+        let connection = Connection::open(self.addr, CONNECT).await?;
+        let response = connection
+            .send(self.request(method, path, body, key), HEAD)
+            .await?;
+        let (head, mut body) = response.into_parts();
+        let mut reply = Reply {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            whole: true,
+            ..Reply::default()
+        };
+        while let Some(frame) = body.frame().await {
+            match frame.map(http_body::Frame::into_data) {
+                Ok(Ok(data)) => {
+                    reply.body += &String::from_utf8_lossy(&data);
+                    reply.pieces.push(start.elapsed());
+                }
+                Ok(Err(_)) => {}
+                Err(_) => {
+                    reply.whole = false;
+                    break;
+                }
+            }
+        }
+        Ok(reply)
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: &str,
+        key: Option<&str>,
+    ) -> Request<Full<Bytes>> {
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.addr.to_string())
+            .header("authorization", format!("Bearer {}", self.secret))
+            .header("content-type", "application/json");
+        if let Some(key) = key {
+            builder = builder.header("idempotency-key", key);
+        }
+        builder
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .expect("the request is well formed")
+    }
+}
+
+impl Reply {
+    /// Whether a streamed answer has its end marker.
+    pub fn is_done(&self) -> bool {
+        self.whole && self.body.trim_end().ends_with("data: [DONE]")
+    }
+
+    /// The text of a streamed answer.
+    pub fn text(&self) -> String {
+        let events = self
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "));
+        let chunks = events.filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok());
+        let content = |c: serde_json::Value| {
+            c["choices"][0]["delta"]["content"]
+                .as_str()
+                .unwrap_or_default()
+                .to_owned()
+        };
+        chunks.map(content).collect()
+    }
+
+    /// What the answer says of the request's execution.
+    pub fn ran(&self) -> &str {
+        let ran = self.headers.get("x-ran");
+        ran.and_then(|v| v.to_str().ok()).unwrap_or_default()
+    }
+
+    /// The body as JSON.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+}
+
+fn chat_body(prompt: &str, max_tokens: u32, stream: bool) -> String {
+    serde_json::json!({
+        "model": "design-chat",
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": max_tokens,
+        "stream": stream,
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/harness/src/cluster.rs
@@ -0,0 +1,278 @@
+//! A set of processes in one temporary folder.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Fencing;
+use base::HostId;
+use base::NodeId;
+
+use crate::Caller;
+use crate::HostSpec;
+use crate::NodeSpec;
+use crate::Process;
+use crate::ServiceSpec;
+use crate::ports::free_addr;
+use crate::process::program_path;
+
+const PEER_SECRET: &str = "peers-0123456789abcdef";
+const UPSTREAM_SECRET: &str = "upstreams-0123456789abcdef";
+const OPERATOR_SECRET: &str = "operators-0123456789abcdef";
+
+/// Nodes, hosts and services, each a process. All end with it.
+#[derive(Debug)]
+pub struct Cluster {
+    folder: PathBuf,
+    specs: BTreeMap<NodeId, NodeSpec>,
+    addrs: BTreeMap<NodeId, Addrs>,
+    nodes: BTreeMap<NodeId, Process>,
+    hosts: BTreeMap<HostId, Process>,
+    services: Vec<(SocketAddr, Process)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Addrs {
+    callers: SocketAddr,
+    internal: SocketAddr,
+}
+
+impl Cluster {
+    /// Starts the nodes.
+    pub fn start(specs: &[NodeSpec]) -> io::Result<Self> {
+        let mut cluster = Self {
+            folder: new_folder()?,
+            specs: specs.iter().map(|spec| (spec.id, *spec)).collect(),
+            addrs: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            services: Vec::new(),
+        };
+        for spec in specs {
+            let addrs = Addrs {
+                callers: free_addr(),
+                internal: free_addr(),
+            };
+            cluster.addrs.insert(spec.id, addrs);
+        }
+        for (name, secret) in [
+            ("peers", PEER_SECRET),
+            ("upstreams", UPSTREAM_SECRET),
+            ("operators", OPERATOR_SECRET),
+        ] {
+            fs::write(cluster.folder.join(name), secret)?;
+        }
+        for spec in specs {
+            fs::write(cluster.settings_file(spec.id), cluster.settings(spec))?;
+            cluster.start_node(spec.id)?;
+        }
+        Ok(cluster)
+    }
+
+    /// Starts a node that is not running, or starts it again.
+    pub fn start_node(&mut self, id: NodeId) -> io::Result<()> {
+        let settings = self.settings_file(id).display().to_string();
+        let args = ["--settings".to_owned(), settings];
+        let log = self.folder.join(format!("{id}.log"));
+        let process = Process::spawn("berylbayd", &args, &log)?;
+        self.nodes.insert(id, process);
+        Ok(())
+    }
+
+    /// Starts one host of an engine.
+    pub fn start_host(&mut self, spec: HostSpec) -> io::Result<()> {
+        let mut args = vec!["engine".to_owned()];
+        let mut add = |name: &str, value: String| args.extend([name.to_owned(), value]);
+        add("--host", spec.id.to_string());
+        add("--centre", spec.centre.to_string());
+        add("--domain", spec.domain.to_string());
+        add("--step-ms", spec.step_ms.to_string());
+        add(
+            "--secret-file",
+            self.folder.join("upstreams").display().to_string(),
+        );
+        for addr in self.entries_of(spec.centre) {
+            add("--entry", addr.to_string());
+        }
+        if spec.fencing == Fencing::Checked {
+            args.push("--check-fences".to_owned());
+        }
+        let log = self.folder.join(format!("{}.log", spec.id));
+        let process = Process::spawn("standin", &args, &log)?;
+        self.hosts.insert(spec.id, process);
+        Ok(())
+    }
+
+    /// Starts one process of a service and gives its address.
+    pub fn start_service(&mut self, spec: &ServiceSpec) -> io::Result<SocketAddr> {
+        let addr = free_addr();
+        let mut args = vec!["service".to_owned()];
+        let mut add = |name: &str, value: String| args.extend([name.to_owned(), value]);
+        add("--name", spec.name.clone());
+        add("--centre", spec.centre.to_string());
+        add("--listen", addr.to_string());
+        add("--delay-ms", spec.delay_ms.to_string());
+        add("--drop-answers", spec.drop_answers.to_string());
+        add(
+            "--secret-file",
+            self.folder.join("upstreams").display().to_string(),
+        );
+        for entry in self.entries_of(spec.centre) {
+            add("--entry", entry.to_string());
+        }
+        let log = self
+            .folder
+            .join(format!("{}-{}.log", spec.name, addr.port()));
+        let process = Process::spawn("standin", &args, &log)?;
+        self.services.push((addr, process));
+        Ok(addr)
+    }
+
+    /// A node's process.
+    pub fn node(&mut self, id: NodeId) -> &mut Process {
+        self.nodes.get_mut(&id).expect("the node was started")
+    }
+
+    /// A host's process.
+    pub fn host(&mut self, id: HostId) -> &mut Process {
+        self.hosts.get_mut(&id).expect("the host was started")
+    }
+
+    /// A service's process, by its address.
+    pub fn service(&mut self, addr: SocketAddr) -> &mut Process {
+        let found = self.services.iter_mut().find(|(at, _)| *at == addr);
+        &mut found.expect("the service was started").1
+    }
+
+    /// A node's folder for durable state.
+    pub fn data(&self, id: NodeId) -> PathBuf {
+        self.folder.join(id.to_string())
+    }
+
+    /// Where callers reach a node.
+    pub fn callers_addr(&self, id: NodeId) -> SocketAddr {
+        self.addrs[&id].callers
+    }
+
+    /// Where other processes reach a node.
+    pub fn internal_addr(&self, id: NodeId) -> SocketAddr {
+        self.addrs[&id].internal
+    }
+
+    /// A caller at a node.
+    pub fn caller(&self, id: NodeId, name: &str) -> Caller {
+        Caller::new(self.addrs[&id].callers, name)
+    }
+
+    /// The folder of settings, secrets and logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Runs the operators' tool against one node.
+    pub fn tool(&self, node: NodeId, args: &[&str]) -> io::Result<Output> {
+        Command::new(program_path("berylbay"))
+            .arg("--node")
+            .arg(self.addrs[&node].internal.to_string())
+            .arg("--secret-file")
+            .arg(self.folder.join("operators"))
+            .args(args)
+            .output()
+    }
+
+    /// Writes a rules file and puts it in force. Tries again until the voters have a leader.
+    pub fn apply(&self, node: NodeId, text: &str, limit: Duration) -> io::Result<Output> {
+        let file = self.folder.join("rules.toml");
+        fs::write(&file, text)?;
+        let file = file.display().to_string();
+        let start = Instant::now();
+        loop {
+            let output = self.tool(node, &["apply", &file])?;
+            if output.status.success() || limit <= start.elapsed() {
+                return Ok(output);
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+
+    /// What all processes wrote, for a failed test.
+    pub fn logs(&self) -> String {
+        let mut text = String::new();
+        for (id, process) in &self.nodes {
+            text += &format!("--- {id}\n{}\n", process.log());
+        }
+        for (id, process) in &self.hosts {
+            text += &format!("--- {id}\n{}\n", process.log());
+        }
+        text
+    }
+
+    fn entries_of(&self, centre: base::CentreId) -> Vec<SocketAddr> {
+        let here = self.specs.values().filter(|spec| spec.centre == centre);
+        here.map(|spec| self.addrs[&spec.id].internal).collect()
+    }
+
+    fn settings_file(&self, id: NodeId) -> PathBuf {
+        self.folder.join(format!("{id}.toml"))
+    }
+
+    fn settings(&self, spec: &NodeSpec) -> String {
+        let addrs = self.addrs[&spec.id];
+        let mut text = format!(
+            "[node]\nid = \"{}\"\ncentre = \"{}\"\ncallers = \"{}\"\ninternal = \"{}\"\n",
+            spec.id, spec.centre, addrs.callers, addrs.internal
+        );
+        if spec.voter {
+            text += &format!("data = \"{}\"\n", spec.id);
+        }
+        text += "\n[secrets]\npeers = \"peers\"\nupstreams = \"upstreams\"\n";
+        text += "operators = \"operators\"\n\n[limits]\nnotice = \"300ms\"\n";
+        for (id, peer) in &self.specs {
+            let internal = self.addrs[id].internal;
+            text += &format!("\n[peers.{id}]\ncentre = \"{}\"\n", peer.centre);
+            text += &format!("internal = \"{internal}\"\nvoter = {}\n", peer.voter);
+        }
+        text
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.services.clear();
+        self.hosts.clear();
+        self.nodes.clear();
+        if std::env::var_os("KEEP_LOGS").is_none() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Waits until `done`, at most for `limit`. True if it came to be.
+pub fn wait_until(limit: Duration, mut done: impl FnMut() -> bool) -> bool {
+    let start = Instant::now();
+    while start.elapsed() < limit {
+        if done() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    done()
+}
+
+fn new_folder() -> io::Result<PathBuf> {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("berylbay-{}-{count}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
--- /dev/null
+++ b/crates/harness/src/lib.rs
@@ -0,0 +1,22 @@
+//! Starts nodes and stand-ins as processes, for the demo and the process tests.
+//!
+//! A [`Cluster`] owns a temporary folder and every process that it started.
+//! All of them end with it. A [`Caller`] talks to one node as a caller does.
+
+mod caller;
+mod cluster;
+mod ports;
+mod process;
+mod rules;
+mod spec;
+
+pub use caller::Caller;
+pub use caller::Reply;
+pub use cluster::Cluster;
+pub use cluster::wait_until;
+pub use process::Process;
+pub use rules::rules_text;
+pub use rules::secret_of;
+pub use spec::HostSpec;
+pub use spec::NodeSpec;
+pub use spec::ServiceSpec;
--- /dev/null
+++ b/crates/harness/src/spec.rs
@@ -0,0 +1,115 @@
+//! What is to be started.
+
+use base::CentreId;
+use base::DomainId;
+use base::Fencing;
+use base::HostId;
+use base::NodeId;
+
+/// A node.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeSpec {
+    /// Its id.
+    pub id: NodeId,
+    /// Its data centre.
+    pub centre: CentreId,
+    /// Whether it holds the durable state.
+    pub voter: bool,
+}
+
+/// A host of a model engine.
+#[derive(Clone, Copy, Debug)]
+pub struct HostSpec {
+    /// Its id.
+    pub id: HostId,
+    /// Its data centre.
+    pub centre: CentreId,
+    /// Its fabric domain.
+    pub domain: DomainId,
+    /// Whether it refuses old orders.
+    pub fencing: Fencing,
+    /// Milliseconds between two tokens.
+    pub step_ms: u64,
+}
+
+/// A process of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceSpec {
+    /// The service's name.
+    pub name: String,
+    /// Its data centre.
+    pub centre: CentreId,
+    /// Milliseconds that a call takes.
+    pub delay_ms: u64,
+    /// Calls that run but never get their answer.
+    pub drop_answers: u32,
+}
+
+impl NodeSpec {
+    /// A voter.
+    pub fn voter(id: u16, centre: u16) -> Self {
+        Self {
+            id: NodeId(id),
+            centre: CentreId(centre),
+            voter: true,
+        }
+    }
+
+    /// An entry node without a disk.
+    pub fn entry(id: u16, centre: u16) -> Self {
+        Self {
+            id: NodeId(id),
+            centre: CentreId(centre),
+            voter: false,
+        }
+    }
+}
+
+impl HostSpec {
+    /// A host that refuses old orders, in the first domain of its data centre.
+    pub fn new(id: u32, centre: u16) -> Self {
+        Self {
+            id: HostId(id),
+            centre: CentreId(centre),
+            domain: DomainId(1),
+            fencing: Fencing::Checked,
+            step_ms: 20,
+        }
+    }
+
+    /// The same host with an engine that takes any order.
+    pub fn ignoring_fences(mut self) -> Self {
+        self.fencing = Fencing::Ignored;
+        self
+    }
+
+    /// The same host with another time between tokens.
+    pub fn step_ms(mut self, step_ms: u64) -> Self {
+        self.step_ms = step_ms;
+        self
+    }
+}
+
+impl ServiceSpec {
+    /// A service that answers quickly.
+    pub fn new(name: &str, centre: u16) -> Self {
+        Self {
+            name: name.to_owned(),
+            centre: CentreId(centre),
+            delay_ms: 5,
+            drop_answers: 0,
+        }
+    }
+
+    /// The same service with slower calls.
+    pub fn delay_ms(mut self, delay_ms: u64) -> Self {
+        self.delay_ms = delay_ms;
+        self
+    }
+
+    /// The same service, which runs this many calls without ever answering them.
+    pub fn drop_answers(mut self, count: u32) -> Self {
+        self.drop_answers = count;
+        self
+    }
+}
