--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -83,6 +83,11 @@
     /// One life of a process. A restart takes a larger one.
     Incarnation, u64, "i"
 );
+id!(
+    /// The identity of a data folder, drawn at random when it was empty. A wiped
+    /// folder gets another one.
+    DiskId, u64, "d"
+);
 id!(
     /// A fencing number. An order with a smaller one than was seen before is old.
     Fence, u64, "e"
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -27,6 +27,7 @@
 pub use host::ServiceReport;
 pub use id::CentreId;
 pub use id::ChangeId;
+pub use id::DiskId;
 pub use id::DomainId;
 pub use id::Fence;
 pub use id::HostId;
--- /dev/null
+++ b/crates/disk/src/error.rs
@@ -0,0 +1,105 @@
+//! What can go wrong with a data folder, and what to do about it.
+
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+
+use derive_more::Display;
+use derive_more::Error;
+
+/// Why a data folder cannot be opened.
+#[derive(Debug, Display, Error)]
+pub enum OpenError {
+    /// Another process has it open.
+    #[display("data folder \"{}\" is in use by another process", folder.display())]
+    InUse {
+        /// The folder.
+        folder: PathBuf,
+    },
+    /// The operating system refused.
+    #[display("\"{}\": {source}", path.display())]
+    Io {
+        /// The file or folder.
+        path: PathBuf,
+        /// What it said.
+        source: io::Error,
+    },
+    /// Records that were synced cannot be read any more.
+    #[display(
+        "\"{}\" is damaged at byte {offset}: move the data folder aside, start with an empty \
+         one and replace this voter",
+        file.display()
+    )]
+    Corrupt {
+        /// The damaged file.
+        file: PathBuf,
+        /// Where the first damaged frame starts, in bytes.
+        offset: u64,
+    },
+    /// A file that must exist does not.
+    #[display(
+        "\"{}\" is missing: bring it back, or move the data folder aside, start with an empty \
+         one and replace this voter",
+        file.display()
+    )]
+    Missing {
+        /// The missing file.
+        file: PathBuf,
+    },
+}
+
+/// Why records or a snapshot could not be written.
+#[derive(Debug, Display, Error)]
+pub enum WriteError {
+    /// No space is left. Everything since the last sync was taken back; it can
+    /// be appended again once there is space.
+    #[display("no space left for \"{}\": free some, it is tried again", path.display())]
+    Full {
+        /// The file.
+        path: PathBuf,
+    },
+    /// The batch is larger than a frame may be.
+    #[display("a batch of {bytes} bytes exceeds the limit of {limit}")]
+    TooLarge {
+        /// Its size in bytes.
+        bytes: u64,
+        /// The limit in bytes.
+        limit: u64,
+    },
+    /// The operating system refused. What the disk holds is not known; the log
+    /// takes nothing more until it is opened again.
+    #[display("\"{}\": {source}", path.display())]
+    Io {
+        /// The file.
+        path: PathBuf,
+        /// What it said.
+        source: io::Error,
+    },
+    /// An earlier write failed in a way that leaves the disk's content unknown.
+    #[display("an earlier write failed: the data folder must be opened again")]
+    Failed,
+}
+
+impl OpenError {
+    pub(crate) fn io(path: &Path) -> impl FnOnce(io::Error) -> Self {
+        let path = path.to_owned();
+        move |source| Self::Io { path, source }
+    }
+
+    pub(crate) fn corrupt(file: &Path, offset: usize) -> Self {
+        Self::Corrupt {
+            file: file.to_owned(),
+            offset: offset as u64,
+        }
+    }
+}
+
+impl WriteError {
+    pub(crate) fn io(path: &Path) -> impl FnOnce(io::Error) -> Self {
+        let path = path.to_owned();
+        move |source| match source.kind() {
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => Self::Full { path },
+            _ => Self::Io { path, source },
+        }
+    }
+}
--- /dev/null
+++ b/crates/vote/src/change.rs
@@ -0,0 +1,178 @@
+//! Changes of the members, one at a time.
+//!
+//! The members that an entry names are in force as soon as the entry is in the
+//! log. One change must be committed before the next, so any majority of the
+//! old members shares a voter with any majority of the new ones. A new member
+//! is a learner until it has caught up.
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Duty;
+use crate::Group;
+use crate::Index;
+use crate::Payload;
+use crate::Seat;
+use crate::Ticket;
+use crate::Trust;
+use crate::Voter;
+use crate::progress::Progress;
+use crate::role::State;
+use base::DiskId;
+use base::NodeId;
+use base::Time;
+
+const MAX_MEMBERS: usize = 7;
+
+/// A learner this far behind becomes a voter.
+const CAUGHT_UP_ENTRIES: u64 = 64;
+
+/// A change of the members.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// A node joins with this disk. It counts once it has caught up.
+    Add {
+        /// The node.
+        node: NodeId,
+        /// Its disk.
+        disk: DiskId,
+    },
+    /// A node leaves.
+    Remove {
+        /// The node.
+        node: NodeId,
+    },
+}
+
+/// Why the members were not changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+pub enum ChangeError {
+    /// Another voter leads, or none.
+    #[display("this voter does not lead")]
+    NotLeader {
+        /// Who leads, if that is known.
+        leader: Option<NodeId>,
+    },
+    /// An earlier change is still under way.
+    #[display("another change of the voters is under way")]
+    Busy,
+    /// The node is a member already.
+    #[display("{node} is a member with disk {disk}: remove it first")]
+    AlreadyMember {
+        /// The node.
+        node: NodeId,
+        /// Its disk in the group.
+        disk: DiskId,
+    },
+    /// The node is no member.
+    #[display("{node} is not a member")]
+    NotMember {
+        /// The node.
+        node: NodeId,
+    },
+    /// The last voter cannot leave.
+    #[display("{node} is the last voter")]
+    LastVoter {
+        /// The node.
+        node: NodeId,
+    },
+    /// There are as many members as there may be.
+    #[display("a group has at most {max} members")]
+    Full {
+        /// The limit.
+        max: usize,
+    },
+}
+
+impl Voter {
+    /// Changes the members if this voter leads.
+    pub fn change(&mut self, change: Change, now: Time) -> Result<Ticket, ChangeError> {
+        self.advance(now);
+        let group = self.changeable()?;
+        let group = match change {
+            Change::Add { node, disk } => with_learner(group, node, disk)?,
+            Change::Remove { node } => without(group, node)?,
+        };
+        Ok(self.change_group(group))
+    }
+
+    /// Lets a learner count that has caught up, and steps down once this voter's
+    /// own removal is committed.
+    pub(crate) fn follow_group(&mut self) {
+        if let Some(group) = self.with_promoted() {
+            self.change_group(group);
+        }
+        if !self.is_voter() && self.is_group_committed() {
+            self.become_follower(self.term, None);
+        }
+    }
+
+    /// The members, if they may be changed now.
+    fn changeable(&self) -> Result<Group, ChangeError> {
+        let leader = self.leader();
+        let State::Leader(state) = &self.state else {
+            return Err(ChangeError::NotLeader { leader });
+        };
+        let group = self.group().cloned().unwrap_or_default();
+        if !state.is_settled(self.commit) || !self.is_group_committed() {
+            return Err(ChangeError::Busy);
+        }
+        Ok(group)
+    }
+
+    fn is_group_committed(&self) -> bool {
+        let since = self.log.group().map(|(since, _)| since);
+        since.is_some_and(|since| since <= self.commit)
+    }
+
+    fn with_promoted(&self) -> Option<Group> {
+        let mut group = self.changeable().ok()?;
+        let State::Leader(leader) = &self.state else {
+            return None;
+        };
+        let enough = Index(self.log.last().index.0.saturating_sub(CAUGHT_UP_ENTRIES));
+        let learner = group.seats.iter_mut().find(|(node, seat)| {
+            let progress = leader.progress.get(node);
+            let caught_up = |p: &Progress| {
+                p.trust == Trust::Trusted && Index::default() < p.matched && enough <= p.matched
+            };
+            seat.duty == Duty::Learner && progress.is_some_and(caught_up)
+        });
+        learner?.1.duty = Duty::Voter;
+        Some(group)
+    }
+
+    fn change_group(&mut self, group: Group) -> Ticket {
+        self.sync_progress(&group);
+        self.append_own(Payload::Group(group))
+    }
+}
+
+fn with_learner(mut group: Group, node: NodeId, disk: DiskId) -> Result<Group, ChangeError> {
+    if let Some(seat) = group.seats.get(&node) {
+        let disk = seat.disk;
+        return Err(ChangeError::AlreadyMember { node, disk });
+    }
+    if group.seats.values().any(|seat| seat.duty == Duty::Learner) {
+        return Err(ChangeError::Busy);
+    }
+    if MAX_MEMBERS <= group.seats.len() {
+        let max = MAX_MEMBERS;
+        return Err(ChangeError::Full { max });
+    }
+    let duty = Duty::Learner;
+    group.seats.insert(node, Seat { disk, duty });
+    Ok(group)
+}
+
+fn without(mut group: Group, node: NodeId) -> Result<Group, ChangeError> {
+    if group.seats.remove(&node).is_none() {
+        return Err(ChangeError::NotMember { node });
+    }
+    if group.voters().next().is_none() {
+        return Err(ChangeError::LastVoter { node });
+    }
+    Ok(group)
+}
--- /dev/null
+++ b/crates/vote/src/election.rs
@@ -0,0 +1,198 @@
+//! Elections.
+//!
+//! A voter that misses its leader first asks whether the others would vote for
+//! it, which binds nobody and raises no term. Only with a majority of such
+//! answers does it ask in earnest. Nobody answers yes while it hears a leader.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::Answer;
+use crate::Ask;
+use crate::Ballot;
+use crate::BatchId;
+use crate::Body;
+use crate::Payload;
+use crate::Phase;
+use crate::Term;
+use crate::Trust;
+use crate::Voter;
+use crate::progress::Progress;
+use crate::role::Candidate;
+use crate::role::Leader;
+use crate::role::State;
+use base::DiskId;
+use base::NodeId;
+use base::Time;
+
+impl Voter {
+    pub(crate) fn reset_election(&mut self) {
+        let timing = &self.cfg.timing;
+        let spread = timing.election_max.saturating_sub(timing.election_min);
+        let extra = spread.mul_f64(self.rng.f64());
+        self.election_at = self.now + timing.election_min + extra;
+    }
+
+    pub(crate) fn campaign(&mut self) {
+        self.reset_election();
+        let loyal = self.now < self.loyal_until;
+        let able = self.trust == Trust::Trusted && self.is_voter() && !self.is_disk_stalled();
+        if loyal || !able {
+            return;
+        }
+        self.stand(Phase::Before, self.term.next(), BatchId::default());
+    }
+
+    pub(crate) fn become_follower(&mut self, term: Term, leader: Option<NodeId>) {
+        if self.term < term {
+            self.promise(term, None);
+        }
+        if let State::Leader(_) = self.state {
+            self.reset_election();
+        }
+        self.fail_reads();
+        self.state = State::Follower { leader };
+    }
+
+    pub(crate) fn on_ask(&mut self, from: NodeId, disk: DiskId, ask: Ask) {
+        self.check_own_floor(ask.floor);
+        if self.trust == Trust::Distrusted {
+            return;
+        }
+        self.refuse(from, disk);
+        let loyal = self.now < self.loyal_until || self.lease(self.now).is_some();
+        let complete = self.log.last() <= ask.last && self.floor(from, disk) <= ask.last.index;
+        let granted = !loyal && self.grant(from, ask, complete);
+        let (term, answer) = if granted {
+            (ask.term, Answer::Granted)
+        } else {
+            (self.term, Answer::Refused)
+        };
+        let ballot = self.message(Body::Ballot(Ballot {
+            phase: ask.phase,
+            term,
+            answer,
+        }));
+        match ask.phase {
+            Phase::Before => self.outbox.send(from, ballot),
+            Phase::Real => self.outbox.send_synced(from, ballot),
+        }
+    }
+
+    pub(crate) fn on_ballot(&mut self, from: NodeId, disk: DiskId, ballot: Ballot) {
+        let counts = self.group().is_some_and(|g| g.has_voter(from, disk));
+        if !counts {
+            return;
+        }
+        if ballot.answer == Answer::Refused {
+            if self.term < ballot.term {
+                self.become_follower(ballot.term, None);
+            }
+            return;
+        }
+        let term = self.term;
+        let State::Candidate(candidate) = &mut self.state else {
+            return;
+        };
+        let asked = match candidate.phase {
+            Phase::Before => term.next(),
+            Phase::Real => term,
+        };
+        if ballot.phase == candidate.phase && ballot.term == asked {
+            candidate.votes.insert(from);
+            self.check_election();
+        }
+    }
+
+    /// Goes on to the next phase once a majority has voted for this node.
+    pub(crate) fn check_election(&mut self) {
+        let State::Candidate(candidate) = &self.state else {
+            return;
+        };
+        let Some(group) = self.group() else {
+            return;
+        };
+        let own = usize::from(self.outbox.is_synced(candidate.own) && self.is_voter());
+        if candidate.votes.len() + own < group.quorum() {
+            return;
+        }
+        match candidate.phase {
+            Phase::Before => {
+                self.promise(self.term.next(), Some(self.cfg.id));
+                self.stand(Phase::Real, self.term, self.outbox.current());
+            }
+            Phase::Real => self.lead(),
+        }
+    }
+
+    fn stand(&mut self, phase: Phase, term: Term, own: BatchId) {
+        self.state = State::Candidate(Candidate {
+            phase,
+            votes: BTreeSet::new(),
+            own,
+        });
+        let last = self.log.last();
+        for (node, disk) in self.other_voters() {
+            let floor = self.floor(node, disk);
+            let ask = Ask {
+                phase,
+                term,
+                last,
+                floor,
+            };
+            let message = self.message(Body::Ask(ask));
+            match phase {
+                Phase::Before => self.outbox.send(node, message),
+                Phase::Real => self.outbox.send_synced(node, message),
+            }
+        }
+        self.check_election();
+    }
+
+    fn other_voters(&self) -> Vec<(NodeId, DiskId)> {
+        let Some(group) = self.group() else {
+            return Vec::new();
+        };
+        let others = group.voters().filter(|node| *node != self.cfg.id);
+        others.map(|node| (node, group.seats[&node].disk)).collect()
+    }
+
+    fn grant(&mut self, from: NodeId, ask: Ask, complete: bool) -> bool {
+        match ask.phase {
+            Phase::Before => self.term < ask.term && complete,
+            Phase::Real => {
+                if self.term < ask.term {
+                    self.become_follower(ask.term, None);
+                }
+                let free = self.vote.is_none_or(|vote| vote == from);
+                let granted = self.term == ask.term && free && complete;
+                if granted && self.vote.is_none() {
+                    self.promise(ask.term, Some(from));
+                    self.reset_election();
+                }
+                granted
+            }
+        }
+    }
+
+    fn lead(&mut self) {
+        let next = self.log.last().index.next();
+        let others = self.group().into_iter().flat_map(|g| &g.seats);
+        let progress: BTreeMap<NodeId, Progress> = others
+            .filter(|(node, _)| **node != self.cfg.id)
+            .map(|(node, seat)| (*node, Progress::new(seat.disk, next)))
+            .collect();
+        self.state = State::Leader(Leader {
+            first: next,
+            since: self.now,
+            round: 0,
+            beat_round: 0,
+            beat_at: Time::ZERO,
+            progress,
+            reads: Vec::new(),
+        });
+        self.notice = None;
+        self.append_own(Payload::Blank);
+        self.beat();
+    }
+}
--- /dev/null
+++ b/crates/vote/src/group.rs
@@ -0,0 +1,83 @@
+//! The members of a group of voters.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use base::DiskId;
+use base::NodeId;
+
+/// A group, named after the disk of the voter that formed it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+#[display("g{_0}")]
+pub struct GroupId(pub u64);
+
+/// What a member does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Duty {
+    /// Receives the log until it has caught up, and does not count.
+    Learner,
+    /// Counts towards a majority.
+    Voter,
+}
+
+/// One member. It is a node together with a disk: a node with another disk is
+/// not this member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Seat {
+    /// The disk.
+    pub disk: DiskId,
+    /// What it does.
+    pub duty: Duty,
+}
+
+/// The members.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Group {
+    /// The group's name, which never changes.
+    pub id: GroupId,
+    /// The members.
+    pub seats: BTreeMap<NodeId, Seat>,
+}
+
+impl Group {
+    /// Whether this node with this disk is a member.
+    pub fn has(&self, node: NodeId, disk: DiskId) -> bool {
+        self.seats.get(&node).is_some_and(|seat| seat.disk == disk)
+    }
+
+    /// Whether this node with this disk is a voter.
+    pub fn has_voter(&self, node: NodeId, disk: DiskId) -> bool {
+        self.has(node, disk) && self.is_voter(node)
+    }
+
+    /// Whether this node is a voter, with whatever disk.
+    pub fn is_voter(&self, node: NodeId) -> bool {
+        let seat = self.seats.get(&node);
+        seat.is_some_and(|seat| seat.duty == Duty::Voter)
+    }
+
+    /// The voters.
+    pub fn voters(&self) -> impl Iterator<Item = NodeId> + '_ {
+        let voters = self.seats.iter().filter(|(_, s)| s.duty == Duty::Voter);
+        voters.map(|(node, _)| *node)
+    }
+
+    /// How many voters make a majority.
+    pub fn quorum(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// The largest value that a majority of the voters has reached.
+    pub fn reached<Value: Ord + Default>(&self, of: impl Fn(NodeId) -> Value) -> Value {
+        let mut values: Vec<_> = self.voters().map(of).collect();
+        values.sort_unstable();
+        let at = values.len().checked_sub(self.quorum());
+        at.map_or_else(Value::default, |at| values.swap_remove(at))
+    }
+}
--- a/crates/vote/src/lib.rs
+++ b/crates/vote/src/lib.rs
@@ -1,1 +1,85 @@
 //! Agreement among the voters on one log of commands.
+//!
+//! A [`Voter`] is one member of a group of usually three or five. One of them
+//! leads: it takes commands, copies them to the others and reports them as
+//! committed once a majority has them on disk. A voter is a pure state machine:
+//! the daemon gives it the time and what came in, and carries out its
+//! [`Effects`]:
+//!
+//! 1. Call [`Voter::receive`], [`Voter::tick`], [`Voter::propose`] and so on.
+//! 2. Call [`Voter::take`]. Send its messages, apply its entries.
+//! 3. Write its batch to disk, sync, then call [`Voter::synced`]. Meanwhile go
+//!    on with 1. Batches are written in their order.
+//!
+//! Messages that rest on records are held back until these are synced, and a
+//! voter counts itself only then.
+
+mod blob;
+mod change;
+mod config;
+mod effects;
+mod election;
+mod entry;
+mod follow;
+mod form;
+mod group;
+mod install;
+mod log;
+mod message;
+mod outbox;
+mod progress;
+mod read;
+mod replicate;
+mod role;
+mod status;
+mod voter;
+
+pub use crate::blob::Blob;
+pub use crate::change::Change;
+pub use crate::change::ChangeError;
+pub use crate::config::Config;
+pub use crate::config::Limits;
+pub use crate::config::Timing;
+pub use crate::effects::Batch;
+pub use crate::effects::BatchId;
+pub use crate::effects::Effects;
+pub use crate::effects::Outgoing;
+pub use crate::effects::ReadAnswer;
+pub use crate::effects::ReadId;
+pub use crate::effects::ReadOutcome;
+pub use crate::effects::Work;
+pub use crate::entry::Entry;
+pub use crate::entry::Index;
+pub use crate::entry::Payload;
+pub use crate::entry::Position;
+pub use crate::entry::Record;
+pub use crate::entry::Restored;
+pub use crate::entry::Snapshot;
+pub use crate::entry::Term;
+pub use crate::entry::Ticket;
+pub use crate::group::Duty;
+pub use crate::group::Group;
+pub use crate::group::GroupId;
+pub use crate::group::Seat;
+pub use crate::message::Ack;
+pub use crate::message::Answer;
+pub use crate::message::Append;
+pub use crate::message::Ask;
+pub use crate::message::Ballot;
+pub use crate::message::Beat;
+pub use crate::message::Body;
+pub use crate::message::Floor;
+pub use crate::message::Install;
+pub use crate::message::Message;
+pub use crate::message::Notice;
+pub use crate::message::Outcome;
+pub use crate::message::Phase;
+pub use crate::read::Lease;
+pub use crate::replicate::ProposeError;
+pub use crate::status::Peer;
+pub use crate::status::Role;
+pub use crate::status::Standing;
+pub use crate::status::Status;
+pub use crate::status::Stranger;
+pub use crate::status::Trust;
+pub use crate::voter::Voter;
--- /dev/null
+++ b/crates/vote/src/message.rs
@@ -0,0 +1,198 @@
+//! Messages between voters.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Blob;
+use crate::Entry;
+use crate::Group;
+use crate::GroupId;
+use crate::Index;
+use crate::Position;
+use crate::Term;
+use base::DiskId;
+use base::NodeId;
+use base::Time;
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// The sender's disk.
+    pub disk: DiskId,
+    /// The sender's group, none if it has none yet.
+    pub group: Option<GroupId>,
+    /// What it says.
+    pub body: Body,
+}
+
+/// What a message says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// I have an empty disk and belong to no group.
+    Hello {
+        /// The receiver's disk as far as the sender has met it.
+        met: Option<DiskId>,
+    },
+    /// Your disk is a member of this group.
+    Invite {
+        /// The disk that is meant.
+        disk: DiskId,
+        /// The first entry of the log, if it is still there.
+        first: Option<Entry>,
+    },
+    /// I belong to the group now.
+    Joined,
+    /// You cannot take part.
+    Notice {
+        /// The entry that named the members the sender knows.
+        since: Index,
+        /// Why.
+        notice: Notice,
+    },
+    /// Vote for me.
+    Ask(Ask),
+    /// An answer to that.
+    Ballot(Ballot),
+    /// Entries, or a heartbeat if there are none.
+    Append(Append),
+    /// A piece of a snapshot.
+    Install(Install),
+    /// An answer to either.
+    Ack(Ack),
+}
+
+/// Why a node cannot take part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Notice {
+    /// A group exists and the node is no member.
+    NotMember,
+    /// The node is a member with another disk.
+    OtherDisk(DiskId),
+    /// The disk had acknowledged entries up to this one and has lost some.
+    RolledBack(Index),
+}
+
+/// The phase of an election.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Phase {
+    /// Would you vote for me? Binds nobody.
+    Before,
+    /// Vote for me.
+    Real,
+}
+
+/// A request for a vote.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The phase.
+    pub phase: Phase,
+    /// The term in which the sender would lead.
+    pub term: Term,
+    /// The sender's last entry.
+    pub last: Position,
+    /// What the receiver's disk has at least, as the sender knows.
+    pub floor: Index,
+}
+
+/// Whether a vote was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Answer {
+    /// It was.
+    Granted,
+    /// It was not.
+    Refused,
+}
+
+/// An answer to a request for a vote.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ballot {
+    /// The phase.
+    pub phase: Phase,
+    /// The term asked for if the vote was given, else the voter's term.
+    pub term: Term,
+    /// The answer.
+    pub answer: Answer,
+}
+
+/// Marks when the leader sent something. Its answer gives it back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Beat {
+    /// Counts the leader's messages.
+    pub round: u64,
+    /// The leader's clock.
+    pub sent: Time,
+}
+
+/// What a disk has at least: it acknowledged committed entries up to here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Floor {
+    /// The node.
+    pub node: NodeId,
+    /// Its disk.
+    pub disk: DiskId,
+    /// The index.
+    pub index: Index,
+}
+
+/// Entries for a follower.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Append {
+    /// The leader's term.
+    pub term: Term,
+    /// When it was sent.
+    pub beat: Beat,
+    /// The entry before the first of these.
+    pub prev: Position,
+    /// The entries.
+    pub entries: Vec<Entry>,
+    /// Everything up to here is committed.
+    pub commit: Index,
+    /// What the members' disks have at least. Entries carry it for the receiver
+    /// only, heartbeats for all.
+    pub floors: Vec<Floor>,
+}
+
+/// A piece of a snapshot for a follower that is far behind.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Install {
+    /// The leader's term.
+    pub term: Term,
+    /// When it was sent.
+    pub beat: Beat,
+    /// The last entry in the snapshot.
+    pub at: Position,
+    /// The members at that place.
+    pub group: Group,
+    /// The size of the whole state in bytes.
+    pub total: u64,
+    /// Where this piece starts.
+    pub offset: u64,
+    /// The piece.
+    pub chunk: Blob,
+}
+
+/// What became of entries or a piece of a snapshot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The log equals the leader's up to here, on disk.
+    Matched(Index),
+    /// The entry before was another one; the leader should go on from here.
+    Mismatch(Index),
+    /// This many bytes of the snapshot have arrived.
+    Received(u64),
+    /// The sender of the entries does not lead any more.
+    OldTerm,
+    /// The follower's disk has lost entries: it does not count.
+    Distrusted,
+}
+
+/// A follower's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ack {
+    /// The follower's term.
+    pub term: Term,
+    /// Which message it answers.
+    pub beat: Beat,
+    /// What became of it.
+    pub outcome: Outcome,
+}
--- /dev/null
+++ b/crates/vote/src/read.rs
@@ -0,0 +1,109 @@
+//! Reads that are current, and the leader's lease.
+//!
+//! A read is confirmed by a majority that answers what was sent after the read
+//! began. It needs no clock. A lease lets the leader answer at once: a majority
+//! has answered a message sent less than the lease ago, and none of them votes
+//! for another leader within the longer `election_min` of receiving it. That
+//! rests on clocks which go on while a process is frozen.
+
+use crate::Index;
+use crate::ProposeError;
+use crate::ReadAnswer;
+use crate::ReadId;
+use crate::ReadOutcome;
+use crate::Voter;
+use crate::role::State;
+use base::Time;
+
+/// What a leader may answer from its own state, and how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Lease {
+    /// Until then by this process's clock.
+    pub until: Time,
+    /// A state that contains all entries up to here is current.
+    pub index: Index,
+}
+
+/// A read that waits for a majority.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pending {
+    id: ReadId,
+    /// A majority must have answered a later message than this.
+    after: u64,
+    /// The state must contain all entries up to here.
+    index: Index,
+}
+
+impl Voter {
+    /// The leader's lease, none if it has run out or another voter leads. Check
+    /// it after the last wait before an answer leaves.
+    pub fn lease(&self, now: Time) -> Option<Lease> {
+        let State::Leader(leader) = &self.state else {
+            return None;
+        };
+        if !leader.is_settled(self.commit) || self.is_disk_stalled() {
+            return None;
+        }
+        let now = self.now.max(now);
+        let until = self.reached(|beat| beat.sent, now) + self.cfg.timing.lease;
+        let index = self.commit;
+        (now < until).then_some(Lease { until, index })
+    }
+
+    /// Begins a read. Its answer comes with the effects.
+    pub fn read(&mut self, now: Time) -> Result<ReadId, ProposeError> {
+        self.advance(now);
+        let commit = self.commit;
+        let leader = self.leader();
+        let State::Leader(state) = &mut self.state else {
+            return Err(ProposeError::NotLeader { leader });
+        };
+        let id = self.next_read;
+        self.next_read = ReadId(id.0 + 1);
+        state.reads.push(Pending {
+            id,
+            after: state.round,
+            index: commit.max(state.first),
+        });
+        self.confirm_reads();
+        Ok(id)
+    }
+
+    /// Whether a read waits for a message that was not sent yet. One round is
+    /// under way at a time; reads that begin meanwhile share the next.
+    pub(crate) fn needs_round(&self) -> bool {
+        let State::Leader(leader) = &self.state else {
+            return false;
+        };
+        let sent = |read: &Pending| read.after <= leader.beat_round;
+        let unsent = leader.reads.iter().any(|read| !sent(read));
+        let under_way = leader.reads.iter().any(sent);
+        unsent && !under_way
+    }
+
+    pub(crate) fn confirm_reads(&mut self) {
+        let answered = self.reached(|beat| beat.round, u64::MAX);
+        let commit = self.commit;
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        let ready = |read: &Pending| read.after < answered && read.index <= commit;
+        let confirmed = leader.reads.iter().filter(|read| ready(read));
+        self.answers.extend(confirmed.map(|read| ReadAnswer {
+            id: read.id,
+            outcome: ReadOutcome::Current(read.index),
+        }));
+        leader.reads.retain(|read| !ready(read));
+    }
+
+    pub(crate) fn fail_reads(&mut self) {
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        let lost = leader.reads.drain(..).map(|read| ReadAnswer {
+            id: read.id,
+            outcome: ReadOutcome::NotLeader,
+        });
+        self.answers.extend(lost);
+    }
+}
--- /dev/null
+++ b/crates/vote/src/replicate.rs
@@ -0,0 +1,345 @@
+//! Leading: taking commands and copying entries to the members.
+
+use derive_more::Display;
+use derive_more::Error;
+
+use crate::Ack;
+use crate::Append;
+use crate::Beat;
+use crate::Blob;
+use crate::Body;
+use crate::Entry;
+use crate::Floor;
+use crate::Group;
+use crate::Index;
+use crate::Outcome;
+use crate::Payload;
+use crate::Position;
+use crate::Ticket;
+use crate::Trust;
+use crate::Voter;
+use crate::progress::Flight;
+use crate::progress::Progress;
+use crate::role::Leader;
+use crate::role::State;
+use base::DiskId;
+use base::NodeId;
+use base::Time;
+
+/// Why a command was not taken. It will not be committed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+pub enum ProposeError {
+    /// Another voter leads, or none.
+    #[display("this voter does not lead")]
+    NotLeader {
+        /// Who leads, if that is known.
+        leader: Option<NodeId>,
+    },
+    /// Too much is waiting to be committed.
+    #[display("too many commands are waiting")]
+    Busy,
+    /// The command is larger than a command may be.
+    #[display("a command of {bytes} bytes exceeds the limit of {limit}")]
+    TooLarge {
+        /// Its size in bytes.
+        bytes: usize,
+        /// The limit in bytes.
+        limit: usize,
+    },
+}
+
+/// What a message to a member is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    /// It brings entries.
+    Entries,
+    /// It shows that the leader is there.
+    Heartbeat,
+}
+
+impl Voter {
+    /// Takes a command if this voter leads. It is committed once an entry with
+    /// the ticket's term comes back at the ticket's index.
+    pub fn propose(&mut self, command: impl Into<Blob>, now: Time) -> Result<Ticket, ProposeError> {
+        self.advance(now);
+        let command = command.into();
+        let State::Leader(_) = self.state else {
+            let leader = self.leader();
+            return Err(ProposeError::NotLeader { leader });
+        };
+        let (bytes, limit) = (command.len(), self.cfg.limits.command);
+        if limit < bytes {
+            return Err(ProposeError::TooLarge { bytes, limit });
+        }
+        let waiting = self.log.after(self.commit).map(Entry::bytes);
+        if self.cfg.limits.uncommitted < waiting.sum() {
+            return Err(ProposeError::Busy);
+        }
+        Ok(self.append_own(Payload::Command(command)))
+    }
+
+    pub(crate) fn append_own(&mut self, payload: Payload) -> Ticket {
+        let term = self.term;
+        let index = self.log.last().index.next();
+        self.append_entry(Entry {
+            term,
+            index,
+            payload,
+        });
+        Ticket { term, index }
+    }
+
+    pub(crate) fn leader_tick(&mut self) {
+        let State::Leader(leader) = &self.state else {
+            return;
+        };
+        let beat_at = leader.beat_at;
+        let heard = self.quorum_answered().max(leader.since);
+        let alone = self.cfg.timing.election_max < self.now.since(heard);
+        if alone || self.is_disk_stalled() {
+            self.become_follower(self.term, None);
+        } else if beat_at <= self.now {
+            self.beat();
+        }
+    }
+
+    /// Sends a heartbeat to every member, with entries for those that lack some.
+    pub(crate) fn beat(&mut self) {
+        let (now, retry) = (self.now, self.cfg.timing.retry);
+        let beat_at = now + self.cfg.timing.heartbeat;
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        leader.beat_at = beat_at;
+        leader.beat_round = leader.round;
+        for progress in leader.progress.values_mut() {
+            let lost = |flight: &Flight| flight.sent + retry <= now;
+            if progress.flight.as_ref().is_some_and(lost) {
+                progress.flight = None;
+                progress.next = progress.matched.next();
+            }
+        }
+        let nodes: Vec<_> = leader.progress.keys().copied().collect();
+        for node in nodes {
+            self.send_to(node, Purpose::Heartbeat);
+        }
+    }
+
+    /// Sends new entries to every member that waits for none, and a heartbeat if
+    /// a read needs one.
+    pub(crate) fn flush(&mut self) {
+        if self.needs_round() {
+            self.beat();
+        }
+        let last = self.log.last().index;
+        let State::Leader(leader) = &self.state else {
+            return;
+        };
+        let idle = |p: &Progress| p.flight.is_none() && p.next <= last;
+        let trusted = |p: &Progress| p.trust == Trust::Trusted;
+        let behind = leader
+            .progress
+            .iter()
+            .filter(|(_, p)| idle(p) && trusted(p));
+        let nodes: Vec<_> = behind.map(|(node, _)| *node).collect();
+        for node in nodes {
+            self.send_to(node, Purpose::Entries);
+        }
+    }
+
+    pub(crate) fn on_ack(&mut self, from: NodeId, disk: DiskId, ack: Ack) {
+        if !self.group().is_some_and(|group| group.has(from, disk)) {
+            return;
+        }
+        if self.term < ack.term {
+            self.become_follower(ack.term, None);
+            return;
+        }
+        let last = self.log.last().index;
+        let term = self.term;
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&from) else {
+            return;
+        };
+        if ack.term != term || progress.disk != disk {
+            return;
+        }
+        match ack.outcome {
+            Outcome::Distrusted => {
+                progress.trust = Trust::Distrusted;
+                progress.matched = Index::default();
+                return;
+            }
+            Outcome::OldTerm => return,
+            Outcome::Matched(index) => progress.match_up_to(index.min(last)),
+            Outcome::Mismatch(next) => progress.go_back(next),
+            Outcome::Received(_) => {}
+        }
+        progress.answered = progress.answered.max(ack.beat);
+        if let Outcome::Received(bytes) = ack.outcome {
+            self.on_received(from, bytes);
+        }
+        self.advance_commit();
+    }
+
+    /// Commits what a majority has on disk. Entries of earlier terms follow with
+    /// the first of this one.
+    pub(crate) fn advance_commit(&mut self) {
+        let State::Leader(leader) = &self.state else {
+            return;
+        };
+        let Some(group) = self.group() else {
+            return;
+        };
+        let durable = self.durable;
+        let reached = group.reached(|node| match leader.progress.get(&node) {
+            Some(progress) => progress.matched,
+            None => durable,
+        });
+        if self.commit < reached && self.log.term(reached) == Some(self.term) {
+            self.commit = reached;
+            self.raise_floors();
+        }
+        self.confirm_reads();
+        self.follow_group();
+    }
+
+    /// The latest time at which the leader sent what a majority has answered.
+    pub(crate) fn quorum_answered(&self) -> Time {
+        self.reached(|answered| answered.sent, self.now)
+    }
+
+    /// The largest value that the answers of a majority have reached.
+    pub(crate) fn reached<Value: Ord + Copy + Default>(
+        &self,
+        of: impl Fn(Beat) -> Value,
+        own: Value,
+    ) -> Value {
+        let (State::Leader(leader), Some(group)) = (&self.state, self.group()) else {
+            return Value::default();
+        };
+        group.reached(|node| match leader.progress.get(&node) {
+            Some(progress) if progress.trust == Trust::Trusted => of(progress.answered),
+            Some(_) => Value::default(),
+            None => own,
+        })
+    }
+
+    pub(crate) fn next_beat(&mut self) -> Beat {
+        let sent = self.now;
+        let State::Leader(leader) = &mut self.state else {
+            return Beat::default();
+        };
+        leader.round += 1;
+        let round = leader.round;
+        Beat { round, sent }
+    }
+
+    /// Begins to follow new members and forgets those that left.
+    pub(crate) fn sync_progress(&mut self, group: &Group) {
+        let own = self.cfg.id;
+        let last = self.log.last().index;
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        leader
+            .progress
+            .retain(|node, progress| group.has(*node, progress.disk));
+        for (node, seat) in group.seats.iter().filter(|(node, _)| **node != own) {
+            leader
+                .progress
+                .entry(*node)
+                .or_insert_with(|| Progress::new(seat.disk, last.next()));
+        }
+    }
+
+    fn raise_floors(&mut self) {
+        let State::Leader(leader) = &self.state else {
+            return;
+        };
+        let commit = self.commit;
+        let own = (self.cfg.id, self.cfg.disk, self.durable.min(commit));
+        let others = leader
+            .progress
+            .iter()
+            .map(|(node, p)| (*node, p.disk, p.matched.min(commit)));
+        let floors: Vec<_> = others.chain([own]).collect();
+        for (node, disk, index) in floors {
+            self.raise_floor(node, disk, index);
+        }
+    }
+
+    fn send_to(&mut self, to: NodeId, purpose: Purpose) {
+        let last = self.log.last().index;
+        let base = self.log.base();
+        let State::Leader(leader) = &self.state else {
+            return;
+        };
+        let Some(progress) = leader.progress.get(&to) else {
+            return;
+        };
+        let (next, matched) = (progress.next, progress.matched);
+        let idle = progress.flight.is_none() && progress.trust == Trust::Trusted;
+        if idle && next <= base.index {
+            self.send_chunk(to);
+        } else if idle && next <= last {
+            self.send_entries(to, next, purpose);
+        } else if purpose == Purpose::Heartbeat {
+            let at = if idle { next.before() } else { matched };
+            let prev = self.log.position(at).unwrap_or(base);
+            self.send_append(to, prev, Vec::new(), purpose);
+        }
+    }
+
+    fn send_entries(&mut self, to: NodeId, next: Index, purpose: Purpose) {
+        let entries = self.log.from(next, self.cfg.limits.append);
+        let prev = self.log.position(next.before());
+        let prev = prev.unwrap_or_else(|| self.log.base());
+        let upto = Index(prev.index.0 + entries.len() as u64);
+        let sent = self.now;
+        if let State::Leader(leader) = &mut self.state
+            && let Some(progress) = leader.progress.get_mut(&to)
+        {
+            progress.flight = Some(Flight { upto, sent });
+            progress.next = upto.next();
+        }
+        self.send_append(to, prev, entries, purpose);
+    }
+
+    fn send_append(&mut self, to: NodeId, prev: Position, entries: Vec<Entry>, purpose: Purpose) {
+        let beat = self.next_beat();
+        let append = self.message(Body::Append(Append {
+            term: self.term,
+            beat,
+            prev,
+            entries,
+            commit: self.commit,
+            floors: self.floors_for(to, purpose),
+        }));
+        self.outbox.send(to, append);
+    }
+
+    fn floors_for(&self, to: NodeId, purpose: Purpose) -> Vec<Floor> {
+        let Some(group) = self.group() else {
+            return Vec::new();
+        };
+        let wanted = |node: NodeId| purpose == Purpose::Heartbeat || node == to;
+        let members = group.seats.iter().filter(|(node, _)| wanted(**node));
+        let floor = members.map(|(node, seat)| Floor {
+            node: *node,
+            disk: seat.disk,
+            index: self.floor(*node, seat.disk),
+        });
+        floor.collect()
+    }
+}
+
+impl Leader {
+    /// Whether an entry of its own term is committed: only then does it know
+    /// everything that was committed before.
+    pub(crate) fn is_settled(&self, commit: Index) -> bool {
+        self.first <= commit
+    }
+}
--- /dev/null
+++ b/crates/vote/src/role.rs
@@ -0,0 +1,45 @@
+//! What a voter does at present, with what it needs for that.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::BatchId;
+use crate::Index;
+use crate::Phase;
+use crate::progress::Progress;
+use crate::read::Pending;
+use base::NodeId;
+use base::Time;
+
+/// What a voter does.
+#[derive(Debug)]
+pub(crate) enum State {
+    Follower { leader: Option<NodeId> },
+    Candidate(Candidate),
+    Leader(Leader),
+}
+
+/// A voter that asks for votes.
+#[derive(Debug)]
+pub(crate) struct Candidate {
+    pub(crate) phase: Phase,
+    /// Who voted for it, itself not among them.
+    pub(crate) votes: BTreeSet<NodeId>,
+    /// The batch that holds its own vote.
+    pub(crate) own: BatchId,
+}
+
+/// A voter that leads.
+#[derive(Debug)]
+pub(crate) struct Leader {
+    /// Its first entry. Once that is committed, all earlier ones are.
+    pub(crate) first: Index,
+    pub(crate) since: Time,
+    /// Counts the messages it sent, so that an answer tells which it answers.
+    pub(crate) round: u64,
+    /// The count before the last heartbeats, which went to every member.
+    pub(crate) beat_round: u64,
+    pub(crate) beat_at: Time,
+    pub(crate) progress: BTreeMap<NodeId, Progress>,
+    pub(crate) reads: Vec<Pending>,
+}
--- /dev/null
+++ b/crates/vote/src/status.rs
@@ -0,0 +1,208 @@
+//! What a voter says of itself and of the others.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Duty;
+use crate::GroupId;
+use crate::Index;
+use crate::Notice;
+use crate::Term;
+use crate::Voter;
+use crate::form::Seen;
+use crate::role::State;
+use base::DiskId;
+use base::NodeId;
+
+/// How long a node counts as wanting to take part after it last said so.
+const STRANGER_SHOWN: Duration = Duration::from_secs(10);
+
+/// What a voter does at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// Follows a leader, or waits for one.
+    #[display("follower")]
+    Follower,
+    /// Asks for votes.
+    #[display("candidate")]
+    Candidate,
+    /// Leads.
+    #[display("leader")]
+    Leader,
+}
+
+/// Whether a disk holds all that it acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Trust {
+    /// Nothing speaks against it.
+    #[display("trusted")]
+    Trusted,
+    /// It lost what it had acknowledged. It does not count any more.
+    #[display("distrusted")]
+    Distrusted,
+}
+
+/// What a node is in its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Standing {
+    /// Its disk is empty and it has met no group.
+    Fresh,
+    /// It counts.
+    Voter,
+    /// It receives the log and does not count yet.
+    Learner,
+    /// A group exists that it does not belong to.
+    NotMember,
+    /// Its group knows it with another disk: this one was lost or is an old one.
+    OtherDisk(DiskId),
+    /// Its disk has lost what it had acknowledged.
+    RolledBack,
+}
+
+/// What is known of another member. Only a leader knows more than its seat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// The node.
+    pub node: NodeId,
+    /// Its disk.
+    pub disk: DiskId,
+    /// What it does.
+    pub duty: Duty,
+    /// How far its log equals the leader's.
+    pub matched: Index,
+    /// How long ago the leader sent what it last answered.
+    pub silent: Option<Duration>,
+    /// Whether its disk is trusted.
+    pub trust: Trust,
+}
+
+/// A node without a seat that wants to take part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stranger {
+    /// The node.
+    pub node: NodeId,
+    /// Its disk.
+    pub disk: DiskId,
+}
+
+/// What a voter says of itself and of the others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// What it is in the group.
+    pub standing: Standing,
+    /// The group.
+    pub group: Option<GroupId>,
+    /// What it does.
+    pub role: Role,
+    /// Its term.
+    pub term: Term,
+    /// The leader it knows of.
+    pub leader: Option<NodeId>,
+    /// Its last entry.
+    pub last: Index,
+    /// The last committed entry it knows of.
+    pub commit: Index,
+    /// How long its oldest write has been waiting for the disk.
+    pub disk_wait: Duration,
+    /// All members but itself.
+    pub peers: Vec<Peer>,
+    /// Nodes that want to become members.
+    pub strangers: Vec<Stranger>,
+}
+
+impl Voter {
+    /// What it says of itself and of the others.
+    pub fn status(&self) -> Status {
+        let waiting_since = self.outbox.waiting_since();
+        Status {
+            standing: self.standing(),
+            group: self.bound,
+            role: self.role(),
+            term: self.term,
+            leader: self.leader(),
+            last: self.log.last().index,
+            commit: self.commit,
+            disk_wait: waiting_since.map_or(Duration::ZERO, |since| self.now.since(since)),
+            peers: self.peers(),
+            strangers: self.strangers(),
+        }
+    }
+
+    /// What this node is in its group.
+    pub fn standing(&self) -> Standing {
+        if self.trust == Trust::Distrusted {
+            return Standing::RolledBack;
+        }
+        match self.notice {
+            Some(Notice::NotMember) => return Standing::NotMember,
+            Some(Notice::OtherDisk(disk)) => return Standing::OtherDisk(disk),
+            Some(Notice::RolledBack(_)) => return Standing::RolledBack,
+            None => {}
+        }
+        let seat = self.group().and_then(|g| g.seats.get(&self.cfg.id));
+        match seat {
+            Some(seat) if seat.disk != self.cfg.disk => Standing::OtherDisk(seat.disk),
+            Some(seat) if seat.duty == Duty::Voter => Standing::Voter,
+            Some(_) => Standing::Learner,
+            None if self.group().is_some() => Standing::NotMember,
+            None if self.bound.is_some() => Standing::Learner,
+            None => Standing::Fresh,
+        }
+    }
+
+    /// What this node does at present.
+    pub fn role(&self) -> Role {
+        match &self.state {
+            State::Follower { .. } => Role::Follower,
+            State::Candidate(_) => Role::Candidate,
+            State::Leader(_) => Role::Leader,
+        }
+    }
+
+    /// The leader it knows of.
+    pub fn leader(&self) -> Option<NodeId> {
+        match &self.state {
+            State::Follower { leader } => *leader,
+            State::Candidate(_) => None,
+            State::Leader(_) => Some(self.cfg.id),
+        }
+    }
+
+    fn strangers(&self) -> Vec<Stranger> {
+        let fresh = |seen: &&Seen| self.now.since(seen.at) < STRANGER_SHOWN;
+        let seen = self.strangers.iter().filter(|(_, seen)| fresh(seen));
+        seen.map(|(node, seen)| Stranger {
+            node: *node,
+            disk: seen.disk,
+        })
+        .collect()
+    }
+
+    fn peers(&self) -> Vec<Peer> {
+        let Some(group) = self.group() else {
+            return Vec::new();
+        };
+        let others = group.seats.iter().filter(|(node, _)| **node != self.cfg.id);
+        let peer = |(node, seat): (&NodeId, &crate::Seat)| {
+            let progress = match &self.state {
+                State::Leader(leader) => leader.progress.get(node),
+                _ => None,
+            };
+            Peer {
+                node: *node,
+                disk: seat.disk,
+                duty: seat.duty,
+                matched: progress.map(|p| p.matched).unwrap_or_default(),
+                silent: progress.map(|p| self.now.since(p.answered.sent)),
+                trust: progress.map_or(Trust::Trusted, |p| p.trust),
+            }
+        };
+        others.map(peer).collect()
+    }
+}
--- /dev/null
+++ b/crates/vote/src/voter.rs
@@ -0,0 +1,335 @@
+//! The voter: its state and how input reaches it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use crate::BatchId;
+use crate::Blob;
+use crate::Body;
+use crate::Config;
+use crate::Effects;
+use crate::Entry;
+use crate::Group;
+use crate::GroupId;
+use crate::Index;
+use crate::Message;
+use crate::Notice;
+use crate::Payload;
+use crate::ReadAnswer;
+use crate::ReadId;
+use crate::Record;
+use crate::Restored;
+use crate::Snapshot;
+use crate::Term;
+use crate::Trust;
+use crate::Work;
+use crate::form::Forming;
+use crate::form::Seen;
+use crate::install::Incoming;
+use crate::log::Log;
+use crate::outbox::Outbox;
+use crate::role::State;
+use base::DiskId;
+use base::NodeId;
+use base::Time;
+
+/// One member of a group that agrees on a log.
+#[derive(Debug)]
+pub struct Voter {
+    pub(crate) cfg: Config,
+    pub(crate) rng: Rng,
+    pub(crate) now: Time,
+    pub(crate) bound: Option<GroupId>,
+    pub(crate) trust: Trust,
+    pub(crate) term: Term,
+    pub(crate) vote: Option<NodeId>,
+    pub(crate) log: Log,
+    pub(crate) snapshot: Option<Snapshot>,
+    pub(crate) commit: Index,
+    /// The last entry that was given to the daemon.
+    pub(crate) delivered: Index,
+    /// The last entry that is on disk.
+    pub(crate) durable: Index,
+    pub(crate) state: State,
+    /// No vote is given before this time.
+    pub(crate) loyal_until: Time,
+    pub(crate) election_at: Time,
+    pub(crate) forming: Forming,
+    pub(crate) floors: BTreeMap<(NodeId, DiskId), Index>,
+    pub(crate) strangers: BTreeMap<NodeId, Seen>,
+    pub(crate) notice: Option<Notice>,
+    pub(crate) incoming: Option<Incoming>,
+    pub(crate) install: Option<Snapshot>,
+    pub(crate) answers: Vec<ReadAnswer>,
+    pub(crate) next_read: ReadId,
+    pub(crate) outbox: Outbox,
+}
+
+impl Voter {
+    /// Opens a voter with what its disk held. Its first effects give the daemon
+    /// the state of the newest snapshot.
+    pub fn open(cfg: Config, restored: Restored, now: Time) -> Self {
+        let mut voter = Self {
+            rng: Rng::with_seed(cfg.seed),
+            now,
+            bound: None,
+            trust: Trust::Trusted,
+            term: Term::default(),
+            vote: None,
+            log: Log::default(),
+            snapshot: None,
+            commit: Index::default(),
+            delivered: Index::default(),
+            durable: Index::default(),
+            state: State::Follower { leader: None },
+            loyal_until: Time::ZERO,
+            election_at: Time::NEVER,
+            forming: Forming::new(now),
+            floors: BTreeMap::new(),
+            strangers: BTreeMap::new(),
+            notice: None,
+            incoming: None,
+            install: None,
+            answers: Vec::new(),
+            next_read: ReadId::default(),
+            outbox: Outbox::default(),
+            cfg,
+        };
+        voter.replay(restored);
+        if voter.bound.is_some() {
+            voter.start_again();
+        }
+        voter
+    }
+
+    /// Takes a message from another node.
+    pub fn receive(&mut self, from: NodeId, message: Message, now: Time) {
+        self.advance(now);
+        let Message { disk, group, body } = message;
+        let foreign = self.bound.is_some() && group.is_some() && self.bound != group;
+        if foreign || from == self.cfg.id {
+            return;
+        }
+        match body {
+            Body::Hello { met } => self.on_hello(from, disk, met),
+            Body::Invite { disk: to, first } => {
+                if let Some(group) = group {
+                    self.on_invite(from, disk, group, to, first);
+                }
+            }
+            Body::Joined => self.on_joined(from, disk),
+            Body::Notice { since, notice } => self.on_notice(since, notice),
+            _ if self.bound.is_none() || group.is_none() => {}
+            Body::Ask(ask) => self.on_ask(from, disk, ask),
+            Body::Ballot(ballot) => self.on_ballot(from, disk, ballot),
+            Body::Append(append) => self.on_append(from, append),
+            Body::Install(install) => self.on_install(from, install),
+            Body::Ack(ack) => self.on_ack(from, disk, ack),
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Time) {
+        self.advance(now);
+        if self.bound.is_none() {
+            self.form_tick();
+            return;
+        }
+        match &self.state {
+            State::Leader(_) => self.leader_tick(),
+            _ if self.election_at <= self.now => self.campaign(),
+            _ => {}
+        }
+    }
+
+    /// When [`Voter::tick`] has something to do next.
+    pub fn next_deadline(&self) -> Time {
+        if self.bound.is_none() {
+            return self.forming.hello_at;
+        }
+        match &self.state {
+            State::Leader(leader) => leader.beat_at,
+            _ => self.election_at,
+        }
+    }
+
+    /// Takes what the daemon has to do.
+    pub fn take(&mut self) -> Effects {
+        self.flush();
+        let committed: Vec<Entry> = self
+            .log
+            .after(self.delivered)
+            .take_while(|entry| entry.index <= self.commit)
+            .cloned()
+            .collect();
+        self.delivered = self.delivered.max(self.commit);
+        Effects {
+            sends: self.outbox.take_sends(),
+            install: self.install.take(),
+            committed,
+            reads: std::mem::take(&mut self.answers),
+            batch: self.outbox.take_batch(self.log.last(), self.now),
+        }
+    }
+
+    /// Notes that a batch and all before it are synced.
+    pub fn synced(&mut self, batch: BatchId, now: Time) {
+        self.advance(now);
+        let Some(last) = self.outbox.synced(batch) else {
+            return;
+        };
+        if self.log.term(last.index) == Some(last.term) {
+            self.durable = self.durable.max(last.index);
+        }
+        match &self.state {
+            State::Leader(_) => self.advance_commit(),
+            State::Candidate(_) => self.check_election(),
+            State::Follower { .. } => {}
+        }
+    }
+
+    /// Keeps a state that contains all entries up to `index` in place of them.
+    /// Indices that were not delivered yet, or are older than the last snapshot,
+    /// change nothing.
+    pub fn compact(&mut self, index: Index, state: impl Into<Blob>) {
+        let newest = self.snapshot.as_ref().map(|s| s.at.index);
+        if self.delivered < index || newest.is_some_and(|newest| index <= newest) {
+            return;
+        }
+        let Some(at) = self.log.position(index) else {
+            return;
+        };
+        let Some(group) = self.log.group_at(index).cloned() else {
+            return;
+        };
+        let state = state.into();
+        self.snapshot = Some(Snapshot { at, group, state });
+        self.log.compact(index, self.cfg.limits.kept);
+        self.checkpoint();
+    }
+
+    /// The members, none if it belongs to no group or does not know them yet.
+    pub fn group(&self) -> Option<&Group> {
+        self.log.group().map(|(_, group)| group)
+    }
+
+    /// How long the oldest write has been waiting for the disk.
+    pub fn disk_wait(&self) -> Duration {
+        let since = self.outbox.waiting_since();
+        since.map_or(Duration::ZERO, |since| self.now.since(since))
+    }
+
+    pub(crate) fn advance(&mut self, now: Time) {
+        self.now = self.now.max(now);
+    }
+
+    pub(crate) fn message(&self, body: Body) -> Message {
+        Message {
+            disk: self.cfg.disk,
+            group: self.bound,
+            body,
+        }
+    }
+
+    pub(crate) fn promise(&mut self, term: Term, vote: Option<NodeId>) {
+        self.term = term;
+        self.vote = vote;
+        self.outbox.record(Record::Promise { term, vote });
+    }
+
+    pub(crate) fn append_entry(&mut self, entry: Entry) {
+        self.outbox.record(Record::Entry(entry.clone()));
+        if let Payload::Group(group) = &entry.payload {
+            self.strangers.retain(|node, s| !group.has(*node, s.disk));
+        }
+        self.log.push(entry);
+    }
+
+    /// Whether this node with its disk is a voter by the members it knows.
+    pub(crate) fn is_voter(&self) -> bool {
+        let group = self.group();
+        group.is_some_and(|g| g.has_voter(self.cfg.id, self.cfg.disk))
+    }
+
+    pub(crate) fn is_disk_stalled(&self) -> bool {
+        self.cfg.timing.disk_stall < self.disk_wait()
+    }
+
+    pub(crate) fn floor(&self, node: NodeId, disk: DiskId) -> Index {
+        self.floors.get(&(node, disk)).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn raise_floor(&mut self, node: NodeId, disk: DiskId, index: Index) {
+        let floor = self.floors.entry((node, disk)).or_default();
+        *floor = index.max(*floor);
+    }
+
+    /// Stops counting for good if the disk has lost what it had acknowledged.
+    pub(crate) fn check_own_floor(&mut self, floor: Index) {
+        if self.trust == Trust::Distrusted || floor <= self.log.last().index {
+            return;
+        }
+        self.trust = Trust::Distrusted;
+        self.outbox.record(Record::Distrusted);
+        self.become_follower(self.term, None);
+    }
+
+    /// Writes the newest snapshot and everything after it in place of the log.
+    pub(crate) fn checkpoint(&mut self) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        let mut records = Vec::new();
+        records.extend(self.bound.map(Record::Bound));
+        records.push(Record::Promise {
+            term: self.term,
+            vote: self.vote,
+        });
+        if self.trust == Trust::Distrusted {
+            records.push(Record::Distrusted);
+        }
+        let entries = self.log.after(snapshot.at.index).cloned();
+        records.extend(entries.map(Record::Entry));
+        self.outbox
+            .checkpoint(Work::Checkpoint { snapshot, records });
+    }
+
+    fn replay(&mut self, restored: Restored) {
+        if let Some(snapshot) = restored.snapshot {
+            self.log.reset(&snapshot);
+            self.commit = snapshot.at.index;
+            self.delivered = snapshot.at.index;
+            self.install = Some(snapshot.clone());
+            self.snapshot = Some(snapshot);
+        }
+        for record in restored.records {
+            match record {
+                Record::Bound(group) => self.bound = Some(group),
+                Record::Promise { term, vote } => {
+                    self.term = term;
+                    self.vote = vote;
+                }
+                Record::Entry(entry) => {
+                    self.log.truncate(entry.index);
+                    self.log.push(entry);
+                }
+                Record::Distrusted => self.trust = Trust::Distrusted,
+            }
+        }
+        self.durable = self.log.last().index;
+    }
+
+    /// A voter that comes back may have answered a leader just before it ended,
+    /// so it gives no vote until that leader's lease has run out.
+    fn start_again(&mut self) {
+        let alone = self.is_voter() && self.group().is_some_and(|g| g.quorum() == 1);
+        if alone {
+            self.election_at = self.now;
+            return;
+        }
+        self.loyal_until = self.now + self.cfg.timing.election_min;
+        self.reset_election();
+    }
+}
--- /dev/null
+++ b/crates/vote/tests/schedules.rs
@@ -0,0 +1,236 @@
+//! Seeded schedules of faults against a plain list of accepted commands.
+//!
+//! `SEED=7 cargo test -p vote --test schedules` runs one of them again.
+
+mod fake;
+
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use crate::fake::Clock;
+use crate::fake::Cluster;
+use crate::fake::Stored;
+use base::DiskId;
+use base::NodeId;
+use vote::Change;
+use vote::Standing;
+
+const SEEDS: u64 = 400;
+const STEPS: usize = 250;
+
+fn seeds() -> Vec<u64> {
+    match std::env::var("SEED") {
+        Ok(seed) => vec![seed.parse().expect("SEED is a number")],
+        Err(_) => (1..=SEEDS).collect(),
+    }
+}
+
+/// Runs every seed and prints the one that fails.
+fn for_seeds(run: impl Fn(u64) + std::panic::RefUnwindSafe) {
+    for seed in seeds() {
+        let result = std::panic::catch_unwind(|| run(seed));
+        if let Err(cause) = result {
+            eprintln!("failed with SEED={seed}");
+            std::panic::resume_unwind(cause);
+        }
+    }
+}
+
+fn cluster(seed: u64) -> Cluster {
+    let size = if seed.is_multiple_of(3) { 5 } else { 3 };
+    let mut cluster = Cluster::new(size, seed);
+    for id in cluster.ids() {
+        cluster.node(id).compact_every = 20 * (seed as usize % 3);
+    }
+    cluster
+}
+
+#[test]
+fn crashes_partitions_and_frozen_leaders() {
+    for_seeds(|seed| {
+        let mut cluster = cluster(seed);
+        let mut rng = Rng::with_seed(seed ^ 0x5eed);
+        for _ in 0..STEPS {
+            let span = Duration::from_millis(rng.u64(1..80));
+            cluster.run(span);
+            use_it(&mut cluster, &mut rng);
+            fault(&mut cluster, &mut rng);
+        }
+        settle(&mut cluster);
+    });
+}
+
+#[test]
+fn wiped_and_rolled_back_disks_do_not_count() {
+    for_seeds(|seed| {
+        let mut cluster = cluster(seed);
+        let mut rng = Rng::with_seed(seed ^ 0xd15c);
+        cluster.commit_one(Duration::from_secs(5));
+        for _ in 0..3 {
+            let ids = cluster.ids();
+            let victim = ids[rng.usize(..ids.len())];
+            let older = cluster.node(victim).stored.clone();
+            busy(&mut cluster, &mut rng, 20);
+            settle(&mut cluster);
+            if rng.bool() {
+                wipe(&mut cluster, victim, &mut rng);
+            } else {
+                roll_back(&mut cluster, victim, older);
+            }
+            busy(&mut cluster, &mut rng, 20);
+            replace(&mut cluster, victim, &mut rng);
+        }
+        settle(&mut cluster);
+    });
+}
+
+#[test]
+fn members_change_under_faults() {
+    for_seeds(|seed| {
+        let mut cluster = cluster(seed * 3);
+        let mut rng = Rng::with_seed(seed ^ 0xadd);
+        cluster.commit_one(Duration::from_secs(5));
+        for _ in 0..3 {
+            let ids = cluster.ids();
+            let victim = ids[rng.usize(..ids.len())];
+            cluster.change(Change::Remove { node: victim });
+            for _ in 0..20 {
+                cluster.run(Duration::from_millis(rng.u64(1..80)));
+                use_it(&mut cluster, &mut rng);
+                fault(&mut cluster, &mut rng);
+            }
+            cluster.heal();
+            cluster.run(Duration::from_secs(3));
+            replace(&mut cluster, victim, &mut rng);
+        }
+        settle(&mut cluster);
+    });
+}
+
+/// Proposes and reads at any node, more often at the leader.
+fn use_it(cluster: &mut Cluster, rng: &mut Rng) {
+    let ids = cluster.ids();
+    let mut id = ids[rng.usize(..ids.len())];
+    if let Some(leader) = cluster.leader()
+        && rng.u8(..4) < 3
+    {
+        id = leader;
+    }
+    for _ in 0..rng.usize(..4) {
+        cluster.propose(id);
+    }
+    if rng.bool() {
+        cluster.read(id);
+    }
+}
+
+fn fault(cluster: &mut Cluster, rng: &mut Rng) {
+    let ids = cluster.ids();
+    let any = ids[rng.usize(..ids.len())];
+    let id = match cluster.leader() {
+        Some(leader) if rng.bool() => leader,
+        _ => any,
+    };
+    match rng.u8(..40) {
+        0 | 1 => cluster.crash(id),
+        2 => cluster.freeze(id, Clock::GoesOn),
+        3 => cluster.freeze(id, Clock::Stands),
+        4 => cluster.network.isolate(id, &ids),
+        5 => {
+            cluster.network.cut.insert((id, any));
+        }
+        6 => {
+            cluster.network.loss = 0.3 * rng.f64();
+            cluster.network.repeat = 0.3 * rng.f64();
+            cluster.network.delay = Duration::from_millis(rng.u64(1..60));
+        }
+        7 => cluster.network.heal(),
+        8 => {
+            let until = cluster.now + Duration::from_millis(rng.u64(10..4_000));
+            cluster.node(id).disk_stuck_until = until;
+        }
+        9 | 10 => cluster.heal(),
+        11..20 => restart(cluster, any),
+        _ => {}
+    }
+}
+
+fn restart(cluster: &mut Cluster, id: NodeId) {
+    if cluster.node(id).voter.is_none() {
+        cluster.start(id);
+    } else {
+        cluster.thaw(id);
+    }
+}
+
+fn busy(cluster: &mut Cluster, rng: &mut Rng, steps: usize) {
+    for _ in 0..steps {
+        cluster.run(Duration::from_millis(rng.u64(1..80)));
+        use_it(cluster, rng);
+    }
+}
+
+/// Ends all faults: everything accepted must be everywhere, and work goes on.
+fn settle(cluster: &mut Cluster) {
+    cluster.heal();
+    cluster.run(Duration::from_secs(5));
+    cluster.commit_one(Duration::from_secs(5));
+    cluster.run_until(Duration::from_secs(5), "level", Cluster::is_level);
+    let last = cluster.model.last();
+    let all = cluster.model.commands(last);
+    let lost = cluster.model.accepted().iter().find(|c| !all.contains(c));
+    assert_eq!(lost, None, "an accepted command is lost");
+    for node in cluster.nodes.values() {
+        cluster.model.check_app(node.id, node.applied, &node.app);
+    }
+}
+
+fn wipe(cluster: &mut Cluster, victim: NodeId, rng: &mut Rng) {
+    let before = cluster.node(victim).disk;
+    cluster.replace_disk(victim, DiskId(rng.u64(1..)), Stored::default());
+    cluster.run(Duration::from_millis(500));
+    cluster.start(victim);
+    cluster.run(Duration::from_secs(3));
+    assert_eq!(cluster.standing(victim), Some(Standing::OtherDisk(before)));
+}
+
+/// Brings back an older content. If it lacks what the disk had acknowledged as
+/// committed, the voter must find out.
+fn roll_back(cluster: &mut Cluster, victim: NodeId, older: Stored) {
+    let newest = last_index(&cluster.node(victim).stored);
+    let lacks = last_index(&older) < newest;
+    let disk = cluster.node(victim).disk;
+    cluster.replace_disk(victim, disk, older);
+    cluster.run(Duration::from_millis(500));
+    cluster.start(victim);
+    cluster.run(Duration::from_secs(3));
+    if lacks {
+        assert_eq!(cluster.standing(victim), Some(Standing::RolledBack));
+    }
+}
+
+fn last_index(stored: &Stored) -> u64 {
+    let entry = stored.records.iter().rev().find_map(|record| match record {
+        vote::Record::Entry(entry) => Some(entry.index.0),
+        _ => None,
+    });
+    let snapshot = stored.snapshot.as_ref().map(|s| s.at.index.0);
+    entry.max(snapshot).unwrap_or_default()
+}
+
+/// What an operator does: an empty folder, out with the old disk, in with the new.
+fn replace(cluster: &mut Cluster, victim: NodeId, rng: &mut Rng) {
+    let disk = DiskId(rng.u64(1..));
+    cluster.replace_disk(victim, disk, Stored::default());
+    cluster.start(victim);
+    let end = cluster.now + Duration::from_secs(20);
+    while cluster.standing(victim) != Some(Standing::Voter) {
+        assert!(cluster.now < end, "{victim} does not become a voter");
+        if cluster.seat(victim).is_some_and(|seat| seat.disk != disk) {
+            cluster.change(Change::Remove { node: victim });
+        }
+        cluster.change(Change::Add { node: victim, disk });
+        cluster.run(Duration::from_millis(400));
+    }
+}
