--- a/crates/vote/src/election.rs
+++ b/crates/vote/src/election.rs
@@ -192,7 +192,7 @@
             reads: Vec::new(),
         });
         self.notice = None;
-        self.append_own(Payload::Blank);
+        self.append_own(Payload::Nothing);
         self.beat();
     }
 }
--- a/crates/vote/src/entry.rs
+++ b/crates/vote/src/entry.rs
@@ -68,8 +68,8 @@
 /// What an entry carries.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
-    /// Nothing: a new leader's first entry.
-    Blank,
+    /// A new leader's first entry.
+    Nothing,
     /// The members from here on.
     Group(Group),
     /// A command of the daemon.
@@ -101,7 +101,7 @@
         const FIXED: usize = 24;
         const SEAT: usize = 16;
         let payload = match &self.payload {
-            Payload::Blank => 0,
+            Payload::Nothing => 0,
             Payload::Group(group) => group.seats.len() * SEAT,
             Payload::Command(command) => command.len(),
         };
--- a/crates/vote/src/status.rs
+++ b/crates/vote/src/status.rs
@@ -59,10 +59,11 @@
     Learner,
     /// A group exists that it does not belong to.
     NotMember,
-    /// Its group knows it with another disk: this one was lost or is an old one.
-    OtherDisk(DiskId),
-    /// Its disk has lost what it had acknowledged.
-    RolledBack,
+    /// Its disk has lost what the node had acknowledged: it is empty, or an older
+    /// copy. An operator must replace this voter.
+    Lost,
+    /// Its group goes on with another disk in its place.
+    Replaced,
 }
 
 /// What is known of another member. Only a leader knows more than its seat.
@@ -137,17 +138,17 @@
     /// What this node is in its group.
     pub fn standing(&self) -> Standing {
         if self.trust == Trust::Distrusted {
-            return Standing::RolledBack;
+            return Standing::Lost;
         }
         match self.notice {
             Some(Notice::NotMember) => return Standing::NotMember,
-            Some(Notice::OtherDisk(disk)) => return Standing::OtherDisk(disk),
-            Some(Notice::RolledBack(_)) => return Standing::RolledBack,
+            Some(Notice::OtherDisk(_)) if self.bound.is_some() => return Standing::Replaced,
+            Some(Notice::OtherDisk(_) | Notice::RolledBack(_)) => return Standing::Lost,
             None => {}
         }
         let seat = self.group().and_then(|g| g.seats.get(&self.cfg.id));
         match seat {
-            Some(seat) if seat.disk != self.cfg.disk => Standing::OtherDisk(seat.disk),
+            Some(seat) if seat.disk != self.cfg.disk => Standing::Replaced,
             Some(seat) if seat.duty == Duty::Voter => Standing::Voter,
             Some(_) => Standing::Learner,
             None if self.group().is_some() => Standing::NotMember,
