--- a/crates/order/src/answer.rs
+++ b/crates/order/src/answer.rs
@@ -46,8 +46,6 @@
     AnswerLost,
     /// The caller left before it was sent.
     CallerGone,
-    /// The node has more calls open than it can hold.
-    Busy,
 }
 
 /// The answer itself.
--- a/crates/order/src/attempt.rs
+++ b/crates/order/src/attempt.rs
@@ -27,10 +27,22 @@
     Yes,
 }
 
+/// What a node gives a call when it takes it in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Admission {
+    /// The attempt's id.
+    pub id: AttemptId,
+    /// The node's lowest sequence that may still be claimed for.
+    pub floor: u64,
+    /// The latest index of the log that the node knew before the call came in.
+    pub seen: u64,
+}
+
 /// One call of a service at its entry node.
 #[derive(Clone, Debug)]
 pub struct Attempt {
     pub(crate) id: AttemptId,
+    pub(crate) seen: u64,
     pub(crate) call: Call,
     pub(crate) stage: Stage,
     /// The node's lowest sequence that may still be claimed for.
@@ -47,10 +59,12 @@
 }
 
 impl Attempt {
-    /// Takes in a call. `floor` is the node's lowest open sequence.
-    pub fn open(call: Call, id: AttemptId, floor: u64, now: Time) -> (Self, Vec<Step>) {
+    /// Takes in a call.
+    pub fn open(call: Call, admission: Admission, now: Time) -> (Self, Vec<Step>) {
+        let Admission { id, floor, seen } = admission;
         let mut attempt = Self {
             id,
+            seen,
             call,
             stage: Stage::Claiming,
             floor,
--- a/crates/order/src/book.rs
+++ b/crates/order/src/book.rs
@@ -5,21 +5,30 @@
 use derive_more::Display;
 use derive_more::Error;
 
+use crate::Admission;
 use crate::Attempt;
 use crate::Call;
 use crate::Event;
+use crate::Kind;
 use crate::Step;
+use crate::heard::Heard;
 use base::Incarnation;
 use base::NodeId;
 use base::Time;
 use state::AttemptId;
 
-/// The node has as many attempts open as it can hold. The call was not sent.
+/// Why a call was not taken in. It was not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
-#[display("the node has {open} calls open and takes no more")]
-pub struct Busy {
-    /// Attempts that are open.
-    pub open: usize,
+pub enum NotTaken {
+    /// The node has as many calls open as it can hold.
+    #[display("the node has {open} calls open and takes no more")]
+    Busy {
+        /// Calls that are open.
+        open: usize,
+    },
+    /// The node was stopped for long, and the call may be as old.
+    #[display("the node was stopped for long and does not know how old the call is")]
+    JustWoke,
 }
 
 /// The attempts of one node's life.
@@ -30,6 +39,7 @@
     next: u64,
     max_open: usize,
     open: BTreeMap<u64, Attempt>,
+    heard: Heard,
 }
 
 impl Book {
@@ -41,6 +51,7 @@
             next: 1,
             max_open,
             open: BTreeMap::new(),
+            heard: Heard::default(),
         }
     }
 
@@ -49,12 +60,23 @@
         self.open.len()
     }
 
+    /// Notes an index of the log that is known to be applied, from a reply or from
+    /// another node.
+    pub fn hear(&mut self, index: u64, now: Time) {
+        self.heard.turn(now);
+        self.heard.hear(index);
+    }
+
     /// Takes in a call. The sequence names it in what follows.
-    pub fn open(&mut self, call: Call, now: Time) -> Result<(u64, Vec<Step>), Busy> {
+    pub fn open(&mut self, call: Call, now: Time) -> Result<(u64, Vec<Step>), NotTaken> {
+        self.heard.turn(now);
         let open = self.open.len();
         let floor = self.floor();
         if self.max_open <= open || state::WINDOW <= self.next - floor {
-            return Err(Busy { open });
+            return Err(NotTaken::Busy { open });
+        }
+        if matches!(call.kind, Kind::Keyed(_)) && self.heard.may_be_stale() {
+            return Err(NotTaken::JustWoke);
         }
         let sequence = self.next;
         self.next += 1;
@@ -63,13 +85,16 @@
             incarnation: self.incarnation,
             sequence,
         };
-        let (attempt, steps) = Attempt::open(call, id, floor, now);
+        let seen = self.heard.before_arrival();
+        let admission = Admission { id, floor, seen };
+        let (attempt, steps) = Attempt::open(call, admission, now);
         self.open.insert(sequence, attempt);
         Ok((sequence, steps))
     }
 
     /// Takes in an event of one attempt. Nothing comes of one that is closed.
     pub fn on(&mut self, sequence: u64, event: Event, now: Time) -> Vec<Step> {
+        self.heard.turn(now);
         let floor = self.floor();
         let Some(attempt) = self.open.get_mut(&sequence) else {
             return Vec::new();
@@ -81,8 +106,10 @@
         steps
     }
 
-    /// Wakes the attempts whose time has come.
+    /// Wakes the attempts whose time has come. To be called in each turn of the
+    /// node's loop, several times a second also when there is nothing to do.
     pub fn tick(&mut self, now: Time) -> Vec<(u64, Step)> {
+        self.heard.turn(now);
         let due = self.open.iter().filter(|(_, a)| a.wake_at() <= now);
         let due: Vec<_> = due.map(|(sequence, _)| *sequence).collect();
         let mut steps = Vec::new();
--- a/crates/order/src/call.rs
+++ b/crates/order/src/call.rs
@@ -48,8 +48,6 @@
     pub others: Others,
     /// How long the outcome is remembered.
     pub retention: Duration,
-    /// The latest index of the log that the node knew when the call came in.
-    pub seen: u64,
 }
 
 /// How often a call may run.
--- a/crates/order/src/ledger_way.rs
+++ b/crates/order/src/ledger_way.rs
@@ -61,7 +61,7 @@
             service: self.call.service.clone(),
             attempt: self.id,
             floor: self.floor,
-            seen: key.seen,
+            seen: self.seen,
             run_for: self.call.deadline + RUN_MARGIN,
             retention: key.retention,
         };
--- /dev/null
+++ b/crates/order/tests/world/service.rs
@@ -0,0 +1,57 @@
+//! A service that runs whatever reaches it, and counts.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use base::OrderKey;
+use base::OrgName;
+use base::Time;
+use order::AskReply;
+use order::Call;
+use order::Kind;
+use state::StoredAnswer;
+
+/// One execution.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The call that it was for.
+    pub call: usize,
+    /// When that call was made.
+    pub opened_at: Time,
+    pub answer: Arc<StoredAnswer>,
+}
+
+/// All executions, by organisation and key.
+#[derive(Default)]
+pub struct Service {
+    pub runs: BTreeMap<(OrgName, OrderKey), Vec<Run>>,
+}
+
+impl Service {
+    pub fn run(&mut self, call: usize, terms: &Call, opened_at: Time) -> Arc<StoredAnswer> {
+        let Kind::Keyed(key) = &terms.kind else {
+            return Arc::new(StoredAnswer::new(200, "text/plain", *b"no key"));
+        };
+        let body = format!("{} {} {call}", key.org, key.key);
+        let answer = Arc::new(StoredAnswer::new(201, "text/plain", body.into_bytes()));
+        let run = Run {
+            call,
+            opened_at,
+            answer: answer.clone(),
+        };
+        let place = (key.org.clone(), key.key.clone());
+        self.runs.entry(place).or_default().push(run);
+        answer
+    }
+
+    pub fn ask(&self, terms: &Call) -> AskReply {
+        let Kind::Keyed(key) = &terms.kind else {
+            return AskReply::Failed;
+        };
+        let runs = self.runs.get(&(key.org.clone(), key.key.clone()));
+        match runs.and_then(|runs| runs.first()) {
+            Some(run) => AskReply::Ran(run.answer.clone()),
+            None => AskReply::NotKnown,
+        }
+    }
+}
--- a/crates/state/src/ledger.rs
+++ b/crates/state/src/ledger.rs
@@ -36,7 +36,7 @@
 
 /// How long a withdrawn key refuses calls that came in before the withdrawal.
 /// No entry node sends a call that it took in longer ago.
-pub const CLOSED_FOR: Duration = Duration::from_secs(10);
+pub const CLOSED_FOR: Duration = Duration::from_secs(60);
 
 /// Records whose time is up that one command ends.
 const ENDED_AT_ONCE: usize = 256;
