--- a/crates/plan/tests/faults.rs
+++ b/crates/plan/tests/faults.rs
@@ -35,6 +35,7 @@
     world.demand.insert(model("pair"), demand(2, 1, 2));
     world.demand.insert(model("one"), demand(1, 1, 2));
     world.net = Net {
+        max_delay_ms: 400,
         loss: 0.05,
         double: 0.05,
     };
--- /dev/null
+++ b/crates/plan/tests/repair.rs
@@ -0,0 +1,247 @@
+//! Single faults, each with what must follow.
+
+mod world;
+
+use std::time::Duration;
+
+use base::Fencing;
+use base::HostId;
+use plan::Action;
+use plan::Phase;
+use plan::StrandedReason;
+
+use crate::world::World;
+use crate::world::demand;
+use crate::world::model;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn open(domains: &[usize], wanted: &[(&str, usize, usize)]) -> World {
+    let mut world = World::open(1, domains, Fencing::Ignored);
+    for (name, width, count) in wanted {
+        let count = *count;
+        world
+            .demand
+            .insert(model(name), demand(*width, count, count));
+    }
+    world
+}
+
+#[test]
+fn a_second_loss_during_or_right_after_a_repair_is_repaired() {
+    for gap in 0..25 {
+        let mut world = open(&[5, 2], &[("trio", 3, 1)]);
+        world.run(20 * SECOND);
+        assert_eq!(world.serves("trio"), 1);
+        let lost = world.status().replicas[0].hosts[1];
+        world.engine(lost.0).dark_until = base::Time::NEVER;
+        world.run(gap * SECOND);
+        let replica = world.status().replicas.last().cloned().unwrap();
+        let second = *replica.hosts.iter().find(|host| **host != lost).unwrap();
+        world.engine(second.0).dark_until = base::Time::NEVER;
+        world.run(40 * SECOND);
+        assert_eq!(world.serves("trio"), 1, "gap of {gap} s");
+    }
+}
+
+#[test]
+fn a_domain_that_was_only_cut_off_serves_again_without_a_load() {
+    let mut world = open(&[4, 4], &[("pair", 2, 4)]);
+    world.run(40 * SECOND);
+    assert_eq!(world.serves("pair"), 4);
+    let given = world.given.len();
+    let back = world.now + 12 * SECOND;
+    for host in 0..4 {
+        world.engine(host).cut_until = back;
+    }
+    world.run(10 * SECOND);
+    assert_eq!(world.serves("pair"), 2);
+    world.run(8 * SECOND);
+    assert_eq!(world.serves("pair"), 4);
+    assert!(world.formed_since(given).is_empty());
+}
+
+#[test]
+fn a_domain_that_restarts_loads_what_lacks_most_first_and_no_more_at_once_than_allowed() {
+    let mut world = open(&[12], &[("few", 2, 1), ("many", 1, 9)]);
+    world.run(60 * SECOND);
+    assert!(world.is_met());
+    let given = world.given.len();
+    let back = world.now + 20 * SECOND;
+    for host in 0..12 {
+        world.engine(host).restart(back);
+    }
+    for _ in 0..600 {
+        world.step();
+        let replicas = world.status().replicas;
+        let loading = replicas.iter().filter(|r| r.phase == Phase::Forming);
+        assert!(loading.count() <= world.cfg.loads_at_once);
+    }
+    assert!(world.is_met());
+    let forms = world.given[given..]
+        .iter()
+        .filter(|o| o.action != Action::Release);
+    let few = forms.map(|order| match &order.action {
+        Action::Form { model, .. } => model.as_str() == "few",
+        Action::Release => false,
+    });
+    let before = few.take_while(|is_few| !is_few).count();
+    assert!(before < world.cfg.loads_at_once);
+}
+
+#[test]
+fn a_flapping_host_is_held_back_longer_and_longer() {
+    let mut world = open(&[3], &[("trio", 3, 1)]);
+    world.cfg.hold_max = 600 * SECOND;
+    world.run(15 * SECOND);
+    let given = world.given.len();
+    for _ in 0..60 {
+        let back = world.now + SECOND;
+        world.engine(1).restart(back);
+        world.run(10 * SECOND);
+    }
+    let forms = world.formed_since(given).len() / 3;
+    assert!(
+        forms <= 12,
+        "{forms} replicas formed in ten minutes of flapping"
+    );
+    let status = world.status();
+    let is_held = |s: &plan::Stranded| matches!(s.reason, StrandedReason::Held { .. });
+    assert!(status.stranded.iter().any(is_held), "{status:?}");
+}
+
+#[test]
+fn a_host_that_restarted_and_claims_its_former_place_is_idled_first() {
+    let mut world = open(&[2], &[("pair", 2, 1)]);
+    world.run(20 * SECOND);
+    let given = world.given.len();
+    world.engine(0).report.incarnation.0 += 1;
+    world.run(20 * SECOND);
+    assert_eq!(world.serves("pair"), 1);
+    let mut orders = world.given[given..].iter().filter(|o| o.host == HostId(0));
+    assert_eq!(orders.next().unwrap().action, Action::Release);
+}
+
+#[test]
+fn a_slow_host_is_replaced_without_a_gap_where_a_copy_fits() {
+    let mut world = open(&[2, 2], &[("pair", 2, 1)]);
+    world.run(20 * SECOND);
+    let slow = world.status().replicas[0].hosts[0];
+    let holder = world.holder().unwrap();
+    world.controls[holder].controller.slow(slow, Some(0.3));
+    for _ in 0..300 {
+        world.step();
+        assert!(1 <= world.serves("pair"));
+    }
+    let hosts = &world.status().replicas[0].hosts;
+    assert!(!hosts.contains(&slow));
+}
+
+#[test]
+fn a_slow_host_gives_way_to_a_spare_or_stays_where_there_is_none() {
+    for (spares, gives_way) in [(1, true), (0, false)] {
+        let mut world = open(&[2 + spares], &[("pair", 2, 1)]);
+        world.run(20 * SECOND);
+        let slow = world.status().replicas[0].hosts[0];
+        let holder = world.holder().unwrap();
+        world.controls[holder].controller.slow(slow, Some(0.3));
+        world.run(30 * SECOND);
+        assert_eq!(world.serves("pair"), 1);
+        let hosts = &world.status().replicas[0].hosts;
+        assert_eq!(!hosts.contains(&slow), gives_way);
+    }
+}
+
+#[test]
+fn a_leaving_host_gets_no_new_work_after_three_seconds_wherever_the_cut_is() {
+    for (cut_control, cut_entry) in [(false, false), (true, false), (false, true), (true, true)] {
+        for phase in 0..10 {
+            let mut world = open(&[2], &[("pair", 2, 1)]);
+            world.run(20 * SECOND + phase * SECOND / 10);
+            let cut = world.now + 30 * SECOND;
+            if cut_control {
+                for host in 0..2 {
+                    world.engine(host).cut_until = cut;
+                }
+            }
+            if cut_entry {
+                world.entries[2].cut_until = cut;
+            }
+            world.engine(0).report.leaving = true;
+            world.engine(0).report.load.running = 1;
+            let now = world.entries[0].clock.at(world.now);
+            world.entries[0].table.leaving(HostId(0), now);
+            assert_eq!(world.serves("pair"), 0);
+            world.run(3 * SECOND);
+            for entry in &world.entries {
+                let now = entry.clock.at(world.now);
+                let routes = entry.table.routes(&model("pair"), now);
+                assert!(routes.is_empty(), "{cut_control} {cut_entry}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_leaving_host_finishes_its_work_before_its_replica_is_released() {
+    let mut world = open(&[2, 2], &[("pair", 2, 1)]);
+    world.run(20 * SECOND);
+    let first = world.status().replicas[0].hosts[0];
+    world.engine(first.0).report.leaving = true;
+    world.engine(first.0).report.load.running = 1;
+    world.run(60 * SECOND);
+    assert_eq!(world.serves("pair"), 1);
+    assert_eq!(world.status().replicas[0].phase, Phase::Draining);
+    world.engine(first.0).report.load.running = 0;
+    world.run(10 * SECOND);
+    assert_eq!(world.status().replicas.len(), 1);
+    assert_eq!(world.engines[&first].report.duty, base::Duty::Idle);
+}
+
+#[test]
+fn demand_that_falls_for_a_moment_ends_nothing_and_for_long_drains() {
+    let mut world = open(&[4], &[("one", 1, 4)]);
+    world.run(30 * SECOND);
+    let given = world.given.len();
+    for _ in 0..10 {
+        world.demand.insert(model("one"), demand(1, 1, 2));
+        world.run(3 * SECOND);
+        world.demand.insert(model("one"), demand(1, 1, 4));
+        world.run(3 * SECOND);
+    }
+    assert_eq!(world.given.len(), given);
+    world.demand.insert(model("one"), demand(1, 1, 2));
+    world.run(30 * SECOND);
+    assert_eq!(world.serves("one"), 2);
+    assert_eq!(world.given.len(), given + 2);
+}
+
+#[test]
+fn a_narrow_replica_moves_aside_for_a_wide_one_and_serves_all_the_while() {
+    let mut world = open(&[4, 4], &[("one", 1, 2)]);
+    for host in [1, 2, 3, 5, 6, 7] {
+        world.engine(host).dark_until = world.now + 20 * SECOND;
+    }
+    world.run(20 * SECOND);
+    assert_eq!(world.serves("one"), 2);
+    world.demand.insert(model("wide"), demand(4, 1, 1));
+    for _ in 0..600 {
+        world.step();
+        assert!(2 <= world.serves("one"));
+    }
+    assert!(world.is_met(), "{:?}", world.status());
+}
+
+#[test]
+fn a_tenure_that_lapses_and_comes_back_names_no_replica_twice() {
+    let mut world = open(&[4], &[("one", 1, 2)]);
+    world.run(20 * SECOND);
+    let holder = world.holder().unwrap();
+    world.controls[holder].tenure = None;
+    world.controls[holder].lease_cut_until = world.now + SECOND;
+    world.run(2 * SECOND);
+    world.demand.insert(model("one"), demand(1, 1, 4));
+    world.run(20 * SECOND);
+    assert_eq!(world.lease.fence, base::Fence(1));
+    assert!(world.is_met());
+}
--- a/crates/plan/tests/world/engine.rs
+++ b/crates/plan/tests/world/engine.rs
@@ -20,6 +20,7 @@
 use plan::OrderOutcome;
 use plan::Route;
 
+#[derive(Clone)]
 pub struct Engine {
     pub report: HostReport,
     /// Silent and stopped until then: crashed, or paused.
