--- a/crates/admit/src/exchange.rs
+++ b/crates/admit/src/exchange.rs
@@ -3,16 +3,15 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use base::ContractName;
-use base::NodeId;
-use base::Time;
-use route::Length;
-
 use crate::ContractDemand;
 use crate::DemandReport;
 use crate::Dispatcher;
 use crate::ModelDemand;
 use crate::PeerUse;
+use base::ContractName;
+use base::NodeId;
+use base::Time;
+use route::Length;
 
 /// Demand added to each node's long work, so that one without any keeps a share.
 const LONG_FLOOR: f64 = 1.0;
--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
+use derive_more::Display;
+
 use base::ContractName;
 use base::ModelName;
 use base::OrgName;
@@ -17,7 +19,6 @@
 use base::Time;
 use base::TokenCount;
 use base::TokenRate;
-use derive_more::Display;
 use route::Length;
 
 /// Whether a request is within its contract's rates.
--- a/crates/admit/src/pump.rs
+++ b/crates/admit/src/pump.rs
@@ -2,14 +2,6 @@
 
 use std::time::Duration;
 
-use base::ModelName;
-use base::RequestId;
-use base::Time;
-use route::Ask;
-use route::Choice;
-use route::Length;
-use route::Miss;
-
 use crate::Decision;
 use crate::Dispatcher;
 use crate::Reason;
@@ -17,6 +9,13 @@
 use crate::dispatcher::refuse;
 use crate::flight::Flight;
 use crate::lane::Waiting;
+use base::ModelName;
+use base::RequestId;
+use base::Time;
+use route::Ask;
+use route::Choice;
+use route::Length;
+use route::Miss;
 
 /// Part of its share up to which long work goes before short.
 const LONG_FIRST: f64 = 0.8;
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -3,12 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use route::Length;
-
 use crate::lane::Lane;
 use crate::lane::Standing;
 use crate::lane::Waiting;
 use crate::length::Usual;
+use route::Length;
 
 /// Weight of one answer in the mean time that a request holds a slot.
 const LEARN: f64 = 0.05;
--- a/crates/admit/src/terms.rs
+++ b/crates/admit/src/terms.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
+use crate::bucket::Bucket;
 use base::Contract;
 use base::Overflow;
 use base::Time;
 use base::TokenCount;
 
-use crate::bucket::Bucket;
-
 /// Tokens may come at once for this long at the contract's rate.
 const TOKEN_BURST: Duration = Duration::from_secs(2);
 /// Refused callers are told to come back within this time of the earliest moment.
--- a/crates/cli/src/link.rs
+++ b/crates/cli/src/link.rs
@@ -4,14 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::args::Args;
+use crate::exit::CliError;
 use net::RpcClient;
 use net::RpcError;
 use wire::Call;
 use wire::FaultKind;
 
-use crate::args::Args;
-use crate::exit::CliError;
-
 /// The nodes that may be called.
 #[derive(Debug)]
 pub struct Link {
--- a/crates/cli/src/pending.rs
+++ b/crates/cli/src/pending.rs
@@ -14,11 +14,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::exit::CliError;
 use base::ChangeId;
 use base::Version;
 
-use crate::exit::CliError;
-
 /// What is noted beside a rules file.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Note {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -6,18 +6,6 @@
 
 use serde::Serialize;
 
-use base::Findings;
-use base::Version;
-use rules::Rules;
-use wire::operator::Apply;
-use wire::operator::ApplyReply;
-use wire::operator::FindOrder;
-use wire::operator::NodeRow;
-use wire::operator::OrderRow;
-use wire::operator::ShowRules;
-use wire::operator::ShowStatus;
-use wire::operator::StatusReply;
-
 use crate::args::ApplyArgs;
 use crate::args::Args;
 use crate::args::CheckArgs;
@@ -29,6 +17,17 @@
 use crate::link::Link;
 use crate::pending::Note;
 use crate::table;
+use base::Findings;
+use base::Version;
+use rules::Rules;
+use wire::operator::Apply;
+use wire::operator::ApplyReply;
+use wire::operator::FindOrder;
+use wire::operator::NodeRow;
+use wire::operator::OrderRow;
+use wire::operator::ShowRules;
+use wire::operator::ShowStatus;
+use wire::operator::StatusReply;
 
 /// Does what the command line says.
 pub async fn run(args: Args) -> Result<Exit, CliError> {
--- a/crates/daemon/src/control/demand.rs
+++ b/crates/daemon/src/control/demand.rs
@@ -2,14 +2,12 @@
 
 use std::collections::BTreeMap;
 
+use crate::node::Node;
+use base::ModelName;
 use plan::Demand;
 use plan::Phase;
-
-use base::ModelName;
 use rules::Model;
 
-use crate::node::Node;
-
 /// Share of a replica's slots that may be in use before another replica is wanted.
 const TARGET_USE: f64 = 0.7;
 
--- a/crates/daemon/src/control/lease_link.rs
+++ b/crates/daemon/src/control/lease_link.rs
@@ -3,16 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lease::Output;
-
+use crate::clock;
+use crate::node::Node;
 use base::NodeId;
+use lease::Output;
 use net::Methods;
 use wire::peer::LeaseAnswer;
 use wire::peer::LeaseMessage;
 
-use crate::clock;
-use crate::node::Node;
-
 /// How long a message may take.
 const WITHIN: Duration = Duration::from_millis(1_000);
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -11,24 +11,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lease::Lease;
-use lease::Memory;
-use lease::WallTime;
-use plan::Controller;
-use plan::Tenure;
-
+use crate::clock;
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
 use base::Fence;
 use base::HostReport;
 use base::Incarnation;
 use base::NodeId;
+use lease::Lease;
+use lease::Memory;
+use lease::WallTime;
 use net::Methods;
+use plan::Controller;
+use plan::Tenure;
 use settings::Settings;
 
-use crate::clock;
-use crate::events::Event;
-use crate::events::emit;
-use crate::node::Node;
-
 pub use polls::poll_on;
 
 /// How often the controller and the lease go on in time.
--- a/crates/daemon/src/control/orders.rs
+++ b/crates/daemon/src/control/orders.rs
@@ -3,21 +3,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::clock;
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+use net::RpcError;
 use plan::Action;
 use plan::Order;
 use plan::OrderOutcome;
-
-use net::RpcError;
 use wire::engine::EngineAction;
 use wire::engine::EngineOrder;
 use wire::engine::GroupHost;
 use wire::engine::Taken;
 
-use crate::clock;
-use crate::events::Event;
-use crate::events::emit;
-use crate::node::Node;
-
 /// How long a host may take to answer an order.
 const WITHIN: Duration = Duration::from_millis(1_000);
 
--- a/crates/daemon/src/control/polls.rs
+++ b/crates/daemon/src/control/polls.rs
@@ -4,6 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::clock;
+use crate::dispatch::HeardLoad;
+use crate::node::Node;
 use base::CentreId;
 use base::NodeId;
 use base::Time;
@@ -12,10 +15,6 @@
 use wire::peer::PollRoutes;
 use wire::peer::PolledRoutes;
 
-use crate::clock;
-use crate::dispatch::HeardLoad;
-use crate::node::Node;
-
 /// How often each data centre's controller is polled.
 const POLL_EVERY: Duration = Duration::from_millis(400);
 
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -8,11 +8,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use async_channel::Sender;
+
+use crate::clock;
+use crate::node::Node;
+use crate::problem::Problem;
 use admit::Arrival;
 use admit::Decision;
 use admit::Dispatcher;
-use async_channel::Sender;
-
 use base::CentreId;
 use base::Contract;
 use base::Fence;
@@ -26,10 +29,6 @@
 use plan::RouteTable;
 use wire::peer::LoadRow;
 
-use crate::clock;
-use crate::node::Node;
-use crate::problem::Problem;
-
 pub use refresh::configure;
 pub use refresh::dispatch_on;
 pub use work::Work;
@@ -112,12 +111,6 @@
         self.routes.borrow_mut().leaving(host, clock::now());
     }
 
-    /// Requests in progress and waiting at this node.
-    pub fn counts(&self) -> (usize, usize) {
-        let dispatcher = self.dispatcher.borrow();
-        (dispatcher.in_flight(), dispatcher.waiting())
-    }
-
     /// The route to a replica, if it is valid now.
     fn placed(&self, replica: ReplicaId, model: &ModelName, priority: Priority) -> Option<Placed> {
         let routes = self.routes.borrow();
--- a/crates/daemon/src/dispatch/refresh.rs
+++ b/crates/daemon/src/dispatch/refresh.rs
@@ -3,16 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use route::Candidate;
-
+use crate::clock;
+use crate::dispatch::Dispatch;
+use crate::node::Node;
 use base::CentreId;
 use base::Contract;
 use base::ModelName;
 use base::Time;
-
-use crate::clock;
-use crate::dispatch::Dispatch;
-use crate::node::Node;
+use route::Candidate;
 
 /// How often the dispatcher looks at its queue.
 const DECIDE_EVERY: Duration = Duration::from_millis(5);
--- a/crates/daemon/src/dispatch/work.rs
+++ b/crates/daemon/src/dispatch/work.rs
@@ -3,19 +3,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use admit::Decision;
-use admit::Failure;
-use admit::Reason;
 use http::StatusCode;
 
-use base::RequestId;
-
 use crate::clock;
 use crate::dispatch::Placed;
 use crate::dispatch::refresh::decide;
 use crate::entry::Break;
 use crate::node::Node;
 use crate::problem::Problem;
+use admit::Decision;
+use admit::Failure;
+use admit::Reason;
+use base::RequestId;
 
 /// A request that was admitted. Dropped before its end, it counts as cancelled.
 #[derive(Debug)]
--- a/crates/daemon/src/entry/auth.rs
+++ b/crates/daemon/src/entry/auth.rs
@@ -5,11 +5,10 @@
 use sha2::Digest;
 use sha2::Sha256;
 
-use base::CallerName;
-use base::OrgName;
-
 use crate::node::Node;
 use crate::problem::Problem;
+use base::CallerName;
+use base::OrgName;
 
 /// A caller that has proved who it is.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -10,32 +10,32 @@
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
+
+use crate::clock;
+use crate::entry::Arrival;
+use crate::entry::orders;
+use crate::metrics::Class;
+use crate::node::Node;
+use crate::problem::Problem;
+use base::OrderKey;
+use base::Ran;
+use base::ServiceName;
+use net::Body;
 use order::Answer;
 use order::Ask;
 use order::Call;
 use order::Content;
 use order::Key;
 use order::Kind;
+use order::NotTaken;
 use order::Others;
 use order::Refusal;
+use rules::Repeat;
+use rules::Service;
 use state::Body as StoredBody;
 use state::Digest;
 use state::StoredAnswer;
 
-use base::OrderKey;
-use base::Ran;
-use base::ServiceName;
-use net::Body;
-use rules::Repeat;
-use rules::Service;
-
-use crate::clock;
-use crate::entry::Arrival;
-use crate::entry::orders;
-use crate::metrics::Class;
-use crate::node::Node;
-use crate::problem::Problem;
-
 /// When to come back after a refusal that will pass.
 const SOON: Duration = Duration::from_secs(1);
 
@@ -60,17 +60,14 @@
     let request = orders::Request {
         call: Call {
             service: name.clone(),
-            kind: kind(node, &arrival, &name, rule, headers)?,
+            kind: kind(&arrival, &name, rule, headers)?,
             deadline: rule.deadline,
         },
         body: arrival.body.clone(),
         headers: headers.clone(),
     };
     let answer = orders::make(node, request).await;
-    let answer = answer.map_err(|e| {
-        let busy = StatusCode::SERVICE_UNAVAILABLE;
-        Problem::not_run(busy, "node-full", e).retry_after(SOON)
-    })?;
+    let answer = answer.map_err(|e| not_taken(&e))?;
     let response = respond(answer)?;
     turn.answered();
     let total = clock::now().since(arrival.arrived);
@@ -81,9 +78,16 @@
     Ok(response)
 }
 
+fn not_taken(why: &NotTaken) -> Problem {
+    let kind = match why {
+        NotTaken::Busy { .. } => "node-full",
+        NotTaken::JustWoke => "just-woke",
+    };
+    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, kind, why).retry_after(SOON)
+}
+
 /// How often a call may run, by its service's rule and its key.
 fn kind(
-    node: &Node,
     arrival: &Arrival,
     name: &ServiceName,
     rule: &Service,
@@ -108,7 +112,6 @@
         },
         others: Others::Possible,
         retention: rule.retention,
-        seen: node.known_index(),
     }))
 }
 
@@ -214,12 +217,6 @@
             None,
         ),
         Refusal::CallerGone => (unavailable, "caller-gone", "the caller left", None),
-        Refusal::Busy => (
-            unavailable,
-            "node-full",
-            "too many calls are open",
-            Some(SOON),
-        ),
     };
     let problem = Problem::not_run(status, kind, what);
     match retry {
--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -11,14 +11,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use base::Contract;
-use base::ModelName;
-use base::Ran;
-use base::Time;
-use base::TokenCount;
-use net::Body;
-use net::BodySender;
-
 use crate::clock;
 use crate::dispatch;
 use crate::dispatch::Placed;
@@ -37,6 +29,13 @@
 use crate::node::InFlight;
 use crate::node::Node;
 use crate::problem::Problem;
+use base::Contract;
+use base::ModelName;
+use base::Ran;
+use base::Time;
+use base::TokenCount;
+use net::Body;
+use net::BodySender;
 
 /// Tokens of an answer if the caller sets no bound.
 const DEFAULT_MAX_TOKENS: u32 = 256;
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -18,6 +18,10 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
+use crate::dispatch::Placed;
+use crate::entry::chunk::Follower;
+use crate::entry::chunk::Frame;
+use crate::entry::chunk::FrameError;
 use net::Connection;
 use net::SendError;
 use wire::engine::FENCE_HEADER;
@@ -26,11 +30,6 @@
 use wire::engine::REQUEST_ID_HEADER;
 use wire::engine::RESUME_HEADER;
 
-use crate::dispatch::Placed;
-use crate::entry::chunk::Follower;
-use crate::entry::chunk::Frame;
-use crate::entry::chunk::FrameError;
-
 /// Time allowed to connect to an engine.
 const CONNECT: Duration = Duration::from_millis(500);
 
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -21,17 +21,16 @@
 use http::request::Parts;
 use hyper::body::Incoming;
 
-use net::Body;
-use net::BodyError;
-use net::Bounds;
-use net::Server;
-use net::read_body;
-
 use crate::clock;
 use crate::metrics::RefusalLabels;
 use crate::node::Node;
 use crate::node::Phase;
 use crate::problem::Problem;
+use net::Body;
+use net::BodyError;
+use net::Bounds;
+use net::Server;
+use net::read_body;
 
 /// Listens for callers.
 pub async fn bind(node: &Rc<Node>) -> std::io::Result<Server> {
--- a/crates/daemon/src/entry/orders.rs
+++ b/crates/daemon/src/entry/orders.rs
@@ -14,21 +14,6 @@
 use bytes::Bytes;
 use compio::runtime::JoinHandle;
 use http::HeaderMap;
-use order::Answer;
-use order::Book;
-use order::Busy;
-use order::Call;
-use order::Event;
-use order::Proposal;
-use order::Step;
-use state::Op;
-use state::StoredAnswer;
-
-use base::Incarnation;
-use base::NodeId;
-use base::Ran;
-use base::ServiceName;
-use net::Connection;
 
 use crate::clock;
 use crate::entry::service;
@@ -38,6 +23,20 @@
 use crate::node::Node;
 use crate::voters;
 use crate::voters::Fate;
+use base::Incarnation;
+use base::NodeId;
+use base::Ran;
+use base::ServiceName;
+use net::Connection;
+use order::Answer;
+use order::Book;
+use order::Call;
+use order::Event;
+use order::NotTaken;
+use order::Proposal;
+use order::Step;
+use state::Op;
+use state::StoredAnswer;
 
 /// Calls that may be open at one node.
 const MOST_OPEN: usize = 4_096;
@@ -104,7 +103,7 @@
 }
 
 /// Makes a call and waits for what its caller is to be told.
-pub async fn make(node: &Rc<Node>, request: Request) -> Result<Answer, Busy> {
+pub async fn make(node: &Rc<Node>, request: Request) -> Result<Answer, NotTaken> {
     let (tell, told) = async_channel::bounded(1);
     let service = request.call.service.clone();
     let key = key_of(&request.call);
@@ -133,7 +132,7 @@
     carry_out(node, sequence, steps);
     let answer = wait(&told).await;
     caller.told = true;
-    answer.ok_or(Busy { open: 0 })
+    answer.ok_or(NotTaken::Busy { open: 0 })
 }
 
 async fn wait(told: &Receiver<Answer>) -> Option<Answer> {
@@ -159,7 +158,10 @@
 pub async fn orders_on(node: Rc<Node>) {
     loop {
         compio::time::sleep(TICK).await;
-        let steps = node.orders.book.borrow_mut().tick(clock::now());
+        let now = clock::now();
+        let applied = node.known_index();
+        node.orders.book.borrow_mut().hear(applied, now);
+        let steps = node.orders.book.borrow_mut().tick(now);
         for (sequence, step) in steps {
             carry_out(&node, sequence, vec![step]);
         }
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -9,17 +9,16 @@
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
-use order::AskReply;
-use state::StoredAnswer;
 
+use crate::entry::orders::stored;
+use crate::node::Node;
 use base::ServiceName;
 use base::ServiceReport;
 use net::Connection;
 use net::SendError;
 use net::read_body;
-
-use crate::entry::orders::stored;
-use crate::node::Node;
+use order::AskReply;
+use state::StoredAnswer;
 
 /// Time allowed to connect to a service.
 const CONNECT: Duration = Duration::from_millis(500);
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -88,8 +88,6 @@
         "the state in {folder:?} cannot be written: {error}";
     600 Warn OrderUnknown { service: &'a ServiceName, key: String }
         "the outcome of order {key} to {service} is unknown";
-    601 Info OrderRecorded { service: &'a ServiceName, key: String }
-        "order {key} to {service} is recorded";
     700 Warn AnswerRejected { replica: ReplicaId, error: String }
         "an answer of {replica} was rejected: {error}";
     701 Info AnswerResumed { replica: ReplicaId, delivered: u32 }
--- a/crates/daemon/src/inner/announce.rs
+++ b/crates/daemon/src/inner/announce.rs
@@ -2,6 +2,11 @@
 
 use std::rc::Rc;
 
+use crate::clock;
+use crate::events::Event;
+use crate::events::emit;
+use crate::node::Node;
+use crate::upstreams::Hearing;
 use base::HostReport;
 use base::ServiceReport;
 use net::Methods;
@@ -9,12 +14,6 @@
 use wire::upstream::AnnounceService;
 use wire::upstream::Heard;
 
-use crate::clock;
-use crate::events::Event;
-use crate::events::emit;
-use crate::node::Node;
-use crate::upstreams::Hearing;
-
 pub fn methods(methods: Methods<Node>) -> Methods<Node> {
     methods
         .on(|node: Rc<Node>, call: AnnounceHost| async move {
--- a/crates/daemon/src/inner/kept.rs
+++ b/crates/daemon/src/inner/kept.rs
@@ -9,10 +9,9 @@
 use std::io::Write;
 use std::path::Path;
 
-use wire::peer::Configuration;
-
 use crate::inner::bring_into_force;
 use crate::node::Node;
+use wire::peer::Configuration;
 
 /// The file in the data folder.
 const FILE: &str = "config.json";
--- a/crates/daemon/src/inner/mod.rs
+++ b/crates/daemon/src/inner/mod.rs
@@ -18,17 +18,16 @@
 use http::StatusCode;
 use hyper::body::Incoming;
 
+use crate::control;
+use crate::entry::bearer;
+use crate::node::Node;
+use crate::voters;
 use net::Body;
 use net::Bounds;
 use net::Methods;
 use net::Server;
 use net::read_body;
 
-use crate::control;
-use crate::entry::bearer;
-use crate::node::Node;
-use crate::voters;
-
 pub use kept::restore;
 pub use pull::bring_into_force;
 pub use pull::pull_on;
--- a/crates/daemon/src/inner/operate.rs
+++ b/crates/daemon/src/inner/operate.rs
@@ -5,14 +5,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::clock;
+use crate::inner::status;
+use crate::node::Node;
+use crate::voters;
+use crate::voters::Fate;
+use net::Methods;
+use rules::Rules;
 use state::Change;
 use state::ChangeReply;
 use state::Op;
 use state::Reply;
 use state::Standing;
-
-use net::Methods;
-use rules::Rules;
 use wire::Fault;
 use wire::operator::Apply;
 use wire::operator::ApplyReply;
@@ -23,12 +27,6 @@
 use wire::operator::ShowRules;
 use wire::operator::ShowStatus;
 
-use crate::clock;
-use crate::inner::status;
-use crate::node::Node;
-use crate::voters;
-use crate::voters::Fate;
-
 /// How long a change looks for the voters' leader.
 const APPLY_WITHIN: Duration = Duration::from_millis(3_500);
 
--- a/crates/daemon/src/inner/pull.rs
+++ b/crates/daemon/src/inner/pull.rs
@@ -7,14 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::NodeId;
-use base::Version;
-use net::Methods;
-use rules::Rules;
-use wire::peer::Configuration;
-use wire::peer::PullConfig;
-use wire::peer::Pulled;
-
 use crate::clock;
 use crate::dispatch;
 use crate::events::Event;
@@ -24,6 +16,13 @@
 use crate::node::InForce;
 use crate::node::Node;
 use crate::node::Phase;
+use base::NodeId;
+use base::Version;
+use net::Methods;
+use rules::Rules;
+use wire::peer::Configuration;
+use wire::peer::PullConfig;
+use wire::peer::Pulled;
 
 /// How often a node asks one other node.
 const PULL_EVERY: Duration = Duration::from_millis(500);
--- a/crates/daemon/src/inner/relay.rs
+++ b/crates/daemon/src/inner/relay.rs
@@ -7,6 +7,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::clock;
+use crate::events::Event;
+use crate::events::emit;
+use crate::inner::announce::hear_host;
+use crate::inner::announce::hear_service;
+use crate::node::Node;
 use base::HostId;
 use base::HostReport;
 use base::NodeId;
@@ -16,13 +22,6 @@
 use wire::peer::Relay;
 use wire::peer::Taken;
 
-use crate::clock;
-use crate::events::Event;
-use crate::events::emit;
-use crate::inner::announce::hear_host;
-use crate::inner::announce::hear_service;
-use crate::node::Node;
-
 /// How often news is told.
 const RELAY_EVERY: Duration = Duration::from_millis(250);
 
--- a/crates/daemon/src/inner/status.rs
+++ b/crates/daemon/src/inner/status.rs
@@ -2,6 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use crate::clock;
+use crate::node::Node;
+use crate::node::Phase;
+use base::NodeId;
+use base::Version;
 use wire::operator::ClassRow;
 use wire::operator::NodeRow;
 use wire::operator::ReplicaRow;
@@ -9,13 +14,6 @@
 use wire::operator::StatusReply;
 use wire::operator::StrandedRow;
 
-use base::NodeId;
-use base::Version;
-
-use crate::clock;
-use crate::node::Node;
-use crate::node::Phase;
-
 /// How things are, as this node sees it.
 pub fn status(node: &Node) -> StatusReply {
     let controlled = node.control.status();
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -6,16 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::Incarnation;
-use base::NodeId;
-use base::ReplicaId;
-use base::RequestId;
-use base::Time;
-use base::Version;
-use net::RpcClient;
-use rules::Rules;
-use settings::Settings;
-
 use crate::clock;
 use crate::control::Control;
 use crate::dispatch::Dispatch;
@@ -25,6 +15,15 @@
 use crate::metrics::Metrics;
 use crate::upstreams::Upstreams;
 use crate::voters::Voters;
+use base::Incarnation;
+use base::NodeId;
+use base::ReplicaId;
+use base::RequestId;
+use base::Time;
+use base::Version;
+use net::RpcClient;
+use rules::Rules;
+use settings::Settings;
 
 /// What a node is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -9,8 +9,6 @@
 use futures_util::FutureExt;
 use futures_util::select_biased;
 
-use settings::Settings;
-
 use crate::control;
 use crate::dispatch;
 use crate::entry;
@@ -20,6 +18,7 @@
 use crate::node::Node;
 use crate::node::Phase;
 use crate::voters;
+use settings::Settings;
 
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
--- a/crates/daemon/src/upstreams.rs
+++ b/crates/daemon/src/upstreams.rs
@@ -98,11 +98,6 @@
         Expired { hosts, services }
     }
 
-    /// The hosts, by id.
-    pub fn hosts(&self) -> impl Iterator<Item = &HostReport> {
-        self.hosts.values().map(|heard| &heard.report)
-    }
-
     /// One host.
     pub fn host(&self, host: HostId) -> Option<&HeardOf<HostReport>> {
         self.hosts.get(&host)
--- a/crates/daemon/src/voters/disk_writer.rs
+++ b/crates/daemon/src/voters/disk_writer.rs
@@ -7,18 +7,18 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
-use disk::Log;
-use disk::WriteError;
 use serde::Serialize;
-use vote::Batch;
-use vote::Record;
-use vote::Work;
 
 use crate::clock;
 use crate::events::Event;
 use crate::events::emit;
 use crate::node::Node;
 use crate::voters::driver::step;
+use disk::Log;
+use disk::WriteError;
+use vote::Batch;
+use vote::Record;
+use vote::Work;
 
 /// Time between two tries while the disk is full.
 const RETRY_EVERY: Duration = Duration::from_millis(500);
--- a/crates/daemon/src/voters/driver.rs
+++ b/crates/daemon/src/voters/driver.rs
@@ -8,7 +8,17 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+
+use crate::clock;
+use crate::events::Event;
+use crate::events::emit;
+use crate::inner::bring_into_force;
+use crate::node::Node;
+use crate::voters::disk_writer;
+use base::Version;
 use disk::Log;
+use settings::Role as Part;
+use settings::Settings;
 use state::Command;
 use state::LogClock;
 use state::Reply;
@@ -22,19 +32,8 @@
 use vote::Standing;
 use vote::Term;
 use vote::Voter;
-
-use base::Version;
-use settings::Role as Part;
-use settings::Settings;
 use wire::peer::VoteMessage;
 
-use crate::clock;
-use crate::events::Event;
-use crate::events::emit;
-use crate::inner::bring_into_force;
-use crate::node::Node;
-use crate::voters::disk_writer;
-
 /// How often the voter goes on in time.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -210,7 +209,7 @@
                     None
                 }
             },
-            Payload::Blank | Payload::Group(_) => None,
+            Payload::Nothing | Payload::Group(_) => None,
         };
         let waiter = self.waiting.borrow_mut().remove(&entry.index);
         if let Some(waiter) = waiter {
@@ -245,10 +244,7 @@
             (_, Some(leader)) => emit(&Event::Following { leader }),
             _ => {}
         }
-        if matches!(
-            status.standing,
-            Standing::OtherDisk(_) | Standing::RolledBack
-        ) {
+        if matches!(status.standing, Standing::Lost | Standing::Replaced) {
             let reason = format!("{:?}", status.standing);
             emit(&Event::VoterLost { reason });
         }
--- a/crates/daemon/src/voters/propose.rs
+++ b/crates/daemon/src/voters/propose.rs
@@ -4,25 +4,24 @@
 use std::time::Duration;
 
 use compio::time::timeout;
-use state::Op;
-use state::Reply;
-use vote::Blob;
-use vote::ProposeError;
 
+use crate::clock;
+use crate::node::Node;
+use crate::voters::driver::step;
 use base::NodeId;
 use base::OrderKey;
 use base::OrgName;
 use base::Time;
 use net::RpcError;
+use state::Op;
+use state::Reply;
+use vote::Blob;
+use vote::ProposeError;
 use wire::FaultKind;
 use wire::peer::Propose;
 use wire::peer::Proposed;
 use wire::peer::ReadOrder;
 
-use crate::clock;
-use crate::node::Node;
-use crate::voters::driver::step;
-
 /// How long one node may take to get a command agreed on.
 const WITHIN: Duration = Duration::from_millis(1_500);
 
--- a/crates/daemon/src/voters/rpc.rs
+++ b/crates/daemon/src/voters/rpc.rs
@@ -2,9 +2,13 @@
 
 use std::rc::Rc;
 
-use state::Op;
-
+use crate::clock;
+use crate::node::Node;
+use crate::voters::driver::step;
+use crate::voters::propose::propose_here;
+use crate::voters::propose::standing_here;
 use net::Methods;
+use state::Op;
 use wire::Fault;
 use wire::peer::OrderStanding;
 use wire::peer::Propose;
@@ -12,12 +16,6 @@
 use wire::peer::Taken;
 use wire::peer::VoteMessage;
 
-use crate::clock;
-use crate::node::Node;
-use crate::voters::driver::step;
-use crate::voters::propose::propose_here;
-use crate::voters::propose::standing_here;
-
 pub fn methods(methods: Methods<Node>) -> Methods<Node> {
     methods
         .on(|node: Rc<Node>, call: VoteMessage| async move {
--- a/crates/harness/src/caller.rs
+++ b/crates/harness/src/caller.rs
@@ -12,11 +12,10 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 
+use crate::secret_of;
 use net::Connection;
 use net::SendError;
 
-use crate::secret_of;
-
 /// Time allowed to connect.
 const CONNECT: Duration = Duration::from_secs(2);
 
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -13,10 +13,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use base::Fencing;
-use base::HostId;
-use base::NodeId;
-
 use crate::Caller;
 use crate::HostSpec;
 use crate::NodeSpec;
@@ -24,6 +20,9 @@
 use crate::ServiceSpec;
 use crate::ports::free_addr;
 use crate::process::program_path;
+use base::Fencing;
+use base::HostId;
+use base::NodeId;
 
 const PEER_SECRET: &str = "peers-0123456789abcdef";
 const UPSTREAM_SECRET: &str = "upstreams-0123456789abcdef";
--- a/crates/plan/src/moves.rs
+++ b/crates/plan/src/moves.rs
@@ -8,10 +8,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use base::DomainId;
-use base::ModelName;
-use base::ReplicaId;
-
 use crate::Demand;
 use crate::DrainReason;
 use crate::Form;
@@ -24,6 +20,9 @@
 use crate::planner::Unit;
 use crate::planner::drain;
 use crate::space::Space;
+use base::DomainId;
+use base::ModelName;
+use base::ReplicaId;
 
 /// Models for which one plan looks for moves.
 const MAX_MODELS: usize = 4;
--- a/crates/plan/src/ordering.rs
+++ b/crates/plan/src/ordering.rs
@@ -3,14 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use base::Assignment;
-use base::DomainId;
-use base::Fence;
-use base::HostId;
-use base::ModelName;
-use base::ReplicaId;
-use base::Time;
-
 use crate::Action;
 use crate::Controller;
 use crate::Drain;
@@ -28,6 +20,13 @@
 use crate::plan;
 use crate::replica::Replica;
 use crate::replica::replica_id;
+use base::Assignment;
+use base::DomainId;
+use base::Fence;
+use base::HostId;
+use base::ModelName;
+use base::ReplicaId;
+use base::Time;
 
 impl Controller {
     /// Orders hosts to be idle that are leaving a replica or claim one that is no more.
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -10,9 +10,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use base::DomainId;
-use base::ModelName;
-
 use crate::Demand;
 use crate::Drain;
 use crate::DrainReason;
@@ -23,6 +20,8 @@
 use crate::View;
 use crate::moves::Moves;
 use crate::space::Space;
+use base::DomainId;
+use base::ModelName;
 
 /// How much a replica is needed. Smaller is more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/plan/src/replica.rs
+++ b/crates/plan/src/replica.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Config;
+use crate::host::Host;
 use base::Assignment;
 use base::CentreId;
 use base::DomainId;
@@ -17,9 +19,6 @@
 use base::ReplicaId;
 use base::Time;
 
-use crate::Config;
-use crate::host::Host;
-
 /// Where a replica is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/plan/src/status.rs
+++ b/crates/plan/src/status.rs
@@ -6,6 +6,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Controller;
+use crate::Phase;
+use crate::Reason;
+use crate::Stranded;
+use crate::replica::Replica;
 use base::DomainId;
 use base::Fence;
 use base::HostId;
@@ -13,12 +18,6 @@
 use base::ReplicaId;
 use base::Time;
 
-use crate::Controller;
-use crate::Phase;
-use crate::Reason;
-use crate::Stranded;
-use crate::replica::Replica;
-
 /// The replicas of one data centre, as its controller knows them.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Status {
--- a/crates/plan/src/stranded.rs
+++ b/crates/plan/src/stranded.rs
@@ -7,13 +7,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Controller;
+use crate::host::Host;
 use base::DomainId;
 use base::HostId;
 use base::Time;
 
-use crate::Controller;
-use crate::host::Host;
-
 /// A healthy host in no replica.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Stranded {
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
+use crate::Forecast;
 use base::CentreId;
 use base::Load;
 use base::ReplicaId;
 use base::TokenCount;
 use base::TokenRate;
-use derive_more::Display;
-
-use crate::Forecast;
 
 /// A replica that may serve a model, with its latest load report.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
+use crate::Length;
 use base::ModelName;
 use base::ReplicaId;
 use base::Time;
 
-use crate::Length;
-
 /// One request at a replica.
 #[derive(Clone, Debug)]
 pub(crate) struct Flight {
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -3,10 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use base::ReplicaId;
-use base::Time;
-use base::TokenCount;
-
 use crate::Ask;
 use crate::Candidate;
 use crate::Choice;
@@ -18,6 +14,9 @@
 use crate::outlier::Usual;
 use crate::prefix::Prefixes;
 use crate::replica::Replica;
+use base::ReplicaId;
+use base::Time;
+use base::TokenCount;
 
 /// Links that are longer than the shortest by less than this are near.
 const NEAR: Duration = Duration::from_millis(1);
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -4,16 +4,15 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::Candidate;
+use crate::Length;
+use crate::outlier::Outlier;
 use base::Load;
 use base::ReplicaId;
 use base::RequestId;
 use base::Time;
 use base::TokenCount;
 
-use crate::Candidate;
-use crate::Length;
-use crate::outlier::Outlier;
-
 /// One replica as this node sees it.
 #[derive(Clone, Debug)]
 pub(crate) struct Replica {
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use base::ByteSize;
-
 use crate::reader::Section;
+use base::ByteSize;
 
 /// Bounds of what a node takes from outside.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -10,17 +10,16 @@
 use toml_edit::Document;
 use toml_edit::Item;
 
-use base::CentreId;
-use base::Findings;
-use base::NodeId;
-use base::Place;
-
 use crate::Limits;
 use crate::Secret;
 use crate::Secrets;
 use crate::reader::Reader;
 use crate::reader::Section;
 use crate::secret::MIN_SECRET_BYTES;
+use base::CentreId;
+use base::Findings;
+use base::NodeId;
+use base::Place;
 
 /// The settings of one node, checked.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -17,6 +17,15 @@
 use http::StatusCode;
 use hyper::body::Incoming;
 
+use crate::Place;
+use crate::announce::announce;
+use crate::announce::new_incarnation;
+use crate::batch::Batch;
+use crate::batch::BatchConfig;
+use crate::batch::Key;
+use crate::group::Group;
+use crate::prompt::ChatRequest;
+use crate::prompt::Chunk;
 use base::Assignment;
 use base::CentreId;
 use base::DomainId;
@@ -45,16 +54,6 @@
 use wire::engine::RESUME_HEADER;
 use wire::upstream::AnnounceHost;
 
-use crate::Place;
-use crate::announce::announce;
-use crate::announce::new_incarnation;
-use crate::batch::Batch;
-use crate::batch::BatchConfig;
-use crate::batch::Key;
-use crate::group::Group;
-use crate::prompt::ChatRequest;
-use crate::prompt::Chunk;
-
 const BODY_BYTES: usize = 16 * 1024 * 1024;
 const BODY_TIME: Duration = Duration::from_secs(10);
 const READER_STALL: Duration = Duration::from_secs(30);
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -18,6 +18,9 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 
+use crate::Place;
+use crate::announce::announce;
+use crate::announce::new_incarnation;
 use base::CentreId;
 use base::ServiceName;
 use base::ServiceReport;
@@ -28,10 +31,6 @@
 use net::read_body;
 use wire::upstream::AnnounceService;
 
-use crate::Place;
-use crate::announce::announce;
-use crate::announce::new_incarnation;
-
 const BODY_BYTES: usize = 1024 * 1024;
 const BODY_TIME: Duration = Duration::from_secs(10);
 
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -5,14 +5,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Call;
 use base::Duty;
 use base::Fence;
 use base::HostId;
 use base::ModelName;
 use base::ReplicaId;
 
-use crate::Call;
-
 /// The request's id, repeated in every frame of the answer.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// The replica that the request is meant for. Others refuse it.
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Call;
 use base::CentreId;
 use base::ChangeId;
 use base::Findings;
@@ -15,8 +16,6 @@
 use base::ServiceName;
 use base::Version;
 
-use crate::Call;
-
 /// Asks to accept a change of the rules.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Apply {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Call;
 use base::HostReport;
 use base::Load;
 use base::NodeId;
@@ -18,8 +19,6 @@
 use plan::RoutePoll;
 use vote::Blob;
 
-use crate::Call;
-
 /// What a node heard from upstreams since it last told its neighbours.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Relay {
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -5,12 +5,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Call;
 use base::HostReport;
 use base::NodeId;
 use base::ServiceReport;
 
-use crate::Call;
-
 /// How often an upstream announces itself.
 pub const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
 
