--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -7,14 +7,13 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use base::Assignment;
-use base::HostId;
-use base::Time;
-
 use crate::Controller;
 use crate::Phase;
 use crate::host::Host;
 use crate::replica::Replica;
+use base::Assignment;
+use base::HostId;
+use base::Time;
 
 impl Controller {
     /// Adopts each group all of whose hosts name the same assignment.
--- a/crates/plan/src/advance.rs
+++ b/crates/plan/src/advance.rs
@@ -1,16 +1,15 @@
 //! Takes each replica through its life by what its hosts say.
 
-use base::Duty;
-use base::HostId;
-use base::ReplicaId;
-use base::Time;
-
 use crate::Controller;
 use crate::Phase;
 use crate::Reason;
 use crate::host::Host;
 use crate::replica::Replica;
 use crate::replica::Standing;
+use base::Duty;
+use base::HostId;
+use base::ReplicaId;
+use base::Time;
 
 impl Controller {
     /// Takes every replica as far as it can go now.
--- a/crates/plan/src/config.rs
+++ b/crates/plan/src/config.rs
@@ -41,6 +41,8 @@
     pub move_after: Duration,
     /// Replicas that may be on the move at once.
     pub moves_at_once: usize,
+    /// How long a drain takes as a rule. Hosts are kept for what waits for it so long.
+    pub drain_expected: Duration,
     /// A replica that drains is released after this time, finished or not.
     pub drain_limit: Duration,
     /// How old the load in a host's report may be.
@@ -100,6 +102,7 @@
             surplus_hold: Duration::from_secs(60),
             move_after: Duration::from_secs(5),
             moves_at_once: 2,
+            drain_expected: Duration::from_secs(30),
             drain_limit: Duration::from_secs(900),
             load_lag: Duration::from_secs(2),
             load_expected: Duration::from_secs(60),
--- a/crates/plan/src/controller.rs
+++ b/crates/plan/src/controller.rs
@@ -11,14 +11,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use base::DomainId;
-use base::Fence;
-use base::HostId;
-use base::HostReport;
-use base::ModelName;
-use base::ReplicaId;
-use base::Time;
-
 use crate::Config;
 use crate::Demand;
 use crate::GrantId;
@@ -36,6 +28,13 @@
 use crate::host::Host;
 use crate::ledger::Ledger;
 use crate::replica::Replica;
+use base::DomainId;
+use base::Fence;
+use base::HostId;
+use base::HostReport;
+use base::ModelName;
+use base::ReplicaId;
+use base::Time;
 
 /// An order whose outcome is not known yet.
 #[derive(Clone, Copy, Debug)]
--- a/crates/plan/src/host.rs
+++ b/crates/plan/src/host.rs
@@ -2,15 +2,14 @@
 
 use std::time::Duration;
 
+use crate::Config;
+use crate::OrderId;
 use base::Assignment;
 use base::Duty;
 use base::HostReport;
 use base::ReplicaId;
 use base::Time;
 
-use crate::Config;
-use crate::OrderId;
-
 /// What a controller knows of one host.
 #[derive(Clone, Debug)]
 pub(crate) struct Host {
--- a/crates/plan/src/ledger.rs
+++ b/crates/plan/src/ledger.rs
@@ -5,14 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::GrantId;
+use crate::RoutePoll;
 use base::Incarnation;
 use base::NodeId;
 use base::ReplicaId;
 use base::Time;
 
-use crate::GrantId;
-use crate::RoutePoll;
-
 /// The routes of one grant.
 #[derive(Clone, Debug)]
 struct Granted {
--- a/crates/plan/src/moves.rs
+++ b/crates/plan/src/moves.rs
@@ -8,10 +8,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use base::DomainId;
-use base::ModelName;
-use base::ReplicaId;
-
 use crate::Demand;
 use crate::DrainReason;
 use crate::Form;
@@ -24,6 +20,9 @@
 use crate::planner::Unit;
 use crate::planner::drain;
 use crate::space::Space;
+use base::DomainId;
+use base::ModelName;
+use base::ReplicaId;
 
 /// Models for which one plan looks for moves.
 const MAX_MODELS: usize = 4;
@@ -53,13 +52,14 @@
         view: &'a View,
         demand: &'a BTreeMap<ModelName, Demand>,
         space: &'a mut Space,
+        ended: BTreeSet<ReplicaId>,
     ) -> Self {
         let mut standing: BTreeMap<_, Vec<_>> = BTreeMap::new();
         let mut counts = BTreeMap::new();
         for domain in view.free.keys() {
             standing.insert(*domain, Vec::new());
         }
-        for placed in &view.replicas {
+        for placed in view.replicas.iter().filter(|p| !ended.contains(&p.replica)) {
             *counts.entry(&placed.model).or_default() += 1;
             standing.entry(placed.domain).or_default().push(placed);
         }
@@ -71,7 +71,7 @@
             space,
             standing,
             counts,
-            ended: BTreeSet::new(),
+            ended,
         }
     }
 
--- a/crates/plan/src/ordering.rs
+++ b/crates/plan/src/ordering.rs
@@ -3,14 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use base::Assignment;
-use base::DomainId;
-use base::Fence;
-use base::HostId;
-use base::ModelName;
-use base::ReplicaId;
-use base::Time;
-
 use crate::Action;
 use crate::Controller;
 use crate::Drain;
@@ -28,6 +20,13 @@
 use crate::plan;
 use crate::replica::Replica;
 use crate::replica::replica_id;
+use base::Assignment;
+use base::DomainId;
+use base::Fence;
+use base::HostId;
+use base::ModelName;
+use base::ReplicaId;
+use base::Time;
 
 impl Controller {
     /// Orders hosts to be idle that are leaving a replica or claim one that is no more.
@@ -68,7 +67,7 @@
         let plan = std::mem::take(&mut self.plan);
         self.note_trend(&plan, now);
         for drain in &plan.drains {
-            self.start_drain(drain, now);
+            self.start_drain(drain, plan.lacks_hosts(), now);
         }
         let mut orders = Vec::new();
         for form in &plan.forms {
@@ -113,7 +112,7 @@
         let mut coming = BTreeMap::new();
         for host in self.hosts.values() {
             let owner = host.owner.and_then(|id| self.replicas.get(&id));
-            let is_coming = owner.is_some_and(Replica::frees_hosts);
+            let is_coming = owner.is_some_and(|replica| replica.frees_hosts(&self.cfg, now));
             if is_coming && host.will_be_usable(&self.cfg, now) {
                 *coming.entry(host.report.domain).or_default() += 1;
             }
@@ -180,9 +179,9 @@
         keep_since(&mut self.trend.unplaced, unplaced, now);
     }
 
-    fn start_drain(&mut self, drain: &Drain, now: Time) {
+    fn start_drain(&mut self, drain: &Drain, is_needed: bool, now: Time) {
         match &drain.why {
-            DrainReason::Surplus => self.drain_surplus(drain.replica, now),
+            DrainReason::Surplus => self.drain_surplus(drain.replica, is_needed, now),
             DrainReason::Preempted(model) if self.is_long_unplaced(model, now) => {
                 self.drain(drain.replica, Reason::Preempted, now);
             }
@@ -191,13 +190,18 @@
         }
     }
 
-    /// Ends one replica of a model whose demand has been lower for long enough.
-    fn drain_surplus(&mut self, id: ReplicaId, now: Time) {
+    /// Ends a replica of a model whose demand has been lower for long enough. That is
+    /// sooner if another model needs the hosts.
+    fn drain_surplus(&mut self, id: ReplicaId, is_needed: bool, now: Time) {
         let Some(replica) = self.replicas.get(&id) else {
             return;
         };
         let since = self.trend.surplus.get(&replica.assignment.model);
-        let hold = self.cfg.surplus_hold;
+        let hold = if is_needed {
+            self.cfg.move_after
+        } else {
+            self.cfg.surplus_hold
+        };
         if since.is_some_and(|since| *since + hold <= now) {
             self.drain(id, Reason::Surplus, now);
         }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -10,9 +10,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use base::DomainId;
-use base::ModelName;
-
 use crate::Demand;
 use crate::Drain;
 use crate::DrainReason;
@@ -23,6 +20,8 @@
 use crate::View;
 use crate::moves::Moves;
 use crate::space::Space;
+use base::DomainId;
+use base::ModelName;
 
 /// How much a replica is needed. Smaller is more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -46,20 +45,21 @@
 /// Computes what to do about the demand, given what stands.
 pub fn plan(view: &View, demand: &BTreeMap<ModelName, Demand>) -> Plan {
     let mut space = Space::of(view);
+    let drains = surplus(view, demand, &mut space);
     let units = lacking(view, demand);
-    let (forms, unplaced) = place(&mut space, units, &view.homes);
+    let found = place(&mut space, units, &view.homes);
     let mut plan = Plan {
-        forms,
+        forms: found.forms,
+        drains,
+        awaiting: by_model(&found.awaiting),
+        unplaced: by_model(&found.unplaced),
         ..Plan::default()
     };
-    plan.drains = surplus(view, demand, &space);
-    for unit in &unplaced {
-        *plan.unplaced.entry(unit.model.clone()).or_default() += 1;
-    }
-    if unplaced.is_empty() {
+    if found.unplaced.is_empty() {
         replace_slow(view, &mut space, &mut plan);
     } else {
-        Moves::open(view, demand, &mut space).find(&unplaced, &mut plan);
+        let ended = plan.drains.iter().map(|drain| drain.replica).collect();
+        Moves::open(view, demand, &mut space, ended).find(&found.unplaced, &mut plan);
     }
     plan
 }
@@ -106,9 +106,16 @@
 
 type Homes = BTreeMap<ModelName, BTreeSet<DomainId>>;
 
-/// Places what fits. Gives the forms in the order of need, and the rest, but
-/// for those that only wait for hosts that are being released.
-fn place(space: &mut Space, units: Vec<Unit>, homes: &Homes) -> (Vec<Form>, Vec<Unit>) {
+/// What became of the units, each list in the order of need.
+#[derive(Default)]
+struct Placement {
+    forms: Vec<Form>,
+    awaiting: Vec<Unit>,
+    unplaced: Vec<Unit>,
+}
+
+/// Places what fits, and sets hosts aside for what will fit soon.
+fn place(space: &mut Space, units: Vec<Unit>, homes: &Homes) -> Placement {
     let mut order: Vec<usize> = (0..units.len()).collect();
     let fitting = fitting(space, &units);
     order[..fitting].sort_by_key(|at| (units[*at].need, units[*at].narrowness));
@@ -122,10 +129,25 @@
             awaited.insert(at);
         }
     }
-    let is_unplaced = |at: &usize| !forms.contains_key(at) && !awaited.contains(at);
-    let unplaced = (0..units.len()).filter(is_unplaced);
-    let unplaced = unplaced.map(|at| units[at].clone()).collect();
-    (forms.into_values().collect(), unplaced)
+    let mut found = Placement::default();
+    for (at, unit) in units.into_iter().enumerate() {
+        if let Some(form) = forms.remove(&at) {
+            found.forms.push(form);
+        } else if awaited.contains(&at) {
+            found.awaiting.push(unit);
+        } else {
+            found.unplaced.push(unit);
+        }
+    }
+    found
+}
+
+fn by_model(units: &[Unit]) -> BTreeMap<ModelName, usize> {
+    let mut counts = BTreeMap::new();
+    for unit in units {
+        *counts.entry(unit.model.clone()).or_default() += 1;
+    }
+    counts
 }
 
 /// How many of the most needed units have hosts enough, wherever these are.
@@ -156,7 +178,7 @@
 
 /// Replicas beyond their model's target: slow ones first, then from the domain
 /// that has the most room.
-fn surplus(view: &View, demand: &BTreeMap<ModelName, Demand>, space: &Space) -> Vec<Drain> {
+fn surplus(view: &View, demand: &BTreeMap<ModelName, Demand>, space: &mut Space) -> Vec<Drain> {
     let mut drains = Vec::new();
     for (model, have) in counts(view) {
         let target = demand.get(model).map_or(0, Demand::target);
@@ -165,8 +187,10 @@
         }
         let mut placed: Vec<_> = view.replicas.iter().filter(|p| p.model == *model).collect();
         placed.sort_by_key(|p| (rank(p), usize::MAX - space.room(p.domain)));
-        let ended = placed.into_iter().take(have - target);
-        drains.extend(ended.map(|p| drain(p, DrainReason::Surplus)));
+        for placed in placed.into_iter().take(have - target) {
+            space.expect(placed.domain, placed.width);
+            drains.push(drain(placed, DrainReason::Surplus));
+        }
     }
     drains
 }
--- a/crates/plan/src/replica.rs
+++ b/crates/plan/src/replica.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Config;
+use crate::host::Host;
 use base::Assignment;
 use base::CentreId;
 use base::DomainId;
@@ -17,9 +19,6 @@
 use base::ReplicaId;
 use base::Time;
 
-use crate::Config;
-use crate::host::Host;
-
 /// Where a replica is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -116,14 +115,11 @@
         self.assignment.replica
     }
 
-    /// True if its hosts come free within seconds, or were ended for others' sake.
-    pub fn frees_hosts(&self) -> bool {
+    /// True if its hosts are expected to come free soon.
+    pub fn frees_hosts(&self, cfg: &Config, now: Time) -> bool {
         match self.phase {
             Phase::Broken | Phase::Releasing => true,
-            Phase::Draining => matches!(
-                self.why,
-                Some(Reason::Moved | Reason::Preempted | Reason::HostSlow)
-            ),
+            Phase::Draining => now < self.since + cfg.drain_expected,
             Phase::Forming | Phase::Serving => false,
         }
     }
--- a/crates/plan/src/space.rs
+++ b/crates/plan/src/space.rs
@@ -48,6 +48,11 @@
         domains.find(|domain| Some(**domain) != except).copied()
     }
 
+    /// Notes that hosts of a domain will come free.
+    pub fn expect(&mut self, domain: DomainId, width: usize) {
+        *self.coming.entry(domain).or_default() += width;
+    }
+
     /// Sets aside the free hosts of a domain that will hold the width once hosts
     /// that are being released have come free. False if there is none.
     pub fn await_room(&mut self, width: usize) -> bool {
--- a/crates/plan/src/status.rs
+++ b/crates/plan/src/status.rs
@@ -6,6 +6,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Controller;
+use crate::Phase;
+use crate::Reason;
+use crate::Stranded;
+use crate::replica::Replica;
 use base::DomainId;
 use base::Fence;
 use base::HostId;
@@ -13,12 +18,6 @@
 use base::ReplicaId;
 use base::Time;
 
-use crate::Controller;
-use crate::Phase;
-use crate::Reason;
-use crate::Stranded;
-use crate::replica::Replica;
-
 /// The replicas of one data centre, as its controller knows them.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Status {
@@ -32,6 +31,8 @@
     pub replicas: Vec<ReplicaStatus>,
     /// Healthy hosts that belong to no replica, and why.
     pub stranded: Vec<Stranded>,
+    /// Replicas of each model that wait for hosts that are being released.
+    pub awaiting: BTreeMap<ModelName, usize>,
     /// Replicas of each model that are needed and found no place.
     pub unplaced: BTreeMap<ModelName, usize>,
 }
@@ -67,6 +68,7 @@
             hosts: self.hosts.values().filter(is_fresh).count(),
             replicas: self.replicas.values().map(|r| replica(r, now)).collect(),
             stranded: self.stranded(now),
+            awaiting: self.plan.awaiting.clone(),
             unplaced: self.plan.unplaced.clone(),
         }
     }
--- a/crates/plan/src/stranded.rs
+++ b/crates/plan/src/stranded.rs
@@ -7,13 +7,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Controller;
+use crate::host::Host;
 use base::DomainId;
 use base::HostId;
 use base::Time;
 
-use crate::Controller;
-use crate::host::Host;
-
 /// A healthy host in no replica.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Stranded {
@@ -43,6 +42,9 @@
     /// Planned into a replica, and waiting for the weight store.
     #[display("waits for a load")]
     Queued,
+    /// Other hosts are being released, with which it may form a replica.
+    #[display("waits for hosts that are being released")]
+    Awaits,
     /// Held back after repeated losses.
     #[display("held back for {} s after {losses} losses", left.as_secs())]
     Held {
@@ -112,6 +114,9 @@
         if forms.any(|form| form.hosts.contains(id)) {
             return StrandedReason::Queued;
         }
+        if self.plan.unplaced.is_empty() && !self.plan.awaiting.is_empty() {
+            return StrandedReason::Awaits;
+        }
         let unplaced = self.plan.unplaced.keys();
         let widths = unplaced.filter_map(|model| self.demand.get(model));
         match widths.map(|demand| demand.width).min() {
--- a/crates/plan/src/table.rs
+++ b/crates/plan/src/table.rs
@@ -4,6 +4,10 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::GrantId;
+use crate::Route;
+use crate::RouteGrant;
+use crate::RoutePoll;
 use base::CentreId;
 use base::Fence;
 use base::HostId;
@@ -13,11 +17,6 @@
 use base::ReplicaId;
 use base::Time;
 
-use crate::GrantId;
-use crate::Route;
-use crate::RouteGrant;
-use crate::RoutePoll;
-
 /// Polls whose answer may still come, for each data centre.
 const MAX_OPEN_POLLS: usize = 16;
 
--- a/crates/plan/src/view.rs
+++ b/crates/plan/src/view.rs
@@ -98,6 +98,15 @@
     pub moves: Vec<Move>,
     /// Replicas to end.
     pub drains: Vec<Drain>,
+    /// Replicas of each model that wait for hosts that are being released.
+    pub awaiting: BTreeMap<ModelName, usize>,
     /// Replicas of each model that found no place.
     pub unplaced: BTreeMap<ModelName, usize>,
 }
+
+impl Plan {
+    /// True if a replica in demand lacks hosts now.
+    pub fn lacks_hosts(&self) -> bool {
+        !self.awaiting.is_empty() || !self.unplaced.is_empty()
+    }
+}
--- a/crates/plan/tests/faults.rs
+++ b/crates/plan/tests/faults.rs
@@ -5,15 +5,14 @@
 
 use std::time::Duration;
 
-use base::Fencing;
-use base::HostId;
-use base::Time;
-
 use crate::world::Net;
 use crate::world::World;
 use crate::world::demand;
 use crate::world::model;
 use crate::world::seeds;
+use base::Fencing;
+use base::HostId;
+use base::Time;
 
 const SEEDS: u64 = 60;
 
--- a/crates/plan/tests/late_order.rs
+++ b/crates/plan/tests/late_order.rs
@@ -5,16 +5,15 @@
 
 use std::time::Duration;
 
+use crate::world::World;
+use crate::world::demand;
+use crate::world::model;
 use base::Fencing;
 use base::HostId;
 use base::Time;
 use plan::Action;
 use plan::Order;
 
-use crate::world::World;
-use crate::world::demand;
-use crate::world::model;
-
 const STEPS: usize = 280;
 
 #[test]
--- a/crates/plan/tests/repair.rs
+++ b/crates/plan/tests/repair.rs
@@ -4,16 +4,15 @@
 
 use std::time::Duration;
 
+use crate::world::World;
+use crate::world::demand;
+use crate::world::model;
 use base::Fencing;
 use base::HostId;
 use plan::Action;
 use plan::Phase;
 use plan::StrandedReason;
 
-use crate::world::World;
-use crate::world::demand;
-use crate::world::model;
-
 const SECOND: Duration = Duration::from_secs(1);
 
 fn open(domains: &[usize], wanted: &[(&str, usize, usize)]) -> World {
--- /dev/null
+++ b/crates/plan/tests/table.rs
@@ -0,0 +1,104 @@
+//! An entry node's routes end on its own clock, and old grants change nothing.
+
+use std::time::Duration;
+
+use base::CentreId;
+use base::Fence;
+use base::HostId;
+use base::Incarnation;
+use base::NodeId;
+use base::ReplicaId;
+use base::Time;
+use plan::Applied;
+use plan::GrantId;
+use plan::Route;
+use plan::RouteGrant;
+use plan::RoutePoll;
+use plan::RouteTable;
+
+fn table() -> RouteTable {
+    RouteTable::open(NodeId(1), Incarnation(1))
+}
+
+fn route(replica: u64) -> Route {
+    Route {
+        replica: ReplicaId(replica),
+        fence: Fence(1),
+        model: "small".parse().unwrap(),
+        hosts: vec![HostId(replica as u32)],
+        addr: "127.0.0.1:1".parse().unwrap(),
+    }
+}
+
+fn grant(poll: &RoutePoll, fence: u64, sequence: u64, added: &[u64]) -> RouteGrant {
+    RouteGrant {
+        centre: CentreId(1),
+        id: GrantId {
+            fence: Fence(fence),
+            sequence,
+        },
+        poll: poll.number,
+        base: poll.taken,
+        added: added.iter().map(|id| route(*id)).collect(),
+        removed: Vec::new(),
+        valid_for: Duration::from_secs(1),
+        shorter: Vec::new(),
+    }
+}
+
+fn count(table: &RouteTable, ms: u64) -> usize {
+    let model = "small".parse().unwrap();
+    table.routes(&model, Time::from_millis(ms)).len()
+}
+
+#[test]
+fn a_route_counts_from_when_the_poll_was_sent_not_from_its_answer() {
+    let mut table = table();
+    let poll = table.poll(CentreId(1), Time::from_millis(0));
+    assert_eq!(table.apply(&grant(&poll, 1, 1, &[7])), Applied::Taken);
+    assert_eq!(count(&table, 999), 1);
+    assert_eq!(count(&table, 1_000), 0);
+    assert!(!table.allows(ReplicaId(7), Fence(1), Time::from_millis(60_000)));
+    assert!(!table.allows(ReplicaId(7), Fence(2), Time::from_millis(10)));
+}
+
+#[test]
+fn an_answer_to_an_older_poll_or_of_an_older_tenure_changes_nothing() {
+    let mut table = table();
+    let first = table.poll(CentreId(1), Time::from_millis(0));
+    let second = table.poll(CentreId(1), Time::from_millis(500));
+    assert_eq!(table.apply(&grant(&second, 2, 1, &[7])), Applied::Taken);
+    assert_eq!(table.apply(&grant(&first, 2, 2, &[8])), Applied::Stale);
+    let third = table.poll(CentreId(1), Time::from_millis(900));
+    assert_eq!(table.apply(&grant(&third, 1, 9, &[8])), Applied::Stale);
+    assert_eq!(count(&table, 1_000), 1);
+}
+
+#[test]
+fn a_grant_on_a_base_that_is_not_held_is_passed_over() {
+    let mut table = table();
+    let first = table.poll(CentreId(1), Time::from_millis(0));
+    table.apply(&grant(&first, 1, 1, &[7]));
+    let poll = table.poll(CentreId(1), Time::from_millis(500));
+    let mut other = grant(&poll, 1, 3, &[8]);
+    other.base = Some(GrantId {
+        fence: Fence(1),
+        sequence: 2,
+    });
+    assert_eq!(table.apply(&other), Applied::Gap);
+    assert_eq!(count(&table, 600), 1);
+}
+
+#[test]
+fn a_withdrawn_route_and_one_with_a_leaving_host_end_at_once() {
+    let mut table = table();
+    let first = table.poll(CentreId(1), Time::from_millis(0));
+    table.apply(&grant(&first, 1, 1, &[7, 8, 9]));
+    let poll = table.poll(CentreId(1), Time::from_millis(500));
+    let mut next = grant(&poll, 1, 2, &[]);
+    next.removed = vec![ReplicaId(7)];
+    assert_eq!(table.apply(&next), Applied::Taken);
+    assert_eq!(count(&table, 600), 2);
+    table.leaving(HostId(8), Time::from_millis(600));
+    assert_eq!(count(&table, 600), 1);
+}
--- a/crates/plan/tests/world/check.rs
+++ b/crates/plan/tests/world/check.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::Entry;
+use super::World;
 use base::Duty;
 use base::HostId;
 use plan::Action;
@@ -10,9 +12,6 @@
 use plan::Phase;
 use plan::Route;
 
-use super::Entry;
-use super::World;
-
 impl World {
     /// An order of the controller in charge takes no host that an entry node can
     /// still route to, however long the node was frozen, and its number never falls.
--- a/crates/plan/tests/world/process.rs
+++ b/crates/plan/tests/world/process.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::Message;
 use base::Fence;
 use base::Time;
 use plan::Controller;
@@ -9,8 +10,6 @@
 use plan::RouteTable;
 use plan::Tenure;
 
-use super::Message;
-
 /// A process's clock: it starts anywhere and runs a little fast or slow.
 #[derive(Clone, Copy)]
 pub struct Clock {
