--- a/crates/plan/src/ordering.rs
+++ b/crates/plan/src/ordering.rs
@@ -70,10 +70,12 @@
             self.start_drain(drain, plan.lacks_hosts(), now);
         }
         let mut orders = Vec::new();
-        for form in &plan.forms {
+        let mut loads = self.loads_left();
+        for form in plan.forms.iter().take(loads) {
             orders.extend(self.form(form, now));
+            loads -= 1;
         }
-        for moving in &plan.moves {
+        for moving in plan.moves.iter().take(loads) {
             if self.may_move(&moving.for_model, now) {
                 orders.extend(self.form(&moving.form, now));
             }
@@ -98,11 +100,7 @@
         View {
             free,
             coming: self.coming(now),
-            replicas: self
-                .replicas
-                .values()
-                .filter_map(|r| self.placed(r))
-                .collect(),
+            replicas: self.all_placed(),
             homes,
         }
     }
@@ -120,13 +118,19 @@
         coming
     }
 
+    fn all_placed(&self) -> Vec<Placed> {
+        let replicas = self.replicas.values();
+        let copied: BTreeSet<_> = replicas.clone().filter_map(|r| r.replaces).collect();
+        replicas.filter_map(|r| self.placed(r, &copied)).collect()
+    }
+
     /// A replica as the planner sees it, if it counts towards demand.
-    fn placed(&self, replica: &Replica) -> Option<Placed> {
+    fn placed(&self, replica: &Replica, copied: &BTreeSet<ReplicaId>) -> Option<Placed> {
         let is_copy = replica.replaces.is_some_and(|id| self.is_serving(id));
         let state = match replica.phase {
             Phase::Forming if is_copy => return None,
             Phase::Forming => PlacedState::Fixed,
-            Phase::Serving if self.has_copy(replica.id()) => PlacedState::Fixed,
+            Phase::Serving if copied.contains(&replica.id()) => PlacedState::Fixed,
             Phase::Serving => self.settled_state(replica),
             Phase::Draining | Phase::Broken | Phase::Releasing => return None,
         };
@@ -145,10 +149,6 @@
             .is_some_and(|r| r.phase == Phase::Serving)
     }
 
-    fn has_copy(&self, id: ReplicaId) -> bool {
-        self.replicas.values().any(|r| r.replaces == Some(id))
-    }
-
     fn settled_state(&self, replica: &Replica) -> PlacedState {
         let hosts = replica.assignment.hosts.iter();
         let speeds = hosts.filter_map(|id| self.hosts.get(id)?.speed);
@@ -222,12 +222,14 @@
         since.is_some_and(|since| *since + wait <= now)
     }
 
-    /// Orders all hosts of a new replica, if the weight store has room for a load.
-    fn form(&mut self, form: &Form, now: Time) -> Vec<Order> {
+    /// Replicas that the weight store still has room to load.
+    fn loads_left(&self) -> usize {
         let loading = self.replicas.values().filter(|r| r.phase == Phase::Forming);
-        if self.cfg.loads_at_once <= loading.count() {
-            return Vec::new();
-        }
+        self.cfg.loads_at_once.saturating_sub(loading.count())
+    }
+
+    /// Orders all hosts of a new replica.
+    fn form(&mut self, form: &Form, now: Time) -> Vec<Order> {
         self.last_replica += 1;
         let id = replica_id(self.cfg.centre, self.fence(), self.last_replica);
         let assignment = Assignment {
--- a/crates/plan/tests/world/mod.rs
+++ b/crates/plan/tests/world/mod.rs
@@ -158,6 +158,15 @@
         }
     }
 
+    /// Runs until the demand is met, for at most this long. True if it is.
+    pub fn run_until_met(&mut self, limit: Duration) -> bool {
+        let end = self.now + limit;
+        while self.now < end && !self.is_met() {
+            self.step();
+        }
+        self.is_met()
+    }
+
     pub fn step(&mut self) {
         self.now += STEP;
         self.deliver();
