--- a/crates/plan/src/replica.rs
+++ b/crates/plan/src/replica.rs
@@ -115,14 +115,11 @@
         self.assignment.replica
     }
 
-    /// True if its hosts come free within seconds, or were ended for others' sake.
-    pub fn frees_hosts(&self) -> bool {
+    /// True if its hosts are expected to come free soon.
+    pub fn frees_hosts(&self, cfg: &Config, now: Time) -> bool {
         match self.phase {
             Phase::Broken | Phase::Releasing => true,
-            Phase::Draining => matches!(
-                self.why,
-                Some(Reason::Moved | Reason::Preempted | Reason::HostSlow)
-            ),
+            Phase::Draining => now < self.since + cfg.drain_expected,
             Phase::Forming | Phase::Serving => false,
         }
     }
--- a/crates/plan/src/status.rs
+++ b/crates/plan/src/status.rs
@@ -31,6 +31,8 @@
     pub replicas: Vec<ReplicaStatus>,
     /// Healthy hosts that belong to no replica, and why.
     pub stranded: Vec<Stranded>,
+    /// Replicas of each model that wait for hosts that are being released.
+    pub awaiting: BTreeMap<ModelName, usize>,
     /// Replicas of each model that are needed and found no place.
     pub unplaced: BTreeMap<ModelName, usize>,
 }
@@ -66,6 +68,7 @@
             hosts: self.hosts.values().filter(is_fresh).count(),
             replicas: self.replicas.values().map(|r| replica(r, now)).collect(),
             stranded: self.stranded(now),
+            awaiting: self.plan.awaiting.clone(),
             unplaced: self.plan.unplaced.clone(),
         }
     }
