Lend capacity without taking it from work within its contract

Causes seen at the crest with lending: (1) replicas with an overdue request were left out, and work beyond contract is overdue by its rank, so nodes left most replicas out while a quarter of the slots was idle; (2) long prompts of low rank counted as wait for short ones; (3) long work beyond contract filled slots for a minute and starved in the prefill; (4) the queue promised lent work the slots of work within contract. Changes: only urgent requests count as overdue, as time added to the forecast; the part of the backlog that delays a request is learned by least squares for each kind; a fill and a backlog for each kind of work; the drain of lent work is what such work has.

--- a/crates/admit/src/config.rs
+++ b/crates/admit/src/config.rs
@@ -6,6 +6,8 @@
 use base::CentreId;
 use base::Incarnation;
 use base::NodeId;
+use route::Length;
+use route::Standing;
 
 /// What happens to a request beyond its contract's rates.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -17,6 +19,22 @@
     Lend,
 }
 
+/// How busy a replica may be for a request to go there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Room {
+    /// Share of the slots that may be taken, the request included.
+    pub fill: f64,
+    /// Time that the prefill backlog may stand for.
+    pub backlog: Duration,
+}
+
+impl Room {
+    /// A replica with at most this much work.
+    pub fn new(fill: f64, backlog: Duration) -> Self {
+        Self { fill, backlog }
+    }
+}
+
 /// Settings of the dispatcher.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
@@ -36,11 +54,15 @@
     pub long_factor: f64,
     /// Share of the slots that long requests may hold, and are given first.
     pub long_share: f64,
-    /// Share of a replica's slots filled by short requests within their contracts. A
-    /// little above one keeps slots busy in spite of lagging reports.
-    pub fill: f64,
-    /// Share of a replica's slots filled by requests beyond their contracts.
-    pub beyond_fill: f64,
+    /// Where short requests within their contracts go. A fill a little above one keeps
+    /// slots busy in spite of lagging reports.
+    pub within_short: Room,
+    /// Where long requests within their contracts go.
+    pub within_long: Room,
+    /// Where short requests beyond their contracts go.
+    pub beyond_short: Room,
+    /// Where long requests beyond their contracts go. They give their slots back late.
+    pub beyond_long: Room,
     /// Time between two looks at the queue.
     pub tick: Duration,
     /// An attempt that shows no sign of life for so long is lost.
@@ -60,11 +82,25 @@
             beyond: Beyond::Refuse,
             long_factor: 6.0,
             long_share: 0.5,
-            fill: 1.06,
-            beyond_fill: 0.9,
+            within_short: Room::new(1.06, Duration::MAX),
+            within_long: Room::new(1.0, Duration::from_secs(2)),
+            beyond_short: Room::new(0.8, Duration::from_millis(500)),
+            beyond_long: Room::new(0.5, Duration::from_millis(200)),
             tick: Duration::from_millis(5),
             silence: Duration::from_secs(30),
             route: route::Config::default(),
         }
     }
 }
+
+impl Config {
+    /// How busy a replica may be for a request of this kind.
+    pub fn room(&self, standing: Standing, length: Length) -> Room {
+        match (standing, length) {
+            (Standing::Within, Length::Short) => self.within_short,
+            (Standing::Within, Length::Long) => self.within_long,
+            (Standing::Beyond, Length::Short) => self.beyond_short,
+            (Standing::Beyond, Length::Long) => self.beyond_long,
+        }
+    }
+}
--- a/crates/admit/src/feedback.rs
+++ b/crates/admit/src/feedback.rs
@@ -69,9 +69,9 @@
         let amount = work(waiting.prompt, raised);
         let length = queue.usual.classify(amount, self.cfg.long_factor);
         if length == Length::Long && waiting.length == Length::Short {
+            queue.ended(waiting);
             waiting.length = Length::Long;
-            queue.ended(Length::Short);
-            queue.started(Length::Long);
+            queue.started(waiting);
             self.router.relabel_long(id);
         }
     }
@@ -85,7 +85,7 @@
         self.retries.answered();
         let waiting = &flight.waiting;
         if let Some(queue) = self.queues.get_mut(&waiting.model) {
-            queue.ended(waiting.length);
+            queue.ended(waiting);
             queue.held(waiting.length, now.since(flight.sent));
         }
         if let Some(terms) = self.terms.get_mut(&waiting.contract) {
@@ -116,7 +116,7 @@
         let flight = self.flights.remove(&id)?;
         self.router.failed(id, now);
         if let Some(queue) = self.queues.get_mut(&flight.waiting.model) {
-            queue.ended(flight.waiting.length);
+            queue.ended(&flight.waiting);
         }
         Some(flight)
     }
--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -17,20 +17,8 @@
 use base::Time;
 use base::TokenCount;
 use base::TokenRate;
-use derive_more::Display;
 use route::Length;
-
-/// Whether a request is within its contract's rates.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Display)]
-pub enum Standing {
-    /// Within the rates.
-    #[default]
-    #[display("within")]
-    Within,
-    /// Beyond them, on lent capacity.
-    #[display("beyond")]
-    Beyond,
-}
+use route::Standing;
 
 /// A request that waits for a replica.
 #[derive(Clone, Debug)]
@@ -59,6 +47,11 @@
 }
 
 impl Waiting {
+    /// Which lane it belongs to.
+    pub fn kind(&self) -> (Standing, Length) {
+        (self.standing, self.length)
+    }
+
     /// The work it asks for in generated tokens.
     pub fn work(&self) -> f64 {
         crate::length::work(self.prompt, self.estimate)
--- a/crates/admit/src/pump.rs
+++ b/crates/admit/src/pump.rs
@@ -101,24 +101,22 @@
 
     /// Finds a replica for a request.
     fn find(&mut self, waiting: &Waiting, now: Time) -> Result<(Ask, Choice), Miss> {
-        let fill = match (waiting.standing, waiting.length) {
-            (Standing::Within, Length::Short) => self.cfg.fill,
-            (Standing::Within, Length::Long) => 1.0,
-            (Standing::Beyond, _) => self.cfg.beyond_fill,
-        };
+        let room = self.cfg.room(waiting.standing, waiting.length);
         let mut ask = Ask {
             prompt: waiting.prompt,
             length: waiting.length,
+            standing: waiting.standing,
             prefix: waiting.prefix,
             budget: waiting.due.since(now),
             token_rate: waiting.token_rate,
-            fill,
+            fill: room.fill,
+            backlog: room.backlog,
             long_quota: self.long_quota(&waiting.model),
             avoid: waiting.avoid,
         };
         match self.router.choose(&waiting.model, &ask, now) {
             Ok(choice) => return Ok((ask, choice)),
-            Err(Miss::Full) if waiting.length == Length::Long => {}
+            Err(Miss::Full) if may_exceed_share(waiting) => {}
             Err(miss) => return Err(miss),
         }
         ask.long_quota *= LONG_LENT;
@@ -133,7 +131,7 @@
         self.retries.admitted();
         self.router.sent(request, &waiting.model, ask, choice, now);
         let queue = self.queues.entry(waiting.model.clone()).or_default();
-        queue.started(waiting.length);
+        queue.started(&waiting);
         queue.lane_of(&waiting).charge(&waiting);
         let decision = Decision::Send {
             replica: choice.replica,
@@ -194,7 +192,7 @@
         let Some(queue) = self.queues.get(&waiting.model) else {
             return LONGEST_RETRY;
         };
-        let drain = queue.drain(waiting.length);
+        let drain = queue.drain(waiting.standing, waiting.length);
         let wait = queue.wait(waiting) + 1.0 / drain;
         let alone = self.router.alone(&waiting.model, waiting.prompt);
         let spare = waiting.due.since(now).saturating_sub(alone);
@@ -207,6 +205,11 @@
     }
 }
 
+/// True for long work within its contract, which may use slots that are free.
+fn may_exceed_share(waiting: &Waiting) -> bool {
+    waiting.standing == Standing::Within && waiting.length == Length::Long
+}
+
 /// The shortest time that a refused caller is told to stay away.
 const SHORTEST_RETRY: Duration = Duration::from_millis(20);
 
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use route::Length;
+use route::Standing;
 
 use crate::lane::Lane;
-use crate::lane::Standing;
 use crate::lane::Waiting;
 use crate::length::Usual;
 
@@ -17,29 +17,14 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Queue {
     lanes: BTreeMap<(Standing, Length), Lane>,
-    running: BTreeMap<Length, Running>,
+    running: BTreeMap<(Standing, Length), u32>,
+    /// Seconds that a request of a length holds a slot.
+    residence: BTreeMap<Length, f64>,
     pub usual: Usual,
     /// This node's part of all nodes' long work.
     pub long_share: f64,
 }
 
-/// What runs of one length.
-#[derive(Clone, Copy, Debug)]
-struct Running {
-    count: u32,
-    /// Seconds that a request holds a slot.
-    residence: f64,
-}
-
-impl Default for Running {
-    fn default() -> Self {
-        Self {
-            count: 0,
-            residence: 1.0,
-        }
-    }
-}
-
 impl Queue {
     pub fn lane(&mut self, standing: Standing, length: Length) -> &mut Lane {
         self.lanes.entry((standing, length)).or_default()
@@ -62,34 +47,41 @@
 
     /// Requests of a length that run.
     pub fn running(&self, length: Length) -> u32 {
-        self.running.get(&length).map_or(0, |r| r.count)
+        let of_length = self.running.iter().filter(|((_, l), _)| *l == length);
+        of_length.map(|(_, count)| *count).sum()
     }
 
-    pub fn started(&mut self, length: Length) {
-        self.running.entry(length).or_default().count += 1;
+    pub fn started(&mut self, waiting: &Waiting) {
+        *self.running.entry(waiting.kind()).or_default() += 1;
     }
 
-    pub fn ended(&mut self, length: Length) {
-        let running = self.running.entry(length).or_default();
-        running.count = running.count.saturating_sub(1);
+    pub fn ended(&mut self, waiting: &Waiting) {
+        let running = self.running.entry(waiting.kind()).or_default();
+        *running = running.saturating_sub(1);
     }
 
     /// Learns how long a request held its slot.
     pub fn held(&mut self, length: Length, span: Duration) {
-        let running = self.running.entry(length).or_default();
-        running.residence += LEARN * (span.as_secs_f64() - running.residence);
+        let seconds = span.as_secs_f64();
+        let residence = self.residence.entry(length).or_insert(seconds);
+        *residence += LEARN * (seconds - *residence);
     }
 
-    /// Requests of a length that this node's slots can start a second: by Little's law
-    /// what runs over how long it runs.
-    pub fn drain(&self, length: Length) -> f64 {
-        let running = self.running.get(&length).copied().unwrap_or_default();
-        f64::from(running.count.max(1)) / running.residence.max(1e-3)
+    /// Requests that this node can start a second: by Little's law what runs over how
+    /// long it runs. Work within its contract may take every slot that comes free, work
+    /// beyond it only what such work has.
+    pub fn drain(&self, standing: Standing, length: Length) -> f64 {
+        let count = match standing {
+            Standing::Within => self.running(length),
+            Standing::Beyond => self.running.get(&(standing, length)).copied().unwrap_or(0),
+        };
+        let residence = self.residence.get(&length).copied().unwrap_or(1.0);
+        f64::from(count).max(0.5) / residence.max(1e-3)
     }
 
     /// Seconds until a new request would be sent.
     pub fn wait(&self, waiting: &Waiting) -> f64 {
-        let drain = self.drain(waiting.length);
+        let drain = self.drain(waiting.standing, waiting.length);
         let first = match waiting.standing {
             Standing::Within => 0.0,
             Standing::Beyond => self.len_within(waiting.length),
@@ -112,9 +104,9 @@
     ) -> Vec<Waiting> {
         let mut taken = Vec::new();
         for length in [Length::Short, Length::Long] {
-            let drain = self.drain(length);
             let mut first = 0.0;
             for standing in [Standing::Within, Standing::Beyond] {
+                let drain = self.drain(standing, length);
                 let Some(lane) = self.lanes.get_mut(&(standing, length)) else {
                     continue;
                 };
--- a/crates/bench/src/load/engine.rs
+++ b/crates/bench/src/load/engine.rs
@@ -16,7 +16,7 @@
 /// Prompt tokens prefilled a second.
 pub const PREFILL_RATE: f64 = 16_000.0;
 /// Prompt tokens prefilled in one step.
-const CHUNK: u32 = 256;
+const CHUNK: u32 = 384;
 
 /// Least engine time of a generated token: that of a full batch.
 pub const TOKEN_COST: f64 = 0.020 / SLOTS as f64;
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -38,13 +38,27 @@
     Long,
 }
 
+/// Whether a request is within its contract's rates.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum Standing {
+    /// Within the rates.
+    #[default]
+    #[display("within")]
+    Within,
+    /// Beyond them, on lent capacity.
+    #[display("beyond")]
+    Beyond,
+}
+
 /// A request that needs a replica.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Ask {
     /// Tokens of the prompt.
     pub prompt: TokenCount,
     /// Whether it is long.
     pub length: Length,
+    /// Whether it is within its contract.
+    pub standing: Standing,
     /// A hash of the prompt's prefix, if it may be cached somewhere.
     pub prefix: Option<u64>,
     /// Time left until the first token is due.
@@ -53,6 +67,8 @@
     pub token_rate: TokenRate,
     /// Share of a replica's slots that may be taken when this request is added.
     pub fill: f64,
+    /// The most time that the prefill backlog at the replica may stand for.
+    pub backlog: Duration,
     /// Long requests that this node may have at one replica. A fraction stands for a
     /// share of the replicas.
     pub long_quota: f64,
@@ -60,6 +76,23 @@
     pub avoid: Option<ReplicaId>,
 }
 
+impl Default for Ask {
+    fn default() -> Self {
+        Self {
+            prompt: TokenCount(0),
+            length: Length::Short,
+            standing: Standing::Within,
+            prefix: None,
+            budget: Duration::MAX,
+            token_rate: TokenRate(0.0),
+            fill: 1.0,
+            backlog: Duration::MAX,
+            long_quota: f64::INFINITY,
+            avoid: None,
+        }
+    }
+}
+
 /// Where a request goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -7,6 +7,7 @@
 use base::Time;
 
 use crate::Length;
+use crate::Standing;
 
 /// One request at a replica.
 #[derive(Clone, Debug)]
@@ -14,9 +15,12 @@
     pub model: ModelName,
     pub replica: ReplicaId,
     pub length: Length,
+    pub standing: Standing,
     pub sent: Time,
     /// The forecast's part that does not depend on others' work.
     pub alone: Duration,
+    /// The forecast's wait for a slot.
+    pub slot_wait: Duration,
     /// The forecast of the first token.
     pub expected: Duration,
     /// The forecast's backlog of prompt tokens, as time.
@@ -24,3 +28,10 @@
     /// When the latest token came.
     pub last: Option<Time>,
 }
+
+impl Flight {
+    /// True if its time to the first token tells of the replica and not of its rank.
+    pub fn is_urgent(&self) -> bool {
+        self.length == Length::Short && self.standing == Standing::Within
+    }
+}
--- a/crates/route/src/forecast.rs
+++ b/crates/route/src/forecast.rs
@@ -21,6 +21,8 @@
     pub fill: f64,
     /// The part of `first_token` that the request takes alone.
     pub alone: Duration,
+    /// The wait for a slot.
+    pub slot_wait: Duration,
     /// The backlog of prompt tokens at the replica, as time.
     pub backlog: Duration,
 }
@@ -58,14 +60,16 @@
         } else {
             0.0
         };
+        let overdue = replica.overdue(now).as_secs_f64();
         let link = 2.0 * replica.link.as_secs_f64();
         let alone = link + step + f64::from(ask.prompt.0) / prefill_rate;
-        let first_token = alone + slot_wait + learned.behind * backlog;
+        let first_token = alone + slot_wait + learned.behind * backlog + overdue;
         Self {
             first_token: Duration::from_secs_f64(first_token),
             token_rate: rate_at(replica, occupied),
             fill: occupied / slots,
             alone: Duration::from_secs_f64(alone),
+            slot_wait: Duration::from_secs_f64(slot_wait),
             backlog: Duration::from_secs_f64(backlog),
         }
     }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -14,6 +14,7 @@
 use crate::Forecast;
 use crate::Length;
 use crate::Miss;
+use crate::Standing;
 use crate::forecast::Learned;
 use crate::outlier::Usual;
 use crate::prefix::Prefixes;
@@ -28,7 +29,7 @@
 /// Weight of a replica's occupancy in its score, in seconds at full.
 const FILL_WEIGHT: f64 = 0.05;
 /// Weight of one sample in what is learned.
-const LEARN: f64 = 0.05;
+const LEARN: f64 = 0.02;
 
 /// The replicas of one model.
 #[derive(Clone, Debug)]
@@ -41,7 +42,7 @@
     ejected: usize,
     prefixes: Prefixes,
     residence: f64,
-    behind: BTreeMap<Length, f64>,
+    behind: BTreeMap<(Standing, Length), Behind>,
     /// Own requests sent less those ended, a second, decaying.
     growth: f64,
     growth_at: Time,
@@ -64,6 +65,34 @@
     }
 }
 
+/// The part of a reported prefill backlog that a request waits for, by least squares. At
+/// an engine that honours priorities it is small for short work.
+#[derive(Clone, Copy, Debug)]
+struct Behind {
+    product: f64,
+    square: f64,
+}
+
+impl Default for Behind {
+    fn default() -> Self {
+        Self {
+            product: 0.1,
+            square: 0.1,
+        }
+    }
+}
+
+impl Behind {
+    fn add(&mut self, waited: f64, backlog: f64) {
+        self.product += LEARN * (waited * backlog - self.product);
+        self.square += LEARN * (backlog * backlog - self.square);
+    }
+
+    fn part(&self) -> f64 {
+        (self.product / self.square.max(1e-9)).clamp(0.0, 1.0)
+    }
+}
+
 /// A replica with its score in seconds. Smaller is better.
 struct Scored {
     at: usize,
@@ -158,10 +187,9 @@
         self.residence += LEARN * (span.as_secs_f64() - self.residence);
     }
 
-    /// Learns how much of the reported backlog a request waited for.
-    pub fn waited(&mut self, length: Length, part: f64) {
-        let behind = self.behind.entry(length).or_insert(1.0);
-        *behind += LEARN * (part.clamp(0.0, 2.0) - *behind);
+    /// Learns how long a request waited beside the reported backlog, in seconds.
+    pub fn waited(&mut self, kind: (Standing, Length), waited: f64, backlog: f64) {
+        self.behind.entry(kind).or_default().add(waited, backlog);
     }
 
     /// Seconds that a request holds a slot.
@@ -181,16 +209,16 @@
             return Err(Miss::NoReplica);
         }
         self.decay(now);
-        let learned = self.learned(cfg, ask.length);
+        let learned = self.learned(cfg, (ask.standing, ask.length));
         let mut miss = Miss::Full;
         let mut found = Vec::with_capacity(cfg.near_sample + cfg.far_sample);
         for at in sample(0..self.near, cfg.near_sample, rng) {
-            self.look(at, cfg, ask, &learned, now, &mut miss, &mut found);
+            self.look(at, ask, &learned, now, &mut miss, &mut found);
         }
         let far = self.near..self.replicas.len();
         if !far.is_empty() && !has_free(&found) {
             for at in sample(far, cfg.far_sample, rng) {
-                self.look(at, cfg, ask, &learned, now, &mut miss, &mut found);
+                self.look(at, ask, &learned, now, &mut miss, &mut found);
             }
         }
         self.look_at_cached(cfg, ask, &learned, now, &mut found);
@@ -201,20 +229,18 @@
         })
     }
 
-    fn learned(&self, cfg: &Config, length: Length) -> Learned {
+    fn learned(&self, cfg: &Config, kind: (Standing, Length)) -> Learned {
         let others = f64::from(cfg.senders.saturating_sub(1));
         Learned {
             residence: self.residence,
-            behind: self.behind.get(&length).copied().unwrap_or(1.0),
+            behind: self.behind.get(&kind).map_or(1.0, Behind::part),
             others: self.growth.max(0.0) * others / self.replicas.len() as f64,
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "one step of a search")]
     fn look(
         &self,
         at: usize,
-        cfg: &Config,
         ask: &Ask,
         learned: &Learned,
         now: Time,
@@ -229,12 +255,12 @@
             return;
         }
         let forecast = Forecast::of(replica, learned, ask, now);
-        if ask.fill < forecast.fill {
+        if ask.fill < forecast.fill || ask.backlog < forecast.backlog {
             return;
         }
         let late = ask.budget < forecast.first_token;
         let slow = forecast.token_rate.0 < ask.token_rate.0;
-        if late || slow || replica.overdue(cfg.slow_factor, now) {
+        if late || slow {
             *miss = Miss::Late;
             return;
         }
@@ -260,7 +286,7 @@
             return;
         };
         let before = found.len();
-        self.look(*at, cfg, ask, learned, now, &mut Miss::Full, found);
+        self.look(*at, ask, learned, now, &mut Miss::Full, found);
         if let Some(scored) = found.get_mut(before) {
             let rate = self.replicas[*at].load.prefill_rate.0.max(1.0);
             let saved = PREFIX_TRUST * f64::from(ask.prompt.0) / rate;
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -12,6 +12,7 @@
 
 use crate::Candidate;
 use crate::Length;
+use crate::flight::Flight;
 use crate::outlier::Outlier;
 
 /// One replica as this node sees it.
@@ -29,7 +30,8 @@
     ended: VecDeque<Time>,
     /// Own long requests there.
     pub long: u32,
-    /// Own short requests that still wait for their first token.
+    /// Own urgent requests that still wait for their first token, when they were sent and
+    /// what was expected.
     pub pending: BTreeMap<RequestId, (Time, Duration)>,
     pub outlier: Outlier,
 }
@@ -82,21 +84,14 @@
         self.unseen_prompt as f64
     }
 
-    pub fn sent(
-        &mut self,
-        id: RequestId,
-        prompt: TokenCount,
-        length: Length,
-        alone: Duration,
-        now: Time,
-    ) {
-        self.unseen.push_back((now, prompt));
+    pub fn sent(&mut self, id: RequestId, prompt: TokenCount, flight: &Flight) {
+        self.unseen.push_back((flight.sent, prompt));
         self.unseen_prompt += u64::from(prompt.0);
-        match length {
-            Length::Short => {
-                self.pending.insert(id, (now, alone));
-            }
-            Length::Long => self.long += 1,
+        if flight.is_urgent() {
+            self.pending.insert(id, (flight.sent, flight.expected));
+        }
+        if flight.length == Length::Long {
+            self.long += 1;
         }
     }
 
@@ -108,14 +103,11 @@
         }
     }
 
-    /// True if a short request has waited for its first token far beyond its forecast.
-    pub fn overdue(&self, slow_factor: f64, now: Time) -> bool {
+    /// How far the oldest urgent request without a first token is beyond its forecast.
+    pub fn overdue(&self, now: Time) -> Duration {
         let oldest = self.pending.first_key_value();
-        oldest.is_some_and(|(_, (sent, forecast))| {
-            OVERDUE_FLOOR.max(forecast.mul_f64(slow_factor)) < now.since(*sent)
+        oldest.map_or(Duration::ZERO, |(_, (sent, expected))| {
+            now.since(*sent + *expected)
         })
     }
 }
-
-/// A request that waits less than this is never overdue.
-const OVERDUE_FLOOR: Duration = Duration::from_millis(600);
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -81,20 +81,21 @@
         if let Some(prefix) = ask.prefix {
             pool.remember(prefix, choice.replica, self.cfg.prefixes);
         }
-        if let Some(replica) = pool.get(choice.replica) {
-            let expected = choice.forecast.first_token;
-            replica.sent(id, ask.prompt, ask.length, expected, now);
-        }
         let flight = Flight {
             model: model.clone(),
             replica: choice.replica,
             length: ask.length,
+            standing: ask.standing,
             sent: now,
             alone: choice.forecast.alone,
+            slot_wait: choice.forecast.slot_wait,
             expected: choice.forecast.first_token,
             backlog: choice.forecast.backlog,
             last: None,
         };
+        if let Some(replica) = pool.get(choice.replica) {
+            replica.sent(id, ask.prompt, &flight);
+        }
         self.flights.insert(id, flight);
     }
 
@@ -114,12 +115,13 @@
         let took = now.since(flight.sent);
         let backlog = flight.backlog.as_secs_f64();
         if MIN_BACKLOG < backlog {
-            let waited = took.saturating_sub(flight.alone).as_secs_f64();
-            pool.waited(flight.length, waited / backlog);
+            let waited = took.saturating_sub(flight.alone + flight.slot_wait);
+            let kind = (flight.standing, flight.length);
+            pool.waited(kind, waited.as_secs_f64(), backlog);
         }
         if let Some((replica, usual)) = pool.with_usual(flight.replica) {
             replica.pending.remove(&id);
-            if flight.length == Length::Short {
+            if flight.is_urgent() {
                 let expected = flight.expected.as_secs_f64().max(1e-3);
                 replica.outlier.first(usual, took.as_secs_f64() / expected);
             }
