Divide the replicas for lent capacity among the nodes by demand

Cause: reports are 100 to 300 ms old, and nine nodes sent lent work into the same free slot; 100 to 150 requests waited in engines, and short work within its contract behind them. Each node now lends only on its slice of the replicas, sized by its demand beyond contracts; work within contracts still goes anywhere.

Ruled out: scaling own unseen requests by the number of nodes, which idles slots at low load.

--- a/crates/admit/src/demand.rs
+++ b/crates/admit/src/demand.rs
@@ -37,11 +37,13 @@
     pub spent_tokens: f64,
 }
 
-/// One node's long work for one model.
+/// One node's work for one model that the nodes divide the replicas by.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelDemand {
     /// The model.
     pub model: ModelName,
     /// Long requests that run or wait.
     pub long: f64,
+    /// Work beyond the contracts that is asked for a second, in generated tokens.
+    pub beyond: f64,
 }
--- a/crates/admit/src/dispatcher.rs
+++ b/crates/admit/src/dispatcher.rs
@@ -142,7 +142,10 @@
             Ok(()) => Standing::Within,
             Err(refusal) => match self.cfg.beyond {
                 Beyond::Refuse => return Err(refusal),
-                Beyond::Lend => Standing::Beyond,
+                Beyond::Lend => {
+                    queue.ask_beyond(work, now);
+                    Standing::Beyond
+                }
             },
         };
         let contract = &terms.contract;
--- a/crates/admit/src/exchange.rs
+++ b/crates/admit/src/exchange.rs
@@ -7,6 +7,7 @@
 use base::NodeId;
 use base::Time;
 use route::Length;
+use route::Slice;
 
 use crate::ContractDemand;
 use crate::DemandReport;
@@ -17,6 +18,9 @@
 /// Demand added to each node's long work, so that one without any keeps a share.
 const LONG_FLOOR: f64 = 1.0;
 
+/// Work added to each node's demand beyond contracts, in generated tokens a second.
+const LENT_FLOOR: f64 = 10.0;
+
 impl Dispatcher {
     /// This node's report for the others, due every [`crate::Config::exchange`].
     pub fn demand(&mut self, now: Time) -> DemandReport {
@@ -36,6 +40,7 @@
         let models = self.queues.iter().map(|(model, queue)| ModelDemand {
             model: model.clone(),
             long: f64::from(queue.running(Length::Long)) + queue.waiting(Length::Long) as f64,
+            beyond: queue.beyond(now),
         });
         DemandReport {
             node: self.cfg.node,
@@ -73,6 +78,28 @@
             terms.tokens.exchange(&tokens, count, scale, now);
         }
         self.share_long(&heard, count);
+        self.share_lent(&heard, now);
+    }
+
+    /// Divides the replicas for lent capacity by the nodes' demand, in the order of their
+    /// ids.
+    fn share_lent(&mut self, heard: &[&DemandReport], now: Time) {
+        for (model, queue) in &mut self.queues {
+            let own = queue.beyond(now) + LENT_FLOOR;
+            let (mut before, mut total) = (0.0, own);
+            for report in heard {
+                let found = report.models.iter().find(|m| m.model == *model);
+                let asked = found.map_or(0.0, |m| m.beyond) + LENT_FLOOR;
+                total += asked;
+                if report.node < self.cfg.node {
+                    before += asked;
+                }
+            }
+            queue.slice = Some(Slice {
+                from: before / total,
+                until: (before + own) / total,
+            });
+        }
     }
 
     /// Divides the slots for long work by the nodes' demand.
--- a/crates/admit/src/pump.rs
+++ b/crates/admit/src/pump.rs
@@ -9,6 +9,7 @@
 use route::Choice;
 use route::Length;
 use route::Miss;
+use route::Slice;
 
 use crate::Decision;
 use crate::Dispatcher;
@@ -112,6 +113,7 @@
             fill: room.fill,
             backlog: room.backlog,
             long_quota: self.long_quota(&waiting.model),
+            slice: self.slice(waiting),
             avoid: waiting.avoid,
         };
         match self.router.choose(&waiting.model, &ask, now) {
@@ -125,6 +127,15 @@
         Ok((ask, choice))
     }
 
+    /// Lent capacity is divided among the nodes by replicas, so that two nodes never take
+    /// the same free slot.
+    fn slice(&self, waiting: &Waiting) -> Option<Slice> {
+        match waiting.standing {
+            Standing::Within => None,
+            Standing::Beyond => self.queues.get(&waiting.model)?.slice,
+        }
+    }
+
     fn send(&mut self, waiting: Waiting, ask: &Ask, choice: &Choice, now: Time) {
         let request = waiting.request;
         self.spots.remove(&request);
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use base::Time;
 use route::Length;
+use route::Slice;
 use route::Standing;
 
 use crate::lane::Lane;
@@ -12,6 +14,8 @@
 
 /// Weight of one answer in the mean time that a request holds a slot.
 const LEARN: f64 = 0.05;
+/// Time over which demand beyond the contracts is averaged.
+const DEMAND: Duration = Duration::from_secs(2);
 
 /// What waits and runs of one model at this node.
 #[derive(Clone, Debug, Default)]
@@ -23,6 +27,11 @@
     pub usual: Usual,
     /// This node's part of all nodes' long work.
     pub long_share: f64,
+    /// Work beyond the contracts that is asked for a second, in generated tokens.
+    beyond: f64,
+    beyond_at: Time,
+    /// The replicas that this node lends on.
+    pub slice: Option<Slice>,
 }
 
 impl Queue {
@@ -34,6 +43,18 @@
         self.lane(waiting.standing, waiting.length)
     }
 
+    /// Counts work beyond the contracts that was asked for.
+    pub fn ask_beyond(&mut self, work: f64, now: Time) {
+        self.beyond = self.beyond(now) + work / DEMAND.as_secs_f64();
+        self.beyond_at = self.beyond_at.max(now);
+    }
+
+    /// Work beyond the contracts that is asked for a second.
+    pub fn beyond(&self, now: Time) -> f64 {
+        let age = now.since(self.beyond_at).as_secs_f64();
+        self.beyond * (-age / DEMAND.as_secs_f64()).exp()
+    }
+
     /// Requests that wait.
     pub fn len(&self) -> usize {
         self.lanes.values().map(Lane::len).sum()
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -50,6 +50,16 @@
     Beyond,
 }
 
+/// A part of the replicas by a hash of their ids, from zero to one. Nodes that divide
+/// the whole among them never send to the same replica.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Slice {
+    /// The first hash.
+    pub from: f64,
+    /// The hash after the last.
+    pub until: f64,
+}
+
 /// A request that needs a replica.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ask {
@@ -72,6 +82,8 @@
     /// Long requests that this node may have at one replica. A fraction stands for a
     /// share of the replicas.
     pub long_quota: f64,
+    /// Only replicas of this slice, or all.
+    pub slice: Option<Slice>,
     /// A replica that has just failed the request.
     pub avoid: Option<ReplicaId>,
 }
@@ -88,6 +100,7 @@
             fill: 1.0,
             backlog: Duration::MAX,
             long_quota: f64::INFINITY,
+            slice: None,
             avoid: None,
         }
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -21,6 +21,7 @@
 pub use candidate::Choice;
 pub use candidate::Length;
 pub use candidate::Miss;
+pub use candidate::Slice;
 pub use candidate::Standing;
 pub use config::Config;
 pub use forecast::Forecast;
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,6 +1,7 @@
 //! The replicas of one model.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use base::ReplicaId;
@@ -14,6 +15,7 @@
 use crate::Forecast;
 use crate::Length;
 use crate::Miss;
+use crate::Slice;
 use crate::Standing;
 use crate::forecast::Learned;
 use crate::outlier::Usual;
@@ -38,6 +40,8 @@
     replicas: Vec<Replica>,
     index: BTreeMap<ReplicaId, usize>,
     near: usize,
+    /// Places in the order of the hashes of their ids.
+    ring: Vec<usize>,
     pub usual: Usual,
     ejected: usize,
     prefixes: Prefixes,
@@ -54,6 +58,7 @@
             replicas: Vec::new(),
             index: BTreeMap::new(),
             near: 0,
+            ring: Vec::new(),
             usual: Usual::default(),
             ejected: 0,
             prefixes: Prefixes::default(),
@@ -120,6 +125,11 @@
             .zip(&self.replicas)
             .map(|(at, r)| (r.id, at))
             .collect();
+        self.ring = (0..self.replicas.len()).collect();
+        self.ring.sort_by(|a, b| {
+            let hash = |at: &usize| self.replicas[*at].hash();
+            hash(a).total_cmp(&hash(b))
+        });
         let shortest = self.replicas.first().map_or(Duration::ZERO, |r| r.link);
         self.near = self.replicas.partition_point(|r| r.link < shortest + NEAR);
     }
@@ -212,13 +222,22 @@
         let learned = self.learned(cfg, (ask.standing, ask.length));
         let mut miss = Miss::Full;
         let mut found = Vec::with_capacity(cfg.near_sample + cfg.far_sample);
-        for at in sample(0..self.near, cfg.near_sample, rng) {
-            self.look(at, ask, &learned, now, &mut miss, &mut found);
-        }
-        let far = self.near..self.replicas.len();
-        if !far.is_empty() && !has_free(&found) {
-            for at in sample(far, cfg.far_sample, rng) {
-                self.look(at, ask, &learned, now, &mut miss, &mut found);
+        match ask.slice {
+            Some(slice) => {
+                for at in sample(self.part(slice), cfg.near_sample, rng) {
+                    self.look(self.ring[at], ask, &learned, now, &mut miss, &mut found);
+                }
+            }
+            None => {
+                for at in sample(0..self.near, cfg.near_sample, rng) {
+                    self.look(at, ask, &learned, now, &mut miss, &mut found);
+                }
+                let far = self.near..self.replicas.len();
+                if !far.is_empty() && !has_free(&found) {
+                    for at in sample(far, cfg.far_sample, rng) {
+                        self.look(at, ask, &learned, now, &mut miss, &mut found);
+                    }
+                }
             }
         }
         self.look_at_cached(cfg, ask, &learned, now, &mut found);
@@ -229,6 +248,15 @@
         })
     }
 
+    /// The places of a slice in the ring.
+    fn part(&self, slice: Slice) -> Range<usize> {
+        let before = |hash: f64| {
+            let is_before = |at: &usize| self.replicas[*at].hash() < hash;
+            self.ring.partition_point(is_before)
+        };
+        before(slice.from)..before(slice.until)
+    }
+
     fn learned(&self, cfg: &Config, kind: (Standing, Length)) -> Learned {
         let others = f64::from(cfg.senders.saturating_sub(1));
         Learned {
@@ -285,6 +313,9 @@
         let Some(at) = cached.and_then(|replica| self.index.get(&replica)) else {
             return;
         };
+        if ask.slice.is_some() {
+            return;
+        }
         let before = found.len();
         self.look(*at, ask, learned, now, &mut Miss::Full, found);
         if let Some(scored) = found.get_mut(before) {
@@ -327,7 +358,7 @@
 
 /// Some places of a range: all if they are few, else a random sample.
 fn sample(
-    range: std::ops::Range<usize>,
+    range: Range<usize>,
     most: usize,
     rng: &mut fastrand::Rng,
 ) -> impl Iterator<Item = usize> {
@@ -364,8 +395,6 @@
 
 /// True if this node may send one more long request to the replica.
 fn has_long_room(replica: &Replica, quota: f64) -> bool {
-    // A fixed hash of the replica turns a fraction into a share of the replicas.
-    let hash = replica.id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40;
-    let fraction = hash as f64 / f64::from(1 << 24);
-    f64::from(replica.long) + 1.0 <= (quota + fraction).floor()
+    // The hash turns a fraction into a share of the replicas.
+    f64::from(replica.long) + 1.0 <= (quota + replica.hash()).floor()
 }
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -73,6 +73,13 @@
         }
     }
 
+    /// A fixed hash of the id, from zero to one.
+    pub fn hash(&self) -> f64 {
+        let mixed = (self.id.0 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+        (mixed >> 40) as f64 / f64::from(1 << 24)
+    }
+
     /// Requests in the batch or waiting for it, as far as this node can know.
     pub fn occupied(&self) -> f64 {
         let reported = f64::from(self.load.running) + f64::from(self.load.waiting);
