--- a/crates/admit/src/dispatcher.rs
+++ b/crates/admit/src/dispatcher.rs
@@ -164,6 +164,7 @@
             estimate,
             token_rate: contract.token_rate,
             due: now + terms.allowed(),
+            leaves: now + terms.patience(standing),
             from: TokenCount(0),
             avoid: None,
             attempts: 0,
--- a/crates/admit/src/feedback.rs
+++ b/crates/admit/src/feedback.rs
@@ -141,6 +141,7 @@
         if 0 < flight.generated {
             // The caller has its first token, so the rest is due as a long wait allows.
             waiting.due = waiting.due.max(now + CONTINUE_WITHIN);
+            waiting.leaves = waiting.due;
         }
         let model = waiting.model.clone();
         self.enqueue_first(waiting);
--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -39,6 +39,8 @@
     pub token_rate: TokenRate,
     /// When the first token is due.
     pub due: Time,
+    /// When it leaves the queue, at the latest.
+    pub leaves: Time,
     /// Tokens that the caller has.
     pub from: TokenCount,
     /// The replica that failed the last attempt.
--- a/crates/admit/src/pump.rs
+++ b/crates/admit/src/pump.rs
@@ -169,7 +169,8 @@
         };
         let hopeless = queue.take_hopeless(|waiting, wait| {
             let alone = router.alone(&waiting.model, waiting.prompt);
-            waiting.due < now + Duration::from_secs_f64(wait) + alone
+            let sent = now + Duration::from_secs_f64(wait);
+            waiting.due < sent + alone || waiting.leaves < sent
         });
         for waiting in hopeless {
             self.give_up(waiting, Reason::Late, now);
--- a/crates/admit/src/terms.rs
+++ b/crates/admit/src/terms.rs
@@ -6,11 +6,14 @@
 use base::Overflow;
 use base::Time;
 use base::TokenCount;
+use route::Standing;
 
 use crate::bucket::Bucket;
 
 /// Tokens may come at once for this long at the contract's rate.
 const TOKEN_BURST: Duration = Duration::from_secs(2);
+/// Part of the time to the first token that lent work waits for its turn.
+const TURN: f64 = 0.1;
 /// Refused callers are told to come back within this time of the earliest moment.
 const LONGEST_SPREAD: Duration = Duration::from_secs(10);
 /// Part of the most tokens allowed that a first answer is taken to have.
@@ -87,6 +90,16 @@
             Overflow::Refuse | Overflow::Model(_) => self.contract.first_token,
         }
     }
+
+    /// The longest time in the queue. Work beyond the contract that may not wait stays
+    /// just long enough for the organisations to take turns.
+    pub fn patience(&self, standing: Standing) -> Duration {
+        let may_wait = matches!(self.contract.overflow, Overflow::Wait(_));
+        if standing == Standing::Beyond && !may_wait {
+            return self.allowed().mul_f64(TURN);
+        }
+        self.allowed()
+    }
 }
 
 fn request_limit(contract: &Contract) -> (f64, f64) {
