Take the flow of lent work, not what runs, as its rate of service

Cause: queued letters beyond contract were refused after 13 s of their 15: the queue took long work that ran since before the crest as a sign that more would start.

--- a/crates/admit/src/pump.rs
+++ b/crates/admit/src/pump.rs
@@ -143,6 +143,7 @@
         self.router.sent(request, &waiting.model, ask, choice, now);
         let queue = self.queues.entry(waiting.model.clone()).or_default();
         queue.started(&waiting);
+        queue.sent(&waiting, now);
         queue.lane_of(&waiting).charge(&waiting);
         let decision = Decision::Send {
             replica: choice.replica,
@@ -167,7 +168,7 @@
         let Some(queue) = self.queues.get_mut(model) else {
             return;
         };
-        let hopeless = queue.take_hopeless(|waiting, wait| {
+        let hopeless = queue.take_hopeless(now, |waiting, wait| {
             let alone = router.alone(&waiting.model, waiting.prompt);
             let sent = now + Duration::from_secs_f64(wait);
             waiting.due < sent + alone || waiting.leaves < sent
@@ -204,8 +205,8 @@
         let Some(queue) = self.queues.get(&waiting.model) else {
             return LONGEST_RETRY;
         };
-        let drain = queue.drain(waiting.standing, waiting.length);
-        let wait = queue.wait(waiting) + 1.0 / drain;
+        let drain = queue.drain(waiting.standing, waiting.length, now);
+        let wait = queue.wait(waiting, now) + 1.0 / drain;
         let alone = self.router.alone(&waiting.model, waiting.prompt);
         let spare = waiting.due.since(now).saturating_sub(alone);
         let wait = Duration::from_secs_f64(wait.min(LONGEST_RETRY.as_secs_f64()));
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -14,6 +14,8 @@
 
 /// Weight of one answer in the mean time that a request holds a slot.
 const LEARN: f64 = 0.05;
+/// Requests a second that are assumed at least, so that a wait is a finite time.
+const SLOWEST: f64 = 1e-3;
 /// Time over which demand beyond the contracts is averaged.
 const DEMAND: Duration = Duration::from_secs(2);
 
@@ -24,6 +26,8 @@
     running: BTreeMap<(Standing, Length), u32>,
     /// Seconds that a request of a length holds a slot.
     residence: BTreeMap<Length, f64>,
+    /// Requests beyond the contracts sent a second, of late.
+    flow: BTreeMap<Length, Flow>,
     pub usual: Usual,
     /// This node's part of all nodes' long work.
     pub long_share: f64,
@@ -34,6 +38,33 @@
     pub slice: Option<Slice>,
 }
 
+/// Requests sent a second, of late.
+#[derive(Clone, Copy, Debug, Default)]
+struct Flow {
+    rate: f64,
+    at: Time,
+}
+
+impl Flow {
+    fn add(&mut self, length: Length, now: Time) {
+        self.rate = self.rate(length, now) + 1.0 / span(length).as_secs_f64();
+        self.at = now;
+    }
+
+    fn rate(&self, length: Length, now: Time) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.rate * (-age / span(length).as_secs_f64()).exp()
+    }
+}
+
+/// Time over which the flow of a length is averaged.
+fn span(length: Length) -> Duration {
+    match length {
+        Length::Short => Duration::from_millis(500),
+        Length::Long => Duration::from_secs(3),
+    }
+}
+
 impl Queue {
     pub fn lane(&mut self, standing: Standing, length: Length) -> &mut Lane {
         self.lanes.entry((standing, length)).or_default()
@@ -88,24 +119,39 @@
         *residence += LEARN * (seconds - *residence);
     }
 
-    /// Requests that this node can start a second: by Little's law what runs over how
-    /// long it runs. Work within its contract may take every slot that comes free, work
-    /// beyond it only what such work has.
-    pub fn drain(&self, standing: Standing, length: Length) -> f64 {
-        let count = match standing {
-            Standing::Within => self.running(length),
-            Standing::Beyond => self.running.get(&(standing, length)).copied().unwrap_or(0),
+    /// Counts a request that was sent.
+    pub fn sent(&mut self, waiting: &Waiting, now: Time) {
+        if waiting.standing == Standing::Beyond {
+            self.flow
+                .entry(waiting.length)
+                .or_default()
+                .add(waiting.length, now);
+        }
+    }
+
+    /// Requests that this node can start a second. Work within its contract may take
+    /// every slot that comes free: by Little's law what runs over how long it runs. Work
+    /// beyond it goes as fast as such work went of late.
+    pub fn drain(&self, standing: Standing, length: Length, now: Time) -> f64 {
+        let rate = match standing {
+            Standing::Within => {
+                let residence = self.residence.get(&length).copied().unwrap_or(1.0);
+                f64::from(self.running(length)).max(0.5) / residence.max(1e-3)
+            }
+            Standing::Beyond => {
+                let flow = self.flow.get(&length);
+                flow.map_or(0.0, |flow| flow.rate(length, now))
+            }
         };
-        let residence = self.residence.get(&length).copied().unwrap_or(1.0);
-        f64::from(count).max(0.5) / residence.max(1e-3)
+        rate.max(SLOWEST)
     }
 
     /// Seconds until a new request would be sent.
-    pub fn wait(&self, waiting: &Waiting) -> f64 {
-        let drain = self.drain(waiting.standing, waiting.length);
+    pub fn wait(&self, waiting: &Waiting, now: Time) -> f64 {
+        let drain = self.drain(waiting.standing, waiting.length, now);
         let first = match waiting.standing {
             Standing::Within => 0.0,
-            Standing::Beyond => self.len_within(waiting.length),
+            Standing::Beyond => self.len_within(waiting.length) + 1.0,
         };
         let lane = self.lanes.get(&(waiting.standing, waiting.length));
         let ahead = lane.map_or(0.0, |lane| lane.ahead(waiting));
@@ -121,19 +167,20 @@
     /// given the request and the seconds until it would be sent.
     pub fn take_hopeless(
         &mut self,
+        now: Time,
         mut is_hopeless: impl FnMut(&Waiting, f64) -> bool,
     ) -> Vec<Waiting> {
         let mut taken = Vec::new();
         for length in [Length::Short, Length::Long] {
             let mut first = 0.0;
             for standing in [Standing::Within, Standing::Beyond] {
-                let drain = self.drain(standing, length);
+                let drain = self.drain(standing, length, now);
                 let Some(lane) = self.lanes.get_mut(&(standing, length)) else {
                     continue;
                 };
                 let keep = |w: &Waiting, ahead: f64| !is_hopeless(w, (first + ahead) / drain);
                 taken.extend(lane.retain(keep));
-                first += lane.len() as f64;
+                first += lane.len() as f64 + 1.0;
             }
         }
         taken
