--- a/crates/admit/src/dispatcher.rs
+++ b/crates/admit/src/dispatcher.rs
@@ -141,7 +141,10 @@
             Ok(()) => Standing::Within,
             Err(refusal) => match self.cfg.beyond {
                 Beyond::Refuse => return Err(refusal),
-                Beyond::Lend => Standing::Beyond,
+                Beyond::Lend => {
+                    queue.ask_beyond(work, now);
+                    Standing::Beyond
+                }
             },
         };
         let contract = &terms.contract;
@@ -160,6 +163,7 @@
             estimate,
             token_rate: contract.token_rate,
             due: now + terms.allowed(),
+            leaves: now + terms.patience(standing),
             from: TokenCount(0),
             avoid: None,
             attempts: 0,
--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -20,18 +20,7 @@
 use base::TokenCount;
 use base::TokenRate;
 use route::Length;
-
-/// Whether a request is within its contract's rates.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Display)]
-pub enum Standing {
-    /// Within the rates.
-    #[default]
-    #[display("within")]
-    Within,
-    /// Beyond them, on lent capacity.
-    #[display("beyond")]
-    Beyond,
-}
+use route::Standing;
 
 /// A request that waits for a replica.
 #[derive(Clone, Debug)]
@@ -52,6 +41,8 @@
     pub token_rate: TokenRate,
     /// When the first token is due.
     pub due: Time,
+    /// When it leaves the queue, at the latest.
+    pub leaves: Time,
     /// Tokens that the caller has.
     pub from: TokenCount,
     /// The replica that failed the last attempt.
@@ -60,6 +51,11 @@
 }
 
 impl Waiting {
+    /// Which lane it belongs to.
+    pub fn kind(&self) -> (Standing, Length) {
+        (self.standing, self.length)
+    }
+
     /// The work it asks for in generated tokens.
     pub fn work(&self) -> f64 {
         crate::length::work(self.prompt, self.estimate)
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -3,39 +3,66 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use base::Time;
+use route::Length;
+use route::Slice;
+use route::Standing;
+
 use crate::lane::Lane;
-use crate::lane::Standing;
 use crate::lane::Waiting;
 use crate::length::Usual;
 use route::Length;
 
 /// Weight of one answer in the mean time that a request holds a slot.
 const LEARN: f64 = 0.05;
+/// Requests a second that are assumed at least, so that a wait is a finite time.
+const SLOWEST: f64 = 1e-3;
+/// Time over which demand beyond the contracts is averaged.
+const DEMAND: Duration = Duration::from_secs(2);
 
 /// What waits and runs of one model at this node.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Queue {
     lanes: BTreeMap<(Standing, Length), Lane>,
-    running: BTreeMap<Length, Running>,
+    running: BTreeMap<(Standing, Length), u32>,
+    /// Seconds that a request of a length holds a slot.
+    residence: BTreeMap<Length, f64>,
+    /// Requests beyond the contracts sent a second, of late.
+    flow: BTreeMap<Length, Flow>,
     pub usual: Usual,
     /// This node's part of all nodes' long work.
     pub long_share: f64,
+    /// Work beyond the contracts that is asked for a second, in generated tokens.
+    beyond: f64,
+    beyond_at: Time,
+    /// The replicas that this node lends on.
+    pub slice: Option<Slice>,
 }
 
-/// What runs of one length.
-#[derive(Clone, Copy, Debug)]
-struct Running {
-    count: u32,
-    /// Seconds that a request holds a slot.
-    residence: f64,
+/// Requests sent a second, of late.
+#[derive(Clone, Copy, Debug, Default)]
+struct Flow {
+    rate: f64,
+    at: Time,
 }
 
-impl Default for Running {
-    fn default() -> Self {
-        Self {
-            count: 0,
-            residence: 1.0,
-        }
+impl Flow {
+    fn add(&mut self, length: Length, now: Time) {
+        self.rate = self.rate(length, now) + 1.0 / span(length).as_secs_f64();
+        self.at = now;
+    }
+
+    fn rate(&self, length: Length, now: Time) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.rate * (-age / span(length).as_secs_f64()).exp()
+    }
+}
+
+/// Time over which the flow of a length is averaged.
+fn span(length: Length) -> Duration {
+    match length {
+        Length::Short => Duration::from_millis(500),
+        Length::Long => Duration::from_secs(3),
     }
 }
 
@@ -48,6 +75,18 @@
         self.lane(waiting.standing, waiting.length)
     }
 
+    /// Counts work beyond the contracts that was asked for.
+    pub fn ask_beyond(&mut self, work: f64, now: Time) {
+        self.beyond = self.beyond(now) + work / DEMAND.as_secs_f64();
+        self.beyond_at = self.beyond_at.max(now);
+    }
+
+    /// Work beyond the contracts that is asked for a second.
+    pub fn beyond(&self, now: Time) -> f64 {
+        let age = now.since(self.beyond_at).as_secs_f64();
+        self.beyond * (-age / DEMAND.as_secs_f64()).exp()
+    }
+
     /// Requests that wait.
     pub fn len(&self) -> usize {
         self.lanes.values().map(Lane::len).sum()
@@ -61,37 +100,59 @@
 
     /// Requests of a length that run.
     pub fn running(&self, length: Length) -> u32 {
-        self.running.get(&length).map_or(0, |r| r.count)
+        let of_length = self.running.iter().filter(|((_, l), _)| *l == length);
+        of_length.map(|(_, count)| *count).sum()
     }
 
-    pub fn started(&mut self, length: Length) {
-        self.running.entry(length).or_default().count += 1;
+    pub fn started(&mut self, waiting: &Waiting) {
+        *self.running.entry(waiting.kind()).or_default() += 1;
     }
 
-    pub fn ended(&mut self, length: Length) {
-        let running = self.running.entry(length).or_default();
-        running.count = running.count.saturating_sub(1);
+    pub fn ended(&mut self, waiting: &Waiting) {
+        let running = self.running.entry(waiting.kind()).or_default();
+        *running = running.saturating_sub(1);
     }
 
     /// Learns how long a request held its slot.
     pub fn held(&mut self, length: Length, span: Duration) {
-        let running = self.running.entry(length).or_default();
-        running.residence += LEARN * (span.as_secs_f64() - running.residence);
+        let seconds = span.as_secs_f64();
+        let residence = self.residence.entry(length).or_insert(seconds);
+        *residence += LEARN * (seconds - *residence);
     }
 
-    /// Requests of a length that this node's slots can start a second: by Little's law
-    /// what runs over how long it runs.
-    pub fn drain(&self, length: Length) -> f64 {
-        let running = self.running.get(&length).copied().unwrap_or_default();
-        f64::from(running.count.max(1)) / running.residence.max(1e-3)
+    /// Counts a request that was sent.
+    pub fn sent(&mut self, waiting: &Waiting, now: Time) {
+        if waiting.standing == Standing::Beyond {
+            self.flow
+                .entry(waiting.length)
+                .or_default()
+                .add(waiting.length, now);
+        }
+    }
+
+    /// Requests that this node can start a second. Work within its contract may take
+    /// every slot that comes free: by Little's law what runs over how long it runs. Work
+    /// beyond it goes as fast as such work went of late.
+    pub fn drain(&self, standing: Standing, length: Length, now: Time) -> f64 {
+        let rate = match standing {
+            Standing::Within => {
+                let residence = self.residence.get(&length).copied().unwrap_or(1.0);
+                f64::from(self.running(length)).max(0.5) / residence.max(1e-3)
+            }
+            Standing::Beyond => {
+                let flow = self.flow.get(&length);
+                flow.map_or(0.0, |flow| flow.rate(length, now))
+            }
+        };
+        rate.max(SLOWEST)
     }
 
     /// Seconds until a new request would be sent.
-    pub fn wait(&self, waiting: &Waiting) -> f64 {
-        let drain = self.drain(waiting.length);
+    pub fn wait(&self, waiting: &Waiting, now: Time) -> f64 {
+        let drain = self.drain(waiting.standing, waiting.length, now);
         let first = match waiting.standing {
             Standing::Within => 0.0,
-            Standing::Beyond => self.len_within(waiting.length),
+            Standing::Beyond => self.len_within(waiting.length) + 1.0,
         };
         let lane = self.lanes.get(&(waiting.standing, waiting.length));
         let ahead = lane.map_or(0.0, |lane| lane.ahead(waiting));
@@ -107,19 +168,20 @@
     /// given the request and the seconds until it would be sent.
     pub fn take_hopeless(
         &mut self,
+        now: Time,
         mut is_hopeless: impl FnMut(&Waiting, f64) -> bool,
     ) -> Vec<Waiting> {
         let mut taken = Vec::new();
         for length in [Length::Short, Length::Long] {
-            let drain = self.drain(length);
             let mut first = 0.0;
             for standing in [Standing::Within, Standing::Beyond] {
+                let drain = self.drain(standing, length, now);
                 let Some(lane) = self.lanes.get_mut(&(standing, length)) else {
                     continue;
                 };
                 let keep = |w: &Waiting, ahead: f64| !is_hopeless(w, (first + ahead) / drain);
                 taken.extend(lane.retain(keep));
-                first += lane.len() as f64;
+                first += lane.len() as f64 + 1.0;
             }
         }
         taken
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -38,13 +38,37 @@
     Long,
 }
 
+/// Whether a request is within its contract's rates.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum Standing {
+    /// Within the rates.
+    #[default]
+    #[display("within")]
+    Within,
+    /// Beyond them, on lent capacity.
+    #[display("beyond")]
+    Beyond,
+}
+
+/// A part of the replicas by a hash of their ids, from zero to one. Nodes that divide
+/// the whole among them never send to the same replica.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Slice {
+    /// The first hash.
+    pub from: f64,
+    /// The hash after the last.
+    pub until: f64,
+}
+
 /// A request that needs a replica.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Ask {
     /// Tokens of the prompt.
     pub prompt: TokenCount,
     /// Whether it is long.
     pub length: Length,
+    /// Whether it is within its contract.
+    pub standing: Standing,
     /// A hash of the prompt's prefix, if it may be cached somewhere.
     pub prefix: Option<u64>,
     /// Time left until the first token is due.
@@ -53,13 +77,35 @@
     pub token_rate: TokenRate,
     /// Share of a replica's slots that may be taken when this request is added.
     pub fill: f64,
+    /// The most time that the prefill backlog at the replica may stand for.
+    pub backlog: Duration,
     /// Long requests that this node may have at one replica. A fraction stands for a
     /// share of the replicas.
     pub long_quota: f64,
+    /// Only replicas of this slice, or all.
+    pub slice: Option<Slice>,
     /// A replica that has just failed the request.
     pub avoid: Option<ReplicaId>,
 }
 
+impl Default for Ask {
+    fn default() -> Self {
+        Self {
+            prompt: TokenCount(0),
+            length: Length::Short,
+            standing: Standing::Within,
+            prefix: None,
+            budget: Duration::MAX,
+            token_rate: TokenRate(0.0),
+            fill: 1.0,
+            backlog: Duration::MAX,
+            long_quota: f64::INFINITY,
+            slice: None,
+            avoid: None,
+        }
+    }
+}
+
 /// Where a request goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,6 +1,7 @@
 //! The replicas of one model.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use crate::Ask;
@@ -10,6 +11,8 @@
 use crate::Forecast;
 use crate::Length;
 use crate::Miss;
+use crate::Slice;
+use crate::Standing;
 use crate::forecast::Learned;
 use crate::outlier::Usual;
 use crate::prefix::Prefixes;
@@ -27,7 +30,7 @@
 /// Weight of a replica's occupancy in its score, in seconds at full.
 const FILL_WEIGHT: f64 = 0.05;
 /// Weight of one sample in what is learned.
-const LEARN: f64 = 0.05;
+const LEARN: f64 = 0.02;
 
 /// The replicas of one model.
 #[derive(Clone, Debug)]
@@ -36,11 +39,13 @@
     replicas: Vec<Replica>,
     index: BTreeMap<ReplicaId, usize>,
     near: usize,
+    /// Places in the order of the hashes of their ids.
+    ring: Vec<usize>,
     pub usual: Usual,
     ejected: usize,
     prefixes: Prefixes,
     residence: f64,
-    behind: BTreeMap<Length, f64>,
+    behind: BTreeMap<(Standing, Length), Behind>,
     /// Own requests sent less those ended, a second, decaying.
     growth: f64,
     growth_at: Time,
@@ -52,6 +57,7 @@
             replicas: Vec::new(),
             index: BTreeMap::new(),
             near: 0,
+            ring: Vec::new(),
             usual: Usual::default(),
             ejected: 0,
             prefixes: Prefixes::default(),
@@ -63,6 +69,34 @@
     }
 }
 
+/// The part of a reported prefill backlog that a request waits for, by least squares. At
+/// an engine that honours priorities it is small for short work.
+#[derive(Clone, Copy, Debug)]
+struct Behind {
+    product: f64,
+    square: f64,
+}
+
+impl Default for Behind {
+    fn default() -> Self {
+        Self {
+            product: 0.1,
+            square: 0.1,
+        }
+    }
+}
+
+impl Behind {
+    fn add(&mut self, waited: f64, backlog: f64) {
+        self.product += LEARN * (waited * backlog - self.product);
+        self.square += LEARN * (backlog * backlog - self.square);
+    }
+
+    fn part(&self) -> f64 {
+        (self.product / self.square.max(1e-9)).clamp(0.0, 1.0)
+    }
+}
+
 /// A replica with its score in seconds. Smaller is better.
 struct Scored {
     at: usize,
@@ -90,6 +124,11 @@
             .zip(&self.replicas)
             .map(|(at, r)| (r.id, at))
             .collect();
+        self.ring = (0..self.replicas.len()).collect();
+        self.ring.sort_by(|a, b| {
+            let hash = |at: &usize| self.replicas[*at].hash();
+            hash(a).total_cmp(&hash(b))
+        });
         let shortest = self.replicas.first().map_or(Duration::ZERO, |r| r.link);
         self.near = self.replicas.partition_point(|r| r.link < shortest + NEAR);
     }
@@ -157,10 +196,9 @@
         self.residence += LEARN * (span.as_secs_f64() - self.residence);
     }
 
-    /// Learns how much of the reported backlog a request waited for.
-    pub fn waited(&mut self, length: Length, part: f64) {
-        let behind = self.behind.entry(length).or_insert(1.0);
-        *behind += LEARN * (part.clamp(0.0, 2.0) - *behind);
+    /// Learns how long a request waited beside the reported backlog, in seconds.
+    pub fn waited(&mut self, kind: (Standing, Length), waited: f64, backlog: f64) {
+        self.behind.entry(kind).or_default().add(waited, backlog);
     }
 
     /// Seconds that a request holds a slot.
@@ -180,16 +218,25 @@
             return Err(Miss::NoReplica);
         }
         self.decay(now);
-        let learned = self.learned(cfg, ask.length);
+        let learned = self.learned(cfg, (ask.standing, ask.length));
         let mut miss = Miss::Full;
         let mut found = Vec::with_capacity(cfg.near_sample + cfg.far_sample);
-        for at in sample(0..self.near, cfg.near_sample, rng) {
-            self.look(at, cfg, ask, &learned, now, &mut miss, &mut found);
-        }
-        let far = self.near..self.replicas.len();
-        if !far.is_empty() && !has_free(&found) {
-            for at in sample(far, cfg.far_sample, rng) {
-                self.look(at, cfg, ask, &learned, now, &mut miss, &mut found);
+        match ask.slice {
+            Some(slice) => {
+                for at in sample(self.part(slice), cfg.near_sample, rng) {
+                    self.look(self.ring[at], ask, &learned, now, &mut miss, &mut found);
+                }
+            }
+            None => {
+                for at in sample(0..self.near, cfg.near_sample, rng) {
+                    self.look(at, ask, &learned, now, &mut miss, &mut found);
+                }
+                let far = self.near..self.replicas.len();
+                if !far.is_empty() && !has_free(&found) {
+                    for at in sample(far, cfg.far_sample, rng) {
+                        self.look(at, ask, &learned, now, &mut miss, &mut found);
+                    }
+                }
             }
         }
         self.look_at_cached(cfg, ask, &learned, now, &mut found);
@@ -200,20 +247,27 @@
         })
     }
 
-    fn learned(&self, cfg: &Config, length: Length) -> Learned {
+    /// The places of a slice in the ring.
+    fn part(&self, slice: Slice) -> Range<usize> {
+        let before = |hash: f64| {
+            let is_before = |at: &usize| self.replicas[*at].hash() < hash;
+            self.ring.partition_point(is_before)
+        };
+        before(slice.from)..before(slice.until)
+    }
+
+    fn learned(&self, cfg: &Config, kind: (Standing, Length)) -> Learned {
         let others = f64::from(cfg.senders.saturating_sub(1));
         Learned {
             residence: self.residence,
-            behind: self.behind.get(&length).copied().unwrap_or(1.0),
+            behind: self.behind.get(&kind).map_or(1.0, Behind::part),
             others: self.growth.max(0.0) * others / self.replicas.len() as f64,
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "one step of a search")]
     fn look(
         &self,
         at: usize,
-        cfg: &Config,
         ask: &Ask,
         learned: &Learned,
         now: Time,
@@ -228,12 +282,12 @@
             return;
         }
         let forecast = Forecast::of(replica, learned, ask, now);
-        if ask.fill < forecast.fill {
+        if ask.fill < forecast.fill || ask.backlog < forecast.backlog {
             return;
         }
         let late = ask.budget < forecast.first_token;
         let slow = forecast.token_rate.0 < ask.token_rate.0;
-        if late || slow || replica.overdue(cfg.slow_factor, now) {
+        if late || slow {
             *miss = Miss::Late;
             return;
         }
@@ -258,8 +312,11 @@
         let Some(at) = cached.and_then(|replica| self.index.get(&replica)) else {
             return;
         };
+        if ask.slice.is_some() {
+            return;
+        }
         let before = found.len();
-        self.look(*at, cfg, ask, learned, now, &mut Miss::Full, found);
+        self.look(*at, ask, learned, now, &mut Miss::Full, found);
         if let Some(scored) = found.get_mut(before) {
             let rate = self.replicas[*at].load.prefill_rate.0.max(1.0);
             let saved = PREFIX_TRUST * f64::from(ask.prompt.0) / rate;
@@ -300,7 +357,7 @@
 
 /// Some places of a range: all if they are few, else a random sample.
 fn sample(
-    range: std::ops::Range<usize>,
+    range: Range<usize>,
     most: usize,
     rng: &mut fastrand::Rng,
 ) -> impl Iterator<Item = usize> {
@@ -337,8 +394,6 @@
 
 /// True if this node may send one more long request to the replica.
 fn has_long_room(replica: &Replica, quota: f64) -> bool {
-    // A fixed hash of the replica turns a fraction into a share of the replicas.
-    let hash = replica.id.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40;
-    let fraction = hash as f64 / f64::from(1 << 24);
-    f64::from(replica.long) + 1.0 <= (quota + fraction).floor()
+    // The hash turns a fraction into a share of the replicas.
+    f64::from(replica.long) + 1.0 <= (quota + replica.hash()).floor()
 }
