Exchange membership and small items between entry nodes over datagrams

Cause: each node needs the others' standing, versions and small items within a fixed byte rate, at 340 nodes in 20 data centres.

Probes inside a data centre, contacts by hash between them, three-hop spread, comparison by hashes for whatever was missed.

--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -1,1 +1,46 @@
 //! Membership of the entry nodes and the bounded exchange between them.
+//!
+//! [`Members`] is one node's view of all others and its end of the exchange.
+//! Within a data centre nodes probe each other in turn; between data centres a
+//! few contacts, chosen by a hash that all nodes compute alike, carry what all
+//! must know. What is sent is limited by a byte rate, whatever is published.
+//!
+//! [`Puller`] decides whom to ask for a newer configuration, and when.
+
+mod board;
+mod config;
+mod hash;
+mod item;
+mod links;
+mod members;
+mod outbox;
+mod packet;
+mod prober;
+mod puller;
+mod receive;
+mod record;
+mod roster;
+mod spread;
+mod sync;
+mod versions;
+mod watch;
+
+pub use config::Config;
+pub use config::Timing;
+pub use item::Item;
+pub use item::Kind;
+pub use item::MAX_BODY_BYTES;
+pub use item::News;
+pub use item::Scope;
+pub use members::Members;
+pub use members::Usage;
+pub use members::View;
+pub use outbox::Packet;
+pub use packet::MAX_DATAGRAM_BYTES;
+pub use packet::OVERHEAD_BYTES;
+pub use puller::Puller;
+pub use puller::Pulling;
+pub use puller::Source;
+pub use record::Generation;
+pub use record::Peer;
+pub use record::Standing;
--- /dev/null
+++ b/crates/members/src/members.rs
@@ -0,0 +1,274 @@
+//! One node's view of all others and its end of the exchange.
+
+use std::time::Duration;
+
+use base::CentreId;
+use base::Incarnation;
+use base::NodeId;
+use base::Time;
+use base::Version;
+
+use crate::Config;
+use crate::Generation;
+use crate::Item;
+use crate::Kind;
+use crate::News;
+use crate::Peer;
+use crate::Scope;
+use crate::Standing;
+use crate::board::Board;
+use crate::item::ItemId;
+use crate::item::Stamp;
+use crate::links::Links;
+use crate::outbox::Outbox;
+use crate::prober::Prober;
+use crate::record::Record;
+use crate::roster::Member;
+use crate::roster::Roster;
+
+/// A pause between two ticks beyond this means that the process did not run.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// What is known of one member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct View {
+    /// The member.
+    pub peer: Peer,
+    /// Its life and refutations. Zero if it was never heard of.
+    pub generation: Generation,
+    /// How it stands.
+    pub standing: Standing,
+    /// The largest version known to be in force there.
+    pub version: Version,
+}
+
+/// Memory that the membership uses, roughly.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Bytes for the members.
+    pub roster: usize,
+    /// Bytes for items.
+    pub board: usize,
+    /// Bytes for what waits to be sent.
+    pub outbox: usize,
+}
+
+/// One node's membership.
+///
+/// Call [`Members::tick`] every 50 ms, [`Members::receive`] for each datagram
+/// whose tag was right, and send what [`Members::take`] gives.
+#[derive(Clone, Debug)]
+pub struct Members {
+    pub(crate) cfg: Config,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) me: Record,
+    pub(crate) version: Version,
+    pub(crate) newest: Version,
+    pub(crate) roster: Roster,
+    pub(crate) board: Board,
+    pub(crate) links: Links,
+    pub(crate) prober: Prober,
+    pub(crate) outbox: Outbox,
+    pub(crate) news: Vec<News>,
+    pub(crate) sequence: u64,
+    pub(crate) ticked: Time,
+    pub(crate) link_at: Time,
+    pub(crate) link_turn: usize,
+    pub(crate) beat_at: Time,
+    pub(crate) sync_at: Time,
+}
+
+impl Members {
+    /// Starts a node's membership.
+    pub fn open(cfg: Config, now: Time) -> Self {
+        let mut rng = fastrand::Rng::with_seed(cfg.seed);
+        let me = Record {
+            peer: cfg.me,
+            generation: Generation {
+                incarnation: cfg.incarnation.max(Incarnation(1)),
+                refutation: 0,
+            },
+            standing: Standing::Alive,
+        };
+        let timing = cfg.timing;
+        let mut members = Self {
+            roster: Roster::open(me, &cfg.seeds, timing, now),
+            prober: Prober::open(timing, rng.u32(..), now),
+            outbox: Outbox::open(timing, now),
+            board: Board::default(),
+            links: Links::default(),
+            news: Vec::new(),
+            version: Version(0),
+            newest: Version(0),
+            sequence: 0,
+            ticked: now,
+            link_at: now,
+            link_turn: 0,
+            sync_at: now,
+            beat_at: now + timing.beat_every.mul_f64(rng.f64()),
+            me,
+            cfg,
+            rng,
+        };
+        members.links.update(&members.roster, members.me.peer);
+        members.spread_record(members.me.peer.node, now);
+        members
+    }
+
+    /// This node's own generation.
+    pub fn generation(&self) -> Generation {
+        self.me.generation
+    }
+
+    /// All members, this node included.
+    pub fn view(&self, now: Time) -> impl Iterator<Item = View> {
+        let all = self.roster.iter();
+        all.map(move |(_, member)| self.view_of(member, now))
+    }
+
+    /// One member.
+    pub fn get(&self, node: NodeId, now: Time) -> Option<View> {
+        Some(self.view_of(self.roster.get(node)?, now))
+    }
+
+    /// The members that are alive, this node included.
+    pub fn alive(&self, now: Time) -> impl Iterator<Item = View> {
+        let all = self.view(now);
+        all.filter(|view| view.standing == Standing::Alive)
+    }
+
+    /// Whether this node is the first living member of its data centre, which
+    /// sums up for the others. During changes two nodes may think so.
+    pub fn speaks_for_centre(&self) -> bool {
+        let of_centre = self.roster.of_centre(self.me.peer.centre);
+        let mut alive = of_centre.filter(|(_, m)| m.record.standing == Standing::Alive);
+        alive
+            .next()
+            .is_some_and(|(node, _)| node == self.me.peer.node)
+    }
+
+    /// Data centres from which something was heard of late, the own included.
+    pub fn centres_heard(&self, now: Time) -> impl Iterator<Item = CentreId> {
+        let others = self.roster.other_centres();
+        let heard = others.filter(move |centre| !self.roster.is_silent(*centre, now));
+        heard.chain([self.me.peer.centre])
+    }
+
+    /// The largest version that any member said is accepted.
+    pub fn newest(&self) -> Version {
+        self.newest
+    }
+
+    /// Says which version is in force at this node.
+    pub fn set_version(&mut self, version: Version, now: Time) {
+        if version <= self.version {
+            return;
+        }
+        self.version = version;
+        if let Some(me) = self.roster.get_mut(self.me.peer.node) {
+            me.version = version;
+        }
+        if self.newest < version {
+            self.newest = version;
+            self.spread_newest(now);
+        } else {
+            self.offer_version(now);
+        }
+    }
+
+    /// Says that a version was accepted, before it is in force here.
+    pub fn hear_version(&mut self, version: Version, now: Time) {
+        if self.newest < version {
+            self.newest = version;
+            self.spread_newest(now);
+        }
+    }
+
+    /// Publishes an item, or a newer content for one. Returns false and does
+    /// nothing if the body is too long or there are too many items.
+    pub fn publish(&mut self, item: Item, now: Time) -> bool {
+        self.sequence += 1;
+        let id = ItemId {
+            origin: self.me.peer.node,
+            kind: item.kind,
+            key: item.key,
+        };
+        let stamp = Stamp {
+            incarnation: self.me.generation.incarnation,
+            sequence: self.sequence,
+        };
+        if !self.board.publish(id, stamp, item, now) {
+            return false;
+        }
+        self.spread_item(id, now);
+        true
+    }
+
+    /// The live items of a kind, with their publishers.
+    pub fn items(&self, kind: Kind, now: Time) -> Vec<News> {
+        let ids = self.board.ids(now).filter(|(id, _)| id.kind == kind);
+        let items = ids.filter_map(|(id, _)| {
+            Some(News {
+                origin: id.origin,
+                item: self.board.item(id, now)?,
+            })
+        });
+        items.collect()
+    }
+
+    /// Items of others that are new or have changed since the last call.
+    pub fn take_news(&mut self) -> Vec<News> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Tells the others that this node leaves. It should go on for a second.
+    pub fn leave(&mut self, now: Time) {
+        self.me.standing = Standing::Left;
+        self.roster.set_me(self.me);
+        self.spread_record(self.me.peer.node, now);
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Time) {
+        let gap = now.since(self.ticked);
+        self.ticked = self.ticked.max(now);
+        if PAUSE < gap {
+            self.roster.forgive(gap);
+            self.prober.forget();
+        }
+        self.links.update(&self.roster, self.me.peer);
+        self.probe(now);
+        self.ping_links(now);
+        self.beat(now);
+        self.board.expire(now);
+        for record in self.roster.expire(now) {
+            self.claim(record, now);
+        }
+    }
+
+    /// Memory in use, roughly.
+    pub fn usage(&self) -> Usage {
+        Usage {
+            roster: self.roster.memory(),
+            board: self.board.memory(),
+            outbox: self.outbox.memory(),
+        }
+    }
+
+    fn view_of(&self, member: &Member, now: Time) -> View {
+        View {
+            peer: member.record.peer,
+            generation: member.record.generation,
+            standing: self.roster.standing(member, now),
+            version: member.version,
+        }
+    }
+
+    /// Whether an item of this scope is meant for a member.
+    pub(crate) fn concerns(&self, scope: Scope, node: NodeId) -> bool {
+        match scope {
+            Scope::Everywhere => true,
+            Scope::Centre => self.roster.is_mate(node),
+        }
+    }
+}
--- /dev/null
+++ b/crates/members/src/puller.rs
@@ -0,0 +1,203 @@
+//! Decides whom to ask for a newer configuration, and when.
+//!
+//! In each data centre two nodes, other ones for each version, ask the voters
+//! at once. The others wait until a member of their own data centre has it, and
+//! ask the voters themselves when that takes too long. Asks are spread by
+//! jitter, one is under way at a time, and the next begins after a pause, so
+//! that a burst of changes is fetched by few asks.
+
+use std::time::Duration;
+
+use base::NodeId;
+use base::Time;
+use base::Version;
+
+use crate::Members;
+use crate::Standing;
+use crate::hash;
+
+/// Nodes of a data centre that ask the voters at once.
+const FIRST: usize = 2;
+
+/// Longest jitter before the first ask.
+const JITTER: Duration = Duration::from_millis(200);
+
+/// Time between the beginnings of two asks.
+const ASK_EVERY: Duration = Duration::from_millis(500);
+
+/// Time after which an ask has failed.
+const ASK_LIMIT: Duration = Duration::from_millis(800);
+
+/// Shortest and longest time to wait for a member of the own data centre.
+const PATIENCE: (Duration, Duration) = (Duration::from_millis(1_200), Duration::from_millis(2_200));
+
+/// Largest doubling of the pause after failures.
+const MAX_BACKOFF: u32 = 3;
+
+/// Where a newer configuration may be had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A member of the own data centre that has it.
+    Mate(NodeId),
+    /// A voter.
+    Voter(NodeId),
+}
+
+/// What the decision rests on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Pulling {
+    /// The version in force here.
+    pub own: Version,
+    /// The largest version heard of.
+    pub newest: Version,
+    /// Members of the own data centre that have a newer version.
+    pub mates: Vec<NodeId>,
+    /// Voters of the own data centre that may answer.
+    pub near: Vec<NodeId>,
+    /// All voters that may answer.
+    pub voters: Vec<NodeId>,
+    /// Whether this node is among the first to ask.
+    pub is_first: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Ask {
+    node: NodeId,
+    until: Time,
+}
+
+/// Decides when to pull and from whom.
+#[derive(Clone, Debug)]
+pub struct Puller {
+    rng: fastrand::Rng,
+    /// Since when a newer version is wanted, and when to turn to the voters.
+    wanted: Option<(Time, Time)>,
+    due: Time,
+    asked: Option<Ask>,
+    failures: u32,
+    avoid: Option<NodeId>,
+}
+
+impl Puller {
+    /// Starts without a wish.
+    pub fn open(seed: u64) -> Self {
+        Self {
+            rng: fastrand::Rng::with_seed(seed),
+            wanted: None,
+            due: Time::ZERO,
+            asked: None,
+            failures: 0,
+            avoid: None,
+        }
+    }
+
+    /// Whom to ask now, if anyone. Report the outcome by [`Puller::done`].
+    pub fn tick(&mut self, pulling: &Pulling, now: Time) -> Option<Source> {
+        if pulling.newest <= pulling.own {
+            self.wanted = None;
+            self.asked = None;
+            self.failures = 0;
+            return None;
+        }
+        if self.asked.is_some_and(|ask| now < ask.until) {
+            return None;
+        }
+        if self.asked.is_some() {
+            self.done(now);
+        }
+        let (_, voters_at) = *self.wanted.get_or_insert_with(|| {
+            self.due = self.due.max(now + JITTER.mul_f64(self.rng.f64()));
+            let (least, most) = PATIENCE;
+            (now, now + least + (most - least).mul_f64(self.rng.f64()))
+        });
+        if now < self.due {
+            return None;
+        }
+        let ask_voters = pulling.is_first || voters_at <= now;
+        let source = self.choose(pulling, ask_voters)?;
+        let (Source::Mate(node) | Source::Voter(node)) = source;
+        self.due = now + ASK_EVERY;
+        self.asked = Some(Ask {
+            node,
+            until: now + ASK_LIMIT,
+        });
+        Some(source)
+    }
+
+    /// Notes that the ask under way was answered or has failed. What it brought
+    /// shows in [`Pulling::own`] at the next tick.
+    pub fn done(&mut self, now: Time) {
+        let Some(ask) = self.asked.take() else {
+            return;
+        };
+        self.avoid = Some(ask.node);
+        self.failures = (self.failures + 1).min(MAX_BACKOFF);
+        let pause = Duration::from_millis(100) * (1 << self.failures);
+        let again = now + pause.mul_f64(0.5 + self.rng.f64());
+        self.due = self.due.max(again);
+    }
+
+    fn choose(&mut self, pulling: &Pulling, ask_voters: bool) -> Option<Source> {
+        let is_failing = 1 < self.failures;
+        let mate = self.pick(&pulling.mates).map(Source::Mate);
+        if !ask_voters {
+            return mate;
+        }
+        let voters = match is_failing || pulling.near.is_empty() {
+            true => &pulling.voters,
+            false => &pulling.near,
+        };
+        let voter = self.pick(voters).map(Source::Voter);
+        match is_failing {
+            true => voter.or(mate),
+            false => mate.or(voter),
+        }
+    }
+
+    /// One of these, rather not the one that was asked last.
+    fn pick(&mut self, nodes: &[NodeId]) -> Option<NodeId> {
+        let others = nodes.iter().copied();
+        let others = others.filter(|node| Some(*node) != self.avoid);
+        let others: Vec<NodeId> = others.collect();
+        let from = if others.is_empty() { nodes } else { &others };
+        self.rng.choice(from).copied()
+    }
+}
+
+impl Members {
+    /// What a [`Puller`] needs, with the nodes that vote.
+    pub fn pulling(&self, voters: &[NodeId], now: Time) -> Pulling {
+        let own = self.version;
+        let me = self.me.peer;
+        let having = self.roster.mates().filter(|mate| {
+            let member = self.roster.get(*mate);
+            member.is_some_and(|member| own < member.version)
+        });
+        let usable = |node: &NodeId| {
+            let member = self.roster.get(*node);
+            let standing = member.map(|member| self.roster.standing(member, now));
+            *node != me.node && standing.is_some_and(|standing| standing < Standing::Dead)
+        };
+        let usable: Vec<NodeId> = voters.iter().copied().filter(usable).collect();
+        let near = usable.iter().copied();
+        let near = near.filter(|node| self.roster.is_mate(*node));
+        Pulling {
+            own,
+            newest: self.newest,
+            mates: having.collect(),
+            near: near.collect(),
+            voters: usable.clone(),
+            is_first: self.is_first(),
+        }
+    }
+
+    /// Whether this node is among those of its data centre that ask first.
+    fn is_first(&self) -> bool {
+        let me = self.me.peer;
+        let weight = |node: NodeId| hash::hash(&[u64::from(node.0), self.newest.0]);
+        let before = self.roster.of_centre(me.centre).filter(|(node, member)| {
+            member.record.standing == Standing::Alive && weight(*node) < weight(me.node)
+        });
+        before.count() < FIRST
+    }
+}
--- /dev/null
+++ b/crates/members/src/sync.rs
@@ -0,0 +1,137 @@
+//! Brings two members to the same state, whatever they missed.
+//!
+//! Each ping carries a hash of all that both should know. When it differs the
+//! two compare hashes by data centre, then by member, and send what differs.
+//! The cost does not depend on how much happened meanwhile.
+
+use std::collections::BTreeMap;
+
+use base::CentreId;
+use base::NodeId;
+use base::Time;
+
+use crate::Generation;
+use crate::Members;
+use crate::item::ItemId;
+use crate::packet::Section;
+
+/// Data centres compared at once.
+const MAX_CENTRES: usize = 4;
+
+/// Members compared at once.
+const MAX_ORIGINS: usize = 64;
+
+impl Members {
+    /// The hash of all that a member should know too.
+    pub(crate) fn digest(&self, with: NodeId, now: Time) -> u32 {
+        let hashes = self.hashes(with, now);
+        hashes.values().fold(0, |sum, hash| sum.wrapping_add(*hash))
+    }
+
+    /// Hashes by data centre.
+    pub(crate) fn centre_hashes(&self, with: NodeId, now: Time) -> Vec<(CentreId, u32)> {
+        let mut sums: BTreeMap<CentreId, u32> = BTreeMap::new();
+        for (node, hash) in self.hashes(with, now) {
+            let Some(centre) = self.roster.centre_of(node) else {
+                continue;
+            };
+            let sum = sums.entry(centre).or_default();
+            *sum = sum.wrapping_add(hash);
+        }
+        sums.into_iter().collect()
+    }
+
+    /// Answers hashes by data centre with hashes by member.
+    pub(crate) fn compare_centres(&mut self, from: NodeId, theirs: &[(CentreId, u32)], now: Time) {
+        let mine = self.centre_hashes(from, now);
+        let mut differing: Vec<CentreId> = mine
+            .iter()
+            .filter(|entry| !theirs.contains(entry))
+            .map(|(centre, _)| *centre)
+            .collect();
+        let known = |centre: &CentreId| mine.iter().any(|(other, _)| other == centre);
+        let lacking = theirs.iter().map(|(centre, _)| *centre);
+        differing.extend(lacking.filter(|centre| !known(centre)));
+        self.rng.shuffle(&mut differing);
+        for centre in differing.into_iter().take(MAX_CENTRES) {
+            let section = Section::Origins(centre, self.origin_hashes(centre, from, now));
+            self.outbox.state(from, section);
+        }
+    }
+
+    /// Answers hashes by member with what differs, and asks for theirs.
+    pub(crate) fn compare_origins(
+        &mut self,
+        from: NodeId,
+        centre: CentreId,
+        theirs: &[(NodeId, u32)],
+        now: Time,
+    ) {
+        let mine = self.hashes(from, now);
+        let mut want = Vec::new();
+        for (node, hash) in theirs.iter().take(MAX_ORIGINS) {
+            if mine.get(node) != Some(hash) {
+                want.push(*node);
+                self.send_state(from, *node, now);
+            }
+        }
+        let listed = |node: &NodeId| theirs.iter().any(|(other, _)| other == node);
+        let is_whole = theirs.len() < MAX_ORIGINS;
+        let of_centre = self.roster.of_centre(centre).map(|(node, _)| node);
+        let unlisted = of_centre.filter(|node| is_whole && !listed(node));
+        let unlisted: Vec<NodeId> = unlisted.take(MAX_ORIGINS).collect();
+        for node in unlisted {
+            self.send_state(from, node, now);
+        }
+        if !want.is_empty() {
+            self.outbox.state(from, Section::Want(want));
+        }
+    }
+
+    /// Sends all that is known of some members.
+    pub(crate) fn give(&mut self, to: NodeId, nodes: &[NodeId], now: Time) {
+        for node in nodes.iter().take(MAX_ORIGINS) {
+            self.send_state(to, *node, now);
+        }
+    }
+
+    fn send_state(&mut self, to: NodeId, of: NodeId, now: Time) {
+        if let Some(member) = self.roster.get(of)
+            && member.record.generation != Generation::default()
+        {
+            self.outbox.state(to, Section::State(member.record));
+        }
+        let items = self.board.hashes(now).filter(|(id, scope, _)| {
+            let is_meant = self.concerns(*scope, to);
+            id.origin == of && is_meant
+        });
+        let ids: Vec<ItemId> = items.map(|(id, ..)| id).collect();
+        for parcel in ids.into_iter().filter_map(|id| self.board.parcel(id, now)) {
+            self.outbox.state(to, Section::Item(parcel));
+        }
+    }
+
+    /// Hashes by member of one data centre, some of them if they are many.
+    fn origin_hashes(&mut self, centre: CentreId, with: NodeId, now: Time) -> Vec<(NodeId, u32)> {
+        let all = self.hashes(with, now).into_iter();
+        let of_centre = all.filter(|(node, _)| self.roster.centre_of(*node) == Some(centre));
+        let of_centre: Vec<(NodeId, u32)> = of_centre.collect();
+        if of_centre.len() < MAX_ORIGINS {
+            return of_centre;
+        }
+        self.rng.choose_multiple(of_centre, MAX_ORIGINS)
+    }
+
+    fn hashes(&self, with: NodeId, now: Time) -> BTreeMap<NodeId, u32> {
+        let records = self.roster.hashes();
+        let mut hashes: BTreeMap<NodeId, u32> =
+            records.map(|(node, hash)| (node, hash as u32)).collect();
+        for (id, scope, hash) in self.board.hashes(now) {
+            if self.concerns(scope, with) {
+                let sum = hashes.entry(id.origin).or_default();
+                *sum = sum.wrapping_add(hash as u32);
+            }
+        }
+        hashes
+    }
+}
