--- a/crates/disk/src/folder.rs
+++ b/crates/disk/src/folder.rs
@@ -109,6 +109,12 @@
         written
     }
 
+    /// Removes a file that was not published. What stays is removed at the next
+    /// opening.
+    pub(crate) fn discard(&self, target: &Path) {
+        let _ = fs::remove_file(temporary(target));
+    }
+
     pub(crate) fn publish(&self, target: &Path) -> io::Result<()> {
         fs::rename(temporary(target), target)?;
         self.sync()
--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -12,6 +12,7 @@
 mod frame;
 mod identity;
 mod log;
+mod restore;
 mod segment;
 mod snapshot;
 
