Bind what a voter is told of its disk to that disk

A request for votes told the receiver how much its disk had acknowledged. The asker knew only the members before a replacement, so it spoke of the old disk, and the new one took itself for rolled back and stopped counting. The figure names its disk now.

--- a/crates/vote/src/election.rs
+++ b/crates/vote/src/election.rs
@@ -12,6 +12,7 @@
 use crate::Ballot;
 use crate::BatchId;
 use crate::Body;
+use crate::Floor;
 use crate::Payload;
 use crate::Phase;
 use crate::Term;
@@ -55,7 +56,7 @@
     }
 
     pub(crate) fn on_ask(&mut self, from: NodeId, disk: DiskId, ask: Ask) {
-        self.check_own_floor(ask.floor);
+        self.take_floors(&[ask.floor]);
         if self.trust == Trust::Distrusted {
             return;
         }
@@ -133,7 +134,11 @@
         });
         let last = self.log.last();
         for (node, disk) in self.other_voters() {
-            let floor = self.floor(node, disk);
+            let floor = Floor {
+                node,
+                disk,
+                index: self.floor(node, disk),
+            };
             let ask = Ask {
                 phase,
                 term,
--- a/crates/vote/src/follow.rs
+++ b/crates/vote/src/follow.rs
@@ -61,7 +61,7 @@
         self.outbox.send_synced(to, ack);
     }
 
-    fn take_floors(&mut self, floors: &[Floor]) {
+    pub(crate) fn take_floors(&mut self, floors: &[Floor]) {
         for floor in floors {
             self.raise_floor(floor.node, floor.disk, floor.index);
         }
--- a/crates/vote/src/message.rs
+++ b/crates/vote/src/message.rs
@@ -91,7 +91,7 @@
     /// The sender's last entry.
     pub last: Position,
     /// What the receiver's disk has at least, as the sender knows.
-    pub floor: Index,
+    pub floor: Floor,
 }
 
 /// Whether a vote was given.
--- a/crates/vote/tests/schedules.rs
+++ b/crates/vote/tests/schedules.rs
@@ -70,16 +70,22 @@
         for _ in 0..3 {
             let ids = cluster.ids();
             let victim = ids[rng.usize(..ids.len())];
-            let older = cluster.node(victim).stored.clone();
+            let older = (
+                cluster.node(victim).disk,
+                cluster.node(victim).stored.clone(),
+            );
             busy(&mut cluster, &mut rng, 20);
             settle(&mut cluster);
             if rng.bool() {
                 wipe(&mut cluster, victim, &mut rng);
             } else {
-                roll_back(&mut cluster, victim, older);
+                roll_back(&mut cluster, victim, older.1.clone());
             }
             busy(&mut cluster, &mut rng, 20);
             replace(&mut cluster, victim, &mut rng);
+            if rng.bool() {
+                bring_back(&mut cluster, victim, older, &mut rng);
+            }
         }
         settle(&mut cluster);
     });
@@ -94,20 +100,37 @@
         for _ in 0..3 {
             let ids = cluster.ids();
             let victim = ids[rng.usize(..ids.len())];
-            cluster.change(Change::Remove { node: victim });
-            for _ in 0..20 {
+            for _ in 0..40 {
                 cluster.run(Duration::from_millis(rng.u64(1..80)));
                 use_it(&mut cluster, &mut rng);
                 fault(&mut cluster, &mut rng);
+                change_any(&mut cluster, victim, &mut rng);
             }
             cluster.heal();
-            cluster.run(Duration::from_secs(3));
+            cluster.run(Duration::from_secs(5));
             replace(&mut cluster, victim, &mut rng);
+            let other = NodeId(1 + victim.0 % 5);
+            if cluster.standing(other) != Some(Standing::Voter) {
+                replace(&mut cluster, other, &mut rng);
+            }
         }
         settle(&mut cluster);
     });
 }
 
+/// Removes up to two members of five and takes them back, as fast as it goes.
+fn change_any(cluster: &mut Cluster, victim: NodeId, rng: &mut Rng) {
+    let other = NodeId(1 + victim.0 % 5);
+    for node in [victim, other] {
+        let disk = cluster.node(node).disk;
+        match rng.u8(..8) {
+            0 => cluster.change(Change::Remove { node }),
+            1 => cluster.change(Change::Add { node, disk }),
+            _ => continue,
+        };
+    }
+}
+
 /// Proposes and reads at any node, more often at the leader.
 fn use_it(cluster: &mut Cluster, rng: &mut Rng) {
     let ids = cluster.ids();
@@ -132,7 +155,7 @@
         Some(leader) if rng.bool() => leader,
         _ => any,
     };
-    match rng.u8(..40) {
+    match rng.u8(..50) {
         0 | 1 => cluster.crash(id),
         2 => cluster.freeze(id, Clock::GoesOn),
         3 => cluster.freeze(id, Clock::Stands),
@@ -140,18 +163,31 @@
         5 => {
             cluster.network.cut.insert((id, any));
         }
-        6 => {
+        6..9 => cluster.network.isolate(id, &[any]),
+        9 => {
+            let most = if rng.bool() { 30 } else { 250 };
             cluster.network.loss = 0.3 * rng.f64();
             cluster.network.repeat = 0.3 * rng.f64();
-            cluster.network.delay = Duration::from_millis(rng.u64(1..60));
+            cluster.network.delay = Duration::from_millis(rng.u64(1..most));
         }
-        7 => cluster.network.heal(),
-        8 => {
+        10 => cluster.network.heal(),
+        11 => {
             let until = cluster.now + Duration::from_millis(rng.u64(10..4_000));
             cluster.node(id).disk_stuck_until = until;
         }
-        9 | 10 => cluster.heal(),
-        11..20 => restart(cluster, any),
+        12 | 13 => cluster.sync_time = Duration::from_millis(rng.u64(1..120)),
+        14 | 15 => cluster.heal(),
+        16..20 => {
+            cluster.crash(any);
+            cluster.start(any);
+        }
+        20 => {
+            for id in ids {
+                cluster.crash(id);
+                cluster.start(id);
+            }
+        }
+        21..32 => restart(cluster, any),
         _ => {}
     }
 }
@@ -192,6 +228,7 @@
     cluster.start(victim);
     cluster.run(Duration::from_secs(3));
     assert_eq!(cluster.standing(victim), Some(Standing::Lost));
+    must_not_count(cluster, victim);
 }
 
 /// Brings back an older content. If it lacks what the disk had acknowledged as
@@ -206,9 +243,43 @@
     cluster.run(Duration::from_secs(3));
     if lacks {
         assert_eq!(cluster.standing(victim), Some(Standing::Lost));
+        must_not_count(cluster, victim);
     }
 }
 
+/// Brings back the disk that was replaced: it was a member's once and must not
+/// count any more. Then the new disk returns.
+fn bring_back(cluster: &mut Cluster, victim: NodeId, old: (DiskId, Stored), rng: &mut Rng) {
+    settle(cluster);
+    let new = cluster.node(victim).stored.clone();
+    let new_disk = cluster.node(victim).disk;
+    cluster.replace_disk(victim, old.0, old.1);
+    cluster.start(victim);
+    busy(cluster, rng, 20);
+    must_not_count(cluster, victim);
+    cluster.replace_disk(victim, new_disk, new);
+    cluster.start(victim);
+}
+
+/// Leaves a node with just too few others for a majority without it. Nobody may
+/// lead then.
+fn must_not_count(cluster: &mut Cluster, victim: NodeId) {
+    let others = cluster.ids().into_iter().filter(|id| *id != victim);
+    let others: Vec<_> = others.collect();
+    let (with, without) = others.split_at(others.len() / 2);
+    for id in with.iter().chain([&victim]) {
+        cluster.network.isolate(*id, without);
+    }
+    cluster.run(Duration::from_secs(4));
+    let now = cluster.now;
+    let leads = cluster
+        .nodes
+        .values()
+        .find(|node| node.lease(now).is_some());
+    assert!(leads.is_none(), "{victim} counts");
+    cluster.heal();
+}
+
 fn last_index(stored: &Stored) -> u64 {
     let entry = stored.records.iter().rev().find_map(|record| match record {
         vote::Record::Entry(entry) => Some(entry.index.0),
