--- a/crates/order/tests/schedules.rs
+++ b/crates/order/tests/schedules.rs
@@ -9,6 +9,9 @@
 use std::env;
 use std::time::Duration;
 
+use crate::world::Faults;
+use crate::world::World;
+use crate::world::ms;
 use base::OrderKey;
 use base::OrgName;
 use base::Ran;
@@ -22,10 +25,6 @@
 use state::Digest;
 use state::Standing;
 
-use world::Faults;
-use world::World;
-use world::ms;
-
 const RETENTION: Duration = Duration::from_secs(86_400);
 
 fn seeds(count: u64) -> Vec<u64> {
--- a/crates/order/tests/world/mod.rs
+++ b/crates/order/tests/world/mod.rs
@@ -16,6 +16,7 @@
 use order::Call;
 use order::Event;
 use order::Proposal;
+use order::SEND_WINDOW;
 use order::Step;
 use state::Op;
 
@@ -71,7 +72,8 @@
     /// Until when it reaches neither log nor service.
     cut_until: Time,
     down_until: Time,
-    calls: BTreeMap<u64, usize>,
+    /// Calls and when they were taken in.
+    calls: BTreeMap<u64, (usize, Time)>,
 }
 
 /// All of it.
@@ -197,7 +199,7 @@
         let Ok((sequence, steps)) = node.book.open(terms, now) else {
             return self.callers.leave(call);
         };
-        node.calls.insert(sequence, call);
+        node.calls.insert(sequence, (call, now));
         let place = Place {
             node: at,
             life: node.life,
@@ -263,6 +265,11 @@
     }
 
     fn write(&mut self, place: Place) {
+        let (_, taken_at) = self.nodes[usize::from(place.node)].calls[&place.sequence];
+        assert!(
+            self.now.since(taken_at) < SEND_WINDOW,
+            "written late: {place:?}"
+        );
         let wait = self.delay();
         if self.rng.u8(0..100) < self.faults.lost {
             // The link drops; the request may have left or not.
@@ -353,7 +360,7 @@
                 node: at,
                 life,
                 sequence,
-                call: calls[&sequence],
+                call: calls[&sequence].0,
             };
             self.take_steps(place, vec![step]);
         }
