--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,226 @@
+//! Calls that the system's nodes make to each other.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use base::HostReport;
+use base::Load;
+use base::NodeId;
+use base::OrderKey;
+use base::OrgName;
+use base::ReplicaId;
+use base::ServiceReport;
+use base::TokenCount;
+use base::TokenRate;
+use base::Version;
+use lease::Message;
+use plan::RouteGrant;
+use plan::RoutePoll;
+use vote::Blob;
+
+use crate::Call;
+
+/// What a node heard from upstreams since it last told its neighbours.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Relay {
+    /// The node that heard it.
+    pub from: NodeId,
+    /// Announcements of hosts.
+    pub hosts: Vec<HostReport>,
+    /// Announcements of services.
+    pub services: Vec<ServiceReport>,
+}
+
+/// A message was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Taken {}
+
+impl Call for Relay {
+    const METHOD: &'static str = "relay";
+    type Reply = Taken;
+}
+
+/// Asks for a configuration that is newer than the one this node has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PullConfig {
+    /// The node that asks.
+    pub from: NodeId,
+    /// The version it has.
+    pub have: Version,
+}
+
+/// The answer to [`PullConfig`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pulled {
+    /// The version that the node that was asked has.
+    pub have: Version,
+    /// An index of the voters' log that is applied.
+    pub applied: u64,
+    /// The newer configuration, if there is one.
+    pub newer: Option<Configuration>,
+}
+
+/// An accepted configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// Its version.
+    pub version: Version,
+    /// The operators' whole file.
+    pub text: String,
+}
+
+impl Call for PullConfig {
+    const METHOD: &'static str = "pull_config";
+    type Reply = Pulled;
+}
+
+/// A message about the lease of a data centre's controller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseMessage {
+    /// Who sends it.
+    pub from: NodeId,
+    /// What.
+    pub message: Message,
+}
+
+/// The answer to [`LeaseMessage`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseAnswer {
+    /// What the granter says, if anything.
+    pub message: Option<Message>,
+}
+
+/// An entry node asks a data centre's controller for its routes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PollRoutes {
+    /// The poll.
+    pub poll: RoutePoll,
+}
+
+/// The answer to [`PollRoutes`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PolledRoutes {
+    /// The grant, if the node that was asked is the controller.
+    pub grant: Option<RouteGrant>,
+    /// The controller, as far as that node knows.
+    pub controller: Option<NodeId>,
+    /// Loads of the replicas that are granted.
+    pub loads: Vec<LoadRow>,
+}
+
+/// A replica's load in few bytes: replica, age in milliseconds, running, waiting,
+/// prefill tokens, slots, prefill rate and token rate, both in whole tokens a second.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadRow(
+    pub ReplicaId,
+    pub u32,
+    pub u32,
+    pub u32,
+    pub u32,
+    pub u32,
+    pub u32,
+    pub u32,
+);
+
+impl LoadRow {
+    /// The row of a load that is `age_ms` old.
+    pub fn of(replica: ReplicaId, age_ms: u32, load: &Load) -> Self {
+        Self(
+            replica,
+            age_ms,
+            load.running,
+            load.waiting,
+            load.prefill.0,
+            load.slots,
+            load.prefill_rate.0 as u32,
+            load.token_rate.0 as u32,
+        )
+    }
+
+    /// The load.
+    pub fn load(&self) -> Load {
+        Load {
+            running: self.2,
+            waiting: self.3,
+            prefill: TokenCount(self.4),
+            slots: self.5,
+            prefill_rate: TokenRate(f64::from(self.6)),
+            token_rate: TokenRate(f64::from(self.7)),
+        }
+    }
+}
+
+impl Call for LeaseMessage {
+    const METHOD: &'static str = "lease";
+    type Reply = LeaseAnswer;
+}
+
+impl Call for PollRoutes {
+    const METHOD: &'static str = "poll_routes";
+    type Reply = PolledRoutes;
+}
+
+/// A message of one voter to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VoteMessage {
+    /// Who sends it.
+    pub from: NodeId,
+    /// What.
+    pub message: vote::Message,
+}
+
+/// Asks a voter to get a command agreed on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Propose {
+    /// The encoded `state::Op`.
+    pub op: Blob,
+}
+
+/// What became of a command.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Proposed {
+    /// It was accepted.
+    Done {
+        /// The encoded `state::Reply`.
+        reply: Blob,
+    },
+    /// Another voter leads. Nothing was done.
+    NotLeader {
+        /// Who leads, if known.
+        leader: Option<NodeId>,
+    },
+    /// It was not accepted and never will be.
+    NotAccepted,
+}
+
+/// Asks the voters' leader what the ledger says of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadOrder {
+    /// The organisation.
+    pub org: OrgName,
+    /// The key.
+    pub key: OrderKey,
+}
+
+/// The answer to [`ReadOrder`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderStanding {
+    /// What the ledger says, if the node that was asked leads.
+    pub standing: Option<state::Standing>,
+}
+
+impl Call for VoteMessage {
+    const METHOD: &'static str = "vote";
+    type Reply = Taken;
+}
+
+impl Call for Propose {
+    const METHOD: &'static str = "propose";
+    type Reply = Proposed;
+}
+
+impl Call for ReadOrder {
+    const METHOD: &'static str = "read_order";
+    type Reply = OrderStanding;
+}
