--- a/crates/order/tests/schedules.rs
+++ b/crates/order/tests/schedules.rs
@@ -9,10 +9,9 @@
 use std::env;
 use std::time::Duration;
 
-use world::Faults;
-use world::World;
-use world::ms;
-
+use crate::world::Faults;
+use crate::world::World;
+use crate::world::ms;
 use base::OrderKey;
 use base::OrgName;
 use base::Ran;
