--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -8,8 +8,6 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
-use derive_more::Display;
-
 use base::ContractName;
 use base::ModelName;
 use base::OrgName;
--- a/crates/disk/src/restore.rs
+++ b/crates/disk/src/restore.rs
@@ -5,8 +5,6 @@
 use std::fs::OpenOptions;
 use std::path::PathBuf;
 
-use base::DiskId;
-
 use crate::Cut;
 use crate::OpenError;
 use crate::Origin;
@@ -17,6 +15,7 @@
 use crate::segment;
 use crate::segment::Position;
 use crate::snapshot;
+use base::DiskId;
 
 /// Finds out whose folder it is. An empty one gets its first segment, then its
 /// identity: a folder with an identity and no segment has lost something.
--- a/crates/disk/tests/damage.rs
+++ b/crates/disk/tests/damage.rs
@@ -5,12 +5,11 @@
 use std::fs;
 use std::path::Path;
 
-use disk::Log;
-use disk::OpenError;
-
 use crate::scratch::Scratch;
 use crate::scratch::append_each;
 use crate::scratch::numbered;
+use disk::Log;
+use disk::OpenError;
 
 fn flip(path: &Path, at: usize) {
     let mut bytes = fs::read(path).unwrap();
--- a/crates/disk/tests/log.rs
+++ b/crates/disk/tests/log.rs
@@ -4,12 +4,6 @@
 
 use std::fs;
 
-use base::ByteSize;
-use disk::Log;
-use disk::OpenError;
-use disk::Options;
-use disk::Origin;
-use disk::WriteError;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -17,6 +11,12 @@
 use crate::scratch::Scratch;
 use crate::scratch::append_each;
 use crate::scratch::numbered;
+use base::ByteSize;
+use disk::Log;
+use disk::OpenError;
+use disk::Options;
+use disk::Origin;
+use disk::WriteError;
 
 /// What is done to a log.
 #[derive(Clone, Debug)]
--- a/crates/members/src/config.rs
+++ b/crates/members/src/config.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use base::Incarnation;
-
 use crate::Peer;
+use base::Incarnation;
 
 /// Who this node is and whom it knows at the start.
 #[derive(Clone, Debug)]
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -2,12 +2,6 @@
 
 use std::time::Duration;
 
-use base::CentreId;
-use base::Incarnation;
-use base::NodeId;
-use base::Time;
-use base::Version;
-
 use crate::Config;
 use crate::Generation;
 use crate::Item;
@@ -25,6 +19,11 @@
 use crate::record::Record;
 use crate::roster::Member;
 use crate::roster::Roster;
+use base::CentreId;
+use base::Incarnation;
+use base::NodeId;
+use base::Time;
+use base::Version;
 
 /// A pause between two ticks beyond this means that the process did not run.
 const PAUSE: Duration = Duration::from_secs(1);
--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -1,8 +1,5 @@
 //! What a datagram from another member does.
 
-use base::NodeId;
-use base::Time;
-
 use crate::Kind;
 use crate::Members;
 use crate::News;
@@ -18,6 +15,8 @@
 use crate::roster::Claim;
 use crate::spread::Learned;
 use crate::versions::Versions;
+use base::NodeId;
+use base::Time;
 
 impl Members {
     /// Takes in a datagram whose tag proved that it comes from a node of the
--- a/crates/members/src/roster.rs
+++ b/crates/members/src/roster.rs
@@ -4,17 +4,16 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use base::CentreId;
-use base::NodeId;
-use base::Time;
-use base::Version;
-
 use crate::Generation;
 use crate::Peer;
 use crate::Standing;
 use crate::Timing;
 use crate::hash;
 use crate::record::Record;
+use base::CentreId;
+use base::NodeId;
+use base::Time;
+use base::Version;
 
 /// The most members that are remembered.
 const MAX_MEMBERS: usize = 1_024;
--- a/crates/members/src/watch.rs
+++ b/crates/members/src/watch.rs
@@ -3,10 +3,6 @@
 
 use std::time::Duration;
 
-use base::NodeId;
-use base::Time;
-use base::Version;
-
 use crate::Generation;
 use crate::Item;
 use crate::Kind;
@@ -19,6 +15,9 @@
 use crate::record::Record;
 use crate::spread::Learned;
 use crate::versions::Versions;
+use base::NodeId;
+use base::Time;
+use base::Version;
 
 /// Time between two comparisons that a node begins.
 const SYNC_EVERY: Duration = Duration::from_millis(500);
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -6,6 +6,7 @@
 
 use crate::Candidate;
 use crate::Length;
+use crate::flight::Flight;
 use crate::outlier::Outlier;
 use base::Load;
 use base::ReplicaId;
@@ -13,11 +14,6 @@
 use base::Time;
 use base::TokenCount;
 
-use crate::Candidate;
-use crate::Length;
-use crate::flight::Flight;
-use crate::outlier::Outlier;
-
 /// One replica as this node sees it.
 #[derive(Clone, Debug)]
 pub(crate) struct Replica {
