Exchange membership, versions and demand between nodes over UDP

Cause: limits held per node only, configuration was pulled on a timer, and whether a node is there was guessed from its polls. Ruled out: names in demand reports (20 contracts would not fit a datagram). Overshoot at process level is not measured yet.

--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -15,12 +16,14 @@
 use crate::problem::Problem;
 use admit::Arrival;
 use admit::Decision;
+use admit::DemandReport;
 use admit::Dispatcher;
 use base::CentreId;
 use base::Contract;
 use base::Fence;
 use base::HostId;
 use base::ModelName;
+use base::NodeId;
 use base::Priority;
 use base::ReplicaId;
 use base::RequestId;
@@ -100,6 +103,16 @@
         }
     }
 
+    /// How much of each contract is used here.
+    pub fn demand(&self, now: Time) -> DemandReport {
+        self.dispatcher.borrow_mut().demand(now)
+    }
+
+    /// Takes what other nodes use, and which of them are there.
+    pub fn peers(&self, reports: &[DemandReport], live: &BTreeSet<NodeId>, now: Time) {
+        self.dispatcher.borrow_mut().peers(reports, live, now);
+    }
+
     /// Whether a request may be sent to a replica now.
     pub fn allows(&self, placed: &Placed) -> bool {
         let routes = self.routes.borrow();
--- /dev/null
+++ b/crates/daemon/src/gossip/demand.rs
@@ -0,0 +1,207 @@
+//! Tells the other nodes how much of each contract is used here, and takes what they tell.
+//!
+//! Names travel as hashes: every node has the same rules to look them up in.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock;
+use crate::node::Node;
+use admit::ContractDemand;
+use admit::DemandReport;
+use admit::ModelDemand;
+use base::ContractName;
+use base::Incarnation;
+use base::ModelName;
+use base::NodeId;
+use members::Item;
+use members::Kind;
+use members::News;
+use members::Scope;
+use members::Standing;
+use rules::Rules;
+
+/// How often demand is told.
+pub const EXCHANGE_EVERY: Duration = Duration::from_millis(500);
+
+/// How long a report is believed.
+const REPORT_LIFE: Duration = Duration::from_millis(3_000);
+
+/// Contracts in one item, so that it fits into a datagram.
+const CONTRACTS_IN_ITEM: usize = 24;
+
+/// A part of one node's report.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Part {
+    incarnation: Incarnation,
+    sequence: u64,
+    contracts: Vec<ContractPart>,
+    models: Vec<ModelPart>,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct ContractPart {
+    contract: u64,
+    requests: f32,
+    tokens: f32,
+    spent_requests: f64,
+    spent_tokens: f64,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct ModelPart {
+    model: u64,
+    long: f32,
+    beyond: f32,
+}
+
+/// The names of the rules in force by their hashes.
+struct Names {
+    contracts: BTreeMap<u64, ContractName>,
+    models: BTreeMap<u64, ModelName>,
+}
+
+/// Exchanges demand, for as long as the node runs.
+pub async fn exchange_on(node: Rc<Node>) {
+    loop {
+        compio::time::sleep(EXCHANGE_EVERY).await;
+        let now = clock::now();
+        let report = node.dispatch.demand(now);
+        publish(&node, &report);
+        let reports = heard(&node);
+        node.dispatch.peers(&reports, &alive(&node), now);
+    }
+}
+
+fn publish(node: &Node, report: &DemandReport) {
+    let used = |c: &&ContractDemand| 0.0 < c.spent_requests || 0.0 < c.requests;
+    let contracts: Vec<_> = report
+        .contracts
+        .iter()
+        .filter(used)
+        .map(contract_part)
+        .collect();
+    let mut models: Vec<_> = report.models.iter().map(model_part).collect();
+    for (key, contracts) in contracts.chunks(CONTRACTS_IN_ITEM).enumerate() {
+        let part = Part {
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            contracts: contracts.to_vec(),
+            models: std::mem::take(&mut models),
+        };
+        let item = Item {
+            kind: Kind::Demand,
+            key: key as u64,
+            body: postcard::to_stdvec(&part).unwrap_or_default(),
+            scope: Scope::Everywhere,
+            ttl: REPORT_LIFE,
+        };
+        node.gossip.members.borrow_mut().publish(item, clock::now());
+    }
+}
+
+/// The reports of the other nodes, put together from their parts.
+fn heard(node: &Node) -> Vec<DemandReport> {
+    let names = Names::of(&node.rules());
+    let items = node
+        .gossip
+        .members
+        .borrow()
+        .items(Kind::Demand, clock::now());
+    let mut reports: BTreeMap<NodeId, DemandReport> = BTreeMap::new();
+    for News { origin, item } in items {
+        let Ok(part) = postcard::from_bytes::<Part>(&item.body) else {
+            continue;
+        };
+        let report = reports.entry(origin).or_default();
+        if part.incarnation < report.incarnation {
+            continue;
+        }
+        if report.incarnation < part.incarnation {
+            *report = DemandReport::default();
+        }
+        report.node = origin;
+        report.incarnation = part.incarnation;
+        report.sequence = report.sequence.max(part.sequence);
+        names.add(report, &part);
+    }
+    reports.into_values().collect()
+}
+
+fn alive(node: &Node) -> BTreeSet<NodeId> {
+    let members = node.gossip.members.borrow();
+    let views = members.view(clock::now());
+    let alive =
+        views.filter(|v| v.standing == Standing::Alive && v.generation != Default::default());
+    alive.map(|view| view.peer.node).collect()
+}
+
+impl Names {
+    fn of(rules: &Rules) -> Self {
+        let contracts = rules
+            .contracts
+            .keys()
+            .map(|n| (hash(n.as_str()), n.clone()));
+        let models = rules.models.keys().map(|n| (hash(n.as_str()), n.clone()));
+        Self {
+            contracts: contracts.collect(),
+            models: models.collect(),
+        }
+    }
+
+    /// Adds what a part says of names that this node knows.
+    fn add(&self, report: &mut DemandReport, part: &Part) {
+        for c in &part.contracts {
+            if let Some(contract) = self.contracts.get(&c.contract) {
+                report.contracts.push(ContractDemand {
+                    contract: contract.clone(),
+                    requests: f64::from(c.requests),
+                    tokens: f64::from(c.tokens),
+                    spent_requests: c.spent_requests,
+                    spent_tokens: c.spent_tokens,
+                });
+            }
+        }
+        for m in &part.models {
+            if let Some(model) = self.models.get(&m.model) {
+                report.models.push(ModelDemand {
+                    model: model.clone(),
+                    long: f64::from(m.long),
+                    beyond: f64::from(m.beyond),
+                });
+            }
+        }
+    }
+}
+
+fn contract_part(demand: &ContractDemand) -> ContractPart {
+    ContractPart {
+        contract: hash(demand.contract.as_str()),
+        requests: demand.requests as f32,
+        tokens: demand.tokens as f32,
+        spent_requests: demand.spent_requests,
+        spent_tokens: demand.spent_tokens,
+    }
+}
+
+fn model_part(demand: &ModelDemand) -> ModelPart {
+    ModelPart {
+        model: hash(demand.model.as_str()),
+        long: demand.long as f32,
+        beyond: demand.beyond as f32,
+    }
+}
+
+/// FNV-1a, which is the same on every node.
+fn hash(name: &str) -> u64 {
+    const START: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    name.bytes().fold(START, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/gossip/mod.rs
@@ -0,0 +1,175 @@
+//! The exchange between entry nodes over UDP: who is there, which configuration
+//! is in force where, who leaves, and how much of each contract is used.
+
+mod demand;
+mod seal;
+
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::UdpSocket;
+
+use crate::clock;
+use crate::gossip::seal::Seal;
+use crate::inner::pull_from;
+use crate::node::Node;
+use base::HostId;
+use base::Incarnation;
+use base::NodeId;
+use base::Version;
+use members::Config;
+use members::Item;
+use members::Kind;
+use members::MAX_DATAGRAM_BYTES;
+use members::Members;
+use members::News;
+use members::Peer;
+use members::Puller;
+use members::Scope;
+use members::Source;
+use members::Timing;
+use settings::Settings;
+
+pub use demand::EXCHANGE_EVERY;
+
+/// How often the membership goes on in time.
+const TICK: Duration = Duration::from_millis(50);
+
+/// How long the news that an upstream leaves is kept.
+const LEAVING_LIFE: Duration = Duration::from_secs(10);
+
+/// How long a node that stops goes on telling that it leaves.
+const FAREWELL: Duration = Duration::from_millis(500);
+
+/// This node's end of the exchange.
+#[derive(Debug)]
+pub struct Gossip {
+    /// Who is there.
+    pub members: RefCell<Members>,
+    puller: RefCell<Puller>,
+    seal: Seal,
+}
+
+impl Gossip {
+    /// Knows the nodes of the settings and has heard of none.
+    pub fn open(settings: &Settings, incarnation: Incarnation) -> Self {
+        let peer = |id: &NodeId, peer: &settings::Peer| Peer {
+            node: *id,
+            centre: peer.centre,
+            addr: peer.internal,
+        };
+        let me = settings.node.id;
+        let others = settings.peers.iter().filter(|(id, _)| **id != me);
+        let seed = incarnation.0 ^ (u64::from(me.0) << 48);
+        let cfg = Config {
+            me: peer(&me, settings.me()),
+            incarnation,
+            seeds: others.map(|(id, p)| peer(id, p)).collect(),
+            seed,
+            timing: Timing::default(),
+        };
+        Self {
+            members: RefCell::new(Members::open(cfg, clock::now())),
+            puller: RefCell::new(Puller::open(seed)),
+            seal: Seal::open(settings.secrets.peers.expose()),
+        }
+    }
+
+    /// Tells the others that a host is leaving.
+    pub fn leaving(&self, host: HostId) {
+        let item = Item {
+            kind: Kind::Leaving,
+            key: u64::from(host.0),
+            body: Vec::new(),
+            scope: Scope::Everywhere,
+            ttl: LEAVING_LIFE,
+        };
+        self.members.borrow_mut().publish(item, clock::now());
+    }
+
+    /// Tells the others which configuration is in force here.
+    pub fn in_force(&self, version: Version) {
+        self.members.borrow_mut().set_version(version, clock::now());
+    }
+}
+
+/// Takes part in the exchange, for as long as the node runs.
+pub async fn gossip_on(node: Rc<Node>) -> io::Result<()> {
+    let socket = UdpSocket::bind(node.settings.node.internal).await?;
+    compio::runtime::spawn(receive_on(Rc::clone(&node), socket.clone())).detach();
+    compio::runtime::spawn(tick_on(Rc::clone(&node), socket)).detach();
+    compio::runtime::spawn(demand::exchange_on(node)).detach();
+    Ok(())
+}
+
+/// Tells the others that this node leaves.
+pub async fn farewell(node: &Node) {
+    node.gossip.members.borrow_mut().leave(clock::now());
+    compio::time::sleep(FAREWELL).await;
+}
+
+async fn receive_on(node: Rc<Node>, socket: UdpSocket) {
+    loop {
+        let buf = Vec::with_capacity(MAX_DATAGRAM_BYTES + seal::BYTES);
+        let compio::BufResult(received, buf) = socket.recv_from(buf).await;
+        let Ok((len, _)) = received else {
+            continue;
+        };
+        if let Some((from, bytes)) = node.gossip.seal.open_datagram(&buf[..len]) {
+            let mut members = node.gossip.members.borrow_mut();
+            members.receive(from, bytes, clock::now());
+            drop(members);
+            hear(&node);
+        }
+    }
+}
+
+async fn tick_on(node: Rc<Node>, socket: UdpSocket) {
+    loop {
+        let now = clock::now();
+        let packets = {
+            let mut members = node.gossip.members.borrow_mut();
+            members.tick(now);
+            members.take(now)
+        };
+        for packet in packets {
+            let datagram = node.gossip.seal.seal(node.id(), &packet.bytes);
+            // A datagram that cannot be sent is as good as lost.
+            let _ = socket.send_to(datagram, packet.addr).await;
+        }
+        pull(&node);
+        compio::time::sleep(TICK).await;
+    }
+}
+
+/// Acts on what is new.
+fn hear(node: &Rc<Node>) {
+    let news = node.gossip.members.borrow_mut().take_news();
+    for News { item, .. } in news {
+        if item.kind == Kind::Leaving
+            && let Ok(host) = u32::try_from(item.key)
+        {
+            node.dispatch.leaving(HostId(host));
+        }
+    }
+    pull(node);
+}
+
+/// Asks for a newer configuration when it is time to.
+fn pull(node: &Rc<Node>) {
+    let now = clock::now();
+    let voters: Vec<NodeId> = node.settings.voters().collect();
+    let pulling = node.gossip.members.borrow().pulling(&voters, now);
+    let source = node.gossip.puller.borrow_mut().tick(&pulling, now);
+    let Some(Source::Mate(other) | Source::Voter(other)) = source else {
+        return;
+    };
+    let node = Rc::clone(node);
+    compio::runtime::spawn(async move {
+        pull_from(&node, other).await;
+        node.gossip.puller.borrow_mut().done(clock::now());
+    })
+    .detach();
+}
--- /dev/null
+++ b/crates/daemon/src/gossip/seal.rs
@@ -0,0 +1,63 @@
+//! Proves that a datagram comes from a node of the system.
+
+use hmac::Hmac;
+use hmac::Mac;
+use sha2::Sha256;
+
+use base::NodeId;
+
+/// Bytes of a tag.
+const TAG_BYTES: usize = 16;
+
+/// Bytes of the sender's id.
+const ID_BYTES: usize = 2;
+
+/// Bytes that sealing adds.
+pub const BYTES: usize = TAG_BYTES + ID_BYTES;
+
+/// The key that all nodes share.
+#[derive(Clone, Debug)]
+pub struct Seal {
+    mac: Hmac<Sha256>,
+}
+
+impl Seal {
+    /// A seal by the nodes' secret.
+    pub fn open(secret: &str) -> Self {
+        let mac = Hmac::new_from_slice(secret.as_bytes());
+        Self {
+            mac: mac.expect("a key may have any length"),
+        }
+    }
+
+    /// A datagram with its sender and its tag.
+    pub fn seal(&self, from: NodeId, bytes: &[u8]) -> Vec<u8> {
+        let id = from.0.to_be_bytes();
+        let mut datagram = self.tag(&id, bytes).to_vec();
+        datagram.extend(id);
+        datagram.extend(bytes);
+        datagram
+    }
+
+    /// The sender and the content of a datagram, if its tag is right.
+    pub fn open_datagram<'a>(&self, datagram: &'a [u8]) -> Option<(NodeId, &'a [u8])> {
+        let (tag, rest) = datagram.split_at_checked(TAG_BYTES)?;
+        let (id, bytes) = rest.split_at_checked(ID_BYTES)?;
+        let mut mac = self.mac.clone();
+        mac.update(id);
+        mac.update(bytes);
+        mac.verify_truncated_left(tag).ok()?;
+        let id = u16::from_be_bytes(id.try_into().ok()?);
+        Some((NodeId(id), bytes))
+    }
+
+    fn tag(&self, id: &[u8], bytes: &[u8]) -> [u8; TAG_BYTES] {
+        let mut mac = self.mac.clone();
+        mac.update(id);
+        mac.update(bytes);
+        let whole = mac.finalize().into_bytes();
+        let mut tag = [0; TAG_BYTES];
+        tag.copy_from_slice(&whole[..TAG_BYTES]);
+        tag
+    }
+}
--- a/crates/daemon/src/inner/announce.rs
+++ b/crates/daemon/src/inner/announce.rs
@@ -48,6 +48,7 @@
     }
     if report.leaving && !was_leaving && hearing != Hearing::Ignored {
         emit(&Event::HostLeaving { host });
+        node.gossip.leaving(host);
     }
     if report.leaving {
         node.dispatch.leaving(host);
--- a/crates/daemon/src/inner/mod.rs
+++ b/crates/daemon/src/inner/mod.rs
@@ -30,6 +30,7 @@
 
 pub use kept::restore;
 pub use pull::bring_into_force;
+pub use pull::pull_from;
 pub use pull::pull_on;
 pub use relay::Untold;
 pub use relay::relay_on;
--- a/crates/daemon/src/inner/pull.rs
+++ b/crates/daemon/src/inner/pull.rs
@@ -7,12 +7,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::clock;
 use crate::dispatch;
 use crate::events::Event;
 use crate::events::emit;
 use crate::inner::kept;
-use crate::node::HeardVersion;
 use crate::node::InForce;
 use crate::node::Node;
 use crate::node::Phase;
@@ -25,14 +23,13 @@
 use wire::peer::Pulled;
 
 /// How often a node asks one other node.
-const PULL_EVERY: Duration = Duration::from_millis(500);
+const PULL_EVERY: Duration = Duration::from_millis(2_000);
 
 /// How long that node may take.
 const PULL_WITHIN: Duration = Duration::from_millis(1_000);
 
 pub fn methods(methods: Methods<Node>) -> Methods<Node> {
     methods.on(|node: Rc<Node>, pull: PullConfig| async move {
-        hear_version(&node, pull.from, pull.have);
         let config = node.config.borrow();
         let newer = (pull.have < config.version).then(|| Configuration {
             version: config.version,
@@ -46,38 +43,41 @@
     })
 }
 
-fn hear_version(node: &Node, from: NodeId, version: Version) {
-    let at = clock::now();
-    node.versions
-        .borrow_mut()
-        .insert(from, HeardVersion { version, at });
-}
-
 /// Asks other nodes in turn, for as long as this one runs.
+///
+/// The exchange over UDP usually tells much sooner that there is something newer.
 pub async fn pull_on(node: Rc<Node>) {
     let mut rng = fastrand::Rng::new();
-    let others: Vec<_> = node
+    let others = node
         .settings
         .peers
         .keys()
-        .filter(|id| **id != node.id())
-        .collect();
+        .copied()
+        .filter(|id| *id != node.id());
+    let others: Vec<NodeId> = others.collect();
     while !others.is_empty() {
-        compio::time::sleep(PULL_EVERY.mul_f64(0.75 + rng.f64() / 2.0)).await;
-        let other = others[rng.usize(..others.len())];
-        let addr = node.settings.peers[other].internal;
-        let pull = PullConfig {
-            from: node.id(),
-            have: node.version(),
-        };
-        let Ok(pulled) = node.peers.call(addr, &pull, PULL_WITHIN).await else {
-            continue;
-        };
-        hear_version(&node, *other, pulled.have);
-        node.applied.set(node.applied.get().max(pulled.applied));
-        if let Some(newer) = pulled.newer {
-            bring_into_force(&node, newer.version, &newer.text);
-        }
+        pull_from(&node, others[rng.usize(..others.len())]).await;
+        let jitter = 0.75 + rng.f64() / 2.0;
+        compio::time::sleep(PULL_EVERY.mul_f64(jitter)).await;
+    }
+}
+
+/// Asks one node for anything newer than what is in force here.
+pub async fn pull_from(node: &Rc<Node>, other: NodeId) {
+    let Some(peer) = node.settings.peers.get(&other) else {
+        return;
+    };
+    let pull = PullConfig {
+        from: node.id(),
+        have: node.version(),
+    };
+    let pulled = node.peers.call(peer.internal, &pull, PULL_WITHIN).await;
+    let Ok(pulled) = pulled else {
+        return;
+    };
+    node.applied.set(node.applied.get().max(pulled.applied));
+    if let Some(newer) = pulled.newer {
+        bring_into_force(node, newer.version, &newer.text);
     }
 }
 
@@ -105,6 +105,7 @@
         rules: Rc::new(rules),
     });
     dispatch::configure(node);
+    node.gossip.in_force(version);
     node.metrics.config_version.set(version.0 as i64);
     if node.phase.get() == Phase::Starting {
         node.phase.set(Phase::Serving);
--- a/crates/daemon/src/inner/status.rs
+++ b/crates/daemon/src/inner/status.rs
@@ -6,7 +6,7 @@
 use crate::node::Node;
 use crate::node::Phase;
 use base::NodeId;
-use base::Version;
+use members::Generation;
 use wire::operator::ClassRow;
 use wire::operator::NodeRow;
 use wire::operator::ReplicaRow;
@@ -38,17 +38,16 @@
 /// All nodes, as this one sees them.
 pub fn nodes(node: &Node) -> Vec<NodeRow> {
     let leader = leader(node);
-    let heard = node.versions.borrow();
+    let members = node.gossip.members.borrow();
+    let now = clock::now();
     let row = |id: &NodeId, peer: &settings::Peer| {
-        let version = match *id == node.id() {
-            true => Some(node.version()),
-            false => heard.get(id).map(|heard| heard.version),
-        };
+        let view = members.get(*id, now);
+        let heard = view.filter(|view| view.generation != Generation::default());
         NodeRow {
             node: *id,
             centre: peer.centre,
-            standing: standing(node, *id, version),
-            version,
+            standing: heard.map_or("unheard".to_owned(), |view| view.standing.to_string()),
+            version: heard.map(|view| view.version),
             role: role(*id, peer, leader),
         }
     };
@@ -59,20 +58,6 @@
         .collect()
 }
 
-fn standing(node: &Node, id: NodeId, version: Option<Version>) -> String {
-    const SILENT_AFTER: std::time::Duration = std::time::Duration::from_secs(6);
-    if id == node.id() {
-        return "alive".to_owned();
-    }
-    let heard = node.versions.borrow();
-    let at = heard.get(&id).map(|heard| heard.at);
-    match (version, at) {
-        (Some(_), Some(at)) if clock::now().since(at) < SILENT_AFTER => "alive".to_owned(),
-        (Some(_), _) => "silent".to_owned(),
-        (None, _) => "unheard".to_owned(),
-    }
-}
-
 fn role(id: NodeId, peer: &settings::Peer, leader: Option<NodeId>) -> String {
     match (peer.role, leader) {
         (_, Some(leader)) if leader == id => "leader".to_owned(),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod entry;
 mod events;
+mod gossip;
 mod inner;
 mod metrics;
 mod node;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,6 +10,8 @@
 use crate::control::Control;
 use crate::dispatch::Dispatch;
 use crate::entry::Orders;
+use crate::gossip;
+use crate::gossip::Gossip;
 use crate::inner::Untold;
 use crate::metrics::Class;
 use crate::metrics::Metrics;
@@ -19,7 +21,6 @@
 use base::NodeId;
 use base::ReplicaId;
 use base::RequestId;
-use base::Time;
 use base::Version;
 use net::RpcClient;
 use rules::Rules;
@@ -49,15 +50,6 @@
     pub rules: Rc<Rules>,
 }
 
-/// The configuration that another node said it has in force.
-#[derive(Clone, Copy, Debug)]
-pub struct HeardVersion {
-    /// Its version.
-    pub version: Version,
-    /// When it said so.
-    pub at: Time,
-}
-
 /// Requests of one class.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ClassCount {
@@ -96,8 +88,8 @@
     pub voters: Option<Voters>,
     /// The voter that led when it was last asked.
     pub leader_hint: Cell<Option<NodeId>>,
-    /// The configuration that other nodes said they have in force.
-    pub versions: RefCell<BTreeMap<NodeId, HeardVersion>>,
+    /// Its end of the exchange with other nodes.
+    pub gossip: Gossip,
     /// Requests by class, for operators.
     pub classes: RefCell<BTreeMap<Class, ClassCount>>,
     placed: RefCell<BTreeMap<ReplicaId, u32>>,
@@ -150,6 +142,7 @@
         let engines = RpcClient::open(settings.secrets.upstreams.expose())?;
         let incarnation = clock::new_incarnation();
         let control = Control::open(&settings, incarnation);
+        let gossip = Gossip::open(&settings, incarnation);
         let orders = Orders::open(settings.node.id, incarnation);
         let dispatch = Dispatch::open(admission(&settings, incarnation));
         Ok(Rc::new(Self {
@@ -165,7 +158,7 @@
             applied: Cell::new(0),
             voters,
             leader_hint: Cell::new(None),
-            versions: RefCell::default(),
+            gossip,
             classes: RefCell::default(),
             placed: RefCell::default(),
             metrics: Metrics::default(),
@@ -266,6 +259,8 @@
         node: settings.node.id,
         incarnation,
         nodes: peers.map(|(id, peer)| (*id, peer.centre)).collect(),
+        exchange: gossip::EXCHANGE_EVERY,
+        stale: gossip::EXCHANGE_EVERY * 4,
         ..admit::Config::default()
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -14,6 +14,7 @@
 use crate::entry;
 use crate::events::Event;
 use crate::events::emit;
+use crate::gossip;
 use crate::inner;
 use crate::node::Node;
 use crate::node::Phase;
@@ -45,6 +46,7 @@
     inner::restore(&node);
     let inner = listening(inner::bind(&node).await, node.settings.node.internal)?;
     let entry = listening(entry::bind(&node).await, node.settings.node.callers)?;
+    gossip::gossip_on(Rc::clone(&node)).await?;
     compio::runtime::spawn(inner::relay_on(Rc::clone(&node))).detach();
     compio::runtime::spawn(inner::pull_on(Rc::clone(&node))).detach();
     if let Some(writes) = writes {
@@ -96,6 +98,7 @@
     compio::time::sleep(limits.notice).await;
     node.phase.set(Phase::Draining);
     control::give_back(node).await;
+    gossip::farewell(node).await;
     node.drained(limits.drain).await;
     // The last frames are with the connections: give them a moment to leave.
     compio::time::sleep(std::time::Duration::from_millis(100)).await;
