End a narrow replica at once where that spares a wide one a load

Cause: where a wide replica lacked few hosts, it waited for the copy of the one that makes way and then for its own load.

--- a/crates/plan/src/moves.rs
+++ b/crates/plan/src/moves.rs
@@ -172,6 +172,9 @@
     }
 
     fn move_aside(&mut self, way: &Way<'a>, unit: &Unit, plan: &mut Plan) {
+        if self.may_end_first(way, unit) {
+            return self.end_first(way, unit, plan);
+        }
         for placed in &way.replicas {
             let Some(domain) = self.space.tightest(placed.width, Some(way.domain)) else {
                 return;
@@ -190,6 +193,26 @@
         self.claim(way, unit.width);
     }
 
+    /// True if ending what makes way before its copy serves costs less than it
+    /// saves: the wide replica waits for one load in place of two.
+    fn may_end_first(&self, way: &Way<'a>, unit: &Unit) -> bool {
+        let has_others = |p: &&Placed| 1 < self.counts.get(&p.model).copied().unwrap_or(0);
+        way.replicas.len() == 1
+            && 2 * way.width <= unit.width
+            && way.replicas.iter().all(has_others)
+    }
+
+    fn end_first(&mut self, way: &Way<'a>, unit: &Unit, plan: &mut Plan) {
+        for placed in &way.replicas {
+            let why = DrainReason::MakesWay(unit.model.clone());
+            plan.drains.push(drain(placed, why));
+            if let Some(domain) = self.space.tightest(placed.width, Some(way.domain)) {
+                self.space.take(domain, placed.width);
+            }
+        }
+        self.claim(way, unit.width);
+    }
+
     fn end(&mut self, way: &Way<'a>, unit: &Unit, plan: &mut Plan) {
         for placed in &way.replicas {
             if let Some(count) = self.counts.get_mut(&placed.model) {
--- a/crates/plan/src/ordering.rs
+++ b/crates/plan/src/ordering.rs
@@ -185,7 +185,10 @@
             DrainReason::Preempted(model) if self.is_long_unplaced(model, now) => {
                 self.drain(drain.replica, Reason::Preempted, now);
             }
-            DrainReason::Preempted(_) => {}
+            DrainReason::MakesWay(model) if self.is_long_unplaced(model, now) => {
+                self.drain(drain.replica, Reason::Moved, now);
+            }
+            DrainReason::Preempted(_) | DrainReason::MakesWay(_) => {}
             DrainReason::Slow => self.drain(drain.replica, Reason::HostSlow, now),
         }
     }
--- a/crates/plan/src/view.rs
+++ b/crates/plan/src/view.rs
@@ -85,6 +85,9 @@
     Surplus,
     /// This model lacks a promised replica, and the replica's own has more than its promise.
     Preempted(ModelName),
+    /// This model lacks few hosts in its domain, and it fits elsewhere. Its own
+    /// model has others that serve meanwhile.
+    MakesWay(ModelName),
     /// A host of it is slow and spares stand ready in its domain.
     Slow,
 }
