--- a/crates/plan/src/ordering.rs
+++ b/crates/plan/src/ordering.rs
@@ -151,6 +151,10 @@
 
     fn settled_state(&self, replica: &Replica) -> PlacedState {
         let hosts = replica.assignment.hosts.iter();
+        let demand = self.demand.get(&replica.assignment.model);
+        if demand.is_some_and(|demand| demand.width != hosts.len()) {
+            return PlacedState::Outdated;
+        }
         let speeds = hosts.filter_map(|id| self.hosts.get(id)?.speed);
         let slow: Vec<f64> = speeds
             .filter(|speed| self.pays_to_replace(*speed))
@@ -189,6 +193,7 @@
                 self.drain(drain.replica, Reason::Moved, now);
             }
             DrainReason::Preempted(_) | DrainReason::MakesWay(_) => {}
+            DrainReason::Outdated => self.drain(drain.replica, Reason::Outdated, now),
             DrainReason::Slow => self.drain(drain.replica, Reason::HostSlow, now),
         }
     }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -56,7 +56,7 @@
         ..Plan::default()
     };
     if found.unplaced.is_empty() {
-        replace_slow(view, &mut space, &mut plan);
+        replace(view, demand, &mut space, &mut plan);
     } else {
         let ended = plan.drains.iter().map(|drain| drain.replica).collect();
         Moves::open(view, demand, &mut space, ended).find(&found.unplaced, &mut plan);
@@ -197,7 +197,7 @@
 
 fn rank(placed: &Placed) -> u8 {
     match placed.state {
-        PlacedState::Slow(_) => 0,
+        PlacedState::Outdated | PlacedState::Slow(_) => 0,
         PlacedState::Fixed => 1,
         PlacedState::Settled => 2,
     }
@@ -210,25 +210,67 @@
     }
 }
 
-/// Replaces slow replicas: by a copy where a whole one fits, else with spares.
-fn replace_slow(view: &View, space: &mut Space, plan: &mut Plan) {
+/// Replaces slow and outdated replicas, one of each model at a time: by a copy
+/// where a whole one fits, else on their own hosts and spares.
+fn replace(view: &View, demand: &BTreeMap<ModelName, Demand>, space: &mut Space, plan: &mut Plan) {
+    let mut busy = busy(view, plan);
     for placed in &view.replicas {
-        let PlacedState::Slow(slow) = placed.state else {
+        let Some(one) = demand.get(&placed.model) else {
             continue;
         };
-        if plan.drains.iter().any(|d| d.replica == placed.replica) {
+        let is_sound = matches!(placed.state, PlacedState::Fixed | PlacedState::Settled);
+        if is_sound || busy.contains(&placed.model) {
             continue;
         }
-        if let Some(domain) = space.tightest(placed.width, None) {
+        if let Some(domain) = space.tightest(one.width, None) {
             plan.forms.push(Form {
                 model: placed.model.clone(),
                 domain,
-                hosts: space.take(domain, placed.width),
+                hosts: space.take(domain, one.width),
                 replaces: Some(placed.replica),
             });
-        } else if slow <= space.room(placed.domain) {
-            space.take(placed.domain, slow);
-            plan.drains.push(drain(placed, DrainReason::Slow));
+        } else if let Some(drain) = end_in_place(placed, one.width, space) {
+            plan.drains.push(drain);
+        } else {
+            continue;
         }
+        busy.insert(placed.model.clone());
+    }
+}
+
+/// Models of which a replica is being formed, replaced or ended.
+fn busy(view: &View, plan: &Plan) -> BTreeSet<ModelName> {
+    let fixed = view
+        .replicas
+        .iter()
+        .filter(|p| p.state == PlacedState::Fixed);
+    let mut busy: BTreeSet<ModelName> = fixed.map(|p| p.model.clone()).collect();
+    busy.extend(plan.forms.iter().map(|form| form.model.clone()));
+    busy.extend(plan.awaiting.keys().cloned());
+    let ended = plan
+        .drains
+        .iter()
+        .map(|drain| drain.replica)
+        .collect::<BTreeSet<_>>();
+    let ended = view.replicas.iter().filter(|p| ended.contains(&p.replica));
+    busy.extend(ended.map(|p| p.model.clone()));
+    busy
+}
+
+/// Ends a replica whose hosts and spares then form its successor.
+fn end_in_place(placed: &Placed, width: usize, space: &mut Space) -> Option<Drain> {
+    let room = space.room(placed.domain);
+    let (spares, why) = match placed.state {
+        PlacedState::Slow(slow) => (slow, DrainReason::Slow),
+        PlacedState::Outdated => {
+            let spares = width.saturating_sub(placed.width);
+            (spares, DrainReason::Outdated)
+        }
+        PlacedState::Fixed | PlacedState::Settled => return None,
+    };
+    if room < spares {
+        return None;
     }
+    space.take(placed.domain, spares);
+    Some(drain(placed, why))
 }
--- a/crates/plan/src/replica.rs
+++ b/crates/plan/src/replica.rs
@@ -62,6 +62,9 @@
     /// Loading took too long.
     #[display("loading took too long")]
     LoadTimeout,
+    /// Its model has another width now.
+    #[display("its model has another width now")]
+    Outdated,
     /// Demand fell.
     #[display("demand fell")]
     Surplus,
--- a/crates/plan/src/view.rs
+++ b/crates/plan/src/view.rs
@@ -43,6 +43,8 @@
     Fixed,
     /// It serves, and may be moved.
     Settled,
+    /// It serves with a width that its model no longer has.
+    Outdated,
     /// It serves with this many slow hosts. Spares may take their place.
     Slow(usize),
 }
@@ -88,6 +90,8 @@
     /// This model lacks few hosts in its domain, and it fits elsewhere. Its own
     /// model has others that serve meanwhile.
     MakesWay(ModelName),
+    /// Its model has another width now, and its hosts make room for that.
+    Outdated,
     /// A host of it is slow and spares stand ready in its domain.
     Slow,
 }
--- a/crates/plan/tests/repair.rs
+++ b/crates/plan/tests/repair.rs
@@ -260,3 +260,17 @@
     assert_eq!(world.lease.fence, base::Fence(1));
     assert!(world.is_met());
 }
+
+#[test]
+fn replicas_of_an_outdated_width_are_replaced_one_at_a_time() {
+    let mut world = open(&[4], &[("one", 2, 2)]);
+    world.run(20 * SECOND);
+    assert!(world.is_met());
+    world.demand.insert(model("one"), demand(1, 2, 2));
+    for _ in 0..600 {
+        world.step();
+        assert!(1 <= world.serves("one"));
+    }
+    assert!(world.is_met());
+    assert!(world.status().replicas.iter().all(|r| r.hosts.len() == 1));
+}
