--- a/crates/members/src/board.rs
+++ b/crates/members/src/board.rs
@@ -6,8 +6,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use base::Time;
-
 use crate::Item;
 use crate::MAX_BODY_BYTES;
 use crate::Scope;
@@ -15,6 +13,7 @@
 use crate::item::ItemId;
 use crate::item::Parcel;
 use crate::item::Stamp;
+use base::Time;
 
 /// Items remembered for one publisher, expired ones included.
 const MAX_ITEMS_PER_ORIGIN: usize = 64;
--- a/crates/members/src/config.rs
+++ b/crates/members/src/config.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use base::Incarnation;
-
 use crate::Peer;
+use base::Incarnation;
 
 /// Who this node is and whom it knows at the start.
 #[derive(Clone, Debug)]
@@ -40,6 +39,8 @@
     pub link_every: Duration,
     /// Time between two reports of a data centre to the others.
     pub beat_every: Duration,
+    /// Time without news after which any of a data centre's members is pinged.
+    pub centre_quiet: Duration,
     /// Time without news after which a data centre's members are suspect.
     pub centre_suspect: Duration,
     /// Time without news after which a data centre's members count as dead.
@@ -63,6 +64,7 @@
             evidence: Duration::from_millis(4_500),
             link_every: Duration::from_secs(2),
             beat_every: Duration::from_secs(3),
+            centre_quiet: Duration::from_secs(7),
             centre_suspect: Duration::from_secs(10),
             centre_dead: Duration::from_secs(20),
             repeat_after: Duration::from_millis(300),
--- a/crates/members/src/links.rs
+++ b/crates/members/src/links.rs
@@ -6,13 +6,12 @@
 
 use std::collections::BTreeMap;
 
-use base::CentreId;
-use base::NodeId;
-
 use crate::Peer;
 use crate::Standing;
 use crate::hash;
 use crate::roster::Roster;
+use base::CentreId;
+use base::NodeId;
 
 /// Contacts on each side of a link.
 const CONTACTS: usize = 2;
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -2,12 +2,6 @@
 
 use std::time::Duration;
 
-use base::CentreId;
-use base::Incarnation;
-use base::NodeId;
-use base::Time;
-use base::Version;
-
 use crate::Config;
 use crate::Generation;
 use crate::Item;
@@ -25,6 +19,11 @@
 use crate::record::Record;
 use crate::roster::Member;
 use crate::roster::Roster;
+use base::CentreId;
+use base::Incarnation;
+use base::NodeId;
+use base::Time;
+use base::Version;
 
 /// A pause between two ticks beyond this means that the process did not run.
 const PAUSE: Duration = Duration::from_secs(1);
@@ -150,7 +149,7 @@
     /// Data centres from which something was heard of late, the own included.
     pub fn centres_heard(&self, now: Time) -> impl Iterator<Item = CentreId> {
         let others = self.roster.other_centres();
-        let heard = others.filter(move |centre| !self.roster.is_silent(*centre, now));
+        let heard = others.filter(move |centre| !self.roster.is_quiet(*centre, now));
         heard.chain([self.me.peer.centre])
     }
 
--- a/crates/members/src/outbox.rs
+++ b/crates/members/src/outbox.rs
@@ -8,12 +8,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::NodeId;
-use base::Time;
-
 use crate::Timing;
 use crate::item::ItemId;
 use crate::packet::Section;
+use base::NodeId;
+use base::Time;
 
 /// Sections kept for one receiver, of each kind of queue.
 const MAX_SECTIONS: usize = 96;
--- a/crates/members/src/packet.rs
+++ b/crates/members/src/packet.rs
@@ -3,13 +3,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use base::CentreId;
-use base::NodeId;
-use base::Version;
-
 use crate::Generation;
 use crate::item::Parcel;
 use crate::record::Record;
+use base::CentreId;
+use base::NodeId;
+use base::Version;
 
 /// The longest datagram in bytes, without the tag that the daemon adds.
 pub const MAX_DATAGRAM_BYTES: usize = 1_184;
--- a/crates/members/src/prober.rs
+++ b/crates/members/src/prober.rs
@@ -6,11 +6,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::Timing;
 use base::NodeId;
 use base::Time;
 
-use crate::Timing;
-
 /// Members asked to probe for this one.
 const HELPERS: usize = 3;
 
--- a/crates/members/src/puller.rs
+++ b/crates/members/src/puller.rs
@@ -8,13 +8,12 @@
 
 use std::time::Duration;
 
-use base::NodeId;
-use base::Time;
-use base::Version;
-
 use crate::Members;
 use crate::Standing;
 use crate::hash;
+use base::NodeId;
+use base::Time;
+use base::Version;
 
 /// Nodes of a data centre that ask the voters at once.
 const FIRST: usize = 2;
--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -1,8 +1,5 @@
 //! What a datagram from another member does.
 
-use base::NodeId;
-use base::Time;
-
 use crate::Kind;
 use crate::Members;
 use crate::News;
@@ -18,6 +15,8 @@
 use crate::roster::Claim;
 use crate::spread::Learned;
 use crate::versions::Versions;
+use base::NodeId;
+use base::Time;
 
 impl Members {
     /// Takes in a datagram whose tag proved that it comes from a node of the
@@ -119,9 +118,13 @@
             self.refute(record, now);
             return;
         }
-        if self.roster.apply(record, now) == Claim::Changed {
-            self.roster.hear(record.peer.centre, now);
-            self.pass_record(node, learned, now);
+        match self.roster.apply(record, now) {
+            Claim::Known => {}
+            Claim::Contradicted => self.outbox.probe(node, Section::State(record)),
+            Claim::Changed => {
+                self.roster.hear(record.peer.centre, now);
+                self.pass_record(node, learned, now);
+            }
         }
     }
 
@@ -131,7 +134,10 @@
             self.refute(record, now);
             return;
         }
-        self.roster.apply(record, now);
+        if self.roster.apply(record, now) == Claim::Contradicted {
+            let accused = record.peer.node;
+            self.outbox.probe(accused, Section::State(record));
+        }
     }
 
     fn take_item(&mut self, from: NodeId, parcel: &Parcel, now: Time) {
--- a/crates/members/src/roster.rs
+++ b/crates/members/src/roster.rs
@@ -4,17 +4,16 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use base::CentreId;
-use base::NodeId;
-use base::Time;
-use base::Version;
-
 use crate::Generation;
 use crate::Peer;
 use crate::Standing;
 use crate::Timing;
 use crate::hash;
 use crate::record::Record;
+use base::CentreId;
+use base::NodeId;
+use base::Time;
+use base::Version;
 
 /// The most members that are remembered.
 const MAX_MEMBERS: usize = 1_024;
@@ -38,6 +37,8 @@
     Known,
     /// It changed what is known.
     Changed,
+    /// The member answered of late. It should hear the claim, to refute it.
+    Contradicted,
 }
 
 #[derive(Clone, Debug)]
@@ -149,7 +150,7 @@
         }
         match self.members.get(&node) {
             Some(known) if !claim.supersedes(&known.record) => return Claim::Known,
-            Some(known) if self.contradicts(known, claim, now) => return Claim::Known,
+            Some(known) if self.contradicts(known, claim, now) => return Claim::Contradicted,
             None if MAX_MEMBERS <= self.members.len() => return Claim::Known,
             _ => {}
         }
@@ -165,8 +166,13 @@
     fn contradicts(&self, known: &Member, claim: Record, now: Time) -> bool {
         let is_accused = matches!(claim.standing, Standing::Suspect | Standing::Dead);
         let same = known.record.generation == claim.generation;
-        let answered = |at: Time| now < at + self.timing.evidence;
-        is_accused && same && known.answered.is_some_and(answered)
+        is_accused && same && self.has_answered(known, now)
+    }
+
+    /// Whether a member answered a probe of this node of late.
+    pub fn has_answered(&self, member: &Member, now: Time) -> bool {
+        let is_late = |at: Time| now < at + self.timing.evidence;
+        member.answered.is_some_and(is_late)
     }
 
     /// Replaces this node's own record.
@@ -230,9 +236,10 @@
         standing
     }
 
-    pub fn is_silent(&self, centre: CentreId, now: Time) -> bool {
+    /// Whether nothing was heard from a data centre for some time.
+    pub fn is_quiet(&self, centre: CentreId, now: Time) -> bool {
         let heard = self.heard.get(&centre);
-        heard.is_none_or(|heard| *heard + self.timing.centre_suspect <= now)
+        heard.is_none_or(|heard| *heard + self.timing.centre_quiet <= now)
     }
 
     /// Hashes of the records that were heard of.
--- a/crates/members/src/spread.rs
+++ b/crates/members/src/spread.rs
@@ -4,10 +4,6 @@
 //! are contacts pass it to the contacts of the other data centres, who tell all
 //! members there: three hops, and each node sends about as much as any other.
 
-use base::CentreId;
-use base::NodeId;
-use base::Time;
-
 use crate::Members;
 use crate::Packet;
 use crate::Scope;
@@ -20,6 +16,9 @@
 use crate::packet::Header;
 use crate::packet::OVERHEAD_BYTES;
 use crate::packet::Section;
+use base::CentreId;
+use base::NodeId;
+use base::Time;
 
 /// Datagrams to one receiver in one round.
 const MAX_PACKETS: usize = 4;
--- a/crates/members/src/sync.rs
+++ b/crates/members/src/sync.rs
@@ -6,14 +6,13 @@
 
 use std::collections::BTreeMap;
 
-use base::CentreId;
-use base::NodeId;
-use base::Time;
-
 use crate::Generation;
 use crate::Members;
 use crate::item::ItemId;
 use crate::packet::Section;
+use base::CentreId;
+use base::NodeId;
+use base::Time;
 
 /// Data centres compared at once.
 const MAX_CENTRES: usize = 4;
--- a/crates/members/src/watch.rs
+++ b/crates/members/src/watch.rs
@@ -3,10 +3,6 @@
 
 use std::time::Duration;
 
-use base::NodeId;
-use base::Time;
-use base::Version;
-
 use crate::Generation;
 use crate::Item;
 use crate::Kind;
@@ -19,6 +15,9 @@
 use crate::record::Record;
 use crate::spread::Learned;
 use crate::versions::Versions;
+use base::NodeId;
+use base::Time;
+use base::Version;
 
 /// Time between two comparisons that a node begins.
 const SYNC_EVERY: Duration = Duration::from_millis(500);
@@ -49,7 +48,7 @@
     }
 
     /// Pings contacts in other data centres where this node is a contact. A
-    /// silent data centre is tried at any of its members.
+    /// quiet data centre is tried by every node, at any of its members.
     pub(crate) fn ping_links(&mut self, now: Time) {
         if now < self.link_at {
             return;
@@ -58,15 +57,14 @@
         self.link_turn = self.link_turn.wrapping_add(1);
         let mut targets = Vec::new();
         for (centre, link) in self.links.iter() {
-            let Some(rank) = link.rank else {
-                continue;
-            };
-            if self.roster.is_silent(centre, now) {
+            if self.roster.is_quiet(centre, now) {
                 let all = self.roster.of_centre(centre);
                 let present = all.filter(|(_, m)| m.record.standing < Standing::Left);
                 let present: Vec<NodeId> = present.map(|(node, _)| node).collect();
                 targets.extend(self.rng.choice(&present));
-            } else if !link.others.is_empty() {
+            } else if let Some(rank) = link.rank
+                && !link.others.is_empty()
+            {
                 let turn = (self.link_turn + rank) % link.others.len();
                 targets.push(link.others[turn]);
             }
@@ -181,7 +179,7 @@
         let Some(member) = self.roster.get(target) else {
             return;
         };
-        if member.record.standing != Standing::Alive {
+        if member.record.standing != Standing::Alive || self.roster.has_answered(member, now) {
             return;
         }
         let record = Record {
--- a/crates/members/tests/membership.rs
+++ b/crates/members/tests/membership.rs
@@ -5,14 +5,245 @@
 use std::time::Duration;
 
 use crate::world::CALM;
+use crate::world::ROUGH;
 use crate::world::World;
+use crate::world::seeds;
+use members::Generation;
+use members::Standing;
+
+/// Longest time until a dead node is dead at every node that can be reached, in
+/// data centres of up to 17 nodes.
+const DEATH_BOUND: Duration = Duration::from_secs(15);
+
+/// Longest time until all that can reach each other see each other as alive.
+const RETURN_BOUND: Duration = Duration::from_secs(25);
+
+fn settled(centres: u16, per_centre: u16, seed: u64) -> World {
+    println!("seed {seed}");
+    let mut world = World::open(centres, per_centre, seed, CALM);
+    let wait = world.until(RETURN_BOUND, World::is_settled);
+    wait.expect("not settled after the start");
+    world
+}
 
 #[test]
 fn all_join_by_settings() {
     for (centres, per_centre) in [(1, 1), (1, 3), (3, 3), (5, 8), (6, 17)] {
-        let mut world = World::open(centres, per_centre, 1, CALM);
-        let wait = world.until(Duration::from_secs(15), World::is_settled);
-        println!("{centres} x {per_centre}: {wait:?}");
-        assert!(wait.is_some());
+        settled(centres, per_centre, 1);
+    }
+}
+
+#[test]
+fn a_node_that_others_do_not_list_joins_through_its_seeds() {
+    let mut world = settled(3, 3, 2);
+    let new = world.join(world::peer(9, 3));
+    world.step();
+    let wait = world.until(RETURN_BOUND, World::is_settled);
+    assert!(wait.is_some(), "node {new} did not join");
+}
+
+#[test]
+fn a_dead_node_is_dead_everywhere_within_the_bound() {
+    let mut longest = Duration::ZERO;
+    for seed in seeds(40) {
+        let (centres, per_centre) = [(3, 3), (2, 8), (3, 17)][seed as usize % 3];
+        let mut world = settled(centres, per_centre, seed);
+        let loss = [0.0, 0.1][seed as usize % 2];
+        world.net.loss = loss;
+        let at = world.rng.usize(0..world.nodes.len());
+        world.crash(at);
+        let is_dead = |world: &World| {
+            (0..world.nodes.len())
+                .filter(|viewer| world.is_running(*viewer))
+                .all(|viewer| world.standing(viewer, at) == Standing::Dead)
+        };
+        let wait = world.until(DEATH_BOUND, is_dead);
+        longest = longest.max(wait.expect("not dead within the bound"));
+        world.net = CALM;
+        world.restart(at);
+        let wait = world.until(RETURN_BOUND, World::is_settled);
+        wait.expect("did not return");
+        assert_eq!(world.nodes[at].members.generation().incarnation.0, 2);
+    }
+    println!("longest {longest:?}");
+}
+
+#[test]
+fn live_nodes_are_not_declared_dead_at_20_percent_loss() {
+    let mut refutations = 0;
+    for seed in seeds(20) {
+        let mut world = settled(3, 5, seed);
+        world.net = ROUGH;
+        for _ in 0..1_200 {
+            world.step();
+            for viewer in 0..world.nodes.len() {
+                for of in 0..world.nodes.len() {
+                    assert_ne!(world.standing(viewer, of), Standing::Dead, "{viewer} {of}");
+                }
+            }
+        }
+        let all = world.nodes.iter().map(|node| node.members.generation());
+        refutations += all.map(|g| g.refutation).sum::<u32>();
+    }
+    println!("{refutations} refutations");
+}
+
+#[test]
+fn one_that_hears_nothing_is_dead_to_others_and_comes_back() {
+    for seed in seeds(20) {
+        let mut world = settled(2, 6, seed);
+        let at = world.rng.usize(0..12);
+        for other in (0..12).filter(|other| *other != at) {
+            world.cut(other, at);
+        }
+        let is_dead = |world: &World| {
+            let others = (0..12).filter(|viewer| *viewer != at);
+            let mut others = others.map(|viewer| world.standing(viewer, at));
+            others.all(|standing| standing == Standing::Dead)
+        };
+        let wait = world.until(DEATH_BOUND, is_dead);
+        wait.expect("still alive to the others");
+        world.cuts.clear();
+        let wait = world.until(RETURN_BOUND, World::is_settled);
+        wait.expect("did not return");
+    }
+}
+
+#[test]
+fn a_cut_between_two_members_alone_kills_neither() {
+    for seed in seeds(20) {
+        let mut world = settled(1, 6, seed);
+        world.cut(0, 1);
+        world.cut(1, 0);
+        for _ in 0..800 {
+            world.step();
+            assert_ne!(world.standing(0, 1), Standing::Dead);
+            assert_ne!(world.standing(1, 0), Standing::Dead);
+        }
+    }
+}
+
+#[test]
+fn a_node_that_leaves_is_left_at_once_and_only_a_new_life_returns() {
+    for seed in seeds(20) {
+        let mut world = settled(3, 4, seed);
+        world.net.loss = 0.1;
+        let at = world.rng.usize(0..12);
+        let now = world.time();
+        world.nodes[at].members.leave(now);
+        world.run_for(Duration::from_secs(1));
+        world.crash(at);
+        let has_left = |world: &World| {
+            let others = (0..12).filter(|viewer| *viewer != at);
+            let mut others = others.map(|viewer| world.standing(viewer, at));
+            others.all(|standing| standing == Standing::Left)
+        };
+        let wait = world.until(Duration::from_secs(5), has_left);
+        wait.expect("not seen as left");
+        world.run_for(Duration::from_secs(30));
+        assert!(has_left(&world));
+        world.restart(at);
+        let wait = world.until(RETURN_BOUND, World::is_settled);
+        wait.expect("did not return");
+    }
+}
+
+#[test]
+fn a_cut_off_data_centre_goes_on_and_returns() {
+    for seed in seeds(10) {
+        let mut world = settled(3, 4, seed);
+        world.part(&[0, 1, 2, 3]);
+        world.run_for(Duration::from_secs(40));
+        for viewer in 0..12 {
+            for of in 0..12 {
+                let expected = match (viewer < 4) == (of < 4) {
+                    true => Standing::Alive,
+                    false => Standing::Dead,
+                };
+                assert_eq!(world.standing(viewer, of), expected, "{viewer} {of}");
+            }
+        }
+        world.cuts.clear();
+        let wait = world.until(RETURN_BOUND, World::is_settled);
+        wait.expect("did not return");
+    }
+}
+
+/// A member cut off from its data centre alone tells the others that all its
+/// mates are dead, and forgets it by a restart.
+#[test]
+fn a_claim_that_its_maker_forgot_is_refuted() {
+    for seed in seeds(20) {
+        let mut world = settled(2, 5, seed);
+        for mate in 5..9 {
+            world.cut(9, mate);
+            world.cut(mate, 9);
+        }
+        let believed = |world: &World| {
+            let dead = |of| (0..5).any(|viewer| world.standing(viewer, of) == Standing::Dead);
+            (5..9).any(dead)
+        };
+        let wait = world.until(Duration::from_secs(30), believed);
+        wait.expect("the claim did not spread");
+        world.restart(9);
+        world.cuts.clear();
+        let wait = world.until(RETURN_BOUND, World::is_settled);
+        wait.expect("the claim was not refuted");
+    }
+}
+
+/// Crashes, restarts, freezes and cuts on a rough network. After each step no
+/// node's view goes back to an older generation, and after healing all agree.
+#[test]
+fn views_never_go_back_and_agree_after_healing() {
+    for seed in seeds(40) {
+        let mut world = settled(3, 3, seed);
+        world.net = ROUGH;
+        let mut known = vec![[Generation::default(); 9]; 9];
+        for _ in 0..1_200 {
+            disturb(&mut world);
+            world.step();
+            for (viewer, known) in known.iter_mut().enumerate() {
+                check_views(&world, viewer, known);
+            }
+        }
+        world.net = CALM;
+        world.cuts.clear();
+        for at in (0..9).filter(|at| !world.nodes[*at].up).collect::<Vec<_>>() {
+            world.restart(at);
+        }
+        let wait = world.until(Duration::from_secs(45), World::is_settled);
+        wait.expect("no agreement after healing");
+    }
+}
+
+fn disturb(world: &mut World) {
+    if 0.02 < world.rng.f64() {
+        return;
+    }
+    let at = world.rng.usize(0..9);
+    let other = world.rng.usize(0..9);
+    let span = Duration::from_millis(world.rng.u64(500..15_000));
+    match world.rng.u8(0..7) {
+        0 => world.crash(at),
+        1 | 2 if !world.nodes[at].up => world.restart(at),
+        3 => world.freeze(at, span),
+        4 => world.cut(at, other),
+        5 => world.part(&[at, other]),
+        _ => world.cuts.clear(),
+    }
+}
+
+fn check_views(world: &World, viewer: usize, known: &mut [Generation; 9]) {
+    let node = &world.nodes[viewer];
+    if !node.up {
+        *known = Default::default();
+        return;
+    }
+    for view in node.members.view(world.time()) {
+        let of = usize::from(view.peer.node.0);
+        assert!(known[of] <= view.generation, "{viewer} went back on {of}");
+        assert!(view.generation.incarnation.0 <= world.nodes[of].life);
+        known[of] = view.generation;
     }
 }
--- a/crates/members/tests/world/mod.rs
+++ b/crates/members/tests/world/mod.rs
@@ -68,6 +68,19 @@
     }
 }
 
+impl Node {
+    fn of(peer: Peer, members: Members) -> Self {
+        Self {
+            peer,
+            members,
+            up: true,
+            frozen_until: 0,
+            life: 1,
+            inbox: Vec::new(),
+        }
+    }
+}
+
 impl World {
     pub fn open(centres: u16, per_centre: u16, seed: u64, net: Net) -> Self {
         let mut world = Self {
@@ -84,14 +97,7 @@
             .collect();
         for me in &peers {
             let members = world.members(*me, &peers, 1);
-            world.nodes.push(Node {
-                peer: *me,
-                members,
-                up: true,
-                frozen_until: 0,
-                life: 1,
-                inbox: Vec::new(),
-            });
+            world.nodes.push(Node::of(*me, members));
         }
         world
     }
@@ -108,6 +114,14 @@
         Members::open(cfg, Time(self.now))
     }
 
+    /// Adds a node that knows the others, while they do not know it.
+    pub fn join(&mut self, me: Peer) -> usize {
+        let peers: Vec<Peer> = self.nodes.iter().map(|node| node.peer).collect();
+        let members = self.members(me, &peers, 1);
+        self.nodes.push(Node::of(me, members));
+        self.nodes.len() - 1
+    }
+
     pub fn time(&self) -> Time {
         Time(self.now)
     }
