--- a/crates/members/src/outbox.rs
+++ b/crates/members/src/outbox.rs
@@ -212,11 +212,11 @@
     }
 
     /// Rumors that are due, the most urgent first.
-    pub fn due(&self, now: Time) -> Vec<Rumor> {
+    pub fn due(&self, now: Time) -> Vec<(Urgency, Rumor)> {
         let due = self.rumors.iter().filter(|(_, pending)| pending.due <= now);
         let mut due: Vec<(Urgency, Rumor)> = due.map(|(r, p)| (p.urgency, *r)).collect();
         due.sort_unstable();
-        due.into_iter().map(|(_, rumor)| rumor).collect()
+        due
     }
 }
 
--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -15,6 +15,7 @@
 use crate::roster::Claim;
 use crate::spread::Learned;
 use crate::versions::Versions;
+use base::Incarnation;
 use base::NodeId;
 use base::Time;
 
@@ -50,7 +51,8 @@
             return false;
         };
         let known = member.record;
-        if header.generation.incarnation < known.generation.incarnation {
+        let life = header.generation.incarnation;
+        if life == Incarnation(0) || life < known.generation.incarnation {
             return false;
         }
         if known.generation < header.generation {
--- a/crates/members/src/roster.rs
+++ b/crates/members/src/roster.rs
@@ -11,6 +11,7 @@
 use crate::hash;
 use crate::record::Record;
 use base::CentreId;
+use base::Incarnation;
 use base::NodeId;
 use base::Time;
 use base::Version;
@@ -144,7 +145,7 @@
     /// Takes in a claim about another member.
     pub fn apply(&mut self, claim: Record, now: Time) -> Claim {
         let node = claim.peer.node;
-        let unheard = claim.generation == Generation::default();
+        let unheard = claim.generation.incarnation == Incarnation(0);
         if node == self.me.node || unheard {
             return Claim::Known;
         }
--- a/crates/members/src/spread.rs
+++ b/crates/members/src/spread.rs
@@ -78,7 +78,10 @@
         }
         builder.drain(&mut self.outbox.queue_mut(to).probes);
         let mut told = Vec::new();
-        for rumor in rumors {
+        for (urgency, rumor) in rumors {
+            if !self.outbox.may_send(urgency) {
+                break;
+            }
             let section = self.section(rumor, now);
             if section.is_some_and(|section| !builder.add(&section)) {
                 break;
--- /dev/null
+++ b/crates/members/tests/items.rs
@@ -0,0 +1,321 @@
+//! Items: how fast they spread, that they never go back, and what bounds them.
+
+mod world;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+
+use crate::world::CALM;
+use crate::world::ROUGH;
+use crate::world::STEP;
+use crate::world::World;
+use crate::world::seeds;
+use base::NodeId;
+use base::Time;
+use base::Version;
+use members::Item;
+use members::Kind;
+use members::MAX_BODY_BYTES;
+use members::Members;
+use members::OVERHEAD_BYTES;
+use members::Scope;
+use members::Standing;
+
+fn item(kind: Kind, scope: Scope, body: &[u8]) -> Item {
+    Item {
+        kind,
+        key: 1,
+        body: body.to_vec(),
+        scope,
+        ttl: Duration::from_secs(60),
+    }
+}
+
+fn settled(centres: u16, per_centre: u16, seed: u64) -> World {
+    println!("seed {seed}");
+    let mut world = World::open(centres, per_centre, seed, CALM);
+    let wait = world.until(Duration::from_secs(25), World::is_settled);
+    wait.expect("not settled after the start");
+    world
+}
+
+fn publish(world: &mut World, at: usize, item: Item) {
+    let now = world.time();
+    assert!(world.nodes[at].members.publish(item, now));
+}
+
+fn body(world: &World, viewer: usize, origin: usize, kind: Kind) -> Option<Vec<u8>> {
+    let items = world.nodes[viewer].members.items(kind, world.time());
+    let from = NodeId(origin as u16);
+    items
+        .into_iter()
+        .find(|n| n.origin == from)
+        .map(|n| n.item.body)
+}
+
+fn all_have(world: &World, origin: usize, kind: Kind) -> bool {
+    let running = (0..world.nodes.len()).filter(|at| world.is_running(*at));
+    let mut others = running.filter(|at| *at != origin);
+    others.all(|viewer| body(world, viewer, origin, kind).is_some())
+}
+
+#[test]
+fn leaving_reaches_all_within_3_s_though_datagrams_are_lost() {
+    let mut longest = Duration::ZERO;
+    for seed in seeds(20) {
+        let mut world = settled(6, 9, seed);
+        world.net = ROUGH;
+        let at = world.rng.usize(0..world.nodes.len());
+        publish(
+            &mut world,
+            at,
+            item(Kind::Leaving, Scope::Everywhere, b"h7"),
+        );
+        let wait = world.until(Duration::from_secs(3), |w| all_have(w, at, Kind::Leaving));
+        longest = longest.max(wait.expect("not everywhere within 3 s"));
+    }
+    println!("longest {longest:?}");
+}
+
+#[test]
+fn leaving_reaches_those_that_the_publisher_cannot_reach() {
+    for seed in seeds(20) {
+        let mut world = settled(3, 5, seed);
+        for other in 0..15 {
+            let is_cut = (3..5).contains(&other) || 10 <= other;
+            if is_cut {
+                world.cut(0, other);
+            }
+        }
+        publish(&mut world, 0, item(Kind::Leaving, Scope::Everywhere, b"h7"));
+        let wait = world.until(Duration::from_secs(3), |w| all_have(w, 0, Kind::Leaving));
+        wait.expect("not everywhere within 3 s");
+    }
+}
+
+#[test]
+fn an_item_of_one_data_centre_stays_there() {
+    let mut world = settled(2, 4, 1);
+    publish(&mut world, 1, item(Kind::Loads, Scope::Centre, b"loads"));
+    publish(&mut world, 1, item(Kind::Orders, Scope::Centre, b"orders"));
+    world.run_for(Duration::from_secs(10));
+    for viewer in 0..8 {
+        let expected = viewer < 4;
+        assert_eq!(body(&world, viewer, 1, Kind::Loads).is_some(), expected);
+        assert_eq!(body(&world, viewer, 1, Kind::Orders).is_some(), expected);
+    }
+}
+
+/// A counter published over and over, by lives that follow each other, never
+/// goes back at any node, on a network that loses, doubles and reorders.
+#[test]
+fn items_never_go_back_to_an_older_stamp() {
+    for seed in seeds(20) {
+        let mut world = settled(2, 3, seed);
+        world.net = ROUGH;
+        let mut seen: BTreeMap<(usize, Kind), Vec<u8>> = BTreeMap::new();
+        for round in 0..600_u64 {
+            if round % 5 == 0 {
+                for kind in [Kind::Leaving, Kind::Demand] {
+                    publish(
+                        &mut world,
+                        0,
+                        item(kind, Scope::Everywhere, &round.to_be_bytes()),
+                    );
+                }
+            }
+            match world.rng.u8(0..200) {
+                0 => world.restart(0),
+                1 => world.freeze(4, Duration::from_secs(5)),
+                2 => world.part(&[0, 1]),
+                3..=5 => world.cuts.clear(),
+                _ => {}
+            }
+            world.step();
+            for viewer in 1..6 {
+                for kind in [Kind::Leaving, Kind::Demand] {
+                    let Some(now) = body(&world, viewer, 0, kind) else {
+                        continue;
+                    };
+                    let before = seen.insert((viewer, kind), now.clone());
+                    assert!(
+                        before.is_none_or(|before| before <= now),
+                        "{viewer} went back"
+                    );
+                }
+            }
+        }
+        assert!(!seen.is_empty());
+    }
+}
+
+#[test]
+fn an_expired_item_does_not_come_back_through_one_that_still_has_it() {
+    for seed in seeds(20) {
+        let mut world = settled(2, 3, seed);
+        let mut short = item(Kind::Leaving, Scope::Everywhere, b"h7");
+        short.ttl = Duration::from_secs(5);
+        publish(&mut world, 0, short);
+        world.run_for(Duration::from_secs(2));
+        world.freeze(4, Duration::from_secs(20));
+        world.run_for(Duration::from_secs(40));
+        assert!((0..6).all(|viewer| body(&world, viewer, 0, Kind::Leaving).is_none()));
+        let news = world.nodes[1].members.take_news();
+        let told = news.iter().filter(|news| news.item.kind == Kind::Leaving);
+        assert_eq!(told.count(), 1);
+    }
+}
+
+#[test]
+fn one_that_was_cut_off_catches_up_by_state() {
+    for seed in seeds(10) {
+        let mut world = settled(3, 4, seed);
+        world.part(&[5]);
+        for round in 0..100_u8 {
+            for key in 0..10 {
+                let mut item = item(Kind::Orders, Scope::Everywhere, &[round]);
+                item.key = key;
+                publish(&mut world, 0, item);
+            }
+            world.step();
+        }
+        world.run_for(Duration::from_secs(20));
+        world.nodes[5].members.take_news();
+        world.cuts.clear();
+        let caught_up = |world: &World| {
+            let items = world.nodes[5].members.items(Kind::Orders, world.time());
+            items.iter().filter(|news| news.item.body == [99]).count() == 10
+        };
+        let wait = world.until(Duration::from_secs(10), caught_up);
+        wait.expect("did not catch up");
+        let news = world.nodes[5].members.take_news();
+        let orders = news.iter().filter(|news| news.item.kind == Kind::Orders);
+        assert_eq!(orders.count(), 10, "history was replayed");
+    }
+}
+
+#[test]
+fn bytes_stay_within_the_rate_and_probes_go_on() {
+    let mut world = settled(2, 8, 1);
+    world.run_for(Duration::from_secs(5));
+    let limit = f64::from(members::Timing::default().send_rate);
+    let mut bytes = 0;
+    for round in 0..1_200_u64 {
+        for at in 0..16 {
+            let mut body = vec![at as u8; MAX_BODY_BYTES];
+            body[..8].copy_from_slice(&round.to_be_bytes());
+            for kind in [Kind::Loads, Kind::Demand] {
+                publish(&mut world, at, item(kind, Scope::Everywhere, &body));
+            }
+        }
+        world.step();
+        bytes += world
+            .sent_by(3)
+            .iter()
+            .map(|n| n + OVERHEAD_BYTES)
+            .sum::<usize>();
+    }
+    let rate = bytes as f64 / (1_200.0 * STEP.as_secs_f64());
+    println!("{rate:.0} bytes a second");
+    assert!(rate < limit * 1.1);
+    assert!(world.is_settled(), "members were taken for dead under load");
+}
+
+#[test]
+fn the_largest_version_is_heard_everywhere_within_2_s() {
+    for seed in seeds(10) {
+        let mut world = settled(5, 7, seed);
+        world.net.loss = 0.1;
+        let now = world.time();
+        world.nodes[3].members.set_version(Version(9), now);
+        let heard = |world: &World| {
+            let mut all = world.nodes.iter();
+            all.all(|node| node.members.newest() == Version(9))
+        };
+        let wait = world.until(Duration::from_secs(2), heard);
+        wait.expect("not heard within 2 s");
+        world.net = CALM;
+        world.run_for(Duration::from_secs(10));
+        let of = world.nodes[30]
+            .members
+            .get(NodeId(3), world.time())
+            .unwrap();
+        assert_eq!(of.version, Version(9));
+        let of = world.nodes[30]
+            .members
+            .get(NodeId(4), world.time())
+            .unwrap();
+        assert_eq!(of.version, Version(0));
+    }
+}
+
+#[test]
+fn a_body_that_is_too_long_is_refused() {
+    let mut world = settled(1, 2, 1);
+    let now = world.time();
+    let long = item(Kind::Loads, Scope::Centre, &[0; MAX_BODY_BYTES + 1]);
+    assert!(!world.nodes[0].members.publish(long, now));
+    for key in 0..500 {
+        let mut item = item(Kind::Leaving, Scope::Everywhere, b"x");
+        item.key = key;
+        world.nodes[0].members.publish(item, now);
+    }
+    world.run_for(Duration::from_secs(10));
+    let known = world.nodes[1].members.items(Kind::Leaving, world.time());
+    assert!(known.len() <= 64);
+}
+
+fn standings(members: &Members, now: Time) -> Vec<(NodeId, Standing)> {
+    let views = members.view(now);
+    views.map(|view| (view.peer.node, view.standing)).collect()
+}
+
+#[test]
+fn a_datagram_of_no_life_changes_nothing() {
+    let mut world = World::open(1, 3, 1, CALM);
+    let now = world.time();
+    let members = &mut world.nodes[0].members;
+    let before = standings(members, now);
+    members.receive(NodeId(1), &[0, 1, 0, 0], now);
+    assert_eq!(before, standings(members, now));
+}
+
+quickcheck! {
+    /// Only a whole header says something, and only about its sender.
+    fn random_datagrams_bring_no_members_and_no_items(bytes: Vec<u8>, from: u16) -> bool {
+        let mut world = World::open(1, 3, 1, CALM);
+        let now = world.time();
+        let from = NodeId(from % 5);
+        let members = &mut world.nodes[0].members;
+        let others = |members: &Members| {
+            let mut all = standings(members, now);
+            all.retain(|(node, _)| *node != from);
+            all
+        };
+        let before = others(members);
+        members.receive(from, &bytes, now);
+        members.tick(now);
+        before == others(members) && members.take_news().is_empty()
+    }
+
+    /// What is cut off or changed on the way is refused or says less.
+    fn damaged_datagrams_do_not_panic(at: usize, value: u8, keep: usize) -> bool {
+        let mut world = World::open(1, 3, 1, CALM);
+        publish(&mut world, 0, item(Kind::Leaving, Scope::Everywhere, b"h7"));
+        let now = world.time();
+        world.nodes[0].members.tick(now);
+        for packet in world.nodes[0].members.take(now) {
+            let mut bytes = packet.bytes;
+            let at = at % bytes.len();
+            bytes[at] = value;
+            bytes.truncate(keep % (bytes.len() + 1));
+            let members = &mut world.nodes[1].members;
+            members.receive(NodeId(0), &bytes, now);
+            members.tick(now);
+            members.take(now);
+        }
+        true
+    }
+}
--- a/crates/members/tests/world/mod.rs
+++ b/crates/members/tests/world/mod.rs
@@ -58,6 +58,8 @@
     pub cuts: BTreeSet<(NodeId, NodeId)>,
     queue: BTreeMap<(u64, u64), (NodeId, NodeId, Vec<u8>)>,
     sent: u64,
+    /// Sizes of the datagrams sent in the last step.
+    sizes: BTreeMap<NodeId, Vec<usize>>,
 }
 
 pub fn peer(node: u16, per_centre: u16) -> Peer {
@@ -91,6 +93,7 @@
             cuts: BTreeSet::new(),
             queue: BTreeMap::new(),
             sent: 0,
+            sizes: BTreeMap::new(),
         };
         let peers: Vec<Peer> = (0..centres * per_centre)
             .map(|node| peer(node, per_centre))
@@ -170,6 +173,7 @@
 
     pub fn step(&mut self) {
         self.now += STEP.as_micros() as u64;
+        self.sizes.clear();
         let later = self.queue.split_off(&(self.now + 1, 0));
         for (_, (from, to, bytes)) in std::mem::replace(&mut self.queue, later) {
             let node = &mut self.nodes[usize::from(to.0)];
@@ -198,7 +202,13 @@
         }
     }
 
+    pub fn sent_by(&self, at: usize) -> Vec<usize> {
+        let node = self.nodes[at].peer.node;
+        self.sizes.get(&node).cloned().unwrap_or_default()
+    }
+
     fn send(&mut self, from: NodeId, to: NodeId, bytes: Vec<u8>) {
+        self.sizes.entry(from).or_default().push(bytes.len());
         let copies = 1 + u64::from(self.rng.f64() < self.net.duplicates);
         for _ in 0..copies {
             if self.cuts.contains(&(from, to)) || self.rng.f64() < self.net.loss {
