--- a/crates/members/src/roster.rs
+++ b/crates/members/src/roster.rs
@@ -11,6 +11,7 @@
 use crate::hash;
 use crate::record::Record;
 use base::CentreId;
+use base::Incarnation;
 use base::NodeId;
 use base::Time;
 use base::Version;
@@ -37,6 +38,8 @@
     Known,
     /// It changed what is known.
     Changed,
+    /// The member answered of late. It should hear the claim, to refute it.
+    Contradicted,
 }
 
 #[derive(Clone, Debug)]
@@ -142,13 +145,13 @@
     /// Takes in a claim about another member.
     pub fn apply(&mut self, claim: Record, now: Time) -> Claim {
         let node = claim.peer.node;
-        let unheard = claim.generation == Generation::default();
+        let unheard = claim.generation.incarnation == Incarnation(0);
         if node == self.me.node || unheard {
             return Claim::Known;
         }
         match self.members.get(&node) {
             Some(known) if !claim.supersedes(&known.record) => return Claim::Known,
-            Some(known) if self.contradicts(known, claim, now) => return Claim::Known,
+            Some(known) if self.contradicts(known, claim, now) => return Claim::Contradicted,
             None if MAX_MEMBERS <= self.members.len() => return Claim::Known,
             _ => {}
         }
@@ -164,8 +167,13 @@
     fn contradicts(&self, known: &Member, claim: Record, now: Time) -> bool {
         let is_accused = matches!(claim.standing, Standing::Suspect | Standing::Dead);
         let same = known.record.generation == claim.generation;
-        let answered = |at: Time| now < at + self.timing.evidence;
-        is_accused && same && known.answered.is_some_and(answered)
+        is_accused && same && self.has_answered(known, now)
+    }
+
+    /// Whether a member answered a probe of this node of late.
+    pub fn has_answered(&self, member: &Member, now: Time) -> bool {
+        let is_late = |at: Time| now < at + self.timing.evidence;
+        member.answered.is_some_and(is_late)
     }
 
     /// Replaces this node's own record.
@@ -229,9 +237,10 @@
         standing
     }
 
-    pub fn is_silent(&self, centre: CentreId, now: Time) -> bool {
+    /// Whether nothing was heard from a data centre for some time.
+    pub fn is_quiet(&self, centre: CentreId, now: Time) -> bool {
         let heard = self.heard.get(&centre);
-        heard.is_none_or(|heard| *heard + self.timing.centre_suspect <= now)
+        heard.is_none_or(|heard| *heard + self.timing.centre_quiet <= now)
     }
 
     /// Hashes of the records that were heard of.
