Test the single rules of the agreement, and tell the others of slow disks too

What a disk has was passed on only when the commit advanced; a disk that synced later than the majority stayed unknown until then. It goes along with every acknowledgement now.

--- a/crates/vote/src/replicate.rs
+++ b/crates/vote/src/replicate.rs
@@ -200,8 +200,8 @@
         });
         if self.commit < reached && self.log.term(reached) == Some(self.term) {
             self.commit = reached;
-            self.raise_floors();
         }
+        self.raise_floors();
         self.confirm_reads();
         self.follow_group();
     }
--- /dev/null
+++ b/crates/vote/tests/rules.rs
@@ -0,0 +1,436 @@
+//! Single rules of the agreement, each on one voter or a few.
+
+mod fake;
+
+use std::time::Duration;
+
+use base::DiskId;
+use base::NodeId;
+use base::Time;
+use vote::Ack;
+use vote::Answer;
+use vote::Append;
+use vote::Ask;
+use vote::Ballot;
+use vote::Batch;
+use vote::Beat;
+use vote::Blob;
+use vote::Body;
+use vote::Config;
+use vote::Duty;
+use vote::Effects;
+use vote::Entry;
+use vote::Floor;
+use vote::Group;
+use vote::GroupId;
+use vote::Index;
+use vote::Install;
+use vote::Message;
+use vote::Outcome;
+use vote::Payload;
+use vote::Phase;
+use vote::Position;
+use vote::ProposeError;
+use vote::Record;
+use vote::Restored;
+use vote::Role;
+use vote::Seat;
+use vote::Standing;
+use vote::Term;
+use vote::Voter;
+
+use crate::fake::Cluster;
+use crate::fake::Stored;
+
+const GROUP: GroupId = GroupId(11);
+
+fn disk(node: u16) -> DiskId {
+    DiskId(10 + u64::from(node))
+}
+
+fn group(size: u16) -> Group {
+    let seat = |node| {
+        let disk = disk(node);
+        let duty = Duty::Voter;
+        (NodeId(node), Seat { disk, duty })
+    };
+    let seats = (1..=size).map(seat).collect();
+    Group { id: GROUP, seats }
+}
+
+fn at(term: u64, index: u64) -> Position {
+    Position {
+        term: Term(term),
+        index: Index(index),
+    }
+}
+
+fn entry(term: u64, index: u64) -> Entry {
+    Entry {
+        term: Term(term),
+        index: Index(index),
+        payload: Payload::Command(Blob::from(vec![term as u8, index as u8])),
+    }
+}
+
+/// Node 3 of three, with the group's first entry and these after it.
+fn third(entries: &[Entry]) -> Voter {
+    let first = Entry {
+        payload: Payload::Group(group(3)),
+        ..entry(1, 1)
+    };
+    let mut records = vec![Record::Bound(GROUP), Record::Entry(first)];
+    records.extend(entries.iter().cloned().map(Record::Entry));
+    let config = Config::new(NodeId(3), disk(3), (1..=3).map(NodeId));
+    let restored = Restored {
+        snapshot: None,
+        records,
+    };
+    Voter::open(config, restored, Time::ZERO)
+}
+
+fn from(node: u16, body: Body) -> Message {
+    Message {
+        disk: disk(node),
+        group: Some(GROUP),
+        body,
+    }
+}
+
+fn ask(phase: Phase, term: u64, last: Position) -> Body {
+    Body::Ask(Ask {
+        phase,
+        term: Term(term),
+        last,
+        floor: Floor {
+            node: NodeId(3),
+            disk: disk(3),
+            index: Index(0),
+        },
+    })
+}
+
+fn append(term: u64, prev: Position, entries: Vec<Entry>) -> Body {
+    Body::Append(Append {
+        term: Term(term),
+        beat: Beat::default(),
+        prev,
+        entries,
+        commit: Index(0),
+        floors: Vec::new(),
+    })
+}
+
+fn ballots(effects: &Effects) -> Vec<Answer> {
+    let ballot = |outgoing: &vote::Outgoing| match outgoing.message.body {
+        Body::Ballot(ballot) => Some(ballot.answer),
+        _ => None,
+    };
+    effects.sends.iter().filter_map(ballot).collect()
+}
+
+fn outcomes(effects: &Effects) -> Vec<Outcome> {
+    let outcome = |outgoing: &vote::Outgoing| match outgoing.message.body {
+        Body::Ack(ack) => Some(ack.outcome),
+        _ => None,
+    };
+    effects.sends.iter().filter_map(outcome).collect()
+}
+
+fn synced(voter: &mut Voter, batch: Option<Batch>, now: Time) -> Effects {
+    voter.synced(batch.unwrap().id, now);
+    voter.take()
+}
+
+/// Lets a voter win an election.
+fn lead(voter: &mut Voter, term: u64, now: Time) {
+    voter.tick(now);
+    for phase in [Phase::Before, Phase::Real] {
+        let ballot = Body::Ballot(Ballot {
+            phase,
+            term: Term(term),
+            answer: Answer::Granted,
+        });
+        voter.receive(NodeId(1), from(1, ballot), now);
+        if phase == Phase::Before {
+            let batch = voter.take().batch;
+            voter.synced(batch.unwrap().id, now);
+        }
+    }
+    assert_eq!(voter.role(), Role::Leader);
+}
+
+/// Long after the start, when a leader's lease would have run out.
+const LATER: Time = Time::from_millis(650);
+
+#[test]
+fn a_vote_leaves_only_once_it_is_on_disk_and_goes_to_one_candidate() {
+    let mut voter = third(&[]);
+    let now = Time::from_millis(700);
+    voter.receive(NodeId(1), from(1, ask(Phase::Real, 5, at(1, 1))), now);
+    let effects = voter.take();
+    assert_eq!(ballots(&effects), []);
+    let effects = synced(&mut voter, effects.batch, now);
+    assert_eq!(ballots(&effects), [Answer::Granted]);
+
+    voter.receive(NodeId(2), from(2, ask(Phase::Real, 5, at(9, 9))), now);
+    assert_eq!(ballots(&voter.take()), [Answer::Refused]);
+}
+
+#[test]
+fn no_vote_is_given_while_a_leader_is_heard_or_right_after_a_restart() {
+    for phase in [Phase::Before, Phase::Real] {
+        let mut voter = third(&[]);
+        voter.receive(NodeId(2), from(2, ask(phase, 5, at(1, 1))), LATER);
+        assert_eq!(ballots(&voter.take()), [Answer::Refused]);
+
+        let heard = Time::from_millis(5_000);
+        let heartbeat = append(4, at(1, 1), Vec::new());
+        voter.receive(NodeId(1), from(1, heartbeat), heard);
+        let batch = voter.take().batch;
+        synced(&mut voter, batch, heard);
+        let now = heard + Duration::from_millis(650);
+        voter.receive(NodeId(2), from(2, ask(phase, 5, at(1, 1))), now);
+        assert_eq!(ballots(&voter.take()), [Answer::Refused]);
+        assert_eq!(voter.status().term, Term(4));
+    }
+}
+
+#[test]
+fn a_candidate_counts_its_own_vote_and_asks_only_once_it_is_on_disk() {
+    let mut voter = third(&[]);
+    let now = voter.next_deadline();
+    voter.tick(now);
+    let granted = |phase, term| {
+        let term = Term(term);
+        let answer = Answer::Granted;
+        Body::Ballot(Ballot {
+            phase,
+            term,
+            answer,
+        })
+    };
+    voter.receive(NodeId(1), from(1, granted(Phase::Before, 1)), now);
+    let effects = voter.take();
+    let asks = |effects: &Effects| {
+        let real = |o: &&vote::Outgoing| matches!(&o.message.body, Body::Ask(ask) if ask.phase == Phase::Real);
+        effects.sends.iter().filter(real).count()
+    };
+    assert_eq!(asks(&effects), 0);
+    voter.receive(NodeId(1), from(1, granted(Phase::Real, 1)), now);
+    assert_eq!(voter.role(), Role::Candidate);
+    let effects = synced(&mut voter, effects.batch, now);
+    assert_eq!(asks(&effects), 2);
+    assert_eq!(voter.role(), Role::Leader);
+}
+
+#[test]
+fn votes_of_another_disk_do_not_count() {
+    let mut voter = third(&[]);
+    let now = voter.next_deadline();
+    voter.tick(now);
+    voter.take();
+    let ballot = Ballot {
+        phase: Phase::Before,
+        term: Term(1),
+        answer: Answer::Granted,
+    };
+    let mut message = from(1, Body::Ballot(ballot));
+    message.disk = DiskId(99);
+    voter.receive(NodeId(1), message, now);
+    assert_eq!(voter.take().batch, None);
+}
+
+#[test]
+fn entries_are_acknowledged_only_once_they_are_on_disk() {
+    let mut voter = third(&[]);
+    let entries = vec![entry(4, 2), entry(4, 3)];
+    voter.receive(NodeId(1), from(1, append(4, at(1, 1), entries)), LATER);
+    let effects = voter.take();
+    assert_eq!(outcomes(&effects), []);
+    let effects = synced(&mut voter, effects.batch, LATER);
+    assert_eq!(outcomes(&effects), [Outcome::Matched(Index(3))]);
+}
+
+/// The snapshot's last entry is in the log: what follows it was acknowledged and
+/// must stay.
+#[test]
+fn a_snapshot_keeps_the_entries_after_it() {
+    let mut voter = third(&[entry(4, 2), entry(4, 3), entry(4, 4)]);
+    let install = Install {
+        term: Term(4),
+        beat: Beat::default(),
+        at: at(4, 3),
+        group: group(3),
+        total: 1,
+        offset: 0,
+        chunk: Blob::from(vec![7]),
+    };
+    voter.receive(NodeId(1), from(1, Body::Install(install)), LATER);
+    let effects = voter.take();
+    assert_eq!(effects.install.unwrap().state[..], [7]);
+    assert_eq!(voter.status().last, Index(4));
+}
+
+/// A disk that held more entries than the log has now does not make new entries
+/// in their places count.
+#[test]
+fn entries_that_were_replaced_do_not_count_as_synced() {
+    for first_synced in ["before", "after"] {
+        let mut voter = third(&[]);
+        let old = append(4, at(1, 1), vec![entry(4, 2), entry(4, 3), entry(4, 4)]);
+        voter.receive(NodeId(1), from(1, old), LATER);
+        let first = voter.take().batch;
+        if first_synced == "before" {
+            synced(&mut voter, first.clone(), LATER);
+        }
+        let new = append(6, at(1, 1), vec![entry(5, 2)]);
+        voter.receive(NodeId(2), from(2, new), LATER);
+        let second = voter.take().batch;
+        if first_synced == "after" {
+            synced(&mut voter, first, LATER);
+        }
+        synced(&mut voter, second, LATER);
+
+        let now = voter.next_deadline();
+        lead(&mut voter, 7, now);
+        let own = voter.take().batch;
+        let ack = Body::Ack(Ack {
+            term: Term(7),
+            beat: Beat::default(),
+            outcome: Outcome::Matched(Index(3)),
+        });
+        voter.receive(NodeId(1), from(1, ack), now);
+        assert_eq!(voter.take().committed, []);
+        assert_eq!(synced(&mut voter, own, now).committed.len(), 3);
+    }
+}
+
+/// An entry of an earlier term is not committed by counting: another leader may
+/// still replace it.
+#[test]
+fn only_entries_of_the_leaders_term_are_committed_by_counting() {
+    let mut voter = third(&[entry(4, 2)]);
+    let now = voter.next_deadline();
+    lead(&mut voter, 1, now);
+    let own = voter.take().batch;
+    synced(&mut voter, own, now);
+    for (matched, committed) in [(2, 0), (3, 3)] {
+        let ack = Body::Ack(Ack {
+            term: Term(1),
+            beat: Beat::default(),
+            outcome: Outcome::Matched(Index(matched)),
+        });
+        voter.receive(NodeId(1), from(1, ack), now);
+        assert_eq!(voter.take().committed.len(), committed);
+    }
+}
+
+#[test]
+fn a_returning_node_disturbs_nobody() {
+    let mut cluster = Cluster::new(3, 2);
+    cluster.commit_one(Duration::from_secs(5));
+    let leader = cluster.leader().unwrap();
+    let term = cluster.term(leader);
+    let ids = cluster.ids();
+    let away = *ids.iter().find(|id| **id != leader).unwrap();
+    cluster.network.isolate(away, &ids);
+    cluster.run(Duration::from_secs(20));
+    cluster.network.heal();
+    cluster.run(Duration::from_secs(5));
+    assert_eq!(cluster.leader(), Some(leader));
+    assert_eq!(cluster.term(away), term);
+}
+
+#[test]
+fn a_group_forms_at_once_and_only_when_all_are_there() {
+    for size in [1, 3, 5] {
+        for seed in 0..50 {
+            let mut cluster = Cluster::new(size, seed);
+            cluster.commit_one(Duration::from_millis(400));
+        }
+    }
+    let mut cluster = Cluster::new(3, 1);
+    cluster.crash(NodeId(3));
+    cluster.run(Duration::from_secs(10));
+    assert_eq!(cluster.standing(NodeId(1)), Some(Standing::Fresh));
+    cluster.start(NodeId(3));
+    cluster.commit_one(Duration::from_secs(1));
+}
+
+/// The node with the smallest id would form groups: with an empty disk it must
+/// not, as long as one other remembers.
+#[test]
+fn a_wiped_disk_forms_no_other_group() {
+    let mut cluster = Cluster::new(3, 4);
+    cluster.commit_one(Duration::from_secs(5));
+    for (id, disk) in [(1, 91), (2, 92)] {
+        cluster.replace_disk(NodeId(id), DiskId(disk), Stored::default());
+        cluster.start(NodeId(id));
+    }
+    cluster.run(Duration::from_secs(20));
+    assert_eq!(cluster.leader(), None);
+    assert_eq!(cluster.standing(NodeId(1)), Some(Standing::Lost));
+}
+
+/// An old word of an empty disk must not count: the node may have joined another
+/// group since.
+#[test]
+fn a_group_forms_only_with_those_that_have_met_this_disk() {
+    let config = Config::new(NodeId(1), disk(1), (1..=2).map(NodeId));
+    let mut voter = Voter::open(config, Restored::default(), Time::ZERO);
+    let hello = |met| Message {
+        disk: disk(2),
+        group: None,
+        body: Body::Hello { met },
+    };
+    voter.receive(NodeId(2), hello(Some(DiskId(99))), Time::ZERO);
+    voter.tick(Time::ZERO);
+    assert_eq!(voter.take().batch, None);
+    voter.receive(NodeId(2), hello(Some(disk(1))), Time::ZERO);
+    assert!(voter.take().batch.is_some());
+}
+
+#[test]
+fn a_voter_with_a_stuck_disk_hands_over() {
+    let mut cluster = Cluster::new(3, 5);
+    cluster.commit_one(Duration::from_secs(5));
+    let leader = cluster.leader().unwrap();
+    cluster.node(leader).disk_stuck_until = cluster.now + Duration::from_secs(60);
+    cluster.propose(leader);
+    cluster.run(Duration::from_secs(5));
+    assert_ne!(cluster.leader(), Some(leader));
+    cluster.commit_one(Duration::from_secs(1));
+}
+
+#[test]
+fn commands_are_bounded() {
+    let mut cluster = Cluster::new(1, 6);
+    cluster.commit_one(Duration::from_secs(1));
+    let now = cluster.now;
+    let node = cluster.node(NodeId(1));
+    let local = node.local(now);
+    let voter = node.voter.as_mut().unwrap();
+    let large = vec![0; (4 << 20) + 1];
+    let error = voter.propose(large, local).unwrap_err();
+    assert!(matches!(error, ProposeError::TooLarge { .. }));
+    let taken = (0..100).take_while(|_| voter.propose(vec![0; 1 << 20], local).is_ok());
+    assert!(taken.count() < 20);
+}
+
+#[test]
+fn messages_and_records_survive_both_formats() {
+    let message = from(1, append(4, at(1, 1), vec![entry(4, 2)]));
+    let json = serde_json::to_string(&message).unwrap();
+    assert_eq!(serde_json::from_str::<Message>(&json).unwrap(), message);
+    let bytes = postcard::to_stdvec(&message).unwrap();
+    assert_eq!(postcard::from_bytes::<Message>(&bytes).unwrap(), message);
+    let record = Record::Entry(Entry {
+        payload: Payload::Group(group(3)),
+        ..entry(1, 1)
+    });
+    let bytes = postcard::to_stdvec(&record).unwrap();
+    assert_eq!(postcard::from_bytes::<Record>(&bytes).unwrap(), record);
+    let json = serde_json::to_string(&record).unwrap();
+    assert_eq!(serde_json::from_str::<Record>(&json).unwrap(), record);
+}
--- a/crates/vote/tests/schedules.rs
+++ b/crates/vote/tests/schedules.rs
@@ -234,6 +234,8 @@
 /// Brings back an older content. If it lacks what the disk had acknowledged as
 /// committed, the voter must find out.
 fn roll_back(cluster: &mut Cluster, victim: NodeId, older: Stored) {
+    // One heartbeat tells the others what the disk has.
+    cluster.run(Duration::from_millis(500));
     let newest = last_index(&cluster.node(victim).stored);
     let lacks = last_index(&older) < newest;
     let disk = cluster.node(victim).disk;
