--- a/crates/vote/src/replicate.rs
+++ b/crates/vote/src/replicate.rs
@@ -163,7 +163,7 @@
         let Some(progress) = leader.progress.get_mut(&from) else {
             return;
         };
-        if ack.term != term || progress.disk != disk {
+        if ack.term != term {
             return;
         }
         match ack.outcome {
--- a/crates/vote/tests/rules.rs
+++ b/crates/vote/tests/rules.rs
@@ -326,6 +326,44 @@
     }
 }
 
+#[test]
+fn acknowledgements_of_another_disk_do_not_count() {
+    let mut voter = third(&[]);
+    let now = voter.next_deadline();
+    lead(&mut voter, 1, now);
+    let own = voter.take().batch;
+    synced(&mut voter, own, now);
+    let ack = Ack {
+        term: Term(1),
+        beat: Beat::default(),
+        outcome: Outcome::Matched(Index(2)),
+    };
+    let mut message = from(1, Body::Ack(ack));
+    message.disk = DiskId(99);
+    voter.receive(NodeId(1), message, now);
+    assert_eq!(voter.take().committed, []);
+}
+
+#[test]
+fn a_lease_counts_from_when_the_heartbeat_left() {
+    let mut voter = third(&[]);
+    let sent = voter.next_deadline();
+    lead(&mut voter, 1, sent);
+    let own = voter.take().batch;
+    synced(&mut voter, own, sent);
+    let now = sent + Duration::from_millis(500);
+    assert_eq!(voter.lease(now), None);
+    let ack = Body::Ack(Ack {
+        term: Term(1),
+        beat: Beat { round: 1, sent },
+        outcome: Outcome::Matched(Index(2)),
+    });
+    voter.receive(NodeId(1), from(1, ack), now);
+    let until = sent + Duration::from_millis(600);
+    assert_eq!(voter.lease(now).unwrap().until, until);
+    assert_eq!(voter.lease(until), None);
+}
+
 #[test]
 fn a_returning_node_disturbs_nobody() {
     let mut cluster = Cluster::new(3, 2);
