--- /dev/null
+++ b/crates/route/src/replica.rs
@@ -0,0 +1,119 @@
+//! One replica as this node sees it.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::Candidate;
+use crate::Length;
+use crate::flight::Flight;
+use crate::outlier::Outlier;
+use base::Load;
+use base::ReplicaId;
+use base::RequestId;
+use base::Time;
+use base::TokenCount;
+
+/// One replica as this node sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Replica {
+    pub id: ReplicaId,
+    pub link: Duration,
+    pub load: Load,
+    /// When the load was reported, on this node's clock.
+    pub at: Time,
+    /// Own requests that the report has not counted yet.
+    unseen: VecDeque<(Time, TokenCount)>,
+    unseen_prompt: u64,
+    /// Own requests that ended after the report.
+    ended: VecDeque<Time>,
+    /// Own long requests there.
+    pub long: u32,
+    /// Own urgent requests that still wait for their first token, when they were sent and
+    /// what was expected.
+    pub pending: BTreeMap<RequestId, (Time, Duration)>,
+    pub outlier: Outlier,
+}
+
+impl Replica {
+    pub fn new(candidate: Candidate, now: Time) -> Self {
+        Self {
+            id: candidate.replica,
+            link: candidate.link,
+            at: now - candidate.age,
+            load: candidate.load,
+            unseen: VecDeque::new(),
+            unseen_prompt: 0,
+            ended: VecDeque::new(),
+            long: 0,
+            pending: BTreeMap::new(),
+            outlier: Outlier::default(),
+        }
+    }
+
+    /// Takes a report, unless an equal or newer one was seen.
+    pub fn report(&mut self, candidate: Candidate, now: Time) {
+        self.link = candidate.link;
+        let at = now - candidate.age;
+        if at <= self.at && self.load == candidate.load {
+            return;
+        }
+        self.at = at.max(self.at);
+        self.load = candidate.load;
+        while let Some((sent, prompt)) = self.unseen.front().copied() {
+            if self.at < sent + self.link {
+                break;
+            }
+            self.unseen_prompt -= u64::from(prompt.0);
+            self.unseen.pop_front();
+        }
+        while self.ended.front().is_some_and(|end| *end <= self.at) {
+            self.ended.pop_front();
+        }
+    }
+
+    /// A fixed hash of the id, from zero to one.
+    pub fn hash(&self) -> f64 {
+        let mixed = (self.id.0 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+        (mixed >> 40) as f64 / f64::from(1 << 24)
+    }
+
+    /// Requests in the batch or waiting for it, as far as this node can know.
+    pub fn occupied(&self) -> f64 {
+        let reported = f64::from(self.load.running) + f64::from(self.load.waiting);
+        reported + self.unseen.len() as f64 - self.ended.len() as f64
+    }
+
+    /// Prompt tokens sent that the report has not counted.
+    pub fn unseen_prompt(&self) -> f64 {
+        self.unseen_prompt as f64
+    }
+
+    pub fn sent(&mut self, id: RequestId, prompt: TokenCount, flight: &Flight) {
+        self.unseen.push_back((flight.sent, prompt));
+        self.unseen_prompt += u64::from(prompt.0);
+        if flight.is_urgent() {
+            self.pending.insert(id, (flight.sent, flight.expected));
+        }
+        if flight.length == Length::Long {
+            self.long += 1;
+        }
+    }
+
+    pub fn ended(&mut self, id: RequestId, length: Length, now: Time) {
+        self.pending.remove(&id);
+        self.ended.push_back(now);
+        if length == Length::Long {
+            self.long = self.long.saturating_sub(1);
+        }
+    }
+
+    /// How far the oldest urgent request without a first token is beyond its forecast.
+    pub fn overdue(&self, now: Time) -> Duration {
+        let oldest = self.pending.first_key_value();
+        oldest.map_or(Duration::ZERO, |(_, (sent, expected))| {
+            now.since(*sent + *expected)
+        })
+    }
+}
