--- a/crates/vote/src/replicate.rs
+++ b/crates/vote/src/replicate.rs
@@ -163,7 +163,7 @@
         let Some(progress) = leader.progress.get_mut(&from) else {
             return;
         };
-        if ack.term != term || progress.disk != disk {
+        if ack.term != term {
             return;
         }
         match ack.outcome {
@@ -200,8 +200,8 @@
         });
         if self.commit < reached && self.log.term(reached) == Some(self.term) {
             self.commit = reached;
-            self.raise_floors();
         }
+        self.raise_floors();
         self.confirm_reads();
         self.follow_group();
     }
