--- /dev/null
+++ b/crates/bench/src/order/disk_time.rs
@@ -0,0 +1,42 @@
+//! How long a synced append takes on this machine's disk.
+
+use std::env;
+use std::fs;
+use std::process;
+use std::time::Duration;
+use std::time::Instant;
+
+use disk::Log;
+
+/// Appends that are timed.
+const APPENDS: usize = 400;
+
+/// The size of a claim's record.
+const RECORD_BYTES: usize = 200;
+
+/// Times of single synced appends, sorted.
+pub fn syncs() -> Vec<Duration> {
+    let folder = env::temp_dir().join(format!("berylbay-bench-{}", process::id()));
+    let (mut log, _) = Log::open(&folder).expect("a folder for temporary files");
+    let record = vec![vec![7; RECORD_BYTES]];
+    let mut times = Vec::new();
+    for _ in 0..APPENDS {
+        let start = Instant::now();
+        log.append(&record).expect("room on the disk");
+        log.sync().expect("a disk that syncs");
+        times.push(start.elapsed());
+    }
+    drop(log);
+    fs::remove_dir_all(&folder).expect("the folder made above");
+    times.sort();
+    times
+}
+
+/// The value below which this share of sorted times lies.
+pub fn percentile(sorted: &[Duration], share: f64) -> Duration {
+    let at = (share * sorted.len() as f64) as usize;
+    sorted
+        .get(at.min(sorted.len().saturating_sub(1)))
+        .copied()
+        .unwrap_or_default()
+}
--- a/crates/state/src/entry.rs
+++ b/crates/state/src/entry.rs
@@ -17,7 +17,7 @@
 use base::ServiceName;
 
 /// Bytes that a record takes up besides its key and answer.
-const RECORD_BYTES: u64 = 320;
+const RECORD_BYTES: u64 = 440;
 
 /// Where a record's call stands.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -44,6 +44,7 @@
 pub use millis::Millis;
 pub use register::Register;
 pub use session::WINDOW;
+pub use snapshot::CommandError;
 pub use snapshot::SnapshotError;
 pub use standing::Standing;
 pub use state::State;
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -1,13 +1,22 @@
-//! The state as bytes.
+//! States and commands as bytes.
 
 use derive_more::Display;
 use derive_more::Error;
 
+use crate::Command;
 use crate::State;
 
 /// The form in which the state is written.
 const FORMAT: u8 = 1;
 
+/// Bytes that are not a command.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[display("the command cannot be read: {source}")]
+pub struct CommandError {
+    /// What the codec says.
+    source: postcard::Error,
+}
+
 /// Bytes that are not a state.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 pub enum SnapshotError {
@@ -47,3 +56,15 @@
         Ok(state)
     }
 }
+
+impl Command {
+    /// The command as bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("a command has no type that cannot be written")
+    }
+
+    /// Reads what [`Command::encode`] wrote.
+    pub fn decode(bytes: &[u8]) -> Result<Self, CommandError> {
+        postcard::from_bytes(bytes).map_err(|source| CommandError { source })
+    }
+}
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -268,6 +268,7 @@
                 at: now,
                 op: op(&mut rng, index),
             };
+            let command = Command::decode(&command.encode()).unwrap();
             let reply = state.apply(index, &command);
             let expected = naive.apply(index, now, &command.op);
             assert_eq!(reply, expected, "seed {seed} at {index}: {command:?}");
