--- a/crates/bench/src/order/apply.rs
+++ b/crates/bench/src/order/apply.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::claim::claim;
+use crate::report::Table;
 use state::Claim;
 use state::Command;
 use state::Limits;
@@ -16,9 +18,6 @@
 use state::StoredAnswer;
 use state::Withdraw;
 
-use super::claim::claim;
-use crate::report::Table;
-
 const SIZES: [u64; 3] = [10_000, 100_000, 1_000_000];
 const TIMED: u64 = 20_000;
 const ANSWER_BYTES: usize = 200;
--- a/crates/bench/src/order/claim.rs
+++ b/crates/bench/src/order/claim.rs
@@ -3,6 +3,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::disk_time::percentile;
+use super::disk_time::syncs;
+use super::voters::Commit;
+use super::voters::Voters;
+use crate::report::Table;
 use base::Incarnation;
 use base::NodeId;
 use state::AttemptId;
@@ -12,12 +17,6 @@
 use state::Millis;
 use state::Op;
 
-use super::disk_time::percentile;
-use super::disk_time::syncs;
-use super::voters::Commit;
-use super::voters::Voters;
-use crate::report::Table;
-
 const CENTRES: usize = 3;
 const LATENCY_CALLS: u64 = 3_000;
 const RATES: [u64; 4] = [500, 2_000, 10_000, 30_000];
