--- a/crates/admit/src/demand.rs
+++ b/crates/admit/src/demand.rs
@@ -1,11 +1,12 @@
 //! What entry nodes tell each other about the use of the contracts.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use base::ContractName;
 use base::Incarnation;
 use base::ModelName;
 use base::NodeId;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// One node's use of the contracts. A later one replaces an earlier one.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -37,11 +38,13 @@
     pub spent_tokens: f64,
 }
 
-/// One node's long work for one model.
+/// One node's work for one model that the nodes divide the replicas by.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelDemand {
     /// The model.
     pub model: ModelName,
     /// Long requests that run or wait.
     pub long: f64,
+    /// Work beyond the contracts that is asked for a second, in generated tokens.
+    pub beyond: f64,
 }
--- a/crates/admit/src/feedback.rs
+++ b/crates/admit/src/feedback.rs
@@ -2,11 +2,6 @@
 
 use std::time::Duration;
 
-use base::RequestId;
-use base::Time;
-use base::TokenCount;
-use route::Length;
-
 use crate::Decision;
 use crate::Dispatcher;
 use crate::Failure;
@@ -16,6 +11,10 @@
 use crate::flight::Flight;
 use crate::lane::Waiting;
 use crate::length::work;
+use base::RequestId;
+use base::Time;
+use base::TokenCount;
+use route::Length;
 
 /// Attempts of one request, the first included.
 const MOST_ATTEMPTS: u32 = 3;
@@ -69,9 +68,9 @@
         let amount = work(waiting.prompt, raised);
         let length = queue.usual.classify(amount, self.cfg.long_factor);
         if length == Length::Long && waiting.length == Length::Short {
+            queue.ended(waiting);
             waiting.length = Length::Long;
-            queue.ended(Length::Short);
-            queue.started(Length::Long);
+            queue.started(waiting);
             self.router.relabel_long(id);
         }
     }
@@ -85,7 +84,7 @@
         self.retries.answered();
         let waiting = &flight.waiting;
         if let Some(queue) = self.queues.get_mut(&waiting.model) {
-            queue.ended(waiting.length);
+            queue.ended(waiting);
             queue.held(waiting.length, now.since(flight.sent));
         }
         if let Some(terms) = self.terms.get_mut(&waiting.contract) {
@@ -116,7 +115,7 @@
         let flight = self.flights.remove(&id)?;
         self.router.failed(id, now);
         if let Some(queue) = self.queues.get_mut(&flight.waiting.model) {
-            queue.ended(flight.waiting.length);
+            queue.ended(&flight.waiting);
         }
         Some(flight)
     }
@@ -141,6 +140,7 @@
         if 0 < flight.generated {
             // The caller has its first token, so the rest is due as a long wait allows.
             waiting.due = waiting.due.max(now + CONTINUE_WITHIN);
+            waiting.leaves = waiting.due;
         }
         let model = waiting.model.clone();
         self.enqueue_first(waiting);
--- a/crates/admit/src/pump.rs
+++ b/crates/admit/src/pump.rs
@@ -2,14 +2,6 @@
 
 use std::time::Duration;
 
-use base::ModelName;
-use base::RequestId;
-use base::Time;
-use route::Ask;
-use route::Choice;
-use route::Length;
-use route::Miss;
-
 use crate::Decision;
 use crate::Dispatcher;
 use crate::Reason;
@@ -17,6 +9,14 @@
 use crate::dispatcher::refuse;
 use crate::flight::Flight;
 use crate::lane::Waiting;
+use base::ModelName;
+use base::RequestId;
+use base::Time;
+use route::Ask;
+use route::Choice;
+use route::Length;
+use route::Miss;
+use route::Slice;
 
 /// Part of its share up to which long work goes before short.
 const LONG_FIRST: f64 = 0.8;
@@ -101,24 +101,23 @@
 
     /// Finds a replica for a request.
     fn find(&mut self, waiting: &Waiting, now: Time) -> Result<(Ask, Choice), Miss> {
-        let fill = match (waiting.standing, waiting.length) {
-            (Standing::Within, Length::Short) => self.cfg.fill,
-            (Standing::Within, Length::Long) => 1.0,
-            (Standing::Beyond, _) => self.cfg.beyond_fill,
-        };
+        let room = self.cfg.room(waiting.standing, waiting.length);
         let mut ask = Ask {
             prompt: waiting.prompt,
             length: waiting.length,
+            standing: waiting.standing,
             prefix: waiting.prefix,
             budget: waiting.due.since(now),
             token_rate: waiting.token_rate,
-            fill,
+            fill: room.fill,
+            backlog: room.backlog,
             long_quota: self.long_quota(&waiting.model),
+            slice: self.slice(waiting),
             avoid: waiting.avoid,
         };
         match self.router.choose(&waiting.model, &ask, now) {
             Ok(choice) => return Ok((ask, choice)),
-            Err(Miss::Full) if waiting.length == Length::Long => {}
+            Err(Miss::Full) if may_exceed_share(waiting) => {}
             Err(miss) => return Err(miss),
         }
         ask.long_quota *= LONG_LENT;
@@ -127,13 +126,23 @@
         Ok((ask, choice))
     }
 
+    /// Lent capacity is divided among the nodes by replicas, so that two nodes never take
+    /// the same free slot.
+    fn slice(&self, waiting: &Waiting) -> Option<Slice> {
+        match waiting.standing {
+            Standing::Within => None,
+            Standing::Beyond => self.queues.get(&waiting.model)?.slice,
+        }
+    }
+
     fn send(&mut self, waiting: Waiting, ask: &Ask, choice: &Choice, now: Time) {
         let request = waiting.request;
         self.spots.remove(&request);
         self.retries.admitted();
         self.router.sent(request, &waiting.model, ask, choice, now);
         let queue = self.queues.entry(waiting.model.clone()).or_default();
-        queue.started(waiting.length);
+        queue.started(&waiting);
+        queue.sent(&waiting, now);
         queue.lane_of(&waiting).charge(&waiting);
         let decision = Decision::Send {
             replica: choice.replica,
@@ -158,9 +167,10 @@
         let Some(queue) = self.queues.get_mut(model) else {
             return;
         };
-        let hopeless = queue.take_hopeless(|waiting, wait| {
+        let hopeless = queue.take_hopeless(now, |waiting, wait| {
             let alone = router.alone(&waiting.model, waiting.prompt);
-            waiting.due < now + Duration::from_secs_f64(wait) + alone
+            let sent = now + Duration::from_secs_f64(wait);
+            waiting.due < sent + alone || waiting.leaves < sent
         });
         for waiting in hopeless {
             self.give_up(waiting, Reason::Late, now);
@@ -194,8 +204,8 @@
         let Some(queue) = self.queues.get(&waiting.model) else {
             return LONGEST_RETRY;
         };
-        let drain = queue.drain(waiting.length);
-        let wait = queue.wait(waiting) + 1.0 / drain;
+        let drain = queue.drain(waiting.standing, waiting.length, now);
+        let wait = queue.wait(waiting, now) + 1.0 / drain;
         let alone = self.router.alone(&waiting.model, waiting.prompt);
         let spare = waiting.due.since(now).saturating_sub(alone);
         let wait = Duration::from_secs_f64(wait.min(LONGEST_RETRY.as_secs_f64()));
@@ -207,6 +217,11 @@
     }
 }
 
+/// True for long work within its contract, which may use slots that are free.
+fn may_exceed_share(waiting: &Waiting) -> bool {
+    waiting.standing == Standing::Within && waiting.length == Length::Long
+}
+
 /// The shortest time that a refused caller is told to stay away.
 const SHORTEST_RETRY: Duration = Duration::from_millis(20);
 
--- a/crates/plan/src/ordering.rs
+++ b/crates/plan/src/ordering.rs
@@ -3,14 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use base::Assignment;
-use base::DomainId;
-use base::Fence;
-use base::HostId;
-use base::ModelName;
-use base::ReplicaId;
-use base::Time;
-
 use crate::Action;
 use crate::Controller;
 use crate::Drain;
@@ -28,6 +20,13 @@
 use crate::plan;
 use crate::replica::Replica;
 use crate::replica::replica_id;
+use base::Assignment;
+use base::DomainId;
+use base::Fence;
+use base::HostId;
+use base::ModelName;
+use base::ReplicaId;
+use base::Time;
 
 impl Controller {
     /// Orders hosts to be idle that are leaving a replica or claim one that is no more.
@@ -68,13 +67,15 @@
         let plan = std::mem::take(&mut self.plan);
         self.note_trend(&plan, now);
         for drain in &plan.drains {
-            self.start_drain(drain, now);
+            self.start_drain(drain, plan.lacks_hosts(), now);
         }
         let mut orders = Vec::new();
-        for form in &plan.forms {
+        let mut loads = self.loads_left();
+        for form in plan.forms.iter().take(loads) {
             orders.extend(self.form(form, now));
+            loads -= 1;
         }
-        for moving in &plan.moves {
+        for moving in plan.moves.iter().take(loads) {
             if self.may_move(&moving.for_model, now) {
                 orders.extend(self.form(&moving.form, now));
             }
@@ -99,11 +100,7 @@
         View {
             free,
             coming: self.coming(now),
-            replicas: self
-                .replicas
-                .values()
-                .filter_map(|r| self.placed(r))
-                .collect(),
+            replicas: self.all_placed(),
             homes,
         }
     }
@@ -113,7 +110,7 @@
         let mut coming = BTreeMap::new();
         for host in self.hosts.values() {
             let owner = host.owner.and_then(|id| self.replicas.get(&id));
-            let is_coming = owner.is_some_and(Replica::frees_hosts);
+            let is_coming = owner.is_some_and(|replica| replica.frees_hosts(&self.cfg, now));
             if is_coming && host.will_be_usable(&self.cfg, now) {
                 *coming.entry(host.report.domain).or_default() += 1;
             }
@@ -121,13 +118,19 @@
         coming
     }
 
+    fn all_placed(&self) -> Vec<Placed> {
+        let replicas = self.replicas.values();
+        let copied: BTreeSet<_> = replicas.clone().filter_map(|r| r.replaces).collect();
+        replicas.filter_map(|r| self.placed(r, &copied)).collect()
+    }
+
     /// A replica as the planner sees it, if it counts towards demand.
-    fn placed(&self, replica: &Replica) -> Option<Placed> {
+    fn placed(&self, replica: &Replica, copied: &BTreeSet<ReplicaId>) -> Option<Placed> {
         let is_copy = replica.replaces.is_some_and(|id| self.is_serving(id));
         let state = match replica.phase {
             Phase::Forming if is_copy => return None,
             Phase::Forming => PlacedState::Fixed,
-            Phase::Serving if self.has_copy(replica.id()) => PlacedState::Fixed,
+            Phase::Serving if copied.contains(&replica.id()) => PlacedState::Fixed,
             Phase::Serving => self.settled_state(replica),
             Phase::Draining | Phase::Broken | Phase::Releasing => return None,
         };
@@ -146,10 +149,6 @@
             .is_some_and(|r| r.phase == Phase::Serving)
     }
 
-    fn has_copy(&self, id: ReplicaId) -> bool {
-        self.replicas.values().any(|r| r.replaces == Some(id))
-    }
-
     fn settled_state(&self, replica: &Replica) -> PlacedState {
         let hosts = replica.assignment.hosts.iter();
         let speeds = hosts.filter_map(|id| self.hosts.get(id)?.speed);
@@ -180,9 +179,9 @@
         keep_since(&mut self.trend.unplaced, unplaced, now);
     }
 
-    fn start_drain(&mut self, drain: &Drain, now: Time) {
+    fn start_drain(&mut self, drain: &Drain, is_needed: bool, now: Time) {
         match &drain.why {
-            DrainReason::Surplus => self.drain_surplus(drain.replica, now),
+            DrainReason::Surplus => self.drain_surplus(drain.replica, is_needed, now),
             DrainReason::Preempted(model) if self.is_long_unplaced(model, now) => {
                 self.drain(drain.replica, Reason::Preempted, now);
             }
@@ -191,13 +190,18 @@
         }
     }
 
-    /// Ends one replica of a model whose demand has been lower for long enough.
-    fn drain_surplus(&mut self, id: ReplicaId, now: Time) {
+    /// Ends a replica of a model whose demand has been lower for long enough. That is
+    /// sooner if another model needs the hosts.
+    fn drain_surplus(&mut self, id: ReplicaId, is_needed: bool, now: Time) {
         let Some(replica) = self.replicas.get(&id) else {
             return;
         };
         let since = self.trend.surplus.get(&replica.assignment.model);
-        let hold = self.cfg.surplus_hold;
+        let hold = if is_needed {
+            self.cfg.move_after
+        } else {
+            self.cfg.surplus_hold
+        };
         if since.is_some_and(|since| *since + hold <= now) {
             self.drain(id, Reason::Surplus, now);
         }
@@ -218,12 +222,14 @@
         since.is_some_and(|since| *since + wait <= now)
     }
 
-    /// Orders all hosts of a new replica, if the weight store has room for a load.
-    fn form(&mut self, form: &Form, now: Time) -> Vec<Order> {
+    /// Replicas that the weight store still has room to load.
+    fn loads_left(&self) -> usize {
         let loading = self.replicas.values().filter(|r| r.phase == Phase::Forming);
-        if self.cfg.loads_at_once <= loading.count() {
-            return Vec::new();
-        }
+        self.cfg.loads_at_once.saturating_sub(loading.count())
+    }
+
+    /// Orders all hosts of a new replica.
+    fn form(&mut self, form: &Form, now: Time) -> Vec<Order> {
         self.last_replica += 1;
         let id = replica_id(self.cfg.centre, self.fence(), self.last_replica);
         let assignment = Assignment {
