--- a/crates/order/src/book.rs
+++ b/crates/order/src/book.rs
@@ -17,7 +17,8 @@
 use base::Time;
 use state::AttemptId;
 
-/// Why a call was not taken in. It was not sent.
+/// Why a call was not taken in. It was not sent; [`crate::Kind::ran_if_unsent`]
+/// says what the caller may be told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
 pub enum NotTaken {
     /// The node has as many calls open as it can hold.
--- a/crates/order/src/call.rs
+++ b/crates/order/src/call.rs
@@ -4,6 +4,7 @@
 
 use base::OrderKey;
 use base::OrgName;
+use base::Ran;
 use base::ServiceName;
 use state::Digest;
 
@@ -62,6 +63,17 @@
     Keyless,
 }
 
+impl Kind {
+    /// What can be said, without the ledger, when a call of this kind was not sent:
+    /// with a key, an earlier call may have run.
+    pub fn ran_if_unsent(&self) -> Ran {
+        match self {
+            Self::Keyed(key) if key.others == Others::Possible => Ran::Unknown,
+            Self::Keyed(_) | Self::Repeatable | Self::Keyless => Ran::NotRun,
+        }
+    }
+}
+
 /// One call of a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
--- a/crates/order/src/ledger_way.rs
+++ b/crates/order/src/ledger_way.rs
@@ -5,7 +5,6 @@
 
 use crate::Attempt;
 use crate::Content;
-use crate::Others;
 use crate::Proposal;
 use crate::Refusal;
 use crate::Step;
@@ -288,9 +287,7 @@
     /// Tells what can be told of a call that was not run when the ledger cannot
     /// be reached: an earlier call under the key may have run.
     fn refuse_unconfirmed(&mut self) {
-        let alone = self.key().is_some_and(|key| key.others == Others::Excluded);
-        let ran = if alone { Ran::NotRun } else { Ran::Unknown };
-        self.refuse(ran, Refusal::NoQuorum);
+        self.refuse(self.call.kind.ran_if_unsent(), Refusal::NoQuorum);
     }
 
     fn propose(&mut self, op: Op, now: Time) {
--- a/crates/order/tests/attempt.rs
+++ b/crates/order/tests/attempt.rs
@@ -159,6 +159,7 @@
     ];
     for (others, expected) in cases {
         let mut book = book();
+        assert_eq!(keyed(Ask::Never, others).kind.ran_if_unsent(), expected);
         book.open(keyed(Ask::Never, others), at(0)).unwrap();
         let mut told = Vec::new();
         for millis in (0..40_000).step_by(100) {
