Test the state, orders and replicas by processes; keep looking for the leader

Cause: a change after the leader's death stayed "unknown" for as long as the dead voter was asked first, and a conflict's reply could not be encoded (a 128-bit id in a JSON value), so the losing operator was told "unknown". A node that had just started refused keyed calls as if it had been frozen. Ruled out: naming the dead voter unreachable for certain; commands are idempotent, so asking the next voter is safe.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -7,7 +7,10 @@
 use derive_more::Display;
 use derive_more::Error;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::Serializer;
+use serde::de::Error as _;
 
 /// Text that is not an id of the expected kind.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
@@ -100,7 +103,47 @@
     /// One request as an entry node knows it.
     RequestId, u64, "q"
 );
-id!(
-    /// The id that an operator's tool gives to a change, kept when it is sent again.
-    ChangeId, u128, "c"
-);
+/// The id that an operator's tool gives to a change, kept when it is sent again.
+///
+/// Text formats carry it as text, since few of them have numbers of that size.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ChangeId(pub u128);
+
+impl fmt::Display for ChangeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "c{}", self.0)
+    }
+}
+
+impl FromStr for ChangeId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        let number = text
+            .strip_prefix('c')
+            .and_then(|digits| digits.parse().ok());
+        number.map(Self).ok_or_else(|| ParseIdError {
+            text: text.to_owned(),
+            prefix: "c",
+        })
+    }
+}
+
+impl Serialize for ChangeId {
+    fn serialize<Out: Serializer>(&self, out: Out) -> Result<Out::Ok, Out::Error> {
+        match out.is_human_readable() {
+            true => out.collect_str(self),
+            false => out.serialize_u128(self.0),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for ChangeId {
+    fn deserialize<In: Deserializer<'de>>(input: In) -> Result<Self, In::Error> {
+        if !input.is_human_readable() {
+            return u128::deserialize(input).map(Self);
+        }
+        let text = String::deserialize(input)?;
+        text.parse().map_err(In::Error::custom)
+    }
+}
--- a/crates/base/tests/text.rs
+++ b/crates/base/tests/text.rs
@@ -3,6 +3,7 @@
 use quickcheck::quickcheck;
 
 use base::CentreId;
+use base::ChangeId;
 use base::HostId;
 use base::NameError;
 use base::OrgName;
@@ -21,6 +22,13 @@
     }
 }
 
+#[test]
+fn a_change_id_of_any_size_goes_through_json_values() {
+    let id = ChangeId(u128::MAX);
+    let value = serde_json::to_value(id).unwrap();
+    assert_eq!(serde_json::from_value::<ChangeId>(value).unwrap(), id);
+}
+
 #[test]
 fn an_id_of_another_kind_is_refused() {
     assert!("h3".parse::<CentreId>().is_err());
--- a/crates/daemon/src/control/polls.rs
+++ b/crates/daemon/src/control/polls.rs
@@ -79,6 +79,7 @@
             Asked::Elsewhere(controller) if controller != asked => Some(controller),
             Asked::Elsewhere(_) | Asked::Nothing => None,
         };
+        node.dispatch.set_controller(centre, told);
         if told.is_none() {
             at += 1;
         }
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -88,6 +88,7 @@
     /// Loads of replicas, as their controllers told them.
     pub loads: RefCell<BTreeMap<ReplicaId, HeardLoad>>,
     waiting: RefCell<BTreeMap<RequestId, Sender<Decision>>>,
+    controllers: RefCell<BTreeMap<CentreId, NodeId>>,
 }
 
 impl Dispatch {
@@ -100,6 +101,7 @@
             routes: RefCell::new(routes),
             loads: RefCell::default(),
             waiting: RefCell::default(),
+            controllers: RefCell::default(),
         }
     }
 
@@ -119,6 +121,20 @@
         routes.allows(placed.replica, placed.fence, clock::now())
     }
 
+    /// Notes which node orders the hosts of a data centre.
+    pub fn set_controller(&self, centre: CentreId, node: Option<NodeId>) {
+        let mut controllers = self.controllers.borrow_mut();
+        match node {
+            Some(node) => controllers.insert(centre, node),
+            None => controllers.remove(&centre),
+        };
+    }
+
+    /// The controllers of all data centres that have one in sight.
+    pub fn controllers(&self) -> BTreeMap<CentreId, NodeId> {
+        self.controllers.borrow().clone()
+    }
+
     /// Keeps new work away from a host that is leaving.
     pub fn leaving(&self, host: HostId) {
         self.routes.borrow_mut().leaving(host, clock::now());
--- a/crates/daemon/src/inner/mod.rs
+++ b/crates/daemon/src/inner/mod.rs
@@ -49,9 +49,7 @@
     fn new(node: &Rc<Node>) -> Self {
         let cx = || Rc::clone(node);
         Self {
-            peers: voters::methods(control::methods(pull::methods(relay::methods(
-                Methods::new(cx()),
-            )))),
+            peers: peers(cx()),
             upstreams: announce::methods(Methods::new(cx())),
             operators: operate::methods(Methods::new(cx())),
         }
@@ -71,6 +69,12 @@
     }
 }
 
+fn peers(node: Rc<Node>) -> Methods<Node> {
+    let methods = relay::methods(Methods::new(node));
+    let methods = status::methods(pull::methods(methods));
+    voters::methods(control::methods(methods))
+}
+
 /// Listens for the system's own processes.
 pub async fn bind(node: &Rc<Node>) -> std::io::Result<Server> {
     let bounds = Bounds::default();
--- a/crates/daemon/src/inner/operate.rs
+++ b/crates/daemon/src/inner/operate.rs
@@ -34,7 +34,7 @@
     methods
         .on(|node: Rc<Node>, call: Apply| async move { apply(&node, call).await })
         .on(|node: Rc<Node>, _: ShowRules| async move { Ok(rules(&node)) })
-        .on(|node: Rc<Node>, _: ShowStatus| async move { Ok(status::status(&node)) })
+        .on(|node: Rc<Node>, _: ShowStatus| async move { Ok(status::status(&node).await) })
         .on(|node: Rc<Node>, call: FindOrder| async move { find_order(&node, call).await })
 }
 
--- a/crates/daemon/src/inner/status.rs
+++ b/crates/daemon/src/inner/status.rs
@@ -1,26 +1,34 @@
 //! How things are, for operators.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
 
 use crate::clock;
 use crate::node::Node;
 use crate::node::Phase;
 use base::NodeId;
 use members::Generation;
+use net::Methods;
 use wire::operator::ClassRow;
 use wire::operator::NodeRow;
 use wire::operator::ReplicaRow;
 use wire::operator::ServiceRow;
 use wire::operator::StatusReply;
 use wire::operator::StrandedRow;
+use wire::peer::ReplicaRows;
+use wire::peer::ShowReplicas;
+
+/// How long another data centre's controller may take to tell of its replicas.
+const WITHIN: Duration = Duration::from_millis(800);
+
+pub fn methods(methods: Methods<Node>) -> Methods<Node> {
+    methods.on(|node: Rc<Node>, _: ShowReplicas| async move { Ok(own_rows(&node)) })
+}
 
 /// How things are, as this node sees it.
-pub fn status(node: &Node) -> StatusReply {
-    let controlled = node.control.status();
-    let stranded = controlled.stranded.iter().map(|s| StrandedRow {
-        host: s.host,
-        reason: s.reason.to_string(),
-    });
+pub async fn status(node: &Rc<Node>) -> StatusReply {
+    let rows = all_rows(node).await;
     StatusReply {
         node: node.id(),
         phase: phase(node).to_owned(),
@@ -28,8 +36,8 @@
         leader: leader(node),
         controller: node.control.controller(),
         nodes: nodes(node),
-        replicas: replicas(node, &controlled),
-        stranded: stranded.collect(),
+        replicas: rows.replicas,
+        stranded: rows.stranded,
         services: services(node),
         classes: classes(node),
     }
@@ -81,35 +89,60 @@
     }
 }
 
-/// The controller's view, or on other nodes the routes that it granted.
-fn replicas(node: &Node, controlled: &plan::Status) -> Vec<ReplicaRow> {
+/// The replicas of all data centres, as their controllers tell.
+async fn all_rows(node: &Rc<Node>) -> ReplicaRows {
     let requests = node.requests_by_replica();
-    let count = |replica| requests.get(&replica).copied().unwrap_or(0);
-    if controlled.fence.is_some() {
-        let rows = controlled.replicas.iter().map(|r| ReplicaRow {
-            replica: r.replica,
-            model: r.model.clone(),
-            state: r.phase.to_string(),
-            hosts: r.hosts.clone(),
-            requests: count(r.replica),
-        });
-        return rows.collect();
+    let asks = node
+        .dispatch
+        .controllers()
+        .into_values()
+        .map(|other| rows_of(node, other));
+    let mut all = ReplicaRows::default();
+    for rows in futures_util::future::join_all(asks).await {
+        all.replicas.extend(rows.replicas);
+        all.stranded.extend(rows.stranded);
     }
-    let routes = node.dispatch.routes.borrow();
-    let rules = node.rules();
-    let now = clock::now();
-    let routed = rules
-        .models
-        .keys()
-        .flat_map(|model| routes.routes(model, now));
-    let rows = routed.map(|r| ReplicaRow {
+    for row in &mut all.replicas {
+        row.requests = requests.get(&row.replica).copied().unwrap_or(0);
+    }
+    all
+}
+
+async fn rows_of(node: &Rc<Node>, controller: NodeId) -> ReplicaRows {
+    if controller == node.id() {
+        return own_rows(node);
+    }
+    let Some(peer) = node.settings.peers.get(&controller) else {
+        return ReplicaRows::default();
+    };
+    let rows = node
+        .peers
+        .call(peer.internal, &ShowReplicas {}, WITHIN)
+        .await;
+    rows.unwrap_or_default()
+}
+
+/// What this node orders, if it is a controller.
+fn own_rows(node: &Node) -> ReplicaRows {
+    let controlled = node.control.status();
+    if controlled.fence.is_none() {
+        return ReplicaRows::default();
+    }
+    let replicas = controlled.replicas.iter().map(|r| ReplicaRow {
         replica: r.replica,
         model: r.model.clone(),
-        state: "routed".to_owned(),
+        state: r.phase.to_string(),
         hosts: r.hosts.clone(),
-        requests: count(r.replica),
+        requests: 0,
     });
-    rows.collect()
+    let stranded = controlled.stranded.iter().map(|s| StrandedRow {
+        host: s.host,
+        reason: s.reason.to_string(),
+    });
+    ReplicaRows {
+        replicas: replicas.collect(),
+        stranded: stranded.collect(),
+    }
 }
 
 fn services(node: &Node) -> Vec<ServiceRow> {
--- a/crates/daemon/src/voters/propose.rs
+++ b/crates/daemon/src/voters/propose.rs
@@ -46,8 +46,9 @@
         op: Blob::from(bytes),
     };
     let mut leader = None;
+    let mut fate = Fate::Refused;
     while clock::now() < until {
-        let first = leader.or(node.leader_hint.get());
+        let first = leader.take().or(node.leader_hint.get());
         let voters = node.settings.voters().filter(|v| Some(*v) != first);
         let round: Vec<NodeId> = first.into_iter().chain(voters).collect();
         for voter in round {
@@ -57,15 +58,16 @@
                     return decoded(&reply);
                 }
                 Ok(Proposed::NotLeader { leader: told }) => leader = told.or(leader),
-                Ok(Proposed::NotAccepted) => return Fate::Refused,
+                Ok(Proposed::NotAccepted) => return fate,
                 Err(Trouble::NotTaken) => {}
-                Err(Trouble::MaybeTaken) => return Fate::Unknown,
+                // Commands are idempotent, so another voter may be asked all the same.
+                Err(Trouble::MaybeTaken) => fate = Fate::Unknown,
             }
         }
         node.leader_hint.set(None);
         compio::time::sleep(ROUND_EVERY).await;
     }
-    Fate::Refused
+    fate
 }
 
 enum Trouble {
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -188,9 +188,28 @@
             .output()
     }
 
+    /// What the operators' tool shows as JSON.
+    pub fn show(&self, node: NodeId, args: &[&str]) -> serde_json::Value {
+        let args: Vec<&str> = ["--json"].into_iter().chain(args.iter().copied()).collect();
+        let output = self.tool(node, &args);
+        let json = output.map(|output| serde_json::from_slice(&output.stdout));
+        json.ok().and_then(Result::ok).unwrap_or_default()
+    }
+
+    /// The node that leads the voters, as another one sees it.
+    pub fn leader(&self, seen_by: NodeId) -> Option<NodeId> {
+        let leader = self.show(seen_by, &["status"])["leader"].as_u64()?;
+        u16::try_from(leader).ok().map(NodeId)
+    }
+
+    /// The version of the configuration in force at a node.
+    pub fn version(&self, node: NodeId) -> Option<u64> {
+        self.show(node, &["status"])["version"].as_u64()
+    }
+
     /// Writes a rules file and puts it in force. Tries again until the voters have a leader.
     pub fn apply(&self, node: NodeId, text: &str, limit: Duration) -> io::Result<Output> {
-        let file = self.folder.join("rules.toml");
+        let file = self.rules_file();
         fs::write(&file, text)?;
         let file = file.display().to_string();
         let start = Instant::now();
@@ -203,6 +222,11 @@
         }
     }
 
+    /// The rules file that [`Cluster::apply`] writes.
+    pub fn rules_file(&self) -> PathBuf {
+        self.folder.join("rules.toml")
+    }
+
     /// What all processes wrote, for a failed test.
     pub fn logs(&self) -> String {
         let mut text = String::new();
--- /dev/null
+++ b/crates/harness/tests/orders.rs
@@ -0,0 +1,186 @@
+//! Orders by real processes: at most once, and the truth about what ran.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::NodeId;
+use harness::Caller;
+use harness::Cluster;
+use harness::NodeSpec;
+use harness::ServiceSpec;
+use harness::rules_text;
+use harness::wait_until;
+
+const UP: Duration = Duration::from_secs(20);
+
+const ALL: [NodeId; 3] = [NodeId(1), NodeId(2), NodeId(3)];
+
+/// Three voters in three data centres, and one service in the first.
+fn with_service(spec: &ServiceSpec) -> (Cluster, SocketAddr) {
+    let nodes = [
+        NodeSpec::voter(1, 1),
+        NodeSpec::voter(2, 2),
+        NodeSpec::voter(3, 3),
+    ];
+    let mut cluster = Cluster::start(&nodes).unwrap();
+    let service = cluster.start_service(spec).unwrap();
+    let applied = cluster.apply(NodeId(1), &rules_text(1), UP).unwrap();
+    assert!(applied.status.success(), "{applied:?}\n{}", cluster.logs());
+    let known = |id: &NodeId| cluster.show(*id, &["status"])["services"][0].is_object();
+    assert!(
+        wait_until(UP, || ALL.iter().all(known)),
+        "{}",
+        cluster.logs()
+    );
+    (cluster, service)
+}
+
+fn runs(service: SocketAddr) -> serde_json::Value {
+    Caller::new(service, "-").get("/runs").unwrap().json()
+}
+
+#[test]
+fn resends_at_every_node_at_once_run_once() {
+    let (cluster, service) = with_service(&ServiceSpec::new("orders", 1).delay_ms(100));
+    let replies: Vec<_> = std::thread::scope(|scope| {
+        let send = |at: usize| {
+            let caller = cluster.caller(ALL[at % 3], "stall-7");
+            scope.spawn(move || caller.call("orders", "{\"batch\":1}", Some("one")).unwrap())
+        };
+        let threads: Vec<_> = (0..12).map(send).collect();
+        threads
+            .into_iter()
+            .map(|thread| thread.join().unwrap())
+            .collect()
+    });
+    assert_eq!(runs(service)["one"], 1);
+    for reply in &replies {
+        let fits = matches!((reply.status, reply.ran()), (200, "run") | (409, "unknown"));
+        assert!(fits, "{reply:?}");
+    }
+    assert!(replies.iter().any(|reply| reply.status == 200));
+    let caller = cluster.caller(NodeId(2), "stall-7");
+    let other = caller.call("orders", "{\"batch\":2}", Some("one")).unwrap();
+    assert_eq!(other.status, 422, "{other:?}");
+    // Another organisation's key of the same name is another order.
+    let foreign = cluster.caller(NodeId(2), "quote-desk");
+    let foreign = foreign
+        .call("orders", "{\"batch\":1}", Some("one"))
+        .unwrap();
+    assert_eq!(foreign.status, 200, "{foreign:?}");
+    assert_eq!(runs(service)["one"], 2);
+}
+
+#[test]
+fn a_node_killed_between_claim_and_answer_leaves_one_execution() {
+    let (mut cluster, service) = with_service(&ServiceSpec::new("dispatch", 1).delay_ms(1_000));
+    let caller = cluster.caller(NodeId(2), "stall-7");
+    let cut = std::thread::spawn(move || caller.call("dispatch", "{\"lorry\":1}", Some("lorry")));
+    std::thread::sleep(Duration::from_millis(500));
+    cluster.node(NodeId(2)).kill();
+    assert!(cut.join().unwrap().is_err());
+    let told = cluster.caller(NodeId(1), "stall-7");
+    let told = told
+        .call("dispatch", "{\"lorry\":1}", Some("lorry"))
+        .unwrap();
+    assert_eq!((told.status, told.ran()), (409, "unknown"), "{told:?}");
+    for id in ALL {
+        cluster.node(id).kill();
+    }
+    for id in ALL {
+        cluster.start_node(id).unwrap();
+    }
+    let resend = |id: NodeId| {
+        let reply = cluster
+            .caller(id, "stall-7")
+            .call("dispatch", "{\"lorry\":1}", Some("lorry"));
+        reply.is_ok_and(|r| r.status == 409 && r.ran() == "unknown")
+    };
+    assert!(
+        wait_until(UP, || ALL.into_iter().all(resend)),
+        "{}",
+        cluster.logs()
+    );
+    assert_eq!(runs(service)["lorry"], 1);
+}
+
+#[test]
+fn a_lost_answer_is_said_to_be_unknown_or_learned_from_the_service() {
+    // `orders` can be asked for the outcome of a key, `dispatch` cannot.
+    let (mut cluster, orders) = with_service(&ServiceSpec::new("orders", 1).drop_answers(1));
+    let dispatch = cluster
+        .start_service(&ServiceSpec::new("dispatch", 1).drop_answers(1))
+        .unwrap();
+    let caller = cluster.caller(NodeId(3), "stall-7");
+    let known = || cluster.show(NodeId(3), &["status"])["services"][1].is_object();
+    assert!(wait_until(UP, known));
+
+    let asked = caller.call("orders", "{}", Some("a")).unwrap();
+    assert_eq!((asked.status, asked.ran()), (200, "run"), "{asked:?}");
+    let lost = caller.call("dispatch", "{}", Some("a-lorry")).unwrap();
+    assert_eq!((lost.status, lost.ran()), (502, "unknown"), "{lost:?}");
+    for id in ALL {
+        let again = cluster
+            .caller(id, "stall-7")
+            .call("dispatch", "{}", Some("a-lorry"))
+            .unwrap();
+        assert_eq!((again.status, again.ran()), (409, "unknown"), "{again:?}");
+    }
+    assert_eq!(runs(orders)["a"], 1);
+    assert_eq!(runs(dispatch)["a-lorry"], 1);
+}
+
+#[test]
+fn without_a_quorum_an_order_is_truthfully_not_run() {
+    let (mut cluster, service) = with_service(&ServiceSpec::new("orders", 1));
+    cluster.node(NodeId(2)).kill();
+    cluster.node(NodeId(3)).kill();
+    let caller = cluster.caller(NodeId(1), "stall-7");
+    let refused = caller.call("orders", "{}", Some("night")).unwrap();
+    assert_eq!(refused.status, 503, "{refused:?}");
+    cluster.start_node(NodeId(2)).unwrap();
+    cluster.start_node(NodeId(3)).unwrap();
+    let back = || {
+        caller
+            .call("orders", "{}", Some("other"))
+            .is_ok_and(|r| r.status == 200)
+    };
+    assert!(wait_until(UP, back), "{}", cluster.logs());
+    // What was said of it stays true: it did not run, also not later on.
+    if refused.ran() == "not-run" {
+        assert!(runs(service)["night"].is_null(), "{}", runs(service));
+    }
+    // No process of the service reached: certain, so the key is free afterwards.
+    cluster.service(service).kill();
+    let unreached = caller.call("orders", "{}", Some("later")).unwrap();
+    assert_eq!(
+        (unreached.status, unreached.ran()),
+        (503, "not-run"),
+        "{unreached:?}"
+    );
+}
+
+#[test]
+fn many_calls_at_once_each_get_their_own_answer() {
+    let (cluster, service) = with_service(&ServiceSpec::new("orders", 1).delay_ms(20));
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    let calls = (0..300).map(|n| {
+        let caller = cluster.caller(ALL[n % 3], "stall-7");
+        async move {
+            let key = format!("key-{n}");
+            let path = "/v1/services/orders";
+            let reply = caller
+                .exchange(http::Method::POST, path, "{}", Some(&key))
+                .await
+                .unwrap();
+            (key, reply)
+        }
+    });
+    let replies = runtime.block_on(futures_util::future::join_all(calls));
+    for (key, reply) in &replies {
+        assert_eq!(reply.status, 200, "{reply:?}");
+        assert_eq!(reply.json()["key"], **key, "{reply:?}");
+    }
+    let all = runs(service);
+    assert!(replies.iter().all(|(key, _)| all[key] == 1));
+}
--- /dev/null
+++ b/crates/harness/tests/state.rs
@@ -0,0 +1,167 @@
+//! Configuration and voters by real processes: killed, frozen and wiped voters,
+//! racing operators, lost answers.
+
+use std::fs;
+use std::time::Duration;
+
+use rustix::process::Signal;
+
+use base::NodeId;
+use harness::Cluster;
+use harness::NodeSpec;
+use harness::rules_text;
+use harness::wait_until;
+
+const UP: Duration = Duration::from_secs(20);
+
+/// Time in which an accepted change must be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(6);
+
+const ALL: [NodeId; 3] = [NodeId(1), NodeId(2), NodeId(3)];
+
+fn three_voters() -> Cluster {
+    let nodes = [
+        NodeSpec::voter(1, 1),
+        NodeSpec::voter(2, 2),
+        NodeSpec::voter(3, 3),
+    ];
+    let cluster = Cluster::start(&nodes).unwrap();
+    let applied = cluster.apply(NodeId(1), &rules_text(1), UP).unwrap();
+    assert!(applied.status.success(), "{applied:?}\n{}", cluster.logs());
+    cluster
+}
+
+fn text(change: u32) -> String {
+    format!("{}# change {change}\n", rules_text(1))
+}
+
+fn others(than: NodeId) -> Vec<NodeId> {
+    ALL.into_iter().filter(|id| *id != than).collect()
+}
+
+#[test]
+fn a_killed_leader_is_replaced_and_catches_up() {
+    let mut cluster = three_voters();
+    let leader = cluster
+        .leader(NodeId(1))
+        .expect("a leader accepted the first change");
+    cluster.node(leader).kill();
+    let rest = others(leader);
+    let applied = cluster.apply(rest[0], &text(2), UP).unwrap();
+    assert!(applied.status.success(), "{applied:?}\n{}", cluster.logs());
+    let reached = || rest.iter().all(|id| cluster.version(*id) == Some(2));
+    assert!(wait_until(IN_FORCE, reached), "{}", cluster.logs());
+    cluster.start_node(leader).unwrap();
+    let caught_up = || cluster.version(leader) == Some(2);
+    assert!(wait_until(UP, caught_up), "{}", cluster.logs());
+}
+
+#[test]
+fn a_frozen_leader_wakes_as_a_follower_and_never_goes_back() {
+    let mut cluster = three_voters();
+    let leader = cluster
+        .leader(NodeId(1))
+        .expect("a leader accepted the first change");
+    cluster.node(leader).signal(Signal::STOP);
+    let rest = others(leader);
+    let applied = cluster.apply(rest[0], &text(2), UP).unwrap();
+    assert!(applied.status.success(), "{applied:?}\n{}", cluster.logs());
+    cluster.node(leader).signal(Signal::CONT);
+    let versions: Vec<_> = (0..40).filter_map(|_| cluster.version(leader)).collect();
+    assert!(versions.is_sorted(), "a version went back: {versions:?}");
+    assert_eq!(versions.last(), Some(&2), "{}", cluster.logs());
+    assert_ne!(cluster.leader(leader), Some(leader));
+}
+
+#[test]
+fn a_wiped_voter_does_not_count_as_remembering() {
+    let mut cluster = three_voters();
+    let wiped = others(cluster.leader(NodeId(1)).unwrap())[0];
+    cluster.node(wiped).kill();
+    fs::remove_dir_all(cluster.data(wiped)).unwrap();
+    cluster.start_node(wiped).unwrap();
+    let rest = others(wiped);
+    let applied = cluster.apply(rest[0], &text(2), UP).unwrap();
+    assert!(applied.status.success(), "{applied:?}\n{}", cluster.logs());
+    // With one of the two that remember gone, nothing more may be accepted.
+    cluster.node(rest[1]).kill();
+    let applied = cluster
+        .apply(rest[0], &text(3), Duration::from_secs(8))
+        .unwrap();
+    assert!(!applied.status.success(), "{applied:?}\n{}", cluster.logs());
+    assert_eq!(cluster.version(rest[0]), Some(2));
+}
+
+#[test]
+fn of_two_racing_operators_one_is_told_of_the_other() {
+    let cluster = three_voters();
+    let apply = |id: NodeId, change: u32| {
+        let file = cluster.folder().join(format!("operator-{id}.toml"));
+        fs::write(&file, text(change)).unwrap();
+        let file = file.display().to_string();
+        cluster
+            .tool(id, &["apply", "--base", "v1", &file])
+            .unwrap()
+            .status
+            .code()
+    };
+    let (first, second) = std::thread::scope(|scope| {
+        let first = scope.spawn(|| apply(NodeId(1), 10));
+        let second = scope.spawn(|| apply(NodeId(2), 20));
+        (first.join().unwrap(), second.join().unwrap())
+    });
+    let mut codes = [first, second];
+    codes.sort();
+    assert_eq!(codes, [Some(0), Some(3)], "{}", cluster.logs());
+    assert!(wait_until(IN_FORCE, || ALL
+        .iter()
+        .all(|id| cluster.version(*id) == Some(2))));
+}
+
+#[test]
+fn a_change_sent_again_after_a_lost_answer_is_accepted_once() {
+    let mut cluster = three_voters();
+    let file = cluster.rules_file();
+    fs::write(&file, text(2)).unwrap();
+    let file = file.display().to_string();
+    // The node that is asked is frozen: the tool gives up and does not know.
+    cluster.node(NodeId(1)).signal(Signal::STOP);
+    let lost = cluster
+        .tool(NodeId(1), &["--timeout-ms", "300", "apply", &file])
+        .unwrap();
+    assert_eq!(lost.status.code(), Some(4), "{lost:?}");
+    cluster.node(NodeId(1)).signal(Signal::CONT);
+    let again = || {
+        let output = cluster.tool(NodeId(2), &["apply", &file]).unwrap();
+        output.status.success()
+    };
+    assert!(wait_until(UP, again), "{}", cluster.logs());
+    std::thread::sleep(Duration::from_secs(2));
+    assert!(
+        ALL.iter().all(|id| cluster.version(*id) == Some(2)),
+        "{}",
+        cluster.logs()
+    );
+}
+
+#[test]
+fn a_voter_without_a_quorum_serves_by_the_last_rules_it_knew() {
+    let mut cluster = three_voters();
+    assert!(wait_until(IN_FORCE, || cluster.version(NodeId(3)) == Some(1)));
+    for id in ALL {
+        cluster.node(id).kill();
+    }
+    cluster.start_node(NodeId(3)).unwrap();
+    assert!(
+        wait_until(UP, || cluster.version(NodeId(3)) == Some(1)),
+        "{}",
+        cluster.logs()
+    );
+    let ready = cluster.caller(NodeId(3), "stall-7").get("/ready").unwrap();
+    assert_eq!(ready.status, 200);
+    let order = cluster
+        .caller(NodeId(3), "stall-7")
+        .call("orders", "{}", Some("k"))
+        .unwrap();
+    assert_eq!((order.status, order.ran()), (503, "not-run"), "{order:?}");
+}
--- a/crates/order/src/heard.rs
+++ b/crates/order/src/heard.rs
@@ -44,7 +44,11 @@
 impl Heard {
     /// Notes that the node is awake.
     pub(crate) fn turn(&mut self, now: Time) {
-        let gap = now.since(self.turned_at);
+        // Nothing can have waited for a process that has only just started.
+        let gap = match self.turned_at {
+            Time::ZERO => Duration::ZERO,
+            turned_at => now.since(turned_at),
+        };
         self.awake += gap.min(MAX_TURN);
         if MAX_SLEEP < gap {
             self.stale_until = self.awake + READ_WITHIN;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -4,6 +4,8 @@
 use serde::Serialize;
 
 use crate::Call;
+use crate::operator::ReplicaRow;
+use crate::operator::StrandedRow;
 use base::HostReport;
 use base::Load;
 use base::NodeId;
@@ -223,3 +225,21 @@
     const METHOD: &'static str = "read_order";
     type Reply = OrderStanding;
 }
+
+/// Asks a data centre's controller what it orders.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShowReplicas {}
+
+/// What a controller orders.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaRows {
+    /// Its replicas.
+    pub replicas: Vec<ReplicaRow>,
+    /// Healthy hosts that serve nothing.
+    pub stranded: Vec<StrandedRow>,
+}
+
+impl Call for ShowReplicas {
+    const METHOD: &'static str = "replicas";
+    type Reply = ReplicaRows;
+}
