Measure the voters, and mend what the measure showed

Every take of effects walked the log from its start to the first entry that was not delivered; it goes there by index now, and what waits to be committed is counted as it comes.

--- a/crates/bench/src/config.rs
+++ b/crates/bench/src/config.rs
@@ -2,7 +2,9 @@
 
 use crate::report::Report;
 
+mod voters;
+
 /// Runs the measure.
 pub fn run(seed: u64) -> Report {
-    Report::new("config", seed).note("not measured yet")
+    voters::measure(Report::new("config", seed), seed)
 }
--- /dev/null
+++ b/crates/bench/src/config/voters/rate.rs
@@ -0,0 +1,277 @@
+//! Changes a second that three voters sustain on real disks.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::path::PathBuf;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::NodeId;
+use base::Time;
+use disk::Log;
+use vote::Batch;
+use vote::BatchId;
+use vote::Config;
+use vote::Index;
+use vote::Message;
+use vote::Restored;
+use vote::Role;
+use vote::Voter;
+use vote::Work;
+
+use crate::config::voters::percentile_ms;
+use crate::report::Table;
+
+const SPAN: Duration = Duration::from_secs(3);
+const COMMAND: [u8; 1_000] = [7; 1_000];
+
+/// Changes a second at several numbers in flight, beside a bare synced append.
+pub fn table() -> Table {
+    let mut table = Table::new(
+        "voters: changes of 1,000 bytes a second, sustained",
+        &[
+            "in flight",
+            "voters /s",
+            "p50 ms",
+            "p99 ms",
+            "bare append /s",
+            "ratio",
+        ],
+    );
+    for in_flight in [1, 16, 256] {
+        let bare = bare(in_flight);
+        let (rate, times) = agreed(in_flight);
+        table.row([
+            in_flight.to_string(),
+            format!("{rate:.0}"),
+            percentile_ms(&times, 0.5),
+            percentile_ms(&times, 0.99),
+            format!("{bare:.0}"),
+            format!("{:.2}", rate / bare),
+        ]);
+    }
+    table
+}
+
+/// Records a second of one log that syncs after every `batch` records.
+fn bare(batch: usize) -> f64 {
+    let folder = Folder::new("bare");
+    let Ok((mut log, _)) = Log::open(&folder.0) else {
+        return f64::NAN;
+    };
+    let records = vec![COMMAND.to_vec(); batch];
+    let began = Instant::now();
+    let mut count = 0;
+    while began.elapsed() < SPAN && log.append(&records).is_ok() && log.sync().is_ok() {
+        count += batch;
+    }
+    count as f64 / began.elapsed().as_secs_f64()
+}
+
+/// Changes a second of three voters, and how long each took.
+fn agreed(in_flight: usize) -> (f64, Vec<Duration>) {
+    let mut voters = Voters::open();
+    voters.run_until(|voters| voters.leader().is_some());
+    let leader = voters.leader().unwrap_or_default();
+    let mut waiting: BTreeMap<Index, Instant> = BTreeMap::new();
+    let mut times = Vec::new();
+    let began = Instant::now();
+    while began.elapsed() < SPAN {
+        while waiting.len() < in_flight
+            && let Some(index) = voters.propose(leader)
+        {
+            waiting.insert(index, Instant::now());
+        }
+        voters.step();
+        let applied = voters.nodes[&leader].applied;
+        let rest = waiting.split_off(&applied.next());
+        times.extend(waiting.values().map(Instant::elapsed));
+        waiting = rest;
+    }
+    let rate = times.len() as f64 / began.elapsed().as_secs_f64();
+    times.sort_unstable();
+    (rate, times)
+}
+
+/// A folder that goes when it is dropped.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let name = format!("berylbay-bench-{}-{name}", std::process::id());
+        Self(std::env::temp_dir().join(name))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+struct Node {
+    voter: Voter,
+    applied: Index,
+    batches: Sender<Batch>,
+    writer: JoinHandle<()>,
+    _folder: Folder,
+}
+
+/// Three voters on one thread, each with a thread for its log.
+struct Voters {
+    began: Instant,
+    nodes: BTreeMap<NodeId, Node>,
+    packets: VecDeque<(NodeId, NodeId, Message)>,
+    synced: Receiver<(NodeId, BatchId)>,
+}
+
+impl Voters {
+    fn open() -> Self {
+        let (done, synced) = mpsc::channel();
+        let ids = (1..=3).map(NodeId);
+        let nodes = ids.filter_map(|id| Some((id, Node::open(id, done.clone())?)));
+        Self {
+            began: Instant::now(),
+            nodes: nodes.collect(),
+            packets: VecDeque::new(),
+            synced,
+        }
+    }
+
+    fn now(&self) -> Time {
+        Time::from_millis(1_000) + self.began.elapsed()
+    }
+
+    fn leader(&self) -> Option<NodeId> {
+        let now = self.now();
+        let leads = |(_, node): &(&NodeId, &Node)| {
+            node.voter.role() == Role::Leader && node.voter.lease(now).is_some()
+        };
+        self.nodes.iter().find(leads).map(|(id, _)| *id)
+    }
+
+    fn propose(&mut self, id: NodeId) -> Option<Index> {
+        let now = self.now();
+        let node = self.nodes.get_mut(&id)?;
+        node.voter.propose(&COMMAND[..], now).ok().map(|t| t.index)
+    }
+
+    fn run_until(&mut self, holds: impl Fn(&Self) -> bool) {
+        while !holds(self) {
+            self.step();
+        }
+    }
+
+    /// Delivers what has come, and waits a moment for a disk if nothing has.
+    fn step(&mut self) {
+        for id in self.nodes.keys().copied().collect::<Vec<_>>() {
+            let now = self.now();
+            if let Some(node) = self.nodes.get_mut(&id)
+                && node.voter.next_deadline() <= now
+            {
+                node.voter.tick(now);
+            }
+            self.carry_out(id);
+        }
+        if self.packets.is_empty()
+            && let Ok((id, batch)) = self.synced.recv_timeout(Duration::from_millis(1))
+        {
+            self.note_synced(id, batch);
+        }
+        while let Ok((id, batch)) = self.synced.try_recv() {
+            self.note_synced(id, batch);
+        }
+        for (from, to, message) in std::mem::take(&mut self.packets) {
+            let now = self.now();
+            if let Some(node) = self.nodes.get_mut(&to) {
+                node.voter.receive(from, message, now);
+            }
+        }
+    }
+
+    fn note_synced(&mut self, id: NodeId, batch: BatchId) {
+        let now = self.now();
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.voter.synced(batch, now);
+        }
+    }
+
+    fn carry_out(&mut self, id: NodeId) {
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        let effects = node.voter.take();
+        let last = effects.committed.last().map(|entry| entry.index);
+        node.applied = last.unwrap_or(node.applied);
+        if let Some(batch) = effects.batch {
+            let _ = node.batches.send(batch);
+        }
+        let sends = effects.sends.into_iter();
+        self.packets.extend(sends.map(|o| (id, o.to, o.message)));
+    }
+}
+
+impl Drop for Voters {
+    fn drop(&mut self) {
+        while let Some((_, node)) = self.nodes.pop_first() {
+            drop(node.batches);
+            let _ = node.writer.join();
+        }
+    }
+}
+
+impl Node {
+    fn open(id: NodeId, done: Sender<(NodeId, BatchId)>) -> Option<Self> {
+        let folder = Folder::new(&id.to_string());
+        let (log, restored) = Log::open(&folder.0).ok()?;
+        let cfg = Config::new(id, restored.disk, (1..=3).map(NodeId));
+        let voter = Voter::open(cfg, Restored::default(), Time::from_millis(1_000));
+        let (batches, queue) = mpsc::channel();
+        let writer = thread::spawn(move || write_all(id, log, &queue, &done));
+        Some(Self {
+            voter,
+            applied: Index::default(),
+            batches,
+            writer,
+            _folder: folder,
+        })
+    }
+}
+
+/// Writes batches in their order; those that wait are synced together.
+fn write_all(id: NodeId, mut log: Log, queue: &Receiver<Batch>, done: &Sender<(NodeId, BatchId)>) {
+    while let Ok(mut batch) = queue.recv() {
+        loop {
+            if !append(&mut log, &batch.work) {
+                return;
+            }
+            match queue.try_recv() {
+                Ok(next) => batch = next,
+                Err(_) => break,
+            }
+        }
+        if log.sync().is_err() || done.send((id, batch.id)).is_err() {
+            return;
+        }
+    }
+}
+
+fn append(log: &mut Log, work: &Work) -> bool {
+    let encode = |record| postcard::to_stdvec(record).unwrap_or_default();
+    match work {
+        Work::Append(records) => {
+            let records: Vec<_> = records.iter().map(encode).collect();
+            log.append(&records).is_ok()
+        }
+        Work::Checkpoint { snapshot, records } => {
+            let records: Vec<_> = records.iter().map(encode).collect();
+            let state = postcard::to_stdvec(snapshot).unwrap_or_default();
+            log.snapshot(&state, &records).is_ok()
+        }
+    }
+}
--- a/crates/vote/src/election.rs
+++ b/crates/vote/src/election.rs
@@ -20,6 +20,7 @@
 use crate::Voter;
 use crate::progress::Progress;
 use crate::role::Candidate;
+use crate::role::FloorsSent;
 use crate::role::Leader;
 use crate::role::State;
 use base::DiskId;
@@ -195,6 +196,8 @@
             beat_at: Time::ZERO,
             progress,
             reads: Vec::new(),
+            waiting_bytes: 0,
+            floors: FloorsSent::default(),
         });
         self.notice = None;
         self.append_own(Payload::Nothing);
--- a/crates/vote/src/log.rs
+++ b/crates/vote/src/log.rs
@@ -16,6 +16,7 @@
 pub(crate) struct Log {
     base: Position,
     entries: VecDeque<Entry>,
+    bytes: usize,
     /// Every change of the members that is not out of date yet.
     groups: BTreeMap<Index, Group>,
 }
@@ -25,6 +26,11 @@
         self.base
     }
 
+    /// Roughly the size of all entries in bytes.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     pub(crate) fn last(&self) -> Position {
         self.entries.back().map_or(self.base, Entry::position)
     }
@@ -50,8 +56,7 @@
     pub(crate) fn from(&self, index: Index, max_bytes: usize) -> Vec<Entry> {
         let mut bytes = 0;
         let mut entries = Vec::new();
-        let skip = index.0.saturating_sub(self.base.index.0 + 1) as usize;
-        for entry in self.entries.iter().skip(skip) {
+        for entry in self.after(index.before()) {
             bytes += entry.bytes();
             if max_bytes < bytes && !entries.is_empty() {
                 break;
@@ -62,7 +67,7 @@
     }
 
     pub(crate) fn after(&self, index: Index) -> impl Iterator<Item = &Entry> {
-        self.entries.iter().skip_while(move |e| e.index <= index)
+        self.entries.iter().skip(self.count_to(index))
     }
 
     /// The first index of the run of entries that have the same term.
@@ -80,13 +85,16 @@
         if let Payload::Group(group) = &entry.payload {
             self.groups.insert(entry.index, group.clone());
         }
+        self.bytes += entry.bytes();
         self.entries.push_back(entry);
     }
 
     /// Removes the entry at an index and all after it.
     pub(crate) fn truncate(&mut self, index: Index) {
-        let keep = index.0.saturating_sub(self.base.index.0 + 1) as usize;
-        self.entries.truncate(keep);
+        let keep = self.count_to(index.before()).min(self.entries.len());
+        for entry in self.entries.drain(keep..) {
+            self.bytes -= entry.bytes();
+        }
         self.groups.split_off(&index);
     }
 
@@ -109,6 +117,7 @@
         }
         self.base = snapshot.at;
         self.entries.clear();
+        self.bytes = 0;
         self.groups = BTreeMap::from([(snapshot.at.index, snapshot.group.clone())]);
     }
 
@@ -119,6 +128,7 @@
             && entry.index < kept
         {
             self.base = entry.position();
+            self.bytes -= entry.bytes();
             self.entries.pop_front();
         }
         kept = self.base.index;
@@ -129,6 +139,11 @@
         self.groups.insert(kept, group);
     }
 
+    /// How many entries there are up to an index.
+    fn count_to(&self, index: Index) -> usize {
+        index.0.saturating_sub(self.base.index.0) as usize
+    }
+
     fn kept_from(&self, index: Index, kept_bytes: usize) -> Index {
         let mut first = index.next();
         let mut bytes = 0;
--- a/crates/vote/src/message.rs
+++ b/crates/vote/src/message.rs
@@ -147,8 +147,7 @@
     pub entries: Vec<Entry>,
     /// Everything up to here is committed.
     pub commit: Index,
-    /// What the members' disks have at least. Entries carry it for the receiver
-    /// only, heartbeats for all.
+    /// What the receiver's disk has at least, and now and then every member's.
     pub floors: Vec<Floor>,
 }
 
--- a/crates/vote/src/replicate.rs
+++ b/crates/vote/src/replicate.rs
@@ -1,5 +1,7 @@
 //! Leading: taking commands and copying entries to the members.
 
+use std::time::Duration;
+
 use derive_more::Display;
 use derive_more::Error;
 
@@ -26,6 +28,9 @@
 use base::NodeId;
 use base::Time;
 
+/// After this time the members are told of each other's disks again.
+const FLOORS_EVERY: Duration = Duration::from_millis(1_200);
+
 /// Why a command was not taken. It will not be committed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
 pub enum ProposeError {
@@ -54,7 +59,16 @@
     /// It brings entries.
     Entries,
     /// It shows that the leader is there.
-    Heartbeat,
+    Heartbeat(Floors),
+}
+
+/// Whose disks a message tells of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Floors {
+    /// The receiver's.
+    Own,
+    /// Every member's.
+    All,
 }
 
 impl Voter {
@@ -63,16 +77,15 @@
     pub fn propose(&mut self, command: impl Into<Blob>, now: Time) -> Result<Ticket, ProposeError> {
         self.advance(now);
         let command = command.into();
-        let State::Leader(_) = self.state else {
-            let leader = self.leader();
+        let leader = self.leader();
+        let State::Leader(state) = &self.state else {
             return Err(ProposeError::NotLeader { leader });
         };
         let (bytes, limit) = (command.len(), self.cfg.limits.command);
         if limit < bytes {
             return Err(ProposeError::TooLarge { bytes, limit });
         }
-        let waiting = self.log.after(self.commit).map(Entry::bytes);
-        if self.cfg.limits.uncommitted < waiting.sum() {
+        if self.cfg.limits.uncommitted < state.waiting_bytes {
             return Err(ProposeError::Busy);
         }
         Ok(self.append_own(Payload::Command(command)))
@@ -81,11 +94,15 @@
     pub(crate) fn append_own(&mut self, payload: Payload) -> Ticket {
         let term = self.term;
         let index = self.log.last().index.next();
-        self.append_entry(Entry {
+        let entry = Entry {
             term,
             index,
             payload,
-        });
+        };
+        if let State::Leader(leader) = &mut self.state {
+            leader.waiting_bytes += entry.bytes();
+        }
+        self.append_entry(entry);
         Ticket { term, index }
     }
 
@@ -119,9 +136,18 @@
                 progress.next = progress.matched.next();
             }
         }
+        let commit = self.commit;
+        let floors = &mut leader.floors;
+        let purpose = if floors.commit < commit || floors.due <= now {
+            floors.commit = commit;
+            floors.due = now + FLOORS_EVERY;
+            Purpose::Heartbeat(Floors::All)
+        } else {
+            Purpose::Heartbeat(Floors::Own)
+        };
         let nodes: Vec<_> = leader.progress.keys().copied().collect();
         for node in nodes {
-            self.send_to(node, Purpose::Heartbeat);
+            self.send_to(node, purpose);
         }
     }
 
@@ -200,6 +226,7 @@
         });
         if self.commit < reached && self.log.term(reached) == Some(self.term) {
             self.commit = reached;
+            self.count_waiting();
         }
         self.raise_floors();
         self.confirm_reads();
@@ -255,6 +282,13 @@
         }
     }
 
+    fn count_waiting(&mut self) {
+        let waiting = self.log.after(self.commit).map(Entry::bytes).sum();
+        if let State::Leader(leader) = &mut self.state {
+            leader.waiting_bytes = waiting;
+        }
+    }
+
     fn raise_floors(&mut self) {
         let State::Leader(leader) = &self.state else {
             return;
@@ -286,7 +320,7 @@
             self.send_chunk(to);
         } else if idle && next <= last {
             self.send_entries(to, next, purpose);
-        } else if purpose == Purpose::Heartbeat {
+        } else if purpose != Purpose::Entries {
             let at = if idle { next.before() } else { matched };
             let prev = self.log.position(at).unwrap_or(base);
             self.send_append(to, prev, Vec::new(), purpose);
@@ -325,7 +359,8 @@
         let Some(group) = self.group() else {
             return Vec::new();
         };
-        let wanted = |node: NodeId| purpose == Purpose::Heartbeat || node == to;
+        let all = purpose == Purpose::Heartbeat(Floors::All);
+        let wanted = |node: NodeId| all || node == to;
         let members = group.seats.iter().filter(|(node, _)| wanted(**node));
         let floor = members.map(|(node, seat)| Floor {
             node: *node,
--- a/crates/vote/src/role.rs
+++ b/crates/vote/src/role.rs
@@ -29,6 +29,15 @@
     pub(crate) own: BatchId,
 }
 
+/// What the members were last told of each other's disks.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FloorsSent {
+    /// The commit that it rested on.
+    pub(crate) commit: Index,
+    /// When they are told again, changed or not.
+    pub(crate) due: Time,
+}
+
 /// A voter that leads.
 #[derive(Debug)]
 pub(crate) struct Leader {
@@ -42,4 +51,7 @@
     pub(crate) beat_at: Time,
     pub(crate) progress: BTreeMap<NodeId, Progress>,
     pub(crate) reads: Vec<Pending>,
+    /// Bytes of entries that are not committed.
+    pub(crate) waiting_bytes: usize,
+    pub(crate) floors: FloorsSent,
 }
--- a/crates/vote/src/voter.rs
+++ b/crates/vote/src/voter.rs
@@ -31,6 +31,7 @@
 use crate::log::Log;
 use crate::outbox::Outbox;
 use crate::role::State;
+use base::ByteSize;
 use base::DiskId;
 use base::NodeId;
 use base::Time;
@@ -210,6 +211,12 @@
         self.checkpoint();
     }
 
+    /// Roughly what the log holds in memory, for the daemon to know when to
+    /// [`Voter::compact`] it.
+    pub fn log_bytes(&self) -> ByteSize {
+        ByteSize(self.log.bytes() as u64)
+    }
+
     /// The members, none if it belongs to no group or does not know them yet.
     pub fn group(&self) -> Option<&Group> {
         self.log.group().map(|(_, group)| group)
