--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -15,12 +16,14 @@
 use crate::problem::Problem;
 use admit::Arrival;
 use admit::Decision;
+use admit::DemandReport;
 use admit::Dispatcher;
 use base::CentreId;
 use base::Contract;
 use base::Fence;
 use base::HostId;
 use base::ModelName;
+use base::NodeId;
 use base::Priority;
 use base::ReplicaId;
 use base::RequestId;
@@ -85,6 +88,7 @@
     /// Loads of replicas, as their controllers told them.
     pub loads: RefCell<BTreeMap<ReplicaId, HeardLoad>>,
     waiting: RefCell<BTreeMap<RequestId, Sender<Decision>>>,
+    controllers: RefCell<BTreeMap<CentreId, NodeId>>,
 }
 
 impl Dispatch {
@@ -97,15 +101,40 @@
             routes: RefCell::new(routes),
             loads: RefCell::default(),
             waiting: RefCell::default(),
+            controllers: RefCell::default(),
         }
     }
 
+    /// How much of each contract is used here.
+    pub fn demand(&self, now: Time) -> DemandReport {
+        self.dispatcher.borrow_mut().demand(now)
+    }
+
+    /// Takes what other nodes use, and which of them are there.
+    pub fn peers(&self, reports: &[DemandReport], live: &BTreeSet<NodeId>, now: Time) {
+        self.dispatcher.borrow_mut().peers(reports, live, now);
+    }
+
     /// Whether a request may be sent to a replica now.
     pub fn allows(&self, placed: &Placed) -> bool {
         let routes = self.routes.borrow();
         routes.allows(placed.replica, placed.fence, clock::now())
     }
 
+    /// Notes which node orders the hosts of a data centre.
+    pub fn set_controller(&self, centre: CentreId, node: Option<NodeId>) {
+        let mut controllers = self.controllers.borrow_mut();
+        match node {
+            Some(node) => controllers.insert(centre, node),
+            None => controllers.remove(&centre),
+        };
+    }
+
+    /// The controllers of all data centres that have one in sight.
+    pub fn controllers(&self) -> BTreeMap<CentreId, NodeId> {
+        self.controllers.borrow().clone()
+    }
+
     /// Keeps new work away from a host that is leaving.
     pub fn leaving(&self, host: HostId) {
         self.routes.borrow_mut().leaving(host, clock::now());
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -149,7 +149,7 @@
     /// Data centres from which something was heard of late, the own included.
     pub fn centres_heard(&self, now: Time) -> impl Iterator<Item = CentreId> {
         let others = self.roster.other_centres();
-        let heard = others.filter(move |centre| !self.roster.is_silent(*centre, now));
+        let heard = others.filter(move |centre| !self.roster.is_quiet(*centre, now));
         heard.chain([self.me.peer.centre])
     }
 
