Lend by the first tokens of work within contract, short before long

Causes: (1) lent short requests ranked behind long ones within contract and 8 % of them came late; long work has seconds to spare, so short now goes first whatever its standing. The fill now falls by 0.01 with each first token within contract that takes more than half of its time, and rises so that 2 % may. (3) Own unseen short prompts count in full before a short request.

--- a/crates/admit/src/config.rs
+++ b/crates/admit/src/config.rs
@@ -59,7 +59,8 @@
     pub within_short: Room,
     /// Where long requests within their contracts go.
     pub within_long: Room,
-    /// Where short requests beyond their contracts go.
+    /// Where short requests beyond their contracts go, at most. The fill shrinks while work
+    /// within contracts waits long for its first token.
     pub beyond_short: Room,
     /// Where long requests beyond their contracts go. They give their slots back late.
     pub beyond_long: Room,
@@ -84,7 +85,7 @@
             long_share: 0.5,
             within_short: Room::new(1.06, Duration::MAX),
             within_long: Room::new(1.0, Duration::from_secs(2)),
-            beyond_short: Room::new(0.8, Duration::from_millis(500)),
+            beyond_short: Room::new(0.95, Duration::from_millis(300)),
             beyond_long: Room::new(0.5, Duration::from_millis(200)),
             tick: Duration::from_millis(5),
             silence: Duration::from_secs(30),
--- a/crates/admit/src/dispatcher.rs
+++ b/crates/admit/src/dispatcher.rs
@@ -163,6 +163,7 @@
             prefix: arrival.prefix,
             estimate,
             token_rate: contract.token_rate,
+            arrived: now,
             due: now + terms.allowed(),
             leaves: now + terms.patience(standing),
             from: TokenCount(0),
@@ -266,9 +267,9 @@
 }
 
 /// The band of priorities for long requests.
-const LONG_BAND: u8 = 64;
+const LONG_BAND: u8 = 128;
 /// The band of priorities for requests beyond their contracts.
-const BEYOND_BAND: u8 = 128;
+const BEYOND_BAND: u8 = 64;
 
 /// Short goes before long, within before beyond, then by the contract.
 pub(crate) fn engine_priority(contract: Priority, standing: Standing, length: Length) -> Priority {
@@ -280,5 +281,5 @@
         Standing::Within => 0,
         Standing::Beyond => BEYOND_BAND,
     };
-    Priority(contract.0.min(LONG_BAND - 1) + long + beyond)
+    Priority(contract.0.min(BEYOND_BAND - 1) + long + beyond)
 }
--- a/crates/admit/src/feedback.rs
+++ b/crates/admit/src/feedback.rs
@@ -29,6 +29,13 @@
         flight.seen = now;
         if flight.generated == flight.waiting.from.0 {
             flight.generated += 1;
+            let waiting = &flight.waiting;
+            let allowed = waiting.due.since(waiting.arrived).as_secs_f64();
+            let took = now.since(waiting.arrived).as_secs_f64();
+            let part = took / allowed.max(1e-3);
+            if let Some(queue) = self.queues.get_mut(&waiting.model) {
+                queue.observe(waiting, part, self.cfg.beyond_short.fill);
+            }
         }
         self.router.first_token(id, now);
     }
--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -37,6 +37,7 @@
     /// Tokens that the answer probably has.
     pub estimate: f64,
     pub token_rate: TokenRate,
+    pub arrived: Time,
     /// When the first token is due.
     pub due: Time,
     /// When it leaves the queue, at the latest.
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -22,6 +22,7 @@
 mod flight;
 mod lane;
 mod length;
+mod lent;
 mod pump;
 mod queue;
 mod retry;
--- a/crates/admit/src/pump.rs
+++ b/crates/admit/src/pump.rs
@@ -14,6 +14,7 @@
 use crate::Decision;
 use crate::Dispatcher;
 use crate::Reason;
+use crate::Room;
 use crate::Standing;
 use crate::dispatcher::refuse;
 use crate::flight::Flight;
@@ -102,7 +103,7 @@
 
     /// Finds a replica for a request.
     fn find(&mut self, waiting: &Waiting, now: Time) -> Result<(Ask, Choice), Miss> {
-        let room = self.cfg.room(waiting.standing, waiting.length);
+        let room = self.room(waiting);
         let mut ask = Ask {
             prompt: waiting.prompt,
             length: waiting.length,
@@ -127,6 +128,17 @@
         Ok((ask, choice))
     }
 
+    /// How busy a replica may be for a request to go there.
+    fn room(&self, waiting: &Waiting) -> Room {
+        let mut room = self.cfg.room(waiting.standing, waiting.length);
+        if waiting.standing == Standing::Beyond
+            && let Some(queue) = self.queues.get(&waiting.model)
+        {
+            room.fill = queue.lent.fill(room.fill);
+        }
+        room
+    }
+
     /// Lent capacity is divided among the nodes by replicas, so that two nodes never take
     /// the same free slot.
     fn slice(&self, waiting: &Waiting) -> Option<Slice> {
@@ -190,6 +202,9 @@
             waiting.model = first;
         }
         let retry_after = self.retry_after(&waiting, now);
+        if let Some(queue) = self.queues.get_mut(&waiting.model) {
+            queue.observe(&waiting, 1.0, self.cfg.beyond_short.fill);
+        }
         self.retries.refused();
         self.refund(&waiting, 0);
         self.decide_refusal(waiting.request, reason_after(&waiting, reason), retry_after);
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -11,6 +11,7 @@
 use crate::lane::Lane;
 use crate::lane::Waiting;
 use crate::length::Usual;
+use crate::lent::Lent;
 
 /// Weight of one answer in the mean time that a request holds a slot.
 const LEARN: f64 = 0.05;
@@ -36,6 +37,8 @@
     beyond_at: Time,
     /// The replicas that this node lends on.
     pub slice: Option<Slice>,
+    /// How far replicas are filled with lent work.
+    pub lent: Lent,
 }
 
 /// Requests sent a second, of late.
@@ -119,6 +122,13 @@
         *residence += LEARN * (seconds - *residence);
     }
 
+    /// Takes the part of the time allowed that a first token took.
+    pub fn observe(&mut self, waiting: &Waiting, part: f64, most: f64) {
+        if waiting.kind() == (Standing::Within, Length::Short) {
+            self.lent.observe(part, most);
+        }
+    }
+
     /// Counts a request that was sent.
     pub fn sent(&mut self, waiting: &Waiting, now: Time) {
         if waiting.standing == Standing::Beyond {
--- a/crates/route/src/forecast.rs
+++ b/crates/route/src/forecast.rs
@@ -53,7 +53,8 @@
         };
         let done = age * prefill_rate;
         let reported = (f64::from(load.prefill.0) - done).max(0.0);
-        let backlog = (reported + replica.unseen_prompt()) / prefill_rate;
+        let backlog = reported / prefill_rate;
+        let unseen = replica.unseen_prompt(ask.length) / prefill_rate;
         let slot_wait = (occupied - slots).max(0.0) * learned.residence / slots;
         let step = if 0.0 < load.token_rate.0 {
             1.0 / load.token_rate.0
@@ -63,14 +64,14 @@
         let overdue = replica.overdue(now).as_secs_f64();
         let link = 2.0 * replica.link.as_secs_f64();
         let alone = link + step + f64::from(ask.prompt.0) / prefill_rate;
-        let first_token = alone + slot_wait + learned.behind * backlog + overdue;
+        let first_token = alone + slot_wait + learned.behind * backlog + unseen + overdue;
         Self {
             first_token: Duration::from_secs_f64(first_token),
             token_rate: rate_at(replica, occupied),
             fill: occupied / slots,
             alone: Duration::from_secs_f64(alone),
             slot_wait: Duration::from_secs_f64(slot_wait),
-            backlog: Duration::from_secs_f64(backlog),
+            backlog: Duration::from_secs_f64(backlog + unseen),
         }
     }
 }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -94,7 +94,7 @@
     }
 
     fn part(&self) -> f64 {
-        (self.product / self.square.max(1e-9)).clamp(0.0, 1.0)
+        (self.product / self.square.max(1e-9)).clamp(0.0, 4.0)
     }
 }
 
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -15,6 +15,14 @@
 use crate::flight::Flight;
 use crate::outlier::Outlier;
 
+/// An own request that the latest report has not counted.
+#[derive(Clone, Copy, Debug)]
+struct Unseen {
+    sent: Time,
+    prompt: TokenCount,
+    length: Length,
+}
+
 /// One replica as this node sees it.
 #[derive(Clone, Debug)]
 pub(crate) struct Replica {
@@ -24,8 +32,7 @@
     /// When the load was reported, on this node's clock.
     pub at: Time,
     /// Own requests that the report has not counted yet.
-    unseen: VecDeque<(Time, TokenCount)>,
-    unseen_prompt: u64,
+    unseen: VecDeque<Unseen>,
     /// Own requests that ended after the report.
     ended: VecDeque<Time>,
     /// Own long requests there.
@@ -44,7 +51,6 @@
             at: now - candidate.age,
             load: candidate.load,
             unseen: VecDeque::new(),
-            unseen_prompt: 0,
             ended: VecDeque::new(),
             long: 0,
             pending: BTreeMap::new(),
@@ -61,11 +67,8 @@
         }
         self.at = at.max(self.at);
         self.load = candidate.load;
-        while let Some((sent, prompt)) = self.unseen.front().copied() {
-            if self.at < sent + self.link {
-                break;
-            }
-            self.unseen_prompt -= u64::from(prompt.0);
+        let (at, link) = (self.at, self.link);
+        while self.unseen.front().is_some_and(|u| u.sent + link <= at) {
             self.unseen.pop_front();
         }
         while self.ended.front().is_some_and(|end| *end <= self.at) {
@@ -86,14 +89,18 @@
         reported + self.unseen.len() as f64 - self.ended.len() as f64
     }
 
-    /// Prompt tokens sent that the report has not counted.
-    pub fn unseen_prompt(&self) -> f64 {
-        self.unseen_prompt as f64
+    /// Prompt tokens sent that the report has not counted and that go first.
+    pub fn unseen_prompt(&self, length: Length) -> f64 {
+        let first = self.unseen.iter().filter(|u| u.length <= length);
+        first.map(|u| f64::from(u.prompt.0)).sum()
     }
 
     pub fn sent(&mut self, id: RequestId, prompt: TokenCount, flight: &Flight) {
-        self.unseen.push_back((flight.sent, prompt));
-        self.unseen_prompt += u64::from(prompt.0);
+        self.unseen.push_back(Unseen {
+            sent: flight.sent,
+            prompt,
+            length: flight.length,
+        });
         if flight.is_urgent() {
             self.pending.insert(id, (flight.sent, flight.expected));
         }
