--- a/crates/admit/src/config.rs
+++ b/crates/admit/src/config.rs
@@ -85,7 +85,7 @@
             long_share: 0.5,
             within_short: Room::new(1.06, Duration::MAX),
             within_long: Room::new(1.0, Duration::from_secs(2)),
-            beyond_short: Room::new(0.95, Duration::from_millis(300)),
+            beyond_short: Room::new(0.95, Duration::from_millis(600)),
             beyond_long: Room::new(0.5, Duration::from_millis(200)),
             tick: Duration::from_millis(5),
             silence: Duration::from_secs(30),
