--- a/crates/admit/src/bucket.rs
+++ b/crates/admit/src/bucket.rs
@@ -40,7 +40,17 @@
     left: f64,
     spent: f64,
     demand: f64,
-    seen: BTreeMap<NodeId, (Incarnation, f64)>,
+    seen: BTreeMap<NodeId, Seen>,
+    /// Counts the exchanges.
+    round: u64,
+}
+
+/// What was last heard of a peer.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    life: Incarnation,
+    spent: f64,
+    round: u64,
 }
 
 /// What another node said of the same bucket.
@@ -72,6 +82,7 @@
             spent: 0.0,
             demand: 0.0,
             seen: BTreeMap::new(),
+            round: 0,
         }
     }
 
@@ -143,6 +154,7 @@
     /// Takes what the nodes in sight said. `scale` is the part of the limit for them.
     pub fn exchange(&mut self, peers: &[PeerUse], live: usize, scale: f64, now: Time) {
         self.advance(now);
+        self.round += 1;
         for peer in peers {
             self.pay(*peer);
         }
@@ -162,19 +174,29 @@
         self.local = self.share * self.level.max(0.0);
     }
 
-    /// Lowers the level by what a peer admitted since it was last heard.
+    /// Lowers the level by what a peer admitted since it was last heard. A peer that was
+    /// out of sight first used the refill that was left to it.
     fn pay(&mut self, peer: PeerUse) {
-        let before = self.seen.insert(peer.node, (peer.incarnation, peer.spent));
-        let used = match before {
-            Some((life, spent)) if life == peer.incarnation => peer.spent - spent,
-            Some((life, _)) if life < peer.incarnation => peer.spent,
-            Some(newer) => {
-                self.seen.insert(peer.node, newer);
-                0.0
-            }
-            None => 0.0,
+        let now = Seen {
+            life: peer.incarnation,
+            spent: peer.spent,
+            round: self.round,
+        };
+        let Some(before) = self.seen.insert(peer.node, now) else {
+            return;
+        };
+        if peer.incarnation < before.life {
+            self.seen.insert(peer.node, before);
+            return;
+        }
+        let is_same = before.life == peer.incarnation;
+        let used = peer.spent - if is_same { before.spent } else { 0.0 };
+        let was_hidden = before.round + 1 < self.round;
+        let own = if was_hidden {
+            used.clamp(0.0, self.left)
+        } else {
+            0.0
         };
-        let own = used.clamp(0.0, self.left);
         self.left -= own;
         let most = self.burst + self.rate;
         self.level = (self.level - (used - own)).max(-most);
--- /dev/null
+++ b/crates/route/tests/choice.rs
@@ -0,0 +1,285 @@
+//! The choice of a replica, beside a linear search with the same forecast.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::ops::Range;
+use std::time::Duration;
+
+use base::Load;
+use base::ModelName;
+use base::ReplicaId;
+use base::RequestId;
+use base::Time;
+use base::TokenCount;
+use base::TokenRate;
+use route::Ask;
+use route::Candidate;
+use route::Config;
+use route::Length;
+use route::Miss;
+use route::Router;
+use route::Slice;
+
+fn seed() -> u64 {
+    let seed = std::env::var("SEED")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    let seed = seed.unwrap_or(7);
+    println!("SEED={seed}");
+    seed
+}
+
+fn model() -> ModelName {
+    "m".parse().unwrap()
+}
+
+fn candidate(id: u64, running: u32, link_ms: u64) -> Candidate {
+    Candidate {
+        replica: ReplicaId(id),
+        load: Load {
+            running,
+            slots: 32,
+            prefill_rate: TokenRate(10_000.0),
+            token_rate: TokenRate(40.0),
+            ..Load::default()
+        },
+        link: Duration::from_millis(link_ms),
+        ..Candidate::default()
+    }
+}
+
+fn ask() -> Ask {
+    Ask {
+        prompt: TokenCount(300),
+        budget: Duration::from_millis(380),
+        ..Ask::default()
+    }
+}
+
+fn open(candidates: Vec<Candidate>, cfg: Config) -> Router {
+    let mut router = Router::open(cfg, seed());
+    router.replicas(&model(), candidates, Time::ZERO);
+    router
+}
+
+/// Chooses and sends; the replica that was chosen.
+fn send(router: &mut Router, id: u64, ask: &Ask, now: Time) -> Result<ReplicaId, Miss> {
+    let choice = router.choose(&model(), ask, now)?;
+    router.sent(RequestId(id), &model(), ask, &choice, now);
+    Ok(choice.replica)
+}
+
+#[test]
+fn sampled_choice_is_close_to_a_linear_search() {
+    let seed = seed();
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let loads: Vec<_> = (0..1_000)
+        .map(|id| candidate(id, rng.u32(16..40), 1))
+        .collect();
+    let linear = Config {
+        near_sample: 1_000,
+        ..Config::default()
+    };
+    let mean = |cfg: Config| {
+        let mut router = open(loads.clone(), cfg);
+        let mut sum = 0.0;
+        for id in 0..400 {
+            let choice = router.choose(&model(), &ask(), Time::ZERO).unwrap();
+            sum += choice.forecast.first_token.as_secs_f64();
+            router.sent(RequestId(id), &model(), &ask(), &choice, Time::ZERO);
+        }
+        sum / 400.0
+    };
+    let (sampled, searched) = (mean(Config::default()), mean(linear));
+    assert!(
+        sampled <= searched * 1.1,
+        "SEED={seed}: {sampled} {searched}"
+    );
+}
+
+#[test]
+fn own_requests_count_before_the_report_shows_them() {
+    let mut router = open(
+        vec![candidate(0, 30, 0), candidate(1, 30, 0)],
+        Config::default(),
+    );
+    let sent: Vec<_> = (0..5)
+        .map(|id| send(&mut router, id, &ask(), Time::ZERO))
+        .collect();
+    assert_eq!(sent.iter().filter(|s| s.is_ok()).count(), 4);
+    assert_eq!(sent[4], Err(Miss::Full));
+}
+
+#[test]
+fn a_newer_report_takes_over_own_counts() {
+    let mut router = open(vec![candidate(0, 31, 0)], Config::default());
+    send(&mut router, 0, &ask(), Time::ZERO).unwrap();
+    assert_eq!(send(&mut router, 1, &ask(), Time::ZERO), Err(Miss::Full));
+    let now = Time::from_millis(200);
+    router.report(&model(), candidate(0, 20, 0), now);
+    assert!(send(&mut router, 1, &ask(), now).is_ok());
+}
+
+#[test]
+fn nearby_goes_first_and_far_is_used_when_near_is_full() {
+    let near = candidate(0, 10, 0);
+    let far = candidate(1, 0, 4);
+    let mut router = open(vec![near, far.clone()], Config::default());
+    assert_eq!(send(&mut router, 0, &ask(), Time::ZERO), Ok(ReplicaId(0)));
+    let mut router = open(vec![candidate(0, 32, 0), far], Config::default());
+    assert_eq!(send(&mut router, 0, &ask(), Time::ZERO), Ok(ReplicaId(1)));
+}
+
+#[test]
+fn a_cached_prefix_wins_only_while_its_wait_is_shorter_than_what_it_saves() {
+    let mut router = open(
+        (0..8).map(|id| candidate(id, 4, 0)).collect(),
+        Config::default(),
+    );
+    router.cached(&model(), ReplicaId(5), 99);
+    let long_prompt = Ask {
+        prompt: TokenCount(2_000),
+        prefix: Some(99),
+        ..ask()
+    };
+    assert_eq!(
+        send(&mut router, 0, &long_prompt, Time::ZERO),
+        Ok(ReplicaId(5))
+    );
+    let mut busy = candidate(5, 4, 0);
+    busy.load.prefill = TokenCount(20_000);
+    router.report(&model(), busy, Time::from_millis(1));
+    let chosen = send(&mut router, 1, &long_prompt, Time::from_millis(1));
+    assert_ne!(chosen, Ok(ReplicaId(5)));
+}
+
+/// Sends a request each 10 ms to 20 replicas, of which some are ten times slower. Counts
+/// the requests of each replica in each second.
+fn run(is_slow: impl Fn(ReplicaId, Time) -> bool, seconds: u64) -> (Vec<[u32; 20]>, usize) {
+    let idle = || (0..20).map(|id| candidate(id, 4, 0)).collect();
+    let mut router = open(idle(), Config::default());
+    let mut due: BTreeMap<(Time, u64), bool> = BTreeMap::new();
+    let mut counts = vec![[0; 20]; seconds as usize];
+    let mut most_ejected = 0;
+    for id in 0..seconds * 100 {
+        let now = Time::from_millis(id * 10);
+        while let Some((at, other)) = due.keys().next().copied().filter(|(at, _)| *at <= now) {
+            if due.remove(&(at, other)) == Some(true) {
+                router.first_token(RequestId(other), at);
+            } else {
+                router.finished(RequestId(other), at);
+            }
+        }
+        if id % 20 == 0 {
+            router.replicas(&model(), idle(), now);
+        }
+        most_ejected = most_ejected.max(router.ejected(&model(), now).len());
+        let Ok(replica) = send(&mut router, id, &ask(), now) else {
+            continue;
+        };
+        counts[(id / 100) as usize][replica.0 as usize] += 1;
+        let took = Duration::from_millis(if is_slow(replica, now) { 600 } else { 60 });
+        due.insert((now + took, id), true);
+        due.insert((now + 2 * took, id), false);
+    }
+    (counts, most_ejected)
+}
+
+#[test]
+fn a_replica_that_turns_ten_times_slower_is_left() {
+    let turned = Time::from_millis(10_000);
+    let (counts, _) = run(|replica, now| replica == ReplicaId(3) && turned <= now, 40);
+    let of = |seconds: Range<usize>| counts[seconds].iter().map(|c| c[3]).sum::<u32>();
+    let (before, after) = (of(0..10), of(12..40));
+    println!("10 s before {before}, 28 s after {after}");
+    assert!(30 <= before);
+    assert!(after <= 20);
+}
+
+#[test]
+fn slow_replicas_are_left_out_only_up_to_a_share() {
+    let (counts, ejected) = run(|replica, _| replica.0 < 10, 40);
+    assert!(ejected <= 4, "{ejected}");
+    let served = |second: &[u32; 20]| second.iter().any(|count| 0 < *count);
+    assert!(counts.iter().all(served));
+}
+
+#[test]
+fn a_frozen_replica_is_left_before_any_token_tells() {
+    let mut router = open(
+        vec![candidate(0, 0, 0), candidate(1, 20, 0)],
+        Config::default(),
+    );
+    assert_eq!(send(&mut router, 0, &ask(), Time::ZERO), Ok(ReplicaId(0)));
+    let now = Time::from_millis(500);
+    assert_eq!(send(&mut router, 1, &ask(), now), Ok(ReplicaId(1)));
+}
+
+#[test]
+fn feedback_that_is_late_doubled_or_foreign_changes_nothing() {
+    let mut router = open(vec![candidate(0, 31, 0)], Config::default());
+    send(&mut router, 0, &ask(), Time::ZERO).unwrap();
+    let now = Time::from_millis(100);
+    router.first_token(RequestId(0), now);
+    router.finished(RequestId(0), now);
+    for id in [0, 0, 77] {
+        router.first_token(RequestId(id), now);
+        router.tokens(RequestId(id), 5, now);
+        router.finished(RequestId(id), now);
+        router.failed(RequestId(id), now);
+    }
+    assert_eq!(router.in_flight(), 0);
+    assert!(send(&mut router, 1, &ask(), now).is_ok());
+    assert_eq!(send(&mut router, 2, &ask(), now), Err(Miss::Full));
+}
+
+#[test]
+fn long_quotas_of_all_nodes_bound_the_long_requests_of_a_replica() {
+    let long = Ask {
+        length: Length::Long,
+        long_quota: 16.0 / 9.0,
+        budget: Duration::from_secs(10),
+        ..ask()
+    };
+    let mut router = open(
+        (0..60).map(|id| candidate(id, 0, 0)).collect(),
+        Config::default(),
+    );
+    let mut counts = [0; 60];
+    for id in 0.. {
+        let Ok(replica) = send(&mut router, id, &long, Time::ZERO) else {
+            break;
+        };
+        counts[replica.0 as usize] += 1;
+    }
+    assert!(counts.iter().all(|count| *count <= 2), "{counts:?}");
+    let sum: i32 = counts.iter().sum();
+    assert!((90..=120).contains(&sum), "{sum}");
+}
+
+#[test]
+fn slices_divide_the_replicas_without_overlap() {
+    let mut owners = [0; 60];
+    for node in 0..9 {
+        let slice = Slice {
+            from: f64::from(node) / 9.0,
+            until: f64::from(node + 1) / 9.0,
+        };
+        let sliced = Ask {
+            slice: Some(slice),
+            ..ask()
+        };
+        let mut router = open(
+            (0..60).map(|id| candidate(id, 0, 0)).collect(),
+            Config::default(),
+        );
+        let mut seen = BTreeSet::new();
+        for id in 0..600 {
+            if let Ok(replica) = send(&mut router, id, &sliced, Time::ZERO) {
+                seen.insert(replica.0 as usize);
+            }
+        }
+        seen.iter().for_each(|replica| owners[*replica] += 1);
+    }
+    assert_eq!(owners, [1; 60]);
+}
