--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -11,6 +11,11 @@
 use route::Slice;
 use route::Standing;
 
+use crate::lane::Lane;
+use crate::lane::Waiting;
+use crate::length::Usual;
+use crate::lent::Lent;
+
 /// Weight of one answer in the mean time that a request holds a slot.
 const LEARN: f64 = 0.05;
 /// Requests a second that are assumed at least, so that a wait is a finite time.
@@ -19,7 +24,7 @@
 const DEMAND: Duration = Duration::from_secs(2);
 
 /// What waits and runs of one model at this node.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Queue {
     lanes: BTreeMap<(Standing, Length), Lane>,
     running: BTreeMap<(Standing, Length), u32>,
@@ -35,6 +40,25 @@
     beyond_at: Time,
     /// The replicas that this node lends on.
     pub slice: Option<Slice>,
+    /// How far replicas are filled with lent work.
+    pub lent: Lent,
+}
+
+impl Default for Queue {
+    fn default() -> Self {
+        Self {
+            lanes: BTreeMap::new(),
+            running: BTreeMap::new(),
+            residence: BTreeMap::new(),
+            flow: BTreeMap::new(),
+            usual: Usual::default(),
+            long_share: 1.0,
+            beyond: 0.0,
+            beyond_at: Time::ZERO,
+            slice: None,
+            lent: Lent::default(),
+        }
+    }
 }
 
 /// Requests sent a second, of late.
@@ -118,6 +142,13 @@
         *residence += LEARN * (seconds - *residence);
     }
 
+    /// Takes the part of the time allowed that a first token took.
+    pub fn observe(&mut self, waiting: &Waiting, part: f64, most: f64) {
+        if waiting.kind() == (Standing::Within, Length::Short) {
+            self.lent.observe(part, most);
+        }
+    }
+
     /// Counts a request that was sent.
     pub fn sent(&mut self, waiting: &Waiting, now: Time) {
         if waiting.standing == Standing::Beyond {
