Name replicas uniquely under fencing numbers of any size

Cause: a replica's id took a fencing number of 30 bits, but numbers grow with the wall clock and are near 2^39 today. Seen failing: all single-fault tests, once the fake lease starts at such a number. The id now holds the low 35 bits and a count that starts with the clock.

--- a/crates/bench/src/downtime/design.rs
+++ b/crates/bench/src/downtime/design.rs
@@ -2,6 +2,18 @@
 
 use std::collections::BTreeMap;
 
+use crate::downtime::faults::END;
+use crate::downtime::faults::HOSTS;
+use crate::downtime::faults::LOAD;
+use crate::downtime::faults::LOADS_AT_ONCE;
+use crate::downtime::faults::STEP;
+use crate::downtime::faults::Schedule;
+use crate::downtime::faults::WARM_UP;
+use crate::downtime::faults::WIDTHS;
+use crate::downtime::faults::domain;
+use crate::downtime::faults::model;
+use crate::downtime::faults::target;
+use crate::downtime::score::Score;
 use base::Assignment;
 use base::CentreId;
 use base::Duty;
@@ -20,19 +32,6 @@
 use plan::RouteTable;
 use plan::Tenure;
 
-use crate::downtime::faults::END;
-use crate::downtime::faults::HOSTS;
-use crate::downtime::faults::LOAD;
-use crate::downtime::faults::LOADS_AT_ONCE;
-use crate::downtime::faults::STEP;
-use crate::downtime::faults::Schedule;
-use crate::downtime::faults::WARM_UP;
-use crate::downtime::faults::WIDTHS;
-use crate::downtime::faults::domain;
-use crate::downtime::faults::model;
-use crate::downtime::faults::target;
-use crate::downtime::score::Score;
-
 const CENTRE: CentreId = CentreId(1);
 
 /// A host's engine.
--- a/crates/bench/src/downtime/naive.rs
+++ b/crates/bench/src/downtime/naive.rs
@@ -6,8 +6,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use base::Time;
-
 use crate::downtime::faults::DOMAINS;
 use crate::downtime::faults::END;
 use crate::downtime::faults::HOSTS;
@@ -20,6 +18,7 @@
 use crate::downtime::faults::domain;
 use crate::downtime::faults::target;
 use crate::downtime::score::Score;
+use base::Time;
 
 /// How long a loss or a return stays unnoticed.
 const DETECT: Duration = Duration::from_secs(5);
--- a/crates/bench/src/downtime/planning.rs
+++ b/crates/bench/src/downtime/planning.rs
@@ -6,6 +6,9 @@
 
 use fastrand::Rng;
 
+use crate::downtime::faults::WIDTHS;
+use crate::downtime::faults::model;
+use crate::report::Table;
 use base::CentreId;
 use base::DomainId;
 use base::Duty;
@@ -31,10 +34,6 @@
 use plan::View;
 use plan::plan;
 
-use crate::downtime::faults::WIDTHS;
-use crate::downtime::faults::model;
-use crate::report::Table;
-
 const SIZES: [usize; 6] = [10, 100, 1_200, 4_800, 12_000, 24_000];
 const DOMAIN_HOSTS: usize = 32;
 const RUNS: usize = 5;
--- a/crates/plan/src/controller.rs
+++ b/crates/plan/src/controller.rs
@@ -69,6 +69,8 @@
     pub(crate) plan: Plan,
     pub(crate) next_plan: Time,
     pub(crate) last_order: OrderId,
+    /// Starts with the clock, so that a fencing number that was issued twice after
+    /// all memory was lost hardly ever names a replica twice.
     pub(crate) last_replica: u64,
     tenure: Option<Tenure>,
     settled_at: Time,
@@ -91,7 +93,7 @@
             plan: Plan::default(),
             next_plan: now,
             last_order: OrderId::default(),
-            last_replica: 0,
+            last_replica: now.0,
             tenure: None,
             settled_at: Time::NEVER,
             last_grant: 0,
--- a/crates/plan/src/ordering.rs
+++ b/crates/plan/src/ordering.rs
@@ -238,8 +238,7 @@
 
     /// Orders all hosts of a new replica.
     fn form(&mut self, form: &Form, now: Time) -> Vec<Order> {
-        self.last_replica += 1;
-        let id = replica_id(self.cfg.centre, self.fence(), self.last_replica);
+        let id = self.next_replica();
         let assignment = Assignment {
             replica: id,
             fence: self.fence(),
@@ -257,6 +256,16 @@
         orders.collect()
     }
 
+    fn next_replica(&mut self) -> ReplicaId {
+        loop {
+            self.last_replica += 1;
+            let id = replica_id(self.cfg.centre, self.fence(), self.last_replica);
+            if !self.replicas.contains_key(&id) {
+                return id;
+            }
+        }
+    }
+
     fn open_replica(&mut self, assignment: Assignment, form: &Form, now: Time) -> Replica {
         let mut lives = BTreeMap::new();
         for id in &form.hosts {
--- a/crates/plan/src/replica.rs
+++ b/crates/plan/src/replica.rs
@@ -167,11 +167,21 @@
     }
 }
 
-const FENCE_BITS: u32 = 30;
-const COUNT_BITS: u32 = 24;
+const CENTRE_BITS: u32 = 10;
+const FENCE_BITS: u32 = 35;
+const COUNT_BITS: u32 = 19;
 
-/// The id of the `count`th replica of a tenure, unique over all data centres.
+/// The id of a replica, unique over all data centres.
+///
+/// Fencing numbers grow by 256 a second at least, so their low bits come back
+/// after four years. The count starts anywhere and goes round within a tenure.
 pub(crate) fn replica_id(centre: CentreId, fence: Fence, count: u64) -> ReplicaId {
-    debug_assert!(count < 1 << COUNT_BITS && fence.0 < 1 << FENCE_BITS);
-    ReplicaId(u64::from(centre.0) << (FENCE_BITS + COUNT_BITS) | fence.0 << COUNT_BITS | count)
+    let centre = low_bits(u64::from(centre.0), CENTRE_BITS);
+    let fence = low_bits(fence.0, FENCE_BITS);
+    let count = low_bits(count, COUNT_BITS);
+    ReplicaId(centre << (FENCE_BITS + COUNT_BITS) | fence << COUNT_BITS | count)
+}
+
+fn low_bits(number: u64, bits: u32) -> u64 {
+    number & ((1 << bits) - 1)
 }
--- a/crates/plan/tests/repair.rs
+++ b/crates/plan/tests/repair.rs
@@ -252,12 +252,13 @@
     let mut world = open(&[4], &[("one", 1, 2)]);
     world.run(20 * SECOND);
     let holder = world.holder().unwrap();
+    let fence = world.lease.fence;
     world.controls[holder].tenure = None;
     world.controls[holder].lease_cut_until = world.now + SECOND;
     world.run(2 * SECOND);
     world.demand.insert(model("one"), demand(1, 1, 4));
     world.run(20 * SECOND);
-    assert_eq!(world.lease.fence, base::Fence(1));
+    assert_eq!(world.lease.fence, fence);
     assert!(world.is_met());
 }
 
--- a/crates/plan/tests/world/process.rs
+++ b/crates/plan/tests/world/process.rs
@@ -99,16 +99,29 @@
     }
 }
 
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Lease {
     pub holder: Option<usize>,
     pub until: Time,
     pub fence: Fence,
 }
 
+/// Fencing numbers grow with the wall clock.
+const FIRST_FENCE: Fence = Fence(256 * 1_800_000_000);
+
 const LEASE: Duration = Duration::from_secs(4);
 const LEASE_MARGIN: Duration = Duration::from_millis(400);
 
+impl Default for Lease {
+    fn default() -> Self {
+        Self {
+            holder: None,
+            until: Time::ZERO,
+            fence: FIRST_FENCE,
+        }
+    }
+}
+
 impl Lease {
     /// Renews the holder's lease, or gives an ended one to who asks.
     pub fn renew(&mut self, at: usize, control: &mut Control, now: Time) {
