--- a/crates/members/src/puller.rs
+++ b/crates/members/src/puller.rs
@@ -25,13 +25,17 @@
 const ASK_EVERY: Duration = Duration::from_millis(500);
 
 /// Time after which an ask has failed.
-const ASK_LIMIT: Duration = Duration::from_millis(800);
+const ASK_LIMIT: Duration = Duration::from_millis(500);
 
 /// Shortest and longest time to wait for a member of the own data centre.
 const PATIENCE: (Duration, Duration) = (Duration::from_millis(1_200), Duration::from_millis(2_200));
 
-/// Largest doubling of the pause after failures.
-const MAX_BACKOFF: u32 = 3;
+/// Pause after a failure.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Failures without a longer pause, and most doublings of it afterwards.
+const EARLY_FAILURES: u32 = 4;
+const MAX_DOUBLINGS: u32 = 5;
 
 /// Where a newer configuration may be had.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -130,8 +134,9 @@
             return;
         };
         self.avoid = Some(ask.node);
-        self.failures = (self.failures + 1).min(MAX_BACKOFF);
-        let pause = Duration::from_millis(100) * (1 << self.failures);
+        self.failures = self.failures.saturating_add(1);
+        let doublings = self.failures.saturating_sub(EARLY_FAILURES);
+        let pause = PAUSE * (1 << doublings.min(MAX_DOUBLINGS));
         let again = now + pause.mul_f64(0.5 + self.rng.f64());
         self.due = self.due.max(again);
     }
--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -15,7 +15,6 @@
 use crate::roster::Claim;
 use crate::spread::Learned;
 use crate::versions::Versions;
-use base::Incarnation;
 use base::NodeId;
 use base::Time;
 
@@ -51,13 +50,14 @@
             return false;
         };
         let known = member.record;
-        let life = header.generation.incarnation;
-        if life == Incarnation(0) || life < known.generation.incarnation {
+        let generation = header.generation;
+        let is_former = generation.incarnation < known.generation.incarnation;
+        if is_former || !generation.is_believable() {
             return false;
         }
-        if known.generation < header.generation {
+        if known.generation < generation {
             let record = Record {
-                generation: header.generation,
+                generation,
                 standing: Standing::Alive,
                 ..known
             };
--- a/crates/members/src/record.rs
+++ b/crates/members/src/record.rs
@@ -46,6 +46,22 @@
     pub refutation: u32,
 }
 
+/// Lives and refutations at or beyond these are not believed.
+const MAX_INCARNATION: Incarnation = Incarnation(1 << 62);
+const MAX_REFUTATION: u32 = 1 << 30;
+
+impl Generation {
+    /// Whether a process can have said so of itself.
+    pub(crate) fn is_believable(self) -> bool {
+        let Self {
+            incarnation,
+            refutation,
+        } = self;
+        let is_life = Incarnation(0) < incarnation && incarnation < MAX_INCARNATION;
+        is_life && refutation < MAX_REFUTATION
+    }
+}
+
 /// How a member stands. A later variant wins over an earlier one of the same
 /// generation.
 #[derive(
--- a/crates/members/src/roster.rs
+++ b/crates/members/src/roster.rs
@@ -11,7 +11,6 @@
 use crate::hash;
 use crate::record::Record;
 use base::CentreId;
-use base::Incarnation;
 use base::NodeId;
 use base::Time;
 use base::Version;
@@ -145,8 +144,7 @@
     /// Takes in a claim about another member.
     pub fn apply(&mut self, claim: Record, now: Time) -> Claim {
         let node = claim.peer.node;
-        let unheard = claim.generation.incarnation == Incarnation(0);
-        if node == self.me.node || unheard {
+        if node == self.me.node || !claim.generation.is_believable() {
             return Claim::Known;
         }
         match self.members.get(&node) {
--- a/crates/members/src/watch.rs
+++ b/crates/members/src/watch.rs
@@ -141,7 +141,8 @@
     pub(crate) fn refute(&mut self, claim: Record, now: Time) {
         let mine = self.me.generation;
         let theirs = claim.generation;
-        if theirs < mine || self.me.standing == Standing::Left {
+        let is_void = theirs < mine || !theirs.is_believable();
+        if is_void || self.me.standing == Standing::Left {
             return;
         }
         let is_same_life = theirs.incarnation == mine.incarnation;
