--- a/crates/bench/src/downtime.rs
+++ b/crates/bench/src/downtime.rs
@@ -11,6 +11,8 @@
 mod planning;
 mod score;
 
+use std::time::Duration;
+
 use crate::downtime::faults::Schedule;
 use crate::downtime::naive::Rule;
 use crate::downtime::score::Score;
@@ -26,6 +28,7 @@
     let events: usize = schedules.iter().map(|s| s.outages.len()).sum();
     Report::new("downtime", seed)
         .table(groups(&schedules))
+        .table(takeover())
         .table(planning::table(seed))
         .table(planning::controller_table())
         .note(format!(
@@ -67,6 +70,29 @@
     table
 }
 
+fn takeover() -> Table {
+    let mut table = Table::new(
+        "a controller dies and its successor starts 7.5 s later, 20 replicas",
+        &["entry nodes", "unrouted replica-s", "orders after s"],
+    );
+    let names = [
+        "route on grants alone",
+        "hold routes 8 s on hosts' own word",
+    ];
+    for (name, hold) in names
+        .into_iter()
+        .zip([Duration::ZERO, Duration::from_secs(8)])
+    {
+        let (score, settle) = design::takeover(hold);
+        table.row([
+            name.to_owned(),
+            format!("{:.1}", score.down),
+            format!("{:.1}", settle.as_secs_f64()),
+        ]);
+    }
+    table
+}
+
 fn total(schedules: &[Schedule], run: impl Fn(&Schedule) -> Score) -> Score {
     schedules.iter().map(run).fold(Score::default(), Score::add)
 }
--- a/crates/plan/src/config.rs
+++ b/crates/plan/src/config.rs
@@ -13,6 +13,10 @@
     pub confirm_life: Duration,
     /// How long a route is granted for at most.
     pub route_life: Duration,
+    /// How long an entry node may go on with a route without a controller, while it
+    /// hears every host itself. Not above [`Self::confirm_life`] turns this off. It
+    /// should outlast the lease, and it is what a successor waits out.
+    pub hold_life: Duration,
     /// How far two clocks may drift apart, in percent.
     pub drift_percent: u32,
     /// A host that is silent this long is lost to its replica.
@@ -72,7 +76,7 @@
 
     /// After this time no route of a replica can still be valid anywhere.
     pub fn route_wait(&self) -> Duration {
-        self.confirm_life * (100 + self.drift_percent) / 100
+        self.confirm_life.max(self.hold_life) * (100 + self.drift_percent) / 100
     }
 
     /// How long a new tenure listens before it orders anything: until the
@@ -88,6 +92,7 @@
             centre: CentreId::default(),
             confirm_life: Duration::from_millis(2_800),
             route_life: Duration::from_millis(1_600),
+            hold_life: Duration::ZERO,
             drift_percent: 5,
             lost_after: Duration::from_secs(5),
             order_deadline: Duration::from_secs(1),
--- a/crates/plan/src/controller.rs
+++ b/crates/plan/src/controller.rs
@@ -316,6 +316,8 @@
                 .collect(),
             removed: before.difference(&ids).copied().collect(),
             valid_for,
+            hold_for: self.cfg.hold_life,
+            heard_within: self.cfg.confirm_life,
             shorter: short.map(|(id, left)| ShortRoute::of(*id, *left)).collect(),
         }
     }
--- a/crates/plan/src/grant.rs
+++ b/crates/plan/src/grant.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use base::Assignment;
 use base::CentreId;
 use base::Fence;
 use base::HostId;
@@ -63,6 +64,16 @@
     pub valid_for: Duration,
 }
 
+impl Route {
+    /// True if this is the route to what a host says that it belongs to.
+    pub(crate) fn is_of(&self, assignment: &Assignment) -> bool {
+        self.replica == assignment.replica
+            && self.fence == assignment.fence
+            && self.model == assignment.model
+            && self.hosts == assignment.hosts
+    }
+}
+
 impl ShortRoute {
     /// A route that is valid this long.
     pub(crate) fn of(replica: ReplicaId, valid_for: Duration) -> Self {
@@ -89,4 +100,9 @@
     pub valid_for: Duration,
     /// All but these.
     pub shorter: Vec<ShortRoute>,
+    /// All routes are valid this long from when the poll was sent, while the node
+    /// itself hears every host confirm it.
+    pub hold_for: Duration,
+    /// A host's word counts for so long at the node.
+    pub heard_within: Duration,
 }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -13,6 +13,7 @@
 mod controller;
 mod demand;
 mod grant;
+mod heard;
 mod host;
 mod ledger;
 mod moves;
--- a/crates/plan/src/table.rs
+++ b/crates/plan/src/table.rs
@@ -8,9 +8,11 @@
 use crate::Route;
 use crate::RouteGrant;
 use crate::RoutePoll;
+use crate::heard::HeardHosts;
 use base::CentreId;
 use base::Fence;
 use base::HostId;
+use base::HostReport;
 use base::Incarnation;
 use base::ModelName;
 use base::NodeId;
@@ -46,6 +48,7 @@
     routes: BTreeMap<ReplicaId, Held>,
     models: BTreeMap<ModelName, BTreeSet<ReplicaId>>,
     leaving: BTreeMap<HostId, Time>,
+    heard: HeardHosts,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -53,6 +56,7 @@
     last_poll: u64,
     open: BTreeMap<u64, Time>,
     taken: Option<GrantId>,
+    heard_within: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -60,6 +64,7 @@
     centre: CentreId,
     route: Route,
     until: Time,
+    hold_until: Time,
 }
 
 impl RouteTable {
@@ -74,6 +79,8 @@
 
     /// The next poll to a data centre's controller, sent now.
     pub fn poll(&mut self, centre: CentreId, now: Time) -> RoutePoll {
+        self.heard.note_use(now);
+        self.heard.forget(now);
         let state = self.centres.entry(centre).or_default();
         state.last_poll += 1;
         state.open.insert(state.last_poll, now);
@@ -103,12 +110,19 @@
             return Applied::Gap;
         }
         state.taken = Some(grant.id);
+        state.heard_within = grant.heard_within;
         state.open.retain(|number, _| grant.poll < *number);
         self.change(grant);
         self.renew(grant, sent);
         Applied::Taken
     }
 
+    /// Takes a host's report that this node heard, directly or from its neighbours.
+    /// With it, routes outlive their controller for as long as the grant allows.
+    pub fn hear(&mut self, report: &HostReport, now: Time) {
+        self.heard.hear(report, now);
+    }
+
     /// Notes that a host announced here, or at a node that passed it on, that it leaves.
     pub fn leaving(&mut self, host: HostId, now: Time) {
         self.leaving.retain(|_, until| now < *until);
@@ -138,7 +152,15 @@
 
     fn is_valid(&self, held: &Held, now: Time) -> bool {
         let leaves = |host| self.leaving.get(host).is_some_and(|until| now < *until);
-        now < held.until && !held.route.hosts.iter().any(leaves)
+        let is_in_time = now < held.until || self.is_held(held, now);
+        is_in_time && !held.route.hosts.iter().any(leaves)
+    }
+
+    /// True if a route outlives its controller, for its hosts confirm it here.
+    fn is_held(&self, held: &Held, now: Time) -> bool {
+        let centre = self.centres.get(&held.centre);
+        let within = centre.map_or(Duration::ZERO, |centre| centre.heard_within);
+        now < held.hold_until && self.heard.confirm(&held.route, within, now)
     }
 
     fn change(&mut self, grant: &RouteGrant) {
@@ -154,6 +176,7 @@
                 centre: grant.centre,
                 route: route.clone(),
                 until: Time::ZERO,
+                hold_until: Time::ZERO,
             };
             self.routes.insert(route.replica, held);
         }
@@ -174,6 +197,7 @@
         for held in self.routes.values_mut() {
             if held.centre == grant.centre {
                 held.until = sent + grant.valid_for;
+                held.hold_until = sent + grant.hold_for;
             }
         }
         for short in &grant.shorter {
--- a/crates/plan/tests/table.rs
+++ b/crates/plan/tests/table.rs
@@ -43,6 +43,8 @@
         removed: Vec::new(),
         valid_for: Duration::from_secs(1),
         shorter: Vec::new(),
+        hold_for: Duration::ZERO,
+        heard_within: Duration::ZERO,
     }
 }
 
--- a/crates/plan/tests/world/mod.rs
+++ b/crates/plan/tests/world/mod.rs
@@ -48,6 +48,7 @@
 #[derive(Clone)]
 pub enum Message {
     Report(usize, HostReport),
+    Heard(usize, HostReport),
     Order(usize, Order),
     Outcome(usize, OrderId, OrderOutcome),
     Poll(usize, usize, RoutePoll),
@@ -151,6 +152,14 @@
         }
     }
 
+    /// Lets entry nodes go on with a route this long without a controller.
+    pub fn hold(mut self, hold: Duration) -> Self {
+        self.cfg.hold_life = hold;
+        let control = |at| Control::open(Controller::open(self.cfg.clone(), Time::ZERO), at);
+        self.controls = (0..2).map(control).collect();
+        self
+    }
+
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
@@ -252,6 +261,15 @@
                     control.queue.push(Message::Report(at, report));
                 }
             }
+            Message::Heard(at, report) => {
+                let entry = &mut self.entries[at];
+                if entry.is_frozen(self.now) {
+                    entry.queue.push(report);
+                } else if entry.cut_until <= self.now {
+                    let now = entry.clock.at(self.now);
+                    entry.table.hear(&report, now);
+                }
+            }
             Message::Order(at, order) => {
                 let engine = self.engines.get_mut(&order.host).unwrap();
                 if let Some(outcome) = engine.take(&order, self.now) {
@@ -293,6 +311,9 @@
             for at in 0..self.controls.len() {
                 self.send(|| Message::Report(at, report.clone()));
             }
+            for at in 0..self.entries.len() {
+                self.send(|| Message::Heard(at, report.clone()));
+            }
         }
     }
 
@@ -344,6 +365,9 @@
                 continue;
             }
             let entry = &mut self.entries[at];
+            for report in std::mem::take(&mut entry.queue) {
+                entry.table.hear(&report, entry.clock.at(self.now));
+            }
             if entry.next_poll <= self.now {
                 entry.next_poll = self.now + Duration::from_secs(1);
                 let poll = entry.table.poll(CentreId(1), entry.clock.at(self.now));
--- a/crates/plan/tests/world/process.rs
+++ b/crates/plan/tests/world/process.rs
@@ -4,6 +4,7 @@
 
 use super::Message;
 use base::Fence;
+use base::HostReport;
 use base::Time;
 use plan::Controller;
 use plan::Order;
@@ -74,6 +75,8 @@
     /// Cut from the controllers until then.
     pub cut_until: Time,
     pub next_poll: Time,
+    /// Reports that came while it was frozen.
+    pub queue: Vec<HostReport>,
     /// Until then, its clock's standing still may let an ended route look valid.
     pub sound_from: Time,
 }
@@ -90,6 +93,7 @@
             frozen_until: Time::ZERO,
             cut_until: Time::ZERO,
             next_poll: Time::ZERO,
+            queue: Vec::new(),
             sound_from: Time::ZERO,
         }
     }
