--- a/crates/plan/tests/repair.rs
+++ b/crates/plan/tests/repair.rs
@@ -295,3 +295,16 @@
     assert!(world.is_met());
     assert!(world.status().replicas.iter().all(|r| r.hosts.len() == 1));
 }
+
+#[test]
+fn reports_that_queued_up_while_the_controller_was_frozen_are_not_believed() {
+    for tenth in 0..10 {
+        let mut world = open(&[2], &[("pair", 2, 1)]);
+        world.run(20 * SECOND + tenth * SECOND / 10);
+        world.controls[0].frozen_until = world.now + 3 * SECOND;
+        world.run(SECOND / 5);
+        world.engine(0).dark_until = base::Time::NEVER;
+        world.run(10 * SECOND);
+        assert_eq!(world.serves("pair"), 0);
+    }
+}
