--- /dev/null
+++ b/crates/daemon/src/entry/call.rs
@@ -0,0 +1,226 @@
+//! Calls of plain services.
+//!
+//! A service whose calls may not be repeated takes them under an idempotency
+//! key, and each key runs at most once. Without a key such a call is sent once,
+//! and nothing is remembered of it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+
+use crate::clock;
+use crate::entry::Arrival;
+use crate::entry::orders;
+use crate::metrics::Class;
+use crate::node::Node;
+use crate::problem::Problem;
+use base::OrderKey;
+use base::Ran;
+use base::ServiceName;
+use net::Body;
+use order::Answer;
+use order::Ask;
+use order::Call;
+use order::Content;
+use order::Key;
+use order::Kind;
+use order::NotTaken;
+use order::Others;
+use order::Refusal;
+use rules::Repeat;
+use rules::Service;
+use state::Body as StoredBody;
+use state::Digest;
+use state::StoredAnswer;
+
+/// When to come back after a refusal that will pass.
+const SOON: Duration = Duration::from_secs(1);
+
+/// Serves one call.
+pub async fn call(
+    node: &Rc<Node>,
+    arrival: Arrival,
+    service: &str,
+    headers: &HeaderMap,
+) -> Result<Response<Body>, Problem> {
+    let rules = node.rules();
+    let forbidden = |what: String| Problem::not_run(StatusCode::FORBIDDEN, "no-service", what);
+    let name: ServiceName = service.parse().map_err(|e| forbidden(format!("{e}")))?;
+    let rule = rules.service_for(&arrival.caller.name, &name);
+    let caller = &arrival.caller.name;
+    let rule = rule.ok_or_else(|| forbidden(format!("no rule lets {caller} call {name}")))?;
+    let class = Class {
+        org: arrival.caller.org.to_string(),
+        class: name.to_string(),
+    };
+    let mut turn = node.count_class(class.clone());
+    let request = orders::Request {
+        call: Call {
+            service: name.clone(),
+            kind: kind(&arrival, &name, rule, headers)?,
+            deadline: rule.deadline,
+        },
+        body: arrival.body.clone(),
+        headers: headers.clone(),
+    };
+    let answer = orders::make(node, request).await;
+    let answer = answer.map_err(|e| not_taken(&e))?;
+    let response = respond(answer)?;
+    turn.answered();
+    let total = clock::now().since(arrival.arrived);
+    node.metrics
+        .total
+        .get_or_create(&class)
+        .observe(total.as_secs_f64());
+    Ok(response)
+}
+
+fn not_taken(why: &NotTaken) -> Problem {
+    let kind = match why {
+        NotTaken::Busy { .. } => "node-full",
+        NotTaken::JustWoke => "just-woke",
+    };
+    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, kind, why).retry_after(SOON)
+}
+
+/// How often a call may run, by its service's rule and its key.
+fn kind(
+    arrival: &Arrival,
+    name: &ServiceName,
+    rule: &Service,
+    headers: &HeaderMap,
+) -> Result<Kind, Problem> {
+    if rule.repeat == Repeat::Allowed {
+        return Ok(Kind::Repeatable);
+    }
+    let Some(key) = headers.get("idempotency-key") else {
+        return Ok(Kind::Keyless);
+    };
+    let invalid = |e: String| Problem::not_run(StatusCode::BAD_REQUEST, "invalid-key", e);
+    let key = key.to_str().map_err(|e| invalid(e.to_string()))?;
+    let key: OrderKey = key.parse().map_err(|e| invalid(format!("{e}")))?;
+    Ok(Kind::Keyed(Key {
+        org: arrival.caller.org.clone(),
+        key,
+        body: digest(name, headers, &arrival.body),
+        ask: match rule.ask {
+            rules::Ask::Allowed => Ask::Allowed,
+            rules::Ask::Never => Ask::Never,
+        },
+        others: Others::Possible,
+        retention: rule.retention,
+    }))
+}
+
+fn digest(name: &ServiceName, headers: &HeaderMap, body: &[u8]) -> Digest {
+    let content_type = headers.get("content-type");
+    let content_type = content_type.map_or(&b""[..], |v| v.as_bytes());
+    Digest::of(&[name.as_str().as_bytes(), content_type, body])
+}
+
+fn respond(answer: Answer) -> Result<Response<Body>, Problem> {
+    match answer.content {
+        Content::Fresh(stored) => Ok(give(&stored, answer.ran, "fresh")),
+        Content::Stored(stored) => Ok(give(&stored, answer.ran, "stored")),
+        Content::Refused(refusal) => Err(refuse(&refusal).ran(answer.ran)),
+    }
+}
+
+/// A service's answer as the caller gets it.
+fn give(stored: &StoredAnswer, ran: Ran, origin: &'static str) -> Response<Body> {
+    let body = match &stored.body {
+        StoredBody::Kept(bytes) => Body::whole(bytes.to_vec()),
+        StoredBody::Dropped { .. } => Body::default(),
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or_default();
+    let headers = response.headers_mut();
+    if let Ok(kind) = stored.content_type.parse() {
+        headers.insert("content-type", kind);
+    }
+    if let Ok(ran) = ran.to_string().parse() {
+        headers.insert("x-ran", ran);
+    }
+    headers.insert("x-answer", http::HeaderValue::from_static(origin));
+    if let StoredBody::Dropped { bytes } = &stored.body {
+        headers.insert("x-body-dropped-bytes", http::HeaderValue::from(*bytes));
+    }
+    response
+}
+
+fn refuse(refusal: &Refusal) -> Problem {
+    let conflict = StatusCode::CONFLICT;
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    let gateway = StatusCode::BAD_GATEWAY;
+    let (status, kind, what, retry) = match refusal {
+        Refusal::OtherBody => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "key-reused",
+            "the key was used for another call",
+            None,
+        ),
+        Refusal::LedgerFull => (
+            unavailable,
+            "ledger-full",
+            "no room for another key",
+            Some(SOON),
+        ),
+        Refusal::NoQuorum => (
+            unavailable,
+            "no-quorum",
+            "the voters were not reached",
+            Some(SOON),
+        ),
+        Refusal::Running { .. } => (
+            conflict,
+            "running",
+            "a call under this key may be running",
+            Some(SOON),
+        ),
+        Refusal::OutcomeUnknown { .. } => (
+            conflict,
+            "outcome-unknown",
+            "a call under this key may have run; it is never run again",
+            None,
+        ),
+        Refusal::JustRefused => (
+            unavailable,
+            "just-refused",
+            "a call under this key was just refused",
+            Some(SOON),
+        ),
+        Refusal::NoUpstream => (
+            unavailable,
+            "no-upstream",
+            "no process of the service was reached",
+            Some(SOON),
+        ),
+        Refusal::Declined => (
+            unavailable,
+            "declined",
+            "the service did not take it",
+            Some(SOON),
+        ),
+        Refusal::TooLate => (
+            unavailable,
+            "too-late",
+            "it could not be sent in time",
+            Some(SOON),
+        ),
+        Refusal::AnswerLost => (
+            gateway,
+            "answer-lost",
+            "it was sent, its answer was lost",
+            None,
+        ),
+        Refusal::CallerGone => (unavailable, "caller-gone", "the caller left", None),
+    };
+    let problem = Problem::not_run(status, kind, what);
+    match retry {
+        Some(span) => problem.retry_after(span),
+        None => problem,
+    }
+}
