--- a/crates/admit/src/lent.rs
+++ b/crates/admit/src/lent.rs
@@ -4,7 +4,7 @@
 //! first tokens take more than a part of the time allowed, nodes lend less.
 
 /// Part of the time allowed that a first token may take before it counts as slow.
-const SLOW_PART: f64 = 0.7;
+const SLOW_PART: f64 = 0.6;
 /// Share of first tokens that may be slow.
 const SLOW_SHARE: f64 = 0.02;
 /// Change of the fill by one slow first token.
