--- a/crates/admit/src/feedback.rs
+++ b/crates/admit/src/feedback.rs
@@ -34,7 +34,7 @@
             let took = now.since(waiting.arrived).as_secs_f64();
             let part = took / allowed.max(1e-3);
             if let Some(queue) = self.queues.get_mut(&waiting.model) {
-                queue.observe(waiting, part, self.cfg.beyond_short.fill);
+                queue.observe(waiting, part, &self.cfg);
             }
         }
         self.router.first_token(id, now);
--- a/crates/admit/src/pump.rs
+++ b/crates/admit/src/pump.rs
@@ -131,10 +131,8 @@
     /// How busy a replica may be for a request to go there.
     fn room(&self, waiting: &Waiting) -> Room {
         let mut room = self.cfg.room(waiting.standing, waiting.length);
-        if waiting.standing == Standing::Beyond
-            && let Some(queue) = self.queues.get(&waiting.model)
-        {
-            room.fill = queue.lent.fill(room.fill);
+        if let Some(queue) = self.queues.get(&waiting.model) {
+            room.fill = queue.fill(waiting, room.fill);
         }
         room
     }
@@ -203,7 +201,7 @@
         }
         let retry_after = self.retry_after(&waiting, now);
         if let Some(queue) = self.queues.get_mut(&waiting.model) {
-            queue.observe(&waiting, 1.0, self.cfg.beyond_short.fill);
+            queue.observe_refusal(&waiting, &self.cfg);
         }
         self.retries.refused();
         self.refund(&waiting, 0);
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -8,10 +8,11 @@
 use route::Slice;
 use route::Standing;
 
+use crate::Config;
+use crate::headroom::Headroom;
 use crate::lane::Lane;
 use crate::lane::Waiting;
 use crate::length::Usual;
-use crate::lent::Lent;
 
 /// Weight of one answer in the mean time that a request holds a slot.
 const LEARN: f64 = 0.05;
@@ -38,7 +39,9 @@
     /// The replicas that this node lends on.
     pub slice: Option<Slice>,
     /// How far replicas are filled with lent work.
-    pub lent: Lent,
+    pub lent: Headroom,
+    /// How far replicas are filled with short work within contracts.
+    pub within: Headroom,
 }
 
 impl Default for Queue {
@@ -53,7 +56,8 @@
             beyond: 0.0,
             beyond_at: Time::ZERO,
             slice: None,
-            lent: Lent::default(),
+            lent: Headroom::lent(),
+            within: Headroom::within(),
         }
     }
 }
@@ -140,9 +144,26 @@
     }
 
     /// Takes the part of the time allowed that a first token took.
-    pub fn observe(&mut self, waiting: &Waiting, part: f64, most: f64) {
+    pub fn observe(&mut self, waiting: &Waiting, part: f64, cfg: &Config) {
         if waiting.kind() == (Standing::Within, Length::Short) {
-            self.lent.observe(part, most);
+            self.lent.observe(part, cfg.beyond_short.fill);
+            self.within.observe(part, cfg.within_short.fill);
+        }
+    }
+
+    /// Takes the refusal of a request within its contract.
+    pub fn observe_refusal(&mut self, waiting: &Waiting, cfg: &Config) {
+        if waiting.kind() == (Standing::Within, Length::Short) {
+            self.lent.observe(1.0, cfg.beyond_short.fill);
+        }
+    }
+
+    /// How full a replica may be for a request to go there.
+    pub fn fill(&self, waiting: &Waiting, most: f64) -> f64 {
+        match waiting.kind() {
+            (Standing::Within, Length::Short) => self.within.fill(most),
+            (Standing::Within, Length::Long) => most,
+            (Standing::Beyond, _) => self.lent.fill(most),
         }
     }
 
--- a/crates/bench/src/crest.rs
+++ b/crates/bench/src/crest.rs
@@ -55,12 +55,17 @@
         .note("of contract: answers in time over the requests that one token bucket for all nodes would admit")
         .note("goodput: engine time in the crest spent on answers in time; bound: the engine time there is, or less if the requests that may be served can't use it");
     for mix in [Mix::Lantern, Mix::Association] {
-        report = report.table(table(mix, seed));
+        let title = format!("{mix}: swing to 1.5 times capacity");
+        report = report.table(table(&title, mix, 1.0, &POLICIES, seed));
     }
+    let title = "lantern: the same swing, but twice as much sold: nearly all within contract";
+    let policies = [Policy::Limit, Policy::RoundRobin];
+    report = report.table(table(title, Mix::Lantern, 2.0, &policies, seed));
     report.table(decide::table(seed))
 }
 
-fn table(mix: Mix, seed: u64) -> Table {
+/// One swing. `sold` scales what the contracts allow.
+fn table(title: &str, mix: Mix, sold: f64, policies: &[Policy], seed: u64) -> Table {
     let capacity = load_capacity(mix);
     let profile = Profile {
         calm: 0.15,
@@ -70,12 +75,13 @@
         fall: FALL,
         end: FALL + Duration::from_secs(5),
     };
-    let requests = requests(mix, &profile, capacity, seed);
-    let mut table = Table::new(&format!("{mix}: swing to 1.5 times capacity"), &COLUMNS);
-    for policy in POLICIES {
+    let contracts = contracts(mix, capacity * sold);
+    let requests = requests(mix, &profile, capacity, &contracts, seed);
+    let mut table = Table::new(title, &COLUMNS);
+    for policy in policies {
         let cfg = Run {
-            policy,
-            contracts: contracts(mix, capacity),
+            policy: *policy,
+            contracts: contracts.clone(),
             window: (RISE + SWING, FALL),
             seed,
         };
--- a/crates/bench/src/hol.rs
+++ b/crates/bench/src/hol.rs
@@ -53,14 +53,15 @@
 
 fn add_rows(table: &mut Table, mix: Mix, load: f64, seed: u64) {
     let capacity = load_capacity(mix);
-    let with = requests(mix, &Profile::steady(load, END), capacity, seed);
+    let contracts = contracts(mix, capacity);
+    let with = requests(mix, &Profile::steady(load, END), capacity, &contracts, seed);
     let is_short = |request: &Request| !mix.work()[request.work].is_long;
     let without: Vec<_> = with.iter().filter(|r| is_short(r)).cloned().collect();
     for policy in POLICIES {
         for (name, requests) in [("with", &with), ("without", &without)] {
             let cfg = Run {
                 policy,
-                contracts: contracts(mix, capacity),
+                contracts: contracts.clone(),
                 window: (WARM, END),
                 seed,
             };
--- a/crates/bench/src/load/traffic.rs
+++ b/crates/bench/src/load/traffic.rs
@@ -8,7 +8,6 @@
 use super::engine::PROMPT_COST;
 use super::engine::TOKEN_COST;
 use super::mix::Mix;
-use super::mix::contracts;
 use super::mix::orgs;
 
 /// Entry nodes, and how the balancer spreads callers over them.
@@ -86,8 +85,15 @@
     prompt * PROMPT_COST + output * TOKEN_COST
 }
 
-/// Seeded requests at `capacity` requests a second.
-pub fn requests(mix: Mix, profile: &Profile, capacity: f64, seed: u64) -> Vec<Request> {
+/// Seeded requests at `capacity` requests a second. `contracts` tell which of them are
+/// within.
+pub fn requests(
+    mix: Mix,
+    profile: &Profile,
+    capacity: f64,
+    contracts: &[Contract],
+    seed: u64,
+) -> Vec<Request> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let works = mix.work();
     let orgs = orgs();
@@ -100,7 +106,7 @@
         let gap = -rng.f64().max(1e-12).ln() / highest;
         now += Duration::from_secs_f64(gap);
         if profile.end < now {
-            mark_within(&mut found, mix, capacity);
+            mark_within(&mut found, mix, contracts);
             return found;
         }
         if profile.at(now) * capacity < rng.f64() * highest {
@@ -123,8 +129,7 @@
 }
 
 /// Counts the requests against one token bucket for each contract.
-fn mark_within(requests: &mut [Request], mix: Mix, capacity: f64) {
-    let contracts = contracts(mix, capacity);
+fn mark_within(requests: &mut [Request], mix: Mix, contracts: &[Contract]) {
     let full = |contract: &Contract| (f64::from(contract.burst), Time::ZERO);
     let mut buckets: Vec<_> = contracts.iter().map(full).collect();
     for request in requests {
