--- a/crates/bench/src/config/voters/cost.rs
+++ b/crates/bench/src/config/voters/cost.rs
@@ -3,11 +3,10 @@
 use std::fs;
 use std::time::Duration;
 
-use base::NodeId;
-
 use crate::config::voters::sim::Sim;
 use crate::config::voters::sim::Wire;
 use crate::report::Table;
+use base::NodeId;
 
 const CHANGES: u64 = 2_000;
 const REST: Duration = Duration::from_secs(600);
--- a/crates/bench/src/config/voters/fault.rs
+++ b/crates/bench/src/config/voters/fault.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use base::NodeId;
 use fastrand::Rng;
 
 use crate::config::voters::percentile_ms;
 use crate::config::voters::sim::Sim;
 use crate::config::voters::sim::Wire;
 use crate::report::Table;
+use base::NodeId;
 
 const TRIALS: u64 = 200;
 const MISSED: u64 = 500;
--- a/crates/bench/src/config/voters/rate.rs
+++ b/crates/bench/src/config/voters/rate.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::config::voters::percentile_ms;
+use crate::report::Table;
 use base::NodeId;
 use base::Time;
 use disk::Log;
@@ -24,9 +26,6 @@
 use vote::Voter;
 use vote::Work;
 
-use crate::config::voters::percentile_ms;
-use crate::report::Table;
-
 const SPAN: Duration = Duration::from_secs(3);
 const COMMAND: [u8; 1_000] = [7; 1_000];
 
--- a/crates/bench/src/config/voters/sim.rs
+++ b/crates/bench/src/config/voters/sim.rs
@@ -5,10 +5,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use fastrand::Rng;
+
 use base::DiskId;
 use base::NodeId;
 use base::Time;
-use fastrand::Rng;
 use vote::BatchId;
 use vote::Config;
 use vote::Entry;
--- a/crates/vote/tests/rules.rs
+++ b/crates/vote/tests/rules.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use crate::fake::Cluster;
+use crate::fake::Stored;
 use base::DiskId;
 use base::NodeId;
 use base::Time;
@@ -39,9 +41,6 @@
 use vote::Term;
 use vote::Voter;
 
-use crate::fake::Cluster;
-use crate::fake::Stored;
-
 const GROUP: GroupId = GroupId(11);
 
 fn disk(node: u16) -> DiskId {
