Hand over on a planned stop, and replace a disk in one change

A leader that stops or is removed left the group without one for an election timeout, 875 ms at the middle. What a disk has is remembered for a bounded number of disks.

--- a/crates/vote/src/change.rs
+++ b/crates/vote/src/change.rs
@@ -39,6 +39,14 @@
         /// Its disk.
         disk: DiskId,
     },
+    /// A member goes on with another disk in place of one that was lost. It
+    /// counts again once it has caught up.
+    Replace {
+        /// The node.
+        node: NodeId,
+        /// Its new disk.
+        disk: DiskId,
+    },
     /// A node leaves.
     Remove {
         /// The node.
@@ -93,6 +101,7 @@
         let group = self.changeable()?;
         let group = match change {
             Change::Add { node, disk } => with_learner(group, node, disk)?,
+            Change::Replace { node, disk } => with_replaced(group, node, disk)?,
             Change::Remove { node } => without(group, node)?,
         };
         Ok(self.change_group(group))
@@ -105,6 +114,7 @@
             self.change_group(group);
         }
         if !self.is_voter() && self.is_group_committed() {
+            self.hand_over(self.now);
             self.become_follower(self.term, None);
         }
     }
@@ -167,6 +177,13 @@
     Ok(group)
 }
 
+fn with_replaced(group: Group, node: NodeId, disk: DiskId) -> Result<Group, ChangeError> {
+    if group.has(node, disk) {
+        return Err(ChangeError::AlreadyMember { node, disk });
+    }
+    with_learner(without(group, node)?, node, disk)
+}
+
 fn without(mut group: Group, node: NodeId) -> Result<Group, ChangeError> {
     if group.seats.remove(&node).is_none() {
         return Err(ChangeError::NotMember { node });
--- a/crates/vote/src/election.rs
+++ b/crates/vote/src/election.rs
@@ -15,6 +15,7 @@
 use crate::Floor;
 use crate::Payload;
 use crate::Phase;
+use crate::Reason;
 use crate::Term;
 use crate::Trust;
 use crate::Voter;
@@ -37,12 +38,19 @@
 
     pub(crate) fn campaign(&mut self) {
         self.reset_election();
-        let loyal = self.now < self.loyal_until;
-        let able = self.trust == Trust::Trusted && self.is_voter() && !self.is_disk_stalled();
-        if loyal || !able {
+        if self.now < self.loyal_until || !self.can_stand() {
             return;
         }
-        self.stand(Phase::Before, self.term.next(), BatchId::default());
+        self.stand(
+            Phase::Before,
+            Reason::Silence,
+            self.term.next(),
+            BatchId::default(),
+        );
+    }
+
+    pub(crate) fn can_stand(&self) -> bool {
+        self.trust == Trust::Trusted && self.is_voter() && !self.is_disk_stalled()
     }
 
     pub(crate) fn become_follower(&mut self, term: Term, leader: Option<NodeId>) {
@@ -62,7 +70,7 @@
             return;
         }
         self.refuse(from, disk);
-        let loyal = self.now < self.loyal_until || self.lease(self.now).is_some();
+        let loyal = self.is_loyal(ask);
         let complete = self.log.last() <= ask.last && self.floor(from, disk) <= ask.last.index;
         let granted = !loyal && self.grant(from, ask, complete);
         let (term, answer) = if granted {
@@ -121,13 +129,14 @@
         match candidate.phase {
             Phase::Before => {
                 self.promise(self.term.next(), Some(self.cfg.id));
-                self.stand(Phase::Real, self.term, self.outbox.current());
+                let own = self.outbox.current();
+                self.stand(Phase::Real, Reason::Silence, self.term, own);
             }
             Phase::Real => self.lead(),
         }
     }
 
-    fn stand(&mut self, phase: Phase, term: Term, own: BatchId) {
+    pub(crate) fn stand(&mut self, phase: Phase, reason: Reason, term: Term, own: BatchId) {
         self.state = State::Candidate(Candidate {
             phase,
             votes: BTreeSet::new(),
@@ -142,6 +151,7 @@
             };
             let ask = Ask {
                 phase,
+                reason,
                 term,
                 last,
                 floor,
@@ -155,6 +165,13 @@
         self.check_election();
     }
 
+    /// Whether a leader may hold a lease that rests on this voter.
+    fn is_loyal(&self, ask: Ask) -> bool {
+        let handed_over = ask.reason == Reason::HandOver && ask.term == self.term.next();
+        let heard = self.now < self.loyal_until && !handed_over;
+        heard || self.lease(self.now).is_some()
+    }
+
     fn other_voters(&self) -> Vec<(NodeId, DiskId)> {
         let Some(group) = self.group() else {
             return Vec::new();
--- a/crates/vote/src/message.rs
+++ b/crates/vote/src/message.rs
@@ -53,6 +53,11 @@
     Ask(Ask),
     /// An answer to that.
     Ballot(Ballot),
+    /// Stand at once: I do not lead any more.
+    HandOver {
+        /// The term in which the sender led.
+        term: Term,
+    },
     /// Entries, or a heartbeat if there are none.
     Append(Append),
     /// A piece of a snapshot.
@@ -81,11 +86,22 @@
     Real,
 }
 
+/// Why a voter asks for votes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Reason {
+    /// It has not heard a leader.
+    Silence,
+    /// The leader of the term before has handed over to it.
+    HandOver,
+}
+
 /// A request for a vote.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
     /// The phase.
     pub phase: Phase,
+    /// Why.
+    pub reason: Reason,
     /// The term in which the sender would lead.
     pub term: Term,
     /// The sender's last entry.
--- a/crates/vote/src/voter.rs
+++ b/crates/vote/src/voter.rs
@@ -36,6 +36,9 @@
 use base::NodeId;
 use base::Time;
 
+/// Disks of which it is remembered what they have.
+const MAX_FLOORS: usize = 64;
+
 /// One member of a group that agrees on a log.
 #[derive(Debug)]
 pub struct Voter {
@@ -125,6 +128,7 @@
             _ if self.bound.is_none() || group.is_none() => {}
             Body::Ask(ask) => self.on_ask(from, disk, ask),
             Body::Ballot(ballot) => self.on_ballot(from, disk, ballot),
+            Body::HandOver { term } => self.on_hand_over(from, term),
             Body::Append(append) => self.on_append(from, append),
             Body::Install(install) => self.on_install(from, install),
             Body::Ack(ack) => self.on_ack(from, disk, ack),
@@ -269,6 +273,11 @@
     }
 
     pub(crate) fn raise_floor(&mut self, node: NodeId, disk: DiskId, index: Index) {
+        if MAX_FLOORS <= self.floors.len() {
+            let group = self.log.group().map(|(_, group)| group);
+            self.floors
+                .retain(|(node, disk), _| group.is_some_and(|g| g.has(*node, *disk)));
+        }
         let floor = self.floors.entry((node, disk)).or_default();
         *floor = index.max(*floor);
     }
--- a/crates/vote/tests/fake/mod.rs
+++ b/crates/vote/tests/fake/mod.rs
@@ -153,6 +153,16 @@
         taken
     }
 
+    pub fn hand_over(&mut self, id: NodeId) {
+        let now = self.now;
+        let node = self.node(id);
+        let local = node.local(now);
+        if let Some(voter) = node.voter.as_mut().filter(|_| node.frozen.is_none()) {
+            voter.hand_over(local);
+            self.carry_out(id);
+        }
+    }
+
     /// Runs for a time.
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
--- a/crates/vote/tests/rules.rs
+++ b/crates/vote/tests/rules.rs
@@ -33,6 +33,7 @@
 use vote::Phase;
 use vote::Position;
 use vote::ProposeError;
+use vote::Reason;
 use vote::Record;
 use vote::Restored;
 use vote::Role;
@@ -99,6 +100,7 @@
 fn ask(phase: Phase, term: u64, last: Position) -> Body {
     Body::Ask(Ask {
         phase,
+        reason: Reason::Silence,
         term: Term(term),
         last,
         floor: Floor {
@@ -428,6 +430,44 @@
     assert!(voter.take().batch.is_some());
 }
 
+#[test]
+fn a_leader_that_stops_hands_over_without_a_pause() {
+    for seed in 0..50 {
+        let mut cluster = Cluster::new(3, seed);
+        cluster.commit_one(Duration::from_secs(5));
+        let leader = cluster.leader().unwrap();
+        cluster.run(Duration::from_millis(200));
+        cluster.hand_over(leader);
+        cluster.crash(leader);
+        cluster.commit_one(Duration::from_millis(60));
+        assert_ne!(cluster.leader(), Some(leader));
+    }
+}
+
+/// Word that a leader handed over counts in the next term only: later there may
+/// be another leader.
+#[test]
+fn an_old_hand_over_counts_for_nothing() {
+    for (term, answer) in [(5, Answer::Granted), (6, Answer::Refused)] {
+        let mut voter = third(&[]);
+        let heartbeat = append(4, at(1, 1), Vec::new());
+        voter.receive(NodeId(1), from(1, heartbeat), LATER);
+        let batch = voter.take().batch;
+        synced(&mut voter, batch, LATER);
+        let Body::Ask(mut ask) = ask(Phase::Real, term, at(1, 1)) else {
+            unreachable!()
+        };
+        ask.reason = Reason::HandOver;
+        voter.receive(NodeId(2), from(2, Body::Ask(ask)), LATER);
+        let effects = voter.take();
+        let effects = match effects.batch {
+            Some(batch) => synced(&mut voter, Some(batch), LATER),
+            None => effects,
+        };
+        assert_eq!(ballots(&effects), [answer]);
+    }
+}
+
 #[test]
 fn a_voter_with_a_stuck_disk_hands_over() {
     let mut cluster = Cluster::new(3, 5);
--- a/crates/vote/tests/schedules.rs
+++ b/crates/vote/tests/schedules.rs
@@ -187,6 +187,7 @@
                 cluster.start(id);
             }
         }
+        32..34 => cluster.hand_over(id),
         21..32 => restart(cluster, any),
         _ => {}
     }
@@ -299,10 +300,12 @@
     let end = cluster.now + Duration::from_secs(20);
     while cluster.standing(victim) != Some(Standing::Voter) {
         assert!(cluster.now < end, "{victim} does not become a voter");
-        if cluster.seat(victim).is_some_and(|seat| seat.disk != disk) {
-            cluster.change(Change::Remove { node: victim });
-        }
-        cluster.change(Change::Add { node: victim, disk });
+        let node = victim;
+        match cluster.seat(node) {
+            Some(seat) if seat.disk == disk => false,
+            Some(_) => cluster.change(Change::Replace { node, disk }),
+            None => cluster.change(Change::Add { node, disk }),
+        };
         cluster.run(Duration::from_millis(400));
     }
 }
