Count a stop of the node from its start

A node that had just started took the time since the clock's start for a stop and refused keyed calls. The book is now opened with the time, before the node listens.

--- a/crates/daemon/src/entry/orders.rs
+++ b/crates/daemon/src/entry/orders.rs
@@ -91,7 +91,7 @@
     /// No call is open.
     pub fn open(node: NodeId, incarnation: Incarnation) -> Self {
         Self {
-            book: RefCell::new(Book::new(node, incarnation, MOST_OPEN)),
+            book: RefCell::new(Book::open_at(clock::now(), node, incarnation, MOST_OPEN)),
             flights: RefCell::default(),
         }
     }
--- a/crates/order/src/book.rs
+++ b/crates/order/src/book.rs
@@ -44,15 +44,16 @@
 }
 
 impl Book {
-    /// An empty book that holds at most `max_open` attempts.
-    pub fn new(node: NodeId, incarnation: Incarnation, max_open: usize) -> Self {
+    /// An empty book that holds at most `max_open` attempts. To be opened before
+    /// the node listens for callers: no call can have waited since before `now`.
+    pub fn open_at(now: Time, node: NodeId, incarnation: Incarnation, max_open: usize) -> Self {
         Self {
             node,
             incarnation,
             next: 1,
             max_open,
             open: BTreeMap::new(),
-            heard: Heard::default(),
+            heard: Heard::open(now),
         }
     }
 
--- a/crates/order/src/heard.rs
+++ b/crates/order/src/heard.rs
@@ -42,13 +42,17 @@
 }
 
 impl Heard {
+    /// Nothing was heard, and no call can have waited since before `now`.
+    pub(crate) fn open(now: Time) -> Self {
+        Self {
+            turned_at: now,
+            ..Self::default()
+        }
+    }
+
     /// Notes that the node is awake.
     pub(crate) fn turn(&mut self, now: Time) {
-        // Nothing can have waited for a process that has only just started.
-        let gap = match self.turned_at {
-            Time::ZERO => Duration::ZERO,
-            turned_at => now.since(turned_at),
-        };
+        let gap = now.since(self.turned_at);
         self.awake += gap.min(MAX_TURN);
         if MAX_SLEEP < gap {
             self.stale_until = self.awake + READ_WITHIN;
--- a/crates/order/tests/attempt.rs
+++ b/crates/order/tests/attempt.rs
@@ -36,7 +36,7 @@
 }
 
 fn book() -> Book {
-    Book::new(NodeId(1), Incarnation(1), 100)
+    Book::open_at(at(0), NodeId(1), Incarnation(1), 100)
 }
 
 fn call(kind: Kind) -> Call {
@@ -275,6 +275,15 @@
     assert_eq!(steps, [refusal, Step::Close]);
 }
 
+#[test]
+fn a_node_that_just_started_takes_calls_unless_it_was_stopped_since() {
+    let start = at(500_000);
+    let mut book = Book::open_at(start, NodeId(1), Incarnation(2), 100);
+    assert!(book.open(order(), at(500_100)).is_ok());
+    let mut book = Book::open_at(start, NodeId(1), Incarnation(2), 100);
+    assert_eq!(book.open(order(), at(600_000)), Err(NotTaken::JustWoke));
+}
+
 #[test]
 fn a_node_vouches_only_for_what_it_heard_before_a_call_came_in() {
     let seen = |book: &mut Book, now: Time| match &book.open(order(), now).unwrap().1[..] {
--- a/crates/order/tests/world/mod.rs
+++ b/crates/order/tests/world/mod.rs
@@ -98,7 +98,9 @@
             log: Log::default(),
             service: Service::default(),
             callers: Callers::default(),
-            nodes: (0..nodes).map(|node| Node::new(node, 1)).collect(),
+            nodes: (0..nodes)
+                .map(|node| Node::new(node, 1, Time::ZERO))
+                .collect(),
             queue: BTreeMap::new(),
             queued: 0,
         };
@@ -378,8 +380,7 @@
         match self.rng.u8(0..6) {
             0 => {
                 let life = node.life + 1;
-                *node = Node::new(at, life);
-                node.down_until = now + span;
+                *node = Node::new(at, life, now + span);
                 let op = Op::Gone {
                     node: NodeId(at),
                     before: Incarnation(life),
@@ -398,13 +399,13 @@
 }
 
 impl Node {
-    fn new(node: u16, life: u64) -> Self {
+    fn new(node: u16, life: u64, start: Time) -> Self {
         Self {
             life,
-            book: Book::new(NodeId(node), Incarnation(life), MAX_OPEN),
+            book: Book::open_at(start, NodeId(node), Incarnation(life), MAX_OPEN),
             frozen_until: Time::ZERO,
             cut_until: Time::ZERO,
-            down_until: Time::ZERO,
+            down_until: start,
             calls: BTreeMap::new(),
         }
     }
