--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -5,6 +5,7 @@
 
 use gumdrop::Options;
 
+use base::NodeId;
 use base::OrderKey;
 use base::OrgName;
 use base::Version;
@@ -43,6 +44,8 @@
     Status(StatusArgs),
     #[options(help = "show what is known of an order")]
     Order(OrderArgs),
+    #[options(help = "show who holds the durable state, or change it by one node")]
+    Voters(VotersArgs),
 }
 
 /// Options of `check`.
@@ -93,3 +96,16 @@
     #[options(free, help = "the order's key")]
     pub key: Option<OrderKey>,
 }
+
+/// Options of `voters`.
+#[derive(Debug, Options)]
+pub struct VotersArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "let a waiting node join")]
+    pub add: Option<NodeId>,
+    #[options(no_short, help = "let a member go on with its new, empty disk")]
+    pub replace: Option<NodeId>,
+    #[options(no_short, help = "let a member leave")]
+    pub remove: Option<NodeId>,
+}
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -12,6 +12,7 @@
 use crate::args::Command;
 use crate::args::OrderArgs;
 use crate::args::RulesArgs;
+use crate::args::VotersArgs;
 use crate::exit::CliError;
 use crate::exit::Exit;
 use crate::link::Link;
@@ -22,12 +23,16 @@
 use rules::Rules;
 use wire::operator::Apply;
 use wire::operator::ApplyReply;
+use wire::operator::ChangeVoters;
 use wire::operator::FindOrder;
 use wire::operator::NodeRow;
 use wire::operator::OrderRow;
 use wire::operator::ShowRules;
 use wire::operator::ShowStatus;
+use wire::operator::ShowVoters;
 use wire::operator::StatusReply;
+use wire::operator::VoterRow;
+use wire::operator::VotersReply;
 
 /// Does what the command line says.
 pub async fn run(args: Args) -> Result<Exit, CliError> {
@@ -38,6 +43,7 @@
         Some(Command::Rules(rules)) => self::rules(&args, rules).await,
         Some(Command::Status(_)) => status(&args).await,
         Some(Command::Order(order)) => self::order(&args, order).await,
+        Some(Command::Voters(voters)) => self::voters(&args, voters).await,
     }
 }
 
@@ -153,6 +159,53 @@
     Ok(Exit::Done)
 }
 
+async fn voters(args: &Args, voters: &VotersArgs) -> Result<Exit, CliError> {
+    let link = Link::open(args)?;
+    let add = voters.add.map(ChangeVoters::Add);
+    let replace = voters.replace.map(ChangeVoters::Replace);
+    let remove = voters.remove.map(ChangeVoters::Remove);
+    if let Some(change) = add.or(replace).or(remove) {
+        let changing = link.call(&change).await?;
+        show_json(args, &changing);
+        say(
+            args,
+            &format!(
+                "{} has taken the change; `berylbay voters` shows it",
+                changing.leader
+            ),
+        );
+        return Ok(Exit::Done);
+    }
+    let reply = link.call(&ShowVoters {}).await?;
+    show_json(args, &reply);
+    if !args.json {
+        show_voters(&reply);
+    }
+    Ok(Exit::Done)
+}
+
+fn show_voters(reply: &VotersReply) {
+    let row = |voter: &VoterRow| {
+        let silent = voter
+            .silent_ms
+            .map_or("-".to_owned(), |ms| format!("{ms} ms"));
+        let matched = voter.matched.to_string();
+        vec![
+            voter.node.to_string(),
+            voter.duty.clone(),
+            matched,
+            silent,
+            voter.disk.clone(),
+        ]
+    };
+    let rows: Vec<_> = reply.members.iter().map(row).collect();
+    table::print(&["node", "duty", "log", "silent", "disk"], &rows);
+    let waiting: Vec<_> = reply.waiting.iter().map(ToString::to_string).collect();
+    if !waiting.is_empty() {
+        println!("waiting to become members: {}", waiting.join(" "));
+    }
+}
+
 fn read(file: Option<&PathBuf>) -> Result<(PathBuf, String), CliError> {
     let missing = CliError::Missing {
         what: "the rules file",
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -32,6 +32,9 @@
 /// How often the controller and the lease go on in time.
 const TICK: Duration = Duration::from_millis(100);
 
+/// How long routes outlive their controller while their hosts confirm them.
+const HOLD_LIFE: Duration = Duration::from_secs(8);
+
 /// This node's part in ordering its data centre's hosts.
 #[derive(Debug)]
 pub struct Control {
@@ -48,7 +51,10 @@
         let cfg = lease::Config::of(settings.neighbours());
         let node = settings.node.id;
         let lease = Lease::open(cfg, node, incarnation, Memory::Lost, wall(), now);
-        let cfg = plan::Config::of(settings.node.centre);
+        let cfg = plan::Config {
+            hold_life: HOLD_LIFE,
+            ..plan::Config::of(settings.node.centre)
+        };
         Self {
             lease: RefCell::new(lease),
             controller: RefCell::new(Controller::open(cfg, now)),
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -22,6 +22,7 @@
 use base::Contract;
 use base::Fence;
 use base::HostId;
+use base::HostReport;
 use base::ModelName;
 use base::NodeId;
 use base::Priority;
@@ -135,6 +136,11 @@
         self.controllers.borrow().clone()
     }
 
+    /// Takes a host's report, which keeps its route while there is no controller.
+    pub fn hear(&self, report: &HostReport) {
+        self.routes.borrow_mut().hear(report, clock::now());
+    }
+
     /// Keeps new work away from a host that is leaving.
     pub fn leaving(&self, host: HostId) {
         self.routes.borrow_mut().leaving(host, clock::now());
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -37,8 +37,8 @@
 use state::Digest;
 use state::StoredAnswer;
 
-/// When to come back after a refusal that will pass.
-const SOON: Duration = Duration::from_secs(1);
+/// When to come back after a refusal that will pass. Sooner a key may still be closed.
+const SOON: Duration = Duration::from_secs(2);
 
 /// Set to `true` by a caller that has made no other call under the key and makes
 /// none until this one is answered.
@@ -91,6 +91,17 @@
     Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, kind, why).retry_after(SOON)
 }
 
+/// Says of a refusal before the ledger was asked what can be said: this call was not
+/// sent, but with a key an earlier one may have run.
+pub fn before_ledger(problem: Problem, headers: &HeaderMap) -> Problem {
+    let is_keyed = headers.contains_key("idempotency-key");
+    let is_open = is_keyed && others(headers) == Others::Possible;
+    match problem.sent {
+        None if is_open => problem.at_least(Ran::Unknown).sent(false),
+        _ => problem,
+    }
+}
+
 /// How often a call may run, by its service's rule and its key.
 fn kind(
     arrival: &Arrival,
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -15,6 +15,7 @@
 
 use std::rc::Rc;
 
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -51,9 +52,14 @@
         "/ready" => return ready(&node),
         _ => {}
     }
+    let keyed = match is_service(req.uri().path()) {
+        true => req.headers().clone(),
+        false => HeaderMap::new(),
+    };
     match serve(&node, req).await {
         Ok(response) => response,
         Err(problem) => {
+            let problem = call::before_ledger(problem, &keyed);
             let labels = RefusalLabels {
                 reason: problem.kind.to_owned(),
                 ran: problem.ran.to_string(),
@@ -93,6 +99,9 @@
     }
 }
 
+/// Where services are called.
+const SERVICES: &str = "/v1/services/";
+
 /// A request whose caller is known and whose body was read.
 #[derive(Debug)]
 pub struct Arrival {
@@ -116,13 +125,17 @@
 fn route(head: &Parts) -> Route<'_> {
     let path = head.uri.path();
     let is_post = head.method == http::Method::POST;
-    match path.strip_prefix("/v1/services/") {
+    match path.strip_prefix(SERVICES) {
         Some(service) if is_post => Route::Service(service),
         None if is_post && path == "/v1/chat/completions" => Route::Chat,
         _ => Route::Unknown,
     }
 }
 
+fn is_service(path: &str) -> bool {
+    path.starts_with(SERVICES)
+}
+
 fn check_room(node: &Node) -> Result<(), Problem> {
     let unavailable = StatusCode::SERVICE_UNAVAILABLE;
     let soon = std::time::Duration::from_secs(1);
--- a/crates/daemon/src/entry/orders.rs
+++ b/crates/daemon/src/entry/orders.rs
@@ -31,9 +31,12 @@
 use order::Answer;
 use order::Book;
 use order::Call;
+use order::Content;
 use order::Event;
 use order::NotTaken;
 use order::Proposal;
+use order::Refusal;
+use order::Sent;
 use order::Step;
 use state::Op;
 use state::StoredAnswer;
@@ -132,9 +135,16 @@
     carry_out(node, sequence, steps);
     let answer = wait(&told).await;
     caller.told = true;
-    answer.ok_or(NotTaken::Busy { open: 0 })
+    Ok(answer.unwrap_or(LOST))
 }
 
+/// What is told if the book never tells: the call may have been sent.
+const LOST: Answer = Answer {
+    ran: Ran::Unknown,
+    sent: Sent::Yes,
+    content: Content::Refused(Refusal::AnswerLost),
+};
+
 async fn wait(told: &Receiver<Answer>) -> Option<Answer> {
     told.recv().await.ok()
 }
--- a/crates/daemon/src/inner/announce.rs
+++ b/crates/daemon/src/inner/announce.rs
@@ -55,6 +55,7 @@
     }
     if hearing != Hearing::Ignored {
         node.control.hear(report);
+        node.dispatch.hear(report);
     }
     hearing != Hearing::Ignored
 }
--- a/crates/daemon/src/inner/mod.rs
+++ b/crates/daemon/src/inner/mod.rs
@@ -51,7 +51,7 @@
         Self {
             peers: peers(cx()),
             upstreams: announce::methods(Methods::new(cx())),
-            operators: operate::methods(Methods::new(cx())),
+            operators: voters::operator_methods(operate::methods(Methods::new(cx()))),
         }
     }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -47,6 +47,7 @@
     let inner = listening(inner::bind(&node).await, node.settings.node.internal)?;
     let entry = listening(entry::bind(&node).await, node.settings.node.callers)?;
     gossip::gossip_on(Rc::clone(&node)).await?;
+    compio::runtime::spawn(voters::announce_life(Rc::clone(&node))).detach();
     compio::runtime::spawn(inner::relay_on(Rc::clone(&node))).detach();
     compio::runtime::spawn(inner::pull_on(Rc::clone(&node))).detach();
     if let Some(writes) = writes {
@@ -98,6 +99,7 @@
     compio::time::sleep(limits.notice).await;
     node.phase.set(Phase::Draining);
     control::give_back(node).await;
+    voters::hand_over(node);
     gossip::farewell(node).await;
     node.drained(limits.drain).await;
     // The last frames are with the connections: give them a moment to leave.
--- a/crates/daemon/src/voters/driver.rs
+++ b/crates/daemon/src/voters/driver.rs
@@ -1,5 +1,6 @@
 //! Drives this node's voter: carries out its effects and applies what is committed.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
@@ -53,7 +54,8 @@
     clock: RefCell<LogClock>,
     batches: Sender<Batch>,
     waiting: RefCell<BTreeMap<Index, Waiter>>,
-    compacted: RefCell<u64>,
+    compacted: Cell<u64>,
+    halted: Cell<bool>,
     reported: RefCell<Option<(Role, Standing)>>,
 }
 
@@ -87,7 +89,8 @@
         clock: RefCell::new(LogClock::open(state::Millis(0), now)),
         batches,
         waiting: RefCell::default(),
-        compacted: RefCell::default(),
+        compacted: Cell::new(0),
+        halted: Cell::new(false),
         reported: RefCell::default(),
     };
     let writes = Writes {
@@ -102,7 +105,7 @@
     let writing = disk_writer::write_on(Rc::clone(&node), writes.log, writes.batches);
     compio::runtime::spawn(writing).detach();
     loop {
-        if let Some(voters) = &node.voters {
+        if let Some(voters) = node.voters.as_ref().filter(|v| !v.is_halted()) {
             voters.voter.borrow_mut().tick(clock::now());
         }
         step(&node);
@@ -112,7 +115,7 @@
 
 /// Carries out what the voter asks for. Called after each input.
 pub fn step(node: &Rc<Node>) {
-    let Some(voters) = &node.voters else {
+    let Some(voters) = node.voters.as_ref().filter(|v| !v.is_halted()) else {
         return;
     };
     let effects = voters.voter.borrow_mut().take();
@@ -125,10 +128,13 @@
     for entry in effects.committed {
         voters.apply(&entry);
     }
+    if voters.is_halted() {
+        return;
+    }
     if let Some(batch) = effects.batch {
         let _ = voters.batches.try_send(batch);
     }
-    voters.compact();
+    compact(node, voters);
     voters.report();
     let (version, text) = voters.configuration();
     if node.version() < version {
@@ -136,6 +142,33 @@
     }
 }
 
+/// Lets another voter lead before this process ends.
+pub fn hand_over(node: &Rc<Node>) {
+    if let Some(voters) = &node.voters {
+        voters.voter.borrow_mut().hand_over(clock::now());
+    }
+    step(node);
+}
+
+/// Makes a snapshot once enough was applied. It is encoded on a thread that may wait.
+fn compact(node: &Rc<Node>, voters: &Voters) {
+    let applied = voters.applied();
+    if applied < voters.compacted.get() + SNAPSHOT_EVERY {
+        return;
+    }
+    voters.compacted.set(applied);
+    let image = voters.state.borrow().image();
+    let node = Rc::clone(node);
+    compio::runtime::spawn(async move {
+        let encoded = compio::runtime::spawn_blocking(move || image.encode()).await;
+        if let (Ok(bytes), Some(voters)) = (encoded, &node.voters) {
+            voters.voter.borrow_mut().compact(Index(applied), bytes);
+            step(&node);
+        }
+    })
+    .detach();
+}
+
 fn send(node: &Rc<Node>, outgoing: Outgoing) {
     let Some(peer) = node.settings.peers.get(&outgoing.to) else {
         return;
@@ -158,8 +191,7 @@
     pub fn propose(&self, op: state::Op) -> Result<Receiver<Option<Reply>>, vote::ProposeError> {
         let now = clock::now();
         let at = self.clock.borrow().stamp(now);
-        let command = postcard::to_stdvec(&Command { at, op });
-        let command = command.expect("commands have no type that cannot be written");
+        let command = Command { at, op }.encode();
         let ticket = self.voter.borrow_mut().propose(command, now)?;
         let (done, reply) = async_channel::bounded(1);
         let waiter = Waiter {
@@ -182,31 +214,41 @@
         (register.version(), register.text().clone())
     }
 
+    /// Whether this voter has stopped: going on would make its state differ from the
+    /// others'.
+    pub fn is_halted(&self) -> bool {
+        self.halted.get()
+    }
+
+    fn halt(&self, reason: String) {
+        self.halted.set(true);
+        emit(&Event::VoterLost { reason });
+    }
+
     fn install(&self, bytes: &[u8]) {
         match State::decode(bytes) {
             Ok(state) => {
-                self.compacted.replace(state.applied());
+                self.compacted.set(state.applied());
                 self.clock.borrow_mut().observe(state.now(), clock::now());
                 self.state.replace(state);
             }
-            Err(e) => {
-                let reason = e.to_string();
-                emit(&Event::VoterLost { reason });
-            }
+            Err(e) => self.halt(e.to_string()),
         }
     }
 
     fn apply(&self, entry: &Entry) {
+        if self.is_halted() {
+            return;
+        }
         let reply = match &entry.payload {
-            Payload::Command(bytes) => match postcard::from_bytes::<Command>(bytes) {
+            Payload::Command(bytes) => match Command::decode(bytes) {
                 Ok(command) => {
                     self.clock.borrow_mut().observe(command.at, clock::now());
                     Some(self.state.borrow_mut().apply(entry.index.0, &command))
                 }
                 Err(e) => {
-                    let reason = format!("entry {} cannot be read: {e}", entry.index);
-                    emit(&Event::VoterLost { reason });
-                    None
+                    self.halt(format!("entry {} cannot be read: {e}", entry.index));
+                    return;
                 }
             },
             Payload::Nothing | Payload::Group(_) => None,
@@ -219,16 +261,6 @@
         }
     }
 
-    fn compact(&self) {
-        let applied = self.state.borrow().applied();
-        if applied < *self.compacted.borrow() + SNAPSHOT_EVERY {
-            return;
-        }
-        self.compacted.replace(applied);
-        let bytes = self.state.borrow().encode();
-        self.voter.borrow_mut().compact(Index(applied), bytes);
-    }
-
     /// Logs a change of this voter's part.
     fn report(&self) {
         let status = self.voter.borrow().status();
--- /dev/null
+++ b/crates/daemon/src/voters/group.rs
@@ -0,0 +1,155 @@
+//! Who belongs to the voters: shown and changed at the leader, from any node.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::clock;
+use crate::node::Node;
+use crate::voters::Voters;
+use crate::voters::driver::step;
+use base::DiskId;
+use base::NodeId;
+use net::Methods;
+use net::RpcError;
+use vote::Change;
+use vote::ChangeError;
+use vote::Duty;
+use vote::Trust;
+use wire::Call;
+use wire::Fault;
+use wire::operator::ChangeVoters;
+use wire::operator::ShowVoters;
+use wire::operator::VoterRow;
+use wire::operator::VotersChanging;
+use wire::operator::VotersReply;
+
+/// How long the leader may take to answer.
+const WITHIN: Duration = Duration::from_millis(2_000);
+
+/// What nodes offer to each other: only the leader answers.
+pub fn peer_methods(methods: Methods<Node>) -> Methods<Node> {
+    methods
+        .on(|node: Rc<Node>, _: ShowVoters| async move { show(&node) })
+        .on(|node: Rc<Node>, call: ChangeVoters| async move { change(&node, call) })
+}
+
+/// What nodes offer to operators: asked of the leader if this node isn't it.
+pub fn operator_methods(methods: Methods<Node>) -> Methods<Node> {
+    methods
+        .on(|node: Rc<Node>, call: ShowVoters| async move {
+            match show(&node) {
+                Ok(reply) => Ok(reply),
+                Err(_) => forward(&node, call).await,
+            }
+        })
+        .on(|node: Rc<Node>, call: ChangeVoters| async move {
+            match leads(&node) {
+                Some(_) => change(&node, call),
+                None => forward(&node, call).await,
+            }
+        })
+}
+
+/// Asks the voters in turn, until the leader answers.
+async fn forward<C: Call>(node: &Rc<Node>, call: C) -> Result<C::Reply, Fault> {
+    let mut last = Fault::unavailable("no voter leads");
+    for voter in node.settings.voters().filter(|id| *id != node.id()) {
+        let addr = node.settings.peers[&voter].internal;
+        match node.peers.call(addr, &call, WITHIN).await {
+            Ok(reply) => return Ok(reply),
+            Err(RpcError::Refused { fault, .. }) if fault.message != NOT_LEADING => last = fault,
+            Err(_) => {}
+        }
+    }
+    Err(last)
+}
+
+const NOT_LEADING: &str = "this node does not lead the voters";
+
+fn leads(node: &Node) -> Option<&Voters> {
+    let voters = node.voters.as_ref()?;
+    let lease = voters.voter.borrow().lease(clock::now());
+    lease.map(|_| voters)
+}
+
+fn show(node: &Node) -> Result<VotersReply, Fault> {
+    let voters = leads(node).ok_or_else(|| Fault::unavailable(NOT_LEADING))?;
+    let status = voters.voter.borrow().status();
+    let me = VoterRow {
+        node: node.id(),
+        duty: "leader".to_owned(),
+        matched: status.last.0,
+        silent_ms: None,
+        disk: "trusted".to_owned(),
+    };
+    let others = status.peers.iter().map(|peer| VoterRow {
+        node: peer.node,
+        duty: duty(peer.duty).to_owned(),
+        matched: peer.matched.0,
+        silent_ms: peer.silent.map(|span| span.as_millis() as u64),
+        disk: trust(peer.trust).to_owned(),
+    });
+    Ok(VotersReply {
+        leader: node.id(),
+        members: [me].into_iter().chain(others).collect(),
+        waiting: status
+            .strangers
+            .iter()
+            .map(|stranger| stranger.node)
+            .collect(),
+    })
+}
+
+fn change(node: &Rc<Node>, call: ChangeVoters) -> Result<VotersChanging, Fault> {
+    let voters = leads(node).ok_or_else(|| Fault::unavailable(NOT_LEADING))?;
+    let change = match call {
+        ChangeVoters::Add(node) => Change::Add {
+            node,
+            disk: disk_of(voters, node)?,
+        },
+        ChangeVoters::Replace(node) => Change::Replace {
+            node,
+            disk: disk_of(voters, node)?,
+        },
+        ChangeVoters::Remove(node) => Change::Remove { node },
+    };
+    let changed = voters.voter.borrow_mut().change(change, clock::now());
+    changed.map_err(fault_of)?;
+    step(node);
+    Ok(VotersChanging { leader: node.id() })
+}
+
+/// The disk that a waiting node has now.
+fn disk_of(voters: &Voters, node: NodeId) -> Result<DiskId, Fault> {
+    let status = voters.voter.borrow().status();
+    let waiting = status
+        .strangers
+        .iter()
+        .find(|stranger| stranger.node == node);
+    waiting.map(|stranger| stranger.disk).ok_or_else(|| {
+        Fault::invalid(format!(
+            "{node} does not wait to become a member: start it first"
+        ))
+    })
+}
+
+fn fault_of(error: ChangeError) -> Fault {
+    match error {
+        ChangeError::NotLeader { .. } | ChangeError::Busy => Fault::unavailable(error),
+        _ => Fault::invalid(error),
+    }
+}
+
+fn duty(duty: Duty) -> &'static str {
+    match duty {
+        Duty::Voter => "voter",
+        Duty::Learner => "learner",
+    }
+}
+
+fn trust(trust: Trust) -> &'static str {
+    match trust {
+        Trust::Trusted => "trusted",
+        _ => "lost",
+    }
+}
--- a/crates/daemon/src/voters/mod.rs
+++ b/crates/daemon/src/voters/mod.rs
@@ -3,13 +3,17 @@
 
 mod disk_writer;
 mod driver;
+mod group;
 mod propose;
 mod rpc;
 
 pub use driver::Voters;
 pub use driver::drive_on;
+pub use driver::hand_over;
 pub use driver::open;
+pub use group::operator_methods;
 pub use propose::Fate;
+pub use propose::announce_life;
 pub use propose::propose;
 pub use propose::standing;
 pub use rpc::methods;
--- a/crates/daemon/src/voters/propose.rs
+++ b/crates/daemon/src/voters/propose.rs
@@ -21,6 +21,7 @@
 use wire::peer::Propose;
 use wire::peer::Proposed;
 use wire::peer::ReadOrder;
+use wire::peer::Relaying;
 
 /// How long one node may take to get a command agreed on.
 const WITHIN: Duration = Duration::from_millis(1_500);
@@ -44,6 +45,7 @@
     let bytes = postcard::to_stdvec(&op).expect("commands have no type that cannot be written");
     let call = Propose {
         op: Blob::from(bytes),
+        relay: Relaying::Allowed,
     };
     let mut leader = None;
     let mut fate = Fate::Refused;
@@ -116,6 +118,48 @@
     }
 }
 
+/// Proposes here if this voter leads, else passes the command on to the leader, which
+/// the sender may not reach itself.
+pub async fn relay(node: &Rc<Node>, op: Op, call: Propose) -> Result<Proposed, ()> {
+    let leader = match propose_here(node, op).await? {
+        Proposed::NotLeader {
+            leader: Some(leader),
+        } if leader != node.id() => leader,
+        other => return Ok(other),
+    };
+    let Some(peer) = node.settings.peers.get(&leader) else {
+        return Ok(Proposed::NotLeader { leader: None });
+    };
+    let call = Propose {
+        relay: Relaying::Done,
+        ..call
+    };
+    match node.peers.call(peer.internal, &call, WITHIN).await {
+        Ok(proposed) => Ok(proposed),
+        Err(RpcError::Refused { fault, .. }) if fault.kind != FaultKind::Unknown => {
+            Ok(Proposed::NotLeader { leader: None })
+        }
+        Err(_) => Err(()),
+    }
+}
+
+/// Tells the ledger that this node's earlier lives are over, so that what they had
+/// claimed is known to be unknown at once.
+pub async fn announce_life(node: Rc<Node>) {
+    const WITHIN: Duration = Duration::from_secs(5);
+    loop {
+        let op = Op::Gone {
+            node: node.id(),
+            before: node.incarnation,
+        };
+        let fate = propose(&node, op, clock::now() + WITHIN).await;
+        if matches!(fate, Fate::Accepted(_)) {
+            return;
+        }
+        compio::time::sleep(WITHIN).await;
+    }
+}
+
 /// What the ledger says of a key now, as the leader knows it. None without a leader.
 pub async fn standing(node: &Rc<Node>, org: &OrgName, key: &OrderKey) -> Option<state::Standing> {
     let call = ReadOrder {
--- a/crates/daemon/src/voters/rpc.rs
+++ b/crates/daemon/src/voters/rpc.rs
@@ -5,7 +5,9 @@
 use crate::clock;
 use crate::node::Node;
 use crate::voters::driver::step;
+use crate::voters::group;
 use crate::voters::propose::propose_here;
+use crate::voters::propose::relay;
 use crate::voters::propose::standing_here;
 use net::Methods;
 use state::Op;
@@ -13,13 +15,14 @@
 use wire::peer::OrderStanding;
 use wire::peer::Propose;
 use wire::peer::ReadOrder;
+use wire::peer::Relaying;
 use wire::peer::Taken;
 use wire::peer::VoteMessage;
 
 pub fn methods(methods: Methods<Node>) -> Methods<Node> {
-    methods
+    group::peer_methods(methods)
         .on(|node: Rc<Node>, call: VoteMessage| async move {
-            if let Some(voters) = &node.voters {
+            if let Some(voters) = node.voters.as_ref().filter(|v| !v.is_halted()) {
                 let mut voter = voters.voter.borrow_mut();
                 voter.receive(call.from, call.message, clock::now());
                 drop(voter);
@@ -29,7 +32,10 @@
         })
         .on(|node: Rc<Node>, call: Propose| async move {
             let op: Op = postcard::from_bytes(&call.op).map_err(Fault::invalid)?;
-            let proposed = propose_here(&node, op).await;
+            let proposed = match call.relay {
+                Relaying::Allowed => relay(&node, op, call).await,
+                Relaying::Done => propose_here(&node, op).await,
+            };
             proposed.map_err(|()| Fault::unknown("the voters did not agree in time"))
         })
         .on(|node: Rc<Node>, call: ReadOrder| async move {
--- a/crates/harness/tests/state.rs
+++ b/crates/harness/tests/state.rs
@@ -165,3 +165,57 @@
         .unwrap();
     assert_eq!((order.status, order.ran()), (503, "not-run"), "{order:?}");
 }
+
+#[test]
+fn an_operator_replaces_a_voter_whose_disk_was_lost() {
+    let mut cluster = three_voters();
+    let lost = others(cluster.leader(NodeId(1)).unwrap())[0];
+    cluster.node(lost).kill();
+    fs::remove_dir_all(cluster.data(lost)).unwrap();
+    cluster.start_node(lost).unwrap();
+    let rest = others(lost);
+    let name = lost.to_string();
+    let replaced = || {
+        let output = cluster
+            .tool(rest[0], &["voters", "--replace", &name])
+            .unwrap();
+        output.status.success()
+    };
+    assert!(wait_until(UP, replaced), "{}", cluster.logs());
+    let counts = || {
+        let shown = cluster.show(rest[0], &["voters"]);
+        let members = shown["members"].as_array().cloned().unwrap_or_default();
+        members
+            .iter()
+            .any(|row| row["node"] == lost.0 && row["duty"] == "voter")
+    };
+    assert!(
+        wait_until(UP, counts),
+        "{}\n{}",
+        cluster.show(rest[0], &["voters"]),
+        cluster.logs()
+    );
+    // It counts again: with one of the others gone, changes are still accepted.
+    cluster.node(rest[1]).kill();
+    let applied = cluster.apply(rest[0], &text(2), UP).unwrap();
+    assert!(applied.status.success(), "{applied:?}\n{}", cluster.logs());
+}
+
+#[test]
+fn a_planned_stop_of_the_leader_hands_over() {
+    let mut cluster = three_voters();
+    let leader = cluster.leader(NodeId(1)).unwrap();
+    let stopped = cluster.node(leader).stop(Duration::from_secs(20));
+    assert!(
+        stopped.is_some_and(|status| status.success()),
+        "{}",
+        cluster.logs()
+    );
+    let rest = others(leader);
+    let file = cluster.rules_file();
+    fs::write(&file, text(2)).unwrap();
+    let applied = cluster
+        .tool(rest[0], &["apply", &file.display().to_string()])
+        .unwrap();
+    assert!(applied.status.success(), "{applied:?}\n{}", cluster.logs());
+}
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -212,3 +212,62 @@
     const METHOD: &'static str = "order";
     type Reply = OrderReply;
 }
+
+/// Asks who holds the durable state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShowVoters {}
+
+/// Who holds the durable state, as the leader knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VotersReply {
+    /// The leader.
+    pub leader: NodeId,
+    /// The members, the leader included.
+    pub members: Vec<VoterRow>,
+    /// Nodes that want to become members.
+    pub waiting: Vec<NodeId>,
+}
+
+/// A member of the voters' group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VoterRow {
+    /// The node.
+    pub node: NodeId,
+    /// `voter`, or `learner` while it catches up.
+    pub duty: String,
+    /// How far its log equals the leader's.
+    pub matched: u64,
+    /// Milliseconds since the leader sent what the member last answered.
+    pub silent_ms: Option<u64>,
+    /// `trusted`, or `lost` if its disk has lost what it had acknowledged.
+    pub disk: String,
+}
+
+/// Changes the members of the voters' group, one at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ChangeVoters {
+    /// A waiting node joins. It counts once it has caught up.
+    Add(NodeId),
+    /// A member goes on with the disk that it has now. Its earlier one is gone for good.
+    Replace(NodeId),
+    /// A member leaves.
+    Remove(NodeId),
+}
+
+/// A change of the voters' group was taken by the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VotersChanging {
+    /// The leader.
+    pub leader: NodeId,
+}
+
+impl Call for ShowVoters {
+    const METHOD: &'static str = "voters";
+    type Reply = VotersReply;
+}
+
+impl Call for ChangeVoters {
+    const METHOD: &'static str = "change_voters";
+    type Reply = VotersChanging;
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -175,6 +175,18 @@
 pub struct Propose {
     /// The encoded `state::Op`.
     pub op: Blob,
+    /// Whether a voter that doesn't lead may pass it on.
+    pub relay: Relaying,
+}
+
+/// Whether a voter that doesn't lead may pass a command on to the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Relaying {
+    /// It may.
+    Allowed,
+    /// It was passed on already.
+    Done,
 }
 
 /// What became of a command.
