Say hello less often after a while, and test a lone voter's restarts

A node that waits to be added sent a message to every voter 20 times a second for as long as it waited. After 5 s it does so twice a second; an answer to a newcomer still goes at once.

--- a/crates/vote/src/form.rs
+++ b/crates/vote/src/form.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::Body;
 use crate::Duty;
@@ -26,10 +27,17 @@
 
 const MAX_STRANGERS: usize = 64;
 
+/// After this time without a group a node says hello less often.
+const EAGER: Duration = Duration::from_secs(5);
+
+/// By how much.
+const SLOWER: u32 = 10;
+
 /// What is known of the others before there is a group.
 #[derive(Debug)]
 pub(crate) struct Forming {
     pub(crate) hello_at: Time,
+    opened: Time,
     met: BTreeMap<NodeId, Met>,
     /// Who has joined the group that this node formed.
     pub(crate) joined: Option<BTreeSet<NodeId>>,
@@ -55,6 +63,7 @@
     pub(crate) fn new(now: Time) -> Self {
         Self {
             hello_at: now,
+            opened: now,
             met: BTreeMap::new(),
             joined: None,
         }
@@ -66,7 +75,9 @@
         if self.now < self.forming.hello_at {
             return;
         }
-        self.forming.hello_at = self.now + self.cfg.timing.hello;
+        let waits = EAGER < self.now.since(self.forming.opened);
+        let slower = if waits { SLOWER } else { 1 };
+        self.forming.hello_at = self.now + slower * self.cfg.timing.hello;
         for node in self.cfg.voters.clone() {
             self.hello(node);
         }
--- a/crates/vote/src/handover.rs
+++ b/crates/vote/src/handover.rs
@@ -4,9 +4,6 @@
 //! complete follower to stand at once. Voters need not wait for that lease: a
 //! term has one leader, and it has said that it is done.
 
-use base::NodeId;
-use base::Time;
-
 use crate::Body;
 use crate::Phase;
 use crate::Reason;
@@ -14,6 +11,8 @@
 use crate::Trust;
 use crate::Voter;
 use crate::role::State;
+use base::NodeId;
+use base::Time;
 
 impl Voter {
     /// Lets another voter lead, if this one does and another can. Send the
--- a/crates/vote/tests/rules.rs
+++ b/crates/vote/tests/rules.rs
@@ -397,6 +397,19 @@
     cluster.commit_one(Duration::from_secs(1));
 }
 
+#[test]
+fn a_lone_voter_goes_on_after_a_restart() {
+    let mut cluster = Cluster::new(1, 3);
+    for _ in 0..5 {
+        cluster.commit_one(Duration::from_millis(50));
+        let known = cluster.model.last();
+        cluster.crash(NodeId(1));
+        cluster.start(NodeId(1));
+        cluster.run(Duration::from_millis(50));
+        assert!(known < cluster.node(NodeId(1)).applied);
+    }
+}
+
 /// The node with the smallest id would form groups: with an empty disk it must
 /// not, as long as one other remembers.
 #[test]
