--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -20,6 +20,7 @@
 mod exchange;
 mod feedback;
 mod flight;
+mod headroom;
 mod lane;
 mod length;
 mod pump;
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -3,14 +3,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::lane::Lane;
-use crate::lane::Waiting;
-use crate::length::Usual;
 use base::Time;
 use route::Length;
 use route::Slice;
 use route::Standing;
 
+use crate::Config;
+use crate::headroom::Headroom;
+use crate::lane::Lane;
+use crate::lane::Waiting;
+use crate::length::Usual;
+
 /// Weight of one answer in the mean time that a request holds a slot.
 const LEARN: f64 = 0.05;
 /// Requests a second that are assumed at least, so that a wait is a finite time.
@@ -19,7 +22,7 @@
 const DEMAND: Duration = Duration::from_secs(2);
 
 /// What waits and runs of one model at this node.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Queue {
     lanes: BTreeMap<(Standing, Length), Lane>,
     running: BTreeMap<(Standing, Length), u32>,
@@ -35,6 +38,28 @@
     beyond_at: Time,
     /// The replicas that this node lends on.
     pub slice: Option<Slice>,
+    /// How far replicas are filled with lent work.
+    pub lent: Headroom,
+    /// How far replicas are filled with short work within contracts.
+    pub within: Headroom,
+}
+
+impl Default for Queue {
+    fn default() -> Self {
+        Self {
+            lanes: BTreeMap::new(),
+            running: BTreeMap::new(),
+            residence: BTreeMap::new(),
+            flow: BTreeMap::new(),
+            usual: Usual::default(),
+            long_share: 1.0,
+            beyond: 0.0,
+            beyond_at: Time::ZERO,
+            slice: None,
+            lent: Headroom::lent(),
+            within: Headroom::within(),
+        }
+    }
 }
 
 /// Requests sent a second, of late.
@@ -118,6 +143,30 @@
         *residence += LEARN * (seconds - *residence);
     }
 
+    /// Takes the part of the time allowed that a first token took.
+    pub fn observe(&mut self, waiting: &Waiting, part: f64, cfg: &Config) {
+        if waiting.kind() == (Standing::Within, Length::Short) {
+            self.lent.observe(part, cfg.beyond_short.fill);
+            self.within.observe(part, cfg.within_short.fill);
+        }
+    }
+
+    /// Takes the refusal of a request within its contract.
+    pub fn observe_refusal(&mut self, waiting: &Waiting, cfg: &Config) {
+        if waiting.kind() == (Standing::Within, Length::Short) {
+            self.lent.observe(1.0, cfg.beyond_short.fill);
+        }
+    }
+
+    /// How full a replica may be for a request to go there.
+    pub fn fill(&self, waiting: &Waiting, most: f64) -> f64 {
+        match waiting.kind() {
+            (Standing::Within, Length::Short) => self.within.fill(most),
+            (Standing::Within, Length::Long) => most,
+            (Standing::Beyond, _) => self.lent.fill(most),
+        }
+    }
+
     /// Counts a request that was sent.
     pub fn sent(&mut self, waiting: &Waiting, now: Time) {
         if waiting.standing == Standing::Beyond {
--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -50,12 +50,14 @@
             return false;
         };
         let known = member.record;
-        if header.generation.incarnation < known.generation.incarnation {
+        let generation = header.generation;
+        let is_former = generation.incarnation < known.generation.incarnation;
+        if is_former || !generation.is_believable() {
             return false;
         }
-        if known.generation < header.generation {
+        if known.generation < generation {
             let record = Record {
-                generation: header.generation,
+                generation,
                 standing: Standing::Alive,
                 ..known
             };
@@ -118,9 +120,13 @@
             self.refute(record, now);
             return;
         }
-        if self.roster.apply(record, now) == Claim::Changed {
-            self.roster.hear(record.peer.centre, now);
-            self.pass_record(node, learned, now);
+        match self.roster.apply(record, now) {
+            Claim::Known => {}
+            Claim::Contradicted => self.outbox.probe(node, Section::State(record)),
+            Claim::Changed => {
+                self.roster.hear(record.peer.centre, now);
+                self.pass_record(node, learned, now);
+            }
         }
     }
 
@@ -130,7 +136,10 @@
             self.refute(record, now);
             return;
         }
-        self.roster.apply(record, now);
+        if self.roster.apply(record, now) == Claim::Contradicted {
+            let accused = record.peer.node;
+            self.outbox.probe(accused, Section::State(record));
+        }
     }
 
     fn take_item(&mut self, from: NodeId, parcel: &Parcel, now: Time) {
--- a/crates/order/src/heard.rs
+++ b/crates/order/src/heard.rs
@@ -42,6 +42,14 @@
 }
 
 impl Heard {
+    /// Nothing was heard, and no call can have waited since before `now`.
+    pub(crate) fn open(now: Time) -> Self {
+        Self {
+            turned_at: now,
+            ..Self::default()
+        }
+    }
+
     /// Notes that the node is awake.
     pub(crate) fn turn(&mut self, now: Time) {
         let gap = now.since(self.turned_at);
--- a/crates/plan/src/ordering.rs
+++ b/crates/plan/src/ordering.rs
@@ -151,6 +151,10 @@
 
     fn settled_state(&self, replica: &Replica) -> PlacedState {
         let hosts = replica.assignment.hosts.iter();
+        let demand = self.demand.get(&replica.assignment.model);
+        if demand.is_some_and(|demand| demand.width != hosts.len()) {
+            return PlacedState::Outdated;
+        }
         let speeds = hosts.filter_map(|id| self.hosts.get(id)?.speed);
         let slow: Vec<f64> = speeds
             .filter(|speed| self.pays_to_replace(*speed))
@@ -185,7 +189,11 @@
             DrainReason::Preempted(model) if self.is_long_unplaced(model, now) => {
                 self.drain(drain.replica, Reason::Preempted, now);
             }
-            DrainReason::Preempted(_) => {}
+            DrainReason::MakesWay(model) if self.is_long_unplaced(model, now) => {
+                self.drain(drain.replica, Reason::Moved, now);
+            }
+            DrainReason::Preempted(_) | DrainReason::MakesWay(_) => {}
+            DrainReason::Outdated => self.drain(drain.replica, Reason::Outdated, now),
             DrainReason::Slow => self.drain(drain.replica, Reason::HostSlow, now),
         }
     }
@@ -230,8 +238,7 @@
 
     /// Orders all hosts of a new replica.
     fn form(&mut self, form: &Form, now: Time) -> Vec<Order> {
-        self.last_replica += 1;
-        let id = replica_id(self.cfg.centre, self.fence(), self.last_replica);
+        let id = self.next_replica();
         let assignment = Assignment {
             replica: id,
             fence: self.fence(),
@@ -249,6 +256,16 @@
         orders.collect()
     }
 
+    fn next_replica(&mut self) -> ReplicaId {
+        loop {
+            self.last_replica += 1;
+            let id = replica_id(self.cfg.centre, self.fence(), self.last_replica);
+            if !self.replicas.contains_key(&id) {
+                return id;
+            }
+        }
+    }
+
     fn open_replica(&mut self, assignment: Assignment, form: &Form, now: Time) -> Replica {
         let mut lives = BTreeMap::new();
         for id in &form.hosts {
