Queue by due time within an organisation, and wait while replicas are full

A request met a late replica beside full ones and was refused at once, though a slot could still come free; it waits now, as long as its turn may come in time.

--- a/crates/admit/src/decision.rs
+++ b/crates/admit/src/decision.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use base::ModelName;
 use base::Priority;
 use base::Ran;
 use base::ReplicaId;
 use base::TokenCount;
-use derive_more::Display;
 
 /// What becomes of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/admit/src/demand.rs
+++ b/crates/admit/src/demand.rs
@@ -1,11 +1,12 @@
 //! What entry nodes tell each other about the use of the contracts.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use base::ContractName;
 use base::Incarnation;
 use base::ModelName;
 use base::NodeId;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// One node's use of the contracts. A later one replaces an earlier one.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/admit/src/dispatcher.rs
+++ b/crates/admit/src/dispatcher.rs
@@ -3,18 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use base::Contract;
-use base::ContractName;
-use base::ModelName;
-use base::Overflow;
-use base::Priority;
-use base::RequestId;
-use base::Time;
-use base::TokenCount;
-use route::Candidate;
-use route::Length;
-use route::Router;
-
 use crate::Arrival;
 use crate::Beyond;
 use crate::Config;
@@ -26,6 +14,17 @@
 use crate::queue::Queue;
 use crate::retry::RetryBudget;
 use crate::terms::Terms;
+use base::Contract;
+use base::ContractName;
+use base::ModelName;
+use base::Overflow;
+use base::Priority;
+use base::RequestId;
+use base::Time;
+use base::TokenCount;
+use route::Candidate;
+use route::Length;
+use route::Router;
 
 /// Where a request that waits stands.
 #[derive(Clone, Debug)]
--- a/crates/admit/src/exchange.rs
+++ b/crates/admit/src/exchange.rs
@@ -3,17 +3,16 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use base::ContractName;
-use base::NodeId;
-use base::Time;
-use route::Length;
-use route::Slice;
-
 use crate::ContractDemand;
 use crate::DemandReport;
 use crate::Dispatcher;
 use crate::ModelDemand;
 use crate::PeerUse;
+use base::ContractName;
+use base::NodeId;
+use base::Time;
+use route::Length;
+use route::Slice;
 
 /// Demand added to each node's long work, so that one without any keeps a share.
 const LONG_FLOOR: f64 = 1.0;
--- a/crates/admit/src/feedback.rs
+++ b/crates/admit/src/feedback.rs
@@ -2,11 +2,6 @@
 
 use std::time::Duration;
 
-use base::RequestId;
-use base::Time;
-use base::TokenCount;
-use route::Length;
-
 use crate::Decision;
 use crate::Dispatcher;
 use crate::Failure;
@@ -16,6 +11,10 @@
 use crate::flight::Flight;
 use crate::lane::Waiting;
 use crate::length::work;
+use base::RequestId;
+use base::Time;
+use base::TokenCount;
+use route::Length;
 
 /// Attempts of one request, the first included.
 const MOST_ATTEMPTS: u32 = 3;
--- a/crates/admit/src/flight.rs
+++ b/crates/admit/src/flight.rs
@@ -1,10 +1,9 @@
 //! A request at a replica.
 
+use crate::lane::Waiting;
 use base::ReplicaId;
 use base::Time;
 
-use crate::lane::Waiting;
-
 /// A request at a replica.
 #[derive(Clone, Debug)]
 pub(crate) struct Flight {
--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -83,9 +83,11 @@
         self.len
     }
 
-    /// Adds a request to the end of its organisation's line.
+    /// Adds a request to its organisation's line, the earliest due first.
     pub fn push(&mut self, waiting: Waiting) {
-        self.line(&waiting).waiting.push_back(waiting);
+        let line = &mut self.line(&waiting).waiting;
+        let at = line.partition_point(|other| other.due <= waiting.due);
+        line.insert(at, waiting);
         self.len += 1;
     }
 
@@ -152,7 +154,8 @@
     /// Requests that go before a new one of this organisation and work.
     pub fn ahead(&self, waiting: &Waiting) -> f64 {
         let own = self.lines.get(&waiting.org);
-        let own_len = own.map_or(0, |line| line.waiting.len()) as f64;
+        let earlier = |line: &Line| line.waiting.iter().filter(|w| w.due <= waiting.due).count();
+        let own_len = own.map_or(0, earlier) as f64;
         let step = waiting.work() / waiting.weight;
         let start = own.map_or(self.clock, |line| line.time.max(self.clock));
         let turn = start + own_len * step;
--- a/crates/admit/src/pump.rs
+++ b/crates/admit/src/pump.rs
@@ -2,15 +2,6 @@
 
 use std::time::Duration;
 
-use base::ModelName;
-use base::RequestId;
-use base::Time;
-use route::Ask;
-use route::Choice;
-use route::Length;
-use route::Miss;
-use route::Slice;
-
 use crate::Decision;
 use crate::Dispatcher;
 use crate::Reason;
@@ -19,6 +10,14 @@
 use crate::dispatcher::refuse;
 use crate::flight::Flight;
 use crate::lane::Waiting;
+use base::ModelName;
+use base::RequestId;
+use base::Time;
+use route::Ask;
+use route::Choice;
+use route::Length;
+use route::Miss;
+use route::Slice;
 
 /// Part of its share up to which long work goes before short.
 const LONG_FIRST: f64 = 0.8;
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -3,16 +3,15 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use base::Time;
-use route::Length;
-use route::Slice;
-use route::Standing;
-
 use crate::Config;
 use crate::headroom::Headroom;
 use crate::lane::Lane;
 use crate::lane::Waiting;
 use crate::length::Usual;
+use base::Time;
+use route::Length;
+use route::Slice;
+use route::Standing;
 
 /// Weight of one answer in the mean time that a request holds a slot.
 const LEARN: f64 = 0.05;
--- a/crates/admit/src/terms.rs
+++ b/crates/admit/src/terms.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
+use crate::bucket::Bucket;
 use base::Contract;
 use base::Overflow;
 use base::Time;
 use base::TokenCount;
 use route::Standing;
 
-use crate::bucket::Bucket;
-
 /// Tokens may come at once for this long at the contract's rate.
 const TOKEN_BURST: Duration = Duration::from_secs(2);
 /// Part of the time to the first token that lent work waits for its turn.
--- a/crates/admit/tests/limits.rs
+++ b/crates/admit/tests/limits.rs
@@ -243,7 +243,7 @@
         let weights = |_: u64, _: &mut fastrand::Rng| [1.0; NODES];
         let fault = |ms: u64, fleet: &mut Fleet| {
             let node = (ms / 2_000 % 9) as usize;
-            if ms % 2_000 == 0 {
+            if ms.is_multiple_of(2_000) {
                 fleet.sides[node] = None;
             }
             if ms % 2_000 == 1_000 {
--- a/crates/bench/src/crest.rs
+++ b/crates/bench/src/crest.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use base::Time;
-
 use crate::load::Mix;
 use crate::load::Outcome;
 use crate::load::Policy;
@@ -22,6 +20,7 @@
 use crate::load::time_alone;
 use crate::report::Report;
 use crate::report::Table;
+use base::Time;
 
 mod decide;
 
--- a/crates/bench/src/crest/decide.rs
+++ b/crates/bench/src/crest/decide.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::report::Table;
 use base::CentreId;
 use base::Load;
 use base::ModelName;
@@ -16,8 +17,6 @@
 use route::Config;
 use route::Router;
 
-use crate::report::Table;
-
 const SIZES: [usize; 3] = [60, 1_000, 12_000];
 const CHOICES: u64 = 20_000;
 
--- a/crates/bench/src/hol.rs
+++ b/crates/bench/src/hol.rs
@@ -1,7 +1,5 @@
 //! How long short work waits behind long work.
 
-use base::Time;
-
 use crate::load::Mix;
 use crate::load::Outcome;
 use crate::load::Policy;
@@ -18,6 +16,7 @@
 use crate::load::time_alone;
 use crate::report::Report;
 use crate::report::Table;
+use base::Time;
 
 /// Arrivals before this are left out of the figures.
 const WARM: Time = Time::from_millis(60_000);
--- a/crates/bench/src/load/mix.rs
+++ b/crates/bench/src/load/mix.rs
@@ -2,16 +2,16 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
+use super::outcome::Terms;
+use super::world::REPLICAS;
 use base::Contract;
 use base::ModelName;
 use base::Overflow;
 use base::Priority;
 use base::RequestRate;
 use base::TokenRate;
-use derive_more::Display;
-
-use super::outcome::Terms;
-use super::world::REPLICAS;
 
 /// Whose requests run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
--- a/crates/bench/src/load/outcome.rs
+++ b/crates/bench/src/load/outcome.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
+use super::traffic::Request;
 use base::Time;
 use base::TokenRate;
 
-use super::traffic::Request;
-
 /// What became of one request.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
--- a/crates/bench/src/load/traffic.rs
+++ b/crates/bench/src/load/traffic.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use base::Contract;
-use base::Time;
-
 use super::engine::PROMPT_COST;
 use super::engine::TOKEN_COST;
 use super::mix::Mix;
 use super::mix::orgs;
+use base::Contract;
+use base::Time;
 
 /// Entry nodes, and how the balancer spreads callers over them.
 pub const NODE_WEIGHTS: [f64; 9] = [3.0, 1.0, 2.0, 1.0, 2.0, 1.0, 1.5, 1.0, 0.5];
--- a/crates/bench/src/load/world.rs
+++ b/crates/bench/src/load/world.rs
@@ -5,6 +5,17 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::engine::Engine;
+use super::engine::Job;
+use super::engine::Order;
+use super::engine::PROMPT_COST;
+use super::engine::Progress;
+use super::engine::TOKEN_COST;
+use super::mix::model;
+use super::outcome::Outcome;
+use super::policy::Policy;
+use super::traffic::NODE_WEIGHTS;
+use super::traffic::Request;
 use admit::Arrival;
 use admit::Beyond;
 use admit::Config;
@@ -22,18 +33,6 @@
 use base::TokenCount;
 use route::Candidate;
 
-use super::engine::Engine;
-use super::engine::Job;
-use super::engine::Order;
-use super::engine::PROMPT_COST;
-use super::engine::Progress;
-use super::engine::TOKEN_COST;
-use super::mix::model;
-use super::outcome::Outcome;
-use super::policy::Policy;
-use super::traffic::NODE_WEIGHTS;
-use super::traffic::Request;
-
 /// Replicas over all data centres.
 pub const REPLICAS: usize = 60;
 /// Data centres.
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
+use crate::Forecast;
 use base::CentreId;
 use base::Load;
 use base::ReplicaId;
 use base::TokenCount;
 use base::TokenRate;
-use derive_more::Display;
-
-use crate::Forecast;
 
 /// A replica that may serve a model, with its latest load report.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -121,10 +121,10 @@
     /// No replica serves the model.
     #[display("no replica serves the model")]
     NoReplica,
-    /// Every replica that was looked at has its share of slots taken.
-    #[display("all replicas are full")]
+    /// Replicas that were looked at have their share of slots taken, which may pass.
+    #[display("replicas are full")]
     Full,
-    /// A replica has room, but too late or too slow.
+    /// Every replica that was looked at has room, but answers too late or too slowly.
     #[display("no replica answers in time")]
     Late,
 }
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
+use crate::Length;
+use crate::Standing;
 use base::ModelName;
 use base::ReplicaId;
 use base::Time;
 
-use crate::Length;
-use crate::Standing;
-
 /// One request at a replica.
 #[derive(Clone, Debug)]
 pub(crate) struct Flight {
--- a/crates/route/src/forecast.rs
+++ b/crates/route/src/forecast.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use base::TokenRate;
-
 use crate::Ask;
 use crate::replica::Replica;
+use base::TokenRate;
 
 /// Prefill rate taken for a replica that has not reported one, in tokens a second.
 const UNKNOWN_PREFILL: f64 = 4_000.0;
--- a/crates/route/src/outlier.rs
+++ b/crates/route/src/outlier.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use base::Time;
-
 use crate::Config;
+use base::Time;
 
 /// Weight of one sample in a replica's averages.
 const REPLICA_WEIGHT: f64 = 0.2;
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -4,10 +4,6 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use base::ReplicaId;
-use base::Time;
-use base::TokenCount;
-
 use crate::Ask;
 use crate::Candidate;
 use crate::Choice;
@@ -21,6 +17,9 @@
 use crate::outlier::Usual;
 use crate::prefix::Prefixes;
 use crate::replica::Replica;
+use base::ReplicaId;
+use base::Time;
+use base::TokenCount;
 
 /// Links that are longer than the shortest by less than this are near.
 const NEAR: Duration = Duration::from_millis(1);
@@ -220,7 +219,7 @@
         }
         self.decay(now);
         let learned = self.learned(cfg, (ask.standing, ask.length));
-        let mut miss = Miss::Full;
+        let mut miss = Miss::Late;
         let mut found = Vec::with_capacity(cfg.near_sample + cfg.far_sample);
         match ask.slice {
             Some(slice) => {
@@ -280,16 +279,17 @@
             return;
         }
         if ask.length == Length::Long && !has_long_room(replica, ask.long_quota) {
+            *miss = Miss::Full;
             return;
         }
         let forecast = Forecast::of(replica, learned, ask, now);
         if ask.fill < forecast.fill || ask.backlog < forecast.backlog {
+            *miss = Miss::Full;
             return;
         }
         let late = ask.budget < forecast.first_token;
         let slow = forecast.token_rate.0 < ask.token_rate.0;
         if late || slow {
-            *miss = Miss::Late;
             return;
         }
         let score = forecast.first_token.as_secs_f64() + FILL_WEIGHT * forecast.fill;
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -4,17 +4,16 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::Candidate;
+use crate::Length;
+use crate::flight::Flight;
+use crate::outlier::Outlier;
 use base::Load;
 use base::ReplicaId;
 use base::RequestId;
 use base::Time;
 use base::TokenCount;
 
-use crate::Candidate;
-use crate::Length;
-use crate::flight::Flight;
-use crate::outlier::Outlier;
-
 /// An own request that the latest report has not counted.
 #[derive(Clone, Copy, Debug)]
 struct Unseen {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -3,12 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use base::ModelName;
-use base::ReplicaId;
-use base::RequestId;
-use base::Time;
-use base::TokenCount;
-
 use crate::Ask;
 use crate::Candidate;
 use crate::Choice;
@@ -17,6 +11,11 @@
 use crate::Miss;
 use crate::flight::Flight;
 use crate::pool::Pool;
+use base::ModelName;
+use base::ReplicaId;
+use base::RequestId;
+use base::Time;
+use base::TokenCount;
 
 /// A backlog shorter than this teaches nothing, in seconds.
 const MIN_BACKLOG: f64 = 0.01;
