--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -3,13 +3,16 @@
 //! Engines batch continuously, prefill in chunks and report their load late.
 //! The same seeded requests run under each [`Policy`].
 
+mod alone;
 mod engine;
 mod mix;
+mod node;
 mod outcome;
 mod policy;
 mod traffic;
 mod world;
 
+pub use alone::time_alone;
 pub use mix::Mix;
 pub use mix::contracts;
 pub use mix::load_capacity;
@@ -25,4 +28,3 @@
 pub use world::REPLICAS;
 pub use world::Run;
 pub use world::run;
-pub use world::time_alone;
--- a/crates/bench/src/load/world.rs
+++ b/crates/bench/src/load/world.rs
@@ -12,19 +12,18 @@
 use super::engine::Progress;
 use super::engine::TOKEN_COST;
 use super::mix::model;
+use super::node::node_count;
+use super::node::open_node;
 use super::outcome::Outcome;
 use super::policy::Policy;
-use super::traffic::NODE_WEIGHTS;
 use super::traffic::Request;
 use admit::Arrival;
-use admit::Beyond;
 use admit::Config;
 use admit::Decision;
 use admit::DemandReport;
 use admit::Dispatcher;
 use base::CentreId;
 use base::Contract;
-use base::Incarnation;
 use base::Load;
 use base::NodeId;
 use base::ReplicaId;
@@ -36,9 +35,9 @@
 /// Replicas over all data centres.
 pub const REPLICAS: usize = 60;
 /// Data centres.
-const CENTRES: usize = 3;
+pub const CENTRES: usize = 3;
 /// One way within a data centre.
-const NEAR: Duration = Duration::from_micros(300);
+pub const NEAR: Duration = Duration::from_micros(300);
 /// One way between data centres.
 const FAR: Duration = Duration::from_millis(4);
 /// Time between two load reports.
@@ -116,22 +115,6 @@
     world.outcomes
 }
 
-/// Time of a request that has an engine for itself.
-pub fn time_alone(request: &Request) -> Duration {
-    let mut engine = Engine::open(Order::Fifo);
-    engine.push(Job {
-        request: 0,
-        priority: 0,
-        prompt: request.prompt,
-        output: request.output,
-    });
-    let mut span = 2 * NEAR;
-    while !engine.is_idle() {
-        span += engine.step(&mut Vec::new());
-    }
-    span
-}
-
 impl<'a> World<'a> {
     fn open(run: &'a Run, requests: &'a [Request]) -> Self {
         let order = match run.policy {
@@ -406,29 +389,3 @@
         self.push(self.now + every, Event::Exchange);
     }
 }
-
-fn node_count(policy: Policy) -> usize {
-    match policy {
-        Policy::Perfect => 1,
-        Policy::Limit | Policy::Lend | Policy::RoundRobin => NODE_WEIGHTS.len(),
-    }
-}
-
-fn open_node(run: &Run, node: usize) -> Dispatcher {
-    let beyond = match run.policy {
-        Policy::Limit => Beyond::Refuse,
-        Policy::Lend | Policy::Perfect | Policy::RoundRobin => Beyond::Lend,
-    };
-    let count = node_count(run.policy) as u16;
-    let nodes = (0..count).map(|n| (NodeId(n), CentreId(n % CENTRES as u16)));
-    let cfg = Config {
-        node: NodeId(node as u16),
-        incarnation: Incarnation(1),
-        nodes: nodes.collect(),
-        beyond,
-        ..Config::default()
-    };
-    let mut dispatcher = Dispatcher::open(cfg, run.seed + node as u64);
-    dispatcher.configure(&run.contracts, Time::ZERO);
-    dispatcher
-}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,6 +6,7 @@
 //! probably sent. It takes a nearby replica unless a far one is worth the link,
 //! treats cached prefixes as a hint, and leaves out replicas that turned slow.
 
+mod behind;
 mod candidate;
 mod config;
 mod flight;
@@ -15,6 +16,7 @@
 mod prefix;
 mod replica;
 mod router;
+mod sample;
 
 pub use candidate::Ask;
 pub use candidate::Candidate;
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -13,10 +13,15 @@
 use crate::Miss;
 use crate::Slice;
 use crate::Standing;
+use crate::behind::Behind;
 use crate::forecast::Learned;
 use crate::outlier::Usual;
 use crate::prefix::Prefixes;
 use crate::replica::Replica;
+use crate::sample::Scored;
+use crate::sample::has_free;
+use crate::sample::pick;
+use crate::sample::sample;
 use base::ReplicaId;
 use base::Time;
 use base::TokenCount;
@@ -69,41 +74,6 @@
     }
 }
 
-/// The part of a reported prefill backlog that a request waits for, by least squares. At
-/// an engine that honours priorities it is small for short work.
-#[derive(Clone, Copy, Debug)]
-struct Behind {
-    product: f64,
-    square: f64,
-}
-
-impl Default for Behind {
-    fn default() -> Self {
-        Self {
-            product: 0.1,
-            square: 0.1,
-        }
-    }
-}
-
-impl Behind {
-    fn add(&mut self, waited: f64, backlog: f64) {
-        self.product += LEARN * (waited * backlog - self.product);
-        self.square += LEARN * (backlog * backlog - self.square);
-    }
-
-    fn part(&self) -> f64 {
-        (self.product / self.square.max(1e-9)).clamp(0.0, 4.0)
-    }
-}
-
-/// A replica with its score in seconds. Smaller is better.
-struct Scored {
-    at: usize,
-    score: f64,
-    forecast: Forecast,
-}
-
 impl Pool {
     /// Replaces the replicas, keeping what is known of those that stay.
     pub fn replace(&mut self, candidates: Vec<Candidate>, now: Time) {
@@ -356,43 +326,6 @@
     }
 }
 
-/// Some places of a range: all if they are few, else a random sample.
-fn sample(
-    range: Range<usize>,
-    most: usize,
-    rng: &mut fastrand::Rng,
-) -> impl Iterator<Item = usize> {
-    let all = range.len() <= most;
-    let count = range.len().min(most);
-    (0..count).map(move |i| {
-        if all {
-            range.start + i
-        } else {
-            rng.usize(range.clone())
-        }
-    })
-}
-
-/// True if a replica has a free slot and next to no wait.
-fn has_free(found: &[Scored]) -> bool {
-    found.iter().any(|scored| {
-        let wait = scored
-            .forecast
-            .first_token
-            .saturating_sub(scored.forecast.alone);
-        scored.forecast.fill <= 0.9 && wait < Duration::from_millis(10)
-    })
-}
-
-/// One of the best, at random among near equals.
-fn pick<'a>(found: &'a [Scored], cfg: &Config, rng: &mut fastrand::Rng) -> Option<&'a Scored> {
-    let best = found.iter().map(|s| s.score).min_by(f64::total_cmp)?;
-    let limit = best + cfg.near_equal.as_secs_f64();
-    let equal = found.iter().filter(|s| s.score <= limit).count();
-    let nth = rng.usize(0..equal);
-    found.iter().filter(|s| s.score <= limit).nth(nth)
-}
-
 /// True if this node may send one more long request to the replica.
 fn has_long_room(replica: &Replica, quota: f64) -> bool {
     // The hash turns a fraction into a share of the replicas.
--- /dev/null
+++ b/crates/route/src/sample.rs
@@ -0,0 +1,55 @@
+//! Looks at a bounded sample of replicas and picks one of the best.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use crate::Config;
+use crate::Forecast;
+
+/// A replica with its score in seconds. Smaller is better.
+pub(crate) struct Scored {
+    pub at: usize,
+    pub score: f64,
+    pub forecast: Forecast,
+}
+
+/// Some places of a range: all if they are few, else a random sample.
+pub(crate) fn sample(
+    range: Range<usize>,
+    most: usize,
+    rng: &mut fastrand::Rng,
+) -> impl Iterator<Item = usize> {
+    let all = range.len() <= most;
+    let count = range.len().min(most);
+    (0..count).map(move |i| {
+        if all {
+            range.start + i
+        } else {
+            rng.usize(range.clone())
+        }
+    })
+}
+
+/// True if a replica has a free slot and next to no wait.
+pub(crate) fn has_free(found: &[Scored]) -> bool {
+    found.iter().any(|scored| {
+        let wait = scored
+            .forecast
+            .first_token
+            .saturating_sub(scored.forecast.alone);
+        scored.forecast.fill <= 0.9 && wait < Duration::from_millis(10)
+    })
+}
+
+/// One of the best, at random among near equals.
+pub(crate) fn pick<'a>(
+    found: &'a [Scored],
+    cfg: &Config,
+    rng: &mut fastrand::Rng,
+) -> Option<&'a Scored> {
+    let best = found.iter().map(|s| s.score).min_by(f64::total_cmp)?;
+    let limit = best + cfg.near_equal.as_secs_f64();
+    let equal = found.iter().filter(|s| s.score <= limit).count();
+    let nth = rng.usize(0..equal);
+    found.iter().filter(|s| s.score <= limit).nth(nth)
+}
