--- /dev/null
+++ b/crates/admit/tests/exchange.rs
@@ -0,0 +1,146 @@
+//! Several dispatchers that share the limits of one contract.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use admit::Arrival;
+use admit::Config;
+use admit::Decision;
+use admit::DemandReport;
+use admit::Dispatcher;
+use base::CentreId;
+use base::Contract;
+use base::Incarnation;
+use base::Load;
+use base::ModelName;
+use base::NodeId;
+use base::Overflow;
+use base::Priority;
+use base::ReplicaId;
+use base::RequestId;
+use base::RequestRate;
+use base::Time;
+use base::TokenCount;
+use base::TokenRate;
+use route::Candidate;
+
+const NODES: u16 = 6;
+const RATE: f64 = 60.0;
+const BURST: u32 = 30;
+
+fn contract() -> Contract {
+    Contract {
+        name: "quotes".parse().unwrap(),
+        callers: vec![],
+        org: "mill".parse().unwrap(),
+        weight: 1,
+        model: "m".parse().unwrap(),
+        first_token: Duration::from_millis(400),
+        token_rate: TokenRate(10.0),
+        request_rate: RequestRate(RATE),
+        burst: BURST,
+        total_token_rate: TokenRate(1e9),
+        overflow: Overflow::Refuse,
+        priority: Priority(1),
+    }
+}
+
+fn open(node: u16) -> Dispatcher {
+    let cfg = Config {
+        node: NodeId(node),
+        incarnation: Incarnation(1),
+        nodes: (0..NODES).map(|n| (NodeId(n), CentreId(n % 3))).collect(),
+        ..Config::default()
+    };
+    let mut dispatcher = Dispatcher::open(cfg, u64::from(node));
+    dispatcher.configure(&[contract()], Time::ZERO);
+    let model: ModelName = "m".parse().unwrap();
+    let replica = Candidate {
+        replica: ReplicaId(1),
+        load: Load {
+            slots: 100_000,
+            prefill_rate: TokenRate(1e6),
+            token_rate: TokenRate(50.0),
+            ..Load::default()
+        },
+        ..Candidate::default()
+    };
+    dispatcher.replicas(&model, vec![replica], Time::ZERO);
+    dispatcher
+}
+
+/// Asks far beyond the rate at the nodes that `asks` names and exchanges reports among
+/// the nodes that `live` names, for `seconds`. What was admitted.
+fn admitted(asks: &[u16], live: &BTreeSet<NodeId>, seconds: u64) -> u64 {
+    let mut nodes: Vec<_> = (0..NODES).map(open).collect();
+    let mut reports: BTreeMap<NodeId, DemandReport> = BTreeMap::new();
+    let mut admitted = 0;
+    for ms in 0..seconds * 1_000 {
+        let now = Time::from_millis(ms);
+        if ms.is_multiple_of(100) {
+            let heard: Vec<_> = reports.values().cloned().collect();
+            for node in live {
+                let dispatcher = &mut nodes[usize::from(node.0)];
+                dispatcher.peers(&heard, live, now);
+                reports.insert(*node, dispatcher.demand(now));
+            }
+        }
+        for node in asks {
+            let request = RequestId(ms);
+            let decision = nodes[usize::from(*node)].arrive(Arrival {
+                request,
+                contract: "quotes".parse().unwrap(),
+                prompt: TokenCount(10),
+                max_tokens: TokenCount(10),
+                prefix: None,
+                now,
+            });
+            if matches!(decision, Decision::Send { .. }) {
+                admitted += 1;
+                nodes[usize::from(*node)].first_token(request, now);
+                nodes[usize::from(*node)].finished(request, now);
+            }
+        }
+    }
+    admitted
+}
+
+fn set(nodes: impl IntoIterator<Item = u16>) -> BTreeSet<NodeId> {
+    nodes.into_iter().map(NodeId).collect()
+}
+
+/// Asserts that about `part` of the limit was admitted in ten seconds.
+fn assert_part(admitted: u64, part: f64) {
+    let whole = RATE * 10.0 * part;
+    let most = whole + f64::from(BURST) + f64::from(NODES) + RATE * 0.22;
+    println!("{admitted} of {whole}");
+    assert!(0.9 * whole <= admitted as f64 && admitted as f64 <= most);
+}
+
+#[test]
+fn all_nodes_together_hold_the_limit() {
+    assert_part(admitted(&[0, 1, 2, 3, 4, 5], &set(0..NODES), 10), 1.0);
+}
+
+#[test]
+fn one_node_with_all_the_callers_gets_the_whole_limit() {
+    assert_part(admitted(&[4], &set(0..NODES), 10), 1.0);
+}
+
+#[test]
+fn a_lost_node_gives_its_share_back_while_its_data_centre_is_in_sight() {
+    assert_part(admitted(&[0, 1, 2, 3], &set(0..5), 10), 1.0);
+}
+
+#[test]
+fn a_side_that_is_cut_off_goes_on_with_its_part() {
+    // Nodes 2 and 5 are the third data centre.
+    assert_part(admitted(&[0, 1, 3, 4], &set([0, 1, 3, 4]), 10), 2.0 / 3.0);
+    assert_part(admitted(&[2, 5], &set([2, 5]), 10), 1.0 / 3.0);
+}
+
+#[test]
+fn a_node_that_hears_of_no_other_goes_on_with_its_own_part() {
+    assert_part(admitted(&[3], &set([]), 10), 1.0 / 6.0);
+}
