--- a/crates/admit/src/shares.rs
+++ b/crates/admit/src/shares.rs
@@ -10,18 +10,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use base::OrgName;
-use base::Time;
-
 use crate::OrgDemand;
 use crate::rate::Rate;
+use base::OrgName;
+use base::Time;
 
 /// Time over which work is averaged.
 const SPAN: Duration = Duration::from_secs(1);
 /// Capacity is short once the work asked for exceeds what is sent by this factor.
-const SHORT: f64 = 1.1;
+const SHORT: f64 = 1.05;
 /// An organisation may save up its share for this long.
-const SAVED: Duration = Duration::from_millis(500);
+const SAVED: Duration = Duration::from_millis(200);
 
 /// The use of one model by organisations.
 #[derive(Clone, Debug, Default)]
