--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -121,10 +121,10 @@
     /// No replica serves the model.
     #[display("no replica serves the model")]
     NoReplica,
-    /// Every replica that was looked at has its share of slots taken.
-    #[display("all replicas are full")]
+    /// Replicas that were looked at have their share of slots taken, which may pass.
+    #[display("replicas are full")]
     Full,
-    /// A replica has room, but too late or too slow.
+    /// Every replica that was looked at has room, but answers too late or too slowly.
     #[display("no replica answers in time")]
     Late,
 }
