--- a/crates/daemon/src/gossip/demand.rs
+++ b/crates/daemon/src/gossip/demand.rs
@@ -15,10 +15,12 @@
 use admit::ContractDemand;
 use admit::DemandReport;
 use admit::ModelDemand;
+use admit::OrgDemand;
 use base::ContractName;
 use base::Incarnation;
 use base::ModelName;
 use base::NodeId;
+use base::OrgName;
 use members::Item;
 use members::Kind;
 use members::News;
@@ -35,6 +37,12 @@
 /// Contracts in one item, so that it fits into a datagram.
 const CONTRACTS_IN_ITEM: usize = 24;
 
+/// Keys of items about models start here; those below are about contracts.
+const FIRST_MODEL_KEY: u64 = 1 << 32;
+
+/// Organisations in one item at most: those that ask for most.
+const ORGS_IN_ITEM: usize = 64;
+
 /// A part of one node's report.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Part {
@@ -53,17 +61,26 @@
     spent_tokens: f64,
 }
 
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct ModelPart {
     model: u64,
     long: f32,
     beyond: f32,
+    sent: f32,
+    orgs: Vec<OrgPart>,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct OrgPart {
+    org: u64,
+    asked: f32,
 }
 
 /// The names of the rules in force by their hashes.
 struct Names {
     contracts: BTreeMap<u64, ContractName>,
     models: BTreeMap<u64, ModelName>,
+    orgs: BTreeMap<u64, (OrgName, f64)>,
 }
 
 /// Exchanges demand, for as long as the node runs.
@@ -86,22 +103,35 @@
         .filter(used)
         .map(contract_part)
         .collect();
-    let mut models: Vec<_> = report.models.iter().map(model_part).collect();
     for (key, contracts) in contracts.chunks(CONTRACTS_IN_ITEM).enumerate() {
-        let part = Part {
+        let part = Part::of(report, contracts.to_vec(), Vec::new());
+        publish_part(node, key as u64, &part);
+    }
+    for (key, model) in report.models.iter().enumerate() {
+        let part = Part::of(report, Vec::new(), vec![model_part(model)]);
+        publish_part(node, FIRST_MODEL_KEY + key as u64, &part);
+    }
+}
+
+fn publish_part(node: &Node, key: u64, part: &Part) {
+    let item = Item {
+        kind: Kind::Demand,
+        key,
+        body: postcard::to_stdvec(part).unwrap_or_default(),
+        scope: Scope::Everywhere,
+        ttl: REPORT_LIFE,
+    };
+    node.gossip.members.borrow_mut().publish(item, clock::now());
+}
+
+impl Part {
+    fn of(report: &DemandReport, contracts: Vec<ContractPart>, models: Vec<ModelPart>) -> Self {
+        Self {
             incarnation: report.incarnation,
             sequence: report.sequence,
-            contracts: contracts.to_vec(),
-            models: std::mem::take(&mut models),
-        };
-        let item = Item {
-            kind: Kind::Demand,
-            key: key as u64,
-            body: postcard::to_stdvec(&part).unwrap_or_default(),
-            scope: Scope::Everywhere,
-            ttl: REPORT_LIFE,
-        };
-        node.gossip.members.borrow_mut().publish(item, clock::now());
+            contracts,
+            models,
+        }
     }
 }
 
@@ -148,9 +178,12 @@
             .keys()
             .map(|n| (hash(n.as_str()), n.clone()));
         let models = rules.models.keys().map(|n| (hash(n.as_str()), n.clone()));
+        let orgs = rules.orgs.iter();
+        let orgs = orgs.map(|(n, org)| (hash(n.as_str()), (n.clone(), f64::from(org.weight))));
         Self {
             contracts: contracts.collect(),
             models: models.collect(),
+            orgs: orgs.collect(),
         }
     }
 
@@ -173,12 +206,25 @@
                     model: model.clone(),
                     long: f64::from(m.long),
                     beyond: f64::from(m.beyond),
+                    sent: f64::from(m.sent),
+                    orgs: m.orgs.iter().filter_map(|o| self.org(o)).collect(),
                 });
             }
         }
     }
 }
 
+impl Names {
+    fn org(&self, part: &OrgPart) -> Option<OrgDemand> {
+        let (org, weight) = self.orgs.get(&part.org)?;
+        Some(OrgDemand {
+            org: org.clone(),
+            weight: *weight,
+            asked: f64::from(part.asked),
+        })
+    }
+}
+
 fn contract_part(demand: &ContractDemand) -> ContractPart {
     ContractPart {
         contract: hash(demand.contract.as_str()),
@@ -194,6 +240,22 @@
         model: hash(demand.model.as_str()),
         long: demand.long as f32,
         beyond: demand.beyond as f32,
+        sent: demand.sent as f32,
+        orgs: org_parts(&demand.orgs),
+    }
+}
+
+fn org_parts(orgs: &[OrgDemand]) -> Vec<OrgPart> {
+    let mut parts: Vec<_> = orgs.iter().map(org_part).collect();
+    parts.sort_by(|a, b| b.asked.total_cmp(&a.asked));
+    parts.truncate(ORGS_IN_ITEM);
+    parts
+}
+
+fn org_part(demand: &OrgDemand) -> OrgPart {
+    OrgPart {
+        org: hash(demand.org.as_str()),
+        asked: demand.asked as f32,
     }
 }
 
--- a/crates/daemon/src/voters/driver.rs
+++ b/crates/daemon/src/voters/driver.rs
@@ -41,8 +41,8 @@
 /// How long a message to another voter may take.
 const WITHIN: Duration = Duration::from_millis(1_000);
 
-/// Applied entries between two snapshots.
-const SNAPSHOT_EVERY: u64 = 10_000;
+/// Bytes of the log before a snapshot is made, unless the state is larger.
+const SNAPSHOT_BYTES: u64 = 1024 * 1024;
 
 /// This node's part among the voters.
 #[derive(Debug)]
@@ -54,7 +54,8 @@
     clock: RefCell<LogClock>,
     batches: Sender<Batch>,
     waiting: RefCell<BTreeMap<Index, Waiter>>,
-    compacted: Cell<u64>,
+    snapshot_bytes: Cell<u64>,
+    encoding: Cell<bool>,
     halted: Cell<bool>,
     reported: RefCell<Option<(Role, Standing)>>,
 }
@@ -89,7 +90,8 @@
         clock: RefCell::new(LogClock::open(state::Millis(0), now)),
         batches,
         waiting: RefCell::default(),
-        compacted: Cell::new(0),
+        snapshot_bytes: Cell::new(0),
+        encoding: Cell::new(false),
         halted: Cell::new(false),
         reported: RefCell::default(),
     };
@@ -152,16 +154,19 @@
 
 /// Makes a snapshot once enough was applied. It is encoded on a thread that may wait.
 fn compact(node: &Rc<Node>, voters: &Voters) {
-    let applied = voters.applied();
-    if applied < voters.compacted.get() + SNAPSHOT_EVERY {
+    let limit = SNAPSHOT_BYTES.max(2 * voters.snapshot_bytes.get());
+    if voters.encoding.get() || voters.voter.borrow().log_bytes().0 < limit {
         return;
     }
-    voters.compacted.set(applied);
+    voters.encoding.set(true);
+    let applied = voters.applied();
     let image = voters.state.borrow().image();
     let node = Rc::clone(node);
     compio::runtime::spawn(async move {
         let encoded = compio::runtime::spawn_blocking(move || image.encode()).await;
         if let (Ok(bytes), Some(voters)) = (encoded, &node.voters) {
+            voters.snapshot_bytes.set(bytes.len() as u64);
+            voters.encoding.set(false);
             voters.voter.borrow_mut().compact(Index(applied), bytes);
             step(&node);
         }
@@ -228,7 +233,7 @@
     fn install(&self, bytes: &[u8]) {
         match State::decode(bytes) {
             Ok(state) => {
-                self.compacted.set(state.applied());
+                self.snapshot_bytes.set(bytes.len() as u64);
                 self.clock.borrow_mut().observe(state.now(), clock::now());
                 self.state.replace(state);
             }
