--- a/crates/bench/src/crest.rs
+++ b/crates/bench/src/crest.rs
@@ -82,6 +82,7 @@
             policy: *policy,
             contracts: contracts.clone(),
             window: (RISE + SWING, FALL),
+            slow: Time::NEVER,
             seed,
         };
         let outcomes = run_load(&cfg, &requests);
--- a/crates/bench/src/hol.rs
+++ b/crates/bench/src/hol.rs
@@ -47,7 +47,29 @@
         }
         report = report.table(table);
     }
-    report
+    report.table(slow_table(seed))
+}
+
+/// One replica of 60 turns ten times slower.
+fn slow_table(seed: u64) -> Table {
+    let (mix, load) = (Mix::Lantern, LOADS[0]);
+    let title = format!("{mix}: one replica of 60 ten times slower from {WARM} on");
+    let mut table = Table::new(&title, &COLUMNS);
+    let capacity = load_capacity(mix);
+    let contracts = contracts(mix, capacity);
+    let requests = requests(mix, &Profile::steady(load, END), capacity, &contracts, seed);
+    for policy in POLICIES {
+        let cfg = Run {
+            policy,
+            contracts: contracts.clone(),
+            window: (WARM, END),
+            slow: WARM,
+            seed,
+        };
+        let outcomes = run_load(&cfg, &requests);
+        table.row(cells(mix, load, policy, "with", &requests, &outcomes));
+    }
+    table
 }
 
 fn add_rows(table: &mut Table, mix: Mix, load: f64, seed: u64) {
@@ -62,6 +84,7 @@
                 policy,
                 contracts: contracts.clone(),
                 window: (WARM, END),
+                slow: Time::NEVER,
                 seed,
             };
             let outcomes = run_load(&cfg, requests);
--- a/crates/bench/src/load/world.rs
+++ b/crates/bench/src/load/world.rs
@@ -48,6 +48,8 @@
 const DEMAND_LAG: Duration = Duration::from_millis(10);
 /// Tokens that a node counts at once.
 const TOKENS_AT_ONCE: u32 = 8;
+/// How many times slower a replica turns.
+const SLOWNESS: u32 = 10;
 /// Nothing runs longer than this after the last arrival.
 const DRAIN: Duration = Duration::from_secs(240);
 
@@ -60,6 +62,8 @@
     pub contracts: Vec<Contract>,
     /// Work done in this window counts for goodput.
     pub window: (Time, Time),
+    /// When replica 0 turns ten times slower.
+    pub slow: Time,
     /// Seed of the dispatchers.
     pub seed: u64,
 }
@@ -76,6 +80,7 @@
     ReportTaken(usize),
     ReportSeen,
     Exchange,
+    Slow,
     Poll(usize),
 }
 
@@ -142,6 +147,9 @@
         if !requests.is_empty() {
             world.push(requests[0].at, Event::Arrive(0));
         }
+        if run.slow < Time::NEVER {
+            world.push(run.slow, Event::Slow);
+        }
         if run.policy != Policy::RoundRobin {
             world.introduce();
         }
@@ -222,6 +230,7 @@
             Event::ReportTaken(replica) => self.take_report(replica),
             Event::ReportSeen => self.see_report(),
             Event::Exchange => self.exchange(),
+            Event::Slow => self.engines[0].slowness = SLOWNESS,
             Event::Poll(node) => {
                 if self.polls[node] == self.now {
                     self.poll(node);
