--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,6 +6,7 @@
 mod downtime;
 mod hol;
 mod load;
+mod nodes;
 mod order;
 mod path;
 mod report;
@@ -25,7 +26,7 @@
     json: bool,
     #[options(
         free,
-        help = "config, control, crest, downtime, hol, order, path or all"
+        help = "config, control, crest, downtime, hol, nodes, order, path or all"
     )]
     measures: Vec<String>,
 }
@@ -33,7 +34,7 @@
 /// One measure.
 type Measure = (&'static str, fn(u64) -> Report);
 
-const MEASURES: [Measure; 7] = [
+const MEASURES: [Measure; 8] = [
     ("path", path::run),
     ("config", config::run),
     ("downtime", downtime::run),
@@ -41,6 +42,7 @@
     ("hol", hol::run),
     ("order", order::run),
     ("control", control::run),
+    ("nodes", nodes::run),
 ];
 
 fn main() {
--- a/crates/daemon/src/gossip/mod.rs
+++ b/crates/daemon/src/gossip/mod.rs
@@ -37,6 +37,9 @@
 /// How often the membership goes on in time.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Bytes of the IP and UDP headers of a datagram.
+const DATAGRAM_HEAD_BYTES: u64 = 28;
+
 /// How long the news that an upstream leaves is kept.
 const LEAVING_LIFE: Duration = Duration::from_secs(10);
 
@@ -117,6 +120,7 @@
         let Ok((len, _)) = received else {
             continue;
         };
+        node.meter.receive_raw(DATAGRAM_HEAD_BYTES + len as u64);
         if let Some((from, bytes)) = node.gossip.seal.open_datagram(&buf[..len]) {
             let mut members = node.gossip.members.borrow_mut();
             members.receive(from, bytes, clock::now());
@@ -136,6 +140,8 @@
         };
         for packet in packets {
             let datagram = node.gossip.seal.seal(node.id(), &packet.bytes);
+            node.meter
+                .send_raw(DATAGRAM_HEAD_BYTES + datagram.len() as u64);
             // A datagram that cannot be sent is as good as lost.
             let _ = socket.send_to(datagram, packet.addr).await;
         }
--- a/crates/daemon/src/inner/mod.rs
+++ b/crates/daemon/src/inner/mod.rs
@@ -89,7 +89,10 @@
 
 async fn answer(node: Rc<Node>, offered: Rc<Offered>, req: Request<Incoming>) -> Response<Body> {
     match req.uri().path() {
-        "/metrics" => return Response::new(Body::whole(node.metrics.encode())),
+        "/metrics" => {
+            node.metrics.control_bytes(&node.meter);
+            return Response::new(Body::whole(node.metrics.encode()));
+        }
         "/rpc" => {}
         _ => return status(StatusCode::NOT_FOUND),
     }
@@ -98,7 +101,12 @@
         return status(StatusCode::UNAUTHORIZED);
     };
     match read_body(body, CALL_BYTES, node.settings.limits.arrival).await {
-        Ok(bytes) => Response::new(Body::whole(methods.answer(&bytes).await)),
+        Ok(bytes) => {
+            node.meter.receive(bytes.len());
+            let reply = methods.answer(&bytes).await;
+            node.meter.send(reply.len());
+            Response::new(Body::whole(reply))
+        }
         Err(_) => status(StatusCode::BAD_REQUEST),
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -8,6 +8,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use net::Meter;
+
 /// Bounds of the buckets of all times, in seconds.
 const TIME_BUCKETS: [f64; 16] = [
     0.0005, 0.001, 0.0025, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.38, 0.5, 1.0, 2.0, 5.0, 10.0, 60.0,
@@ -56,6 +58,10 @@
     pub in_flight: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
+    /// Bytes of control sent.
+    pub control_sent: Gauge,
+    /// Bytes of control received.
+    pub control_received: Gauge,
     /// One while this node orders the hosts of its data centre.
     pub controller: Gauge,
 }
@@ -77,6 +83,8 @@
             claims: Counter::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
+            control_sent: Gauge::default(),
+            control_received: Gauge::default(),
             controller: Gauge::default(),
         };
         metrics.register();
@@ -120,6 +128,16 @@
             "Configuration in force",
             self.config_version.clone(),
         );
+        r.register(
+            "control_sent_bytes",
+            "Bytes of control sent since the start",
+            self.control_sent.clone(),
+        );
+        r.register(
+            "control_received_bytes",
+            "Bytes of control received since the start",
+            self.control_received.clone(),
+        );
         r.register(
             "controller",
             "One while ordering hosts",
@@ -127,6 +145,12 @@
         );
     }
 
+    /// Takes over what the meter of control has counted.
+    pub fn control_bytes(&self, meter: &Meter) {
+        self.control_sent.set(meter.sent() as i64);
+        self.control_received.set(meter.received() as i64);
+    }
+
     /// All metrics as text.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -22,6 +22,7 @@
 use base::ReplicaId;
 use base::RequestId;
 use base::Version;
+use net::Meter;
 use net::RpcClient;
 use rules::Rules;
 use settings::Settings;
@@ -95,6 +96,8 @@
     placed: RefCell<BTreeMap<ReplicaId, u32>>,
     /// What it counts.
     pub metrics: Metrics,
+    /// Counts the bytes of control.
+    pub meter: Meter,
     /// Calls other nodes.
     pub peers: RpcClient,
     /// Calls engines.
@@ -138,8 +141,10 @@
 impl Node {
     /// A node that does not listen yet.
     pub fn open(settings: Settings, voters: Option<Voters>) -> Result<Rc<Self>, cyper::Error> {
-        let peers = RpcClient::open(settings.secrets.peers.expose())?;
-        let engines = RpcClient::open(settings.secrets.upstreams.expose())?;
+        let meter = Meter::default();
+        let secrets = &settings.secrets;
+        let peers = RpcClient::open(secrets.peers.expose())?.metered(meter.clone());
+        let engines = RpcClient::open(secrets.upstreams.expose())?.metered(meter.clone());
         let incarnation = clock::new_incarnation();
         let control = Control::open(&settings, incarnation);
         let gossip = Gossip::open(&settings, incarnation);
@@ -162,6 +167,7 @@
             classes: RefCell::default(),
             placed: RefCell::default(),
             metrics: Metrics::default(),
+            meter,
             peers,
             engines,
             in_flight: Cell::new(0),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod body;
 mod connection;
+mod meter;
 mod methods;
 mod rpc;
 mod server;
@@ -19,6 +20,7 @@
 pub use body::read_body;
 pub use connection::Connection;
 pub use connection::SendError;
+pub use meter::Meter;
 pub use methods::Methods;
 pub use rpc::RpcClient;
 pub use rpc::RpcError;
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -10,11 +10,14 @@
 use wire::Call;
 use wire::Fault;
 
+use crate::Meter;
+
 /// Calls one kind of peers with one secret.
 #[derive(Clone, Debug)]
 pub struct RpcClient {
     client: cyper::Client,
     secret: String,
+    meter: Meter,
 }
 
 /// Why a call has no reply.
@@ -61,9 +64,16 @@
         Ok(Self {
             client: cyper::Client::new()?,
             secret: secret.into(),
+            meter: Meter::default(),
         })
     }
 
+    /// The same client, counting on this meter.
+    pub fn metered(mut self, meter: Meter) -> Self {
+        self.meter = meter;
+        self
+    }
+
     /// Calls the process at `addr` and waits at most `span`.
     pub async fn call<C: Call>(
         &self,
@@ -79,15 +89,18 @@
 
     async fn exchange<C: Call>(&self, addr: SocketAddr, call: &C) -> Result<C::Reply, RpcError> {
         let unreachable = || RpcError::Unreachable { addr };
+        let bytes = wire::encode_call(call);
+        self.meter.send(bytes.len());
         let req = self
             .client
             .post(format!("http://{addr}/rpc"))
             .and_then(|req| req.bearer_auth(&self.secret))
             .and_then(|req| req.header("content-type", "application/json"))
             .map_err(|_| unreachable())?
-            .body(wire::encode_call(call));
+            .body(bytes);
         let response = req.send().await.map_err(|_| unreachable())?;
         let bytes = response.bytes().await.map_err(|_| unreachable())?;
+        self.meter.receive(bytes.len());
         match wire::decode_reply::<C>(&bytes) {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(fault)) => Err(RpcError::Refused {
