Tell changes whole and the rest by beats; tick less while idle

Cause: a node told each host's whole report twice a second to its neighbours, and all loads with each poll; the loops ticked 200 times a second without work. Ruled out: telling the controller only, since routes outlive a controller by what the entry nodes hear themselves.

--- a/crates/bench/src/nodes.rs
+++ b/crates/bench/src/nodes.rs
@@ -4,6 +4,8 @@
 use std::fs;
 use std::time::Duration;
 
+use crate::report::Report;
+use crate::report::Table;
 use base::CentreId;
 use base::DomainId;
 use base::Fencing;
@@ -14,9 +16,6 @@
 use harness::NodeSpec;
 use harness::wait_until;
 
-use crate::report::Report;
-use crate::report::Table;
-
 /// Hosts in each data centre.
 const HOSTS: [u32; 4] = [0, 8, 24, 68];
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -8,6 +8,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,7 +19,9 @@
 use base::Fence;
 use base::HostReport;
 use base::Incarnation;
+use base::Load;
 use base::NodeId;
+use base::ReplicaId;
 use lease::Lease;
 use lease::Memory;
 use lease::WallTime;
@@ -41,6 +44,8 @@
     lease: RefCell<Lease>,
     controller: RefCell<Controller>,
     ordering: Cell<Option<Fence>>,
+    /// The loads that each entry node was told last.
+    told_loads: RefCell<BTreeMap<NodeId, BTreeMap<ReplicaId, Load>>>,
 }
 
 impl Control {
@@ -59,6 +64,7 @@
             lease: RefCell::new(lease),
             controller: RefCell::new(Controller::open(cfg, now)),
             ordering: Cell::new(None),
+            told_loads: RefCell::default(),
         }
     }
 
--- a/crates/daemon/src/control/polls.rs
+++ b/crates/daemon/src/control/polls.rs
@@ -11,6 +11,7 @@
 use base::NodeId;
 use base::Time;
 use net::Methods;
+use plan::RoutePoll;
 use wire::peer::LoadRow;
 use wire::peer::PollRoutes;
 use wire::peer::PolledRoutes;
@@ -22,7 +23,10 @@
 const WITHIN: Duration = Duration::from_millis(1_000);
 
 /// A load that was not heard of for this long is dropped.
-const LOAD_LIFE: Duration = Duration::from_secs(10);
+const LOAD_LIFE: Duration = Duration::from_secs(20);
+
+/// Polls between two answers with all loads.
+const ALL_LOADS_EVERY: u64 = 16;
 
 pub fn methods(methods: Methods<Node>) -> Methods<Node> {
     methods.on(|node: Rc<Node>, call: PollRoutes| async move { Ok(answer(&node, &call)) })
@@ -34,7 +38,7 @@
         controller.routes(&call.poll, clock::now())
     };
     let loads = match grant.is_some() {
-        true => loads(node),
+        true => changed_loads(node, &call.poll),
         false => Vec::new(),
     };
     PolledRoutes {
@@ -44,6 +48,19 @@
     }
 }
 
+/// The loads that changed since the node's last poll. All of them now and then, as an
+/// answer may have been lost.
+fn changed_loads(node: &Node, poll: &RoutePoll) -> Vec<LoadRow> {
+    let rows = loads(node);
+    let mut told = node.control.told_loads.borrow_mut();
+    let told = told.entry(poll.node).or_default();
+    if poll.number % ALL_LOADS_EVERY == 1 {
+        told.clear();
+    }
+    let mut is_new = |row: &LoadRow| told.insert(row.0, row.load()) != Some(row.load());
+    rows.into_iter().filter(|row| is_new(row)).collect()
+}
+
 /// The loads of all replicas, as their first hosts reported them.
 fn loads(node: &Node) -> Vec<LoadRow> {
     let now = clock::now();
--- a/crates/daemon/src/dispatch/refresh.rs
+++ b/crates/daemon/src/dispatch/refresh.rs
@@ -12,9 +12,12 @@
 use base::Time;
 use route::Candidate;
 
-/// How often the dispatcher looks at its queue.
+/// How often the dispatcher looks at its queue while something waits.
 const DECIDE_EVERY: Duration = Duration::from_millis(5);
 
+/// How often it looks while nothing does.
+const IDLE_EVERY: Duration = Duration::from_millis(50);
+
 /// How often the dispatcher is told of replicas.
 const REFRESH_EVERY: Duration = Duration::from_millis(50);
 
@@ -37,26 +40,28 @@
 pub async fn dispatch_on(node: Rc<Node>) {
     let mut refreshed = Time::ZERO;
     loop {
-        compio::time::sleep(DECIDE_EVERY).await;
+        compio::time::sleep(node.dispatch.pause()).await;
         let now = clock::now();
         if REFRESH_EVERY <= now.since(refreshed) {
             refreshed = now;
             refresh(&node, now);
         }
-        decide(&node);
+        decide_if_due(&node);
+    }
+}
+
+/// Decides if it is time to.
+fn decide_if_due(node: &Node) {
+    let due = node.dispatch.dispatcher.borrow().next_deadline();
+    if due <= clock::now() {
+        decide(node);
     }
 }
 
-/// Hands decisions to the requests that wait for them.
+/// Hands decisions to the requests that wait for them. Due after each end of a request,
+/// whose place may go to another one.
 pub(super) fn decide(node: &Node) {
-    let now = clock::now();
-    let decided = {
-        let mut dispatcher = node.dispatch.dispatcher.borrow_mut();
-        if now < dispatcher.next_deadline() {
-            return;
-        }
-        dispatcher.poll(now)
-    };
+    let decided = node.dispatch.dispatcher.borrow_mut().poll(clock::now());
     for (request, decision) in decided {
         let waiting = node.dispatch.waiting.borrow_mut().remove(&request);
         if let Some(tx) = waiting {
@@ -75,6 +80,17 @@
     }
 }
 
+impl Dispatch {
+    /// Time until the queue is looked at again. A request that begins to wait meanwhile
+    /// was decided on when it arrived.
+    fn pause(&self) -> Duration {
+        match self.dispatcher.borrow().waiting() {
+            0 => IDLE_EVERY,
+            _ => DECIDE_EVERY,
+        }
+    }
+}
+
 fn candidates(dispatch: &Dispatch, model: &ModelName, here: CentreId, now: Time) -> Vec<Candidate> {
     let routes = dispatch.routes.borrow();
     let loads = dispatch.loads.borrow();
--- a/crates/daemon/src/entry/orders.rs
+++ b/crates/daemon/src/entry/orders.rs
@@ -44,9 +44,12 @@
 /// Calls that may be open at one node.
 const MOST_OPEN: usize = 4_096;
 
-/// How often the book is looked at.
+/// How often the book is looked at while calls are open.
 const TICK: Duration = Duration::from_millis(20);
 
+/// How often it is looked at while none is.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+
 /// How long one proposal looks for the voters' leader. The book proposes again.
 const PROPOSE_WITHIN: Duration = Duration::from_millis(250);
 
@@ -167,7 +170,11 @@
 /// Wakes calls whose time has come, for as long as the node runs.
 pub async fn orders_on(node: Rc<Node>) {
     loop {
-        compio::time::sleep(TICK).await;
+        let pause = match node.orders.open_calls() {
+            0 => IDLE_TICK,
+            _ => TICK,
+        };
+        compio::time::sleep(pause).await;
         let now = clock::now();
         let applied = node.known_index();
         node.orders.book.borrow_mut().hear(applied, now);
--- a/crates/daemon/src/inner/announce.rs
+++ b/crates/daemon/src/inner/announce.rs
@@ -12,28 +12,73 @@
 use net::Methods;
 use wire::upstream::AnnounceHost;
 use wire::upstream::AnnounceService;
+use wire::upstream::BeatHost;
 use wire::upstream::Heard;
+use wire::upstream::HostBeat;
 
 pub fn methods(methods: Methods<Node>) -> Methods<Node> {
     methods
         .on(|node: Rc<Node>, call: AnnounceHost| async move {
-            if hear_host(&node, &call.report) {
-                node.relay
-                    .borrow_mut()
-                    .hosts
-                    .insert(call.report.host, call.report);
+            announce_host(&node, call.report);
+            Ok(heard(&node, true))
+        })
+        .on(|node: Rc<Node>, call: BeatHost| async move {
+            let known = hear_beat(&node, &call.beat);
+            if known {
+                node.relay.borrow_mut().beats.insert(call.beat.0, call.beat);
             }
-            Ok(Heard { by: node.id() })
+            Ok(heard(&node, known))
         })
         .on(|node: Rc<Node>, call: AnnounceService| async move {
             if hear_service(&node, &call.report) {
                 let key = (call.report.service.clone(), call.report.addr);
                 node.relay.borrow_mut().services.insert(key, call.report);
             }
-            Ok(Heard { by: node.id() })
+            Ok(heard(&node, true))
         })
 }
 
+fn heard(node: &Node, known: bool) -> Heard {
+    Heard {
+        by: node.id(),
+        known,
+    }
+}
+
+/// Takes a whole report. The neighbours get all of it only if more than its load is new.
+fn announce_host(node: &Node, report: HostReport) {
+    let before = node
+        .upstreams
+        .borrow()
+        .host(report.host)
+        .map(|h| h.report.clone());
+    if !hear_host(node, &report) {
+        return;
+    }
+    let is_known = before.is_some_and(|before| HostBeat::suffices(&before, &report));
+    let mut untold = node.relay.borrow_mut();
+    match is_known {
+        true => {
+            untold.beats.insert(report.host, HostBeat::of(&report));
+        }
+        false => {
+            untold.hosts.insert(report.host, report);
+        }
+    }
+}
+
+/// Takes a host's beat, heard directly or from a neighbour. True if the host is known.
+pub fn hear_beat(node: &Node, beat: &HostBeat) -> bool {
+    let mut upstreams = node.upstreams.borrow_mut();
+    let Some(report) = upstreams.beat(beat, clock::now()) else {
+        let known = upstreams.host(beat.0);
+        return known.is_some_and(|known| known.report.incarnation.0 as u32 == beat.1);
+    };
+    node.control.hear(report);
+    node.dispatch.hear(report);
+    true
+}
+
 /// Takes a host's report, heard directly or from a neighbour. True if it was news.
 pub fn hear_host(node: &Node, report: &HostReport) -> bool {
     let mut upstreams = node.upstreams.borrow_mut();
--- a/crates/daemon/src/inner/relay.rs
+++ b/crates/daemon/src/inner/relay.rs
@@ -10,6 +10,7 @@
 use crate::clock;
 use crate::events::Event;
 use crate::events::emit;
+use crate::inner::announce::hear_beat;
 use crate::inner::announce::hear_host;
 use crate::inner::announce::hear_service;
 use crate::node::Node;
@@ -20,10 +21,17 @@
 use base::ServiceReport;
 use net::Methods;
 use wire::peer::Relay;
-use wire::peer::Taken;
+use wire::peer::Relayed;
+use wire::upstream::HostBeat;
 
-/// How often news is told.
-const RELAY_EVERY: Duration = Duration::from_millis(250);
+/// How often changes are told.
+const CHANGES_EVERY: Duration = Duration::from_millis(250);
+
+/// Rounds of changes between two rounds of beats.
+const BEATS_EVERY: u64 = 4;
+
+/// Rounds of changes between two rounds of services that have not changed.
+const SERVICES_EVERY: u64 = 8;
 
 /// How long a node may take to hear it.
 const RELAY_WITHIN: Duration = Duration::from_millis(1_000);
@@ -31,9 +39,11 @@
 /// What was heard and not yet told.
 #[derive(Debug, Default)]
 pub struct Untold {
-    /// Of hosts.
+    /// Hosts that are new or have changed.
     pub hosts: BTreeMap<HostId, HostReport>,
-    /// Of services.
+    /// Hosts that have not.
+    pub beats: BTreeMap<HostId, HostBeat>,
+    /// Services.
     pub services: BTreeMap<(ServiceName, SocketAddr), ServiceReport>,
 }
 
@@ -45,50 +55,82 @@
         for report in &relay.services {
             hear_service(&node, report);
         }
-        Ok(Taken {})
+        let unknown = relay.beats.iter().filter(|beat| !hear_beat(&node, beat));
+        let unknown = unknown.map(|beat| beat.0).collect();
+        Ok(Relayed { unknown })
     })
 }
 
 /// Tells news and drops what was not renewed, for as long as the node runs.
 pub async fn relay_on(node: Rc<Node>) {
-    loop {
-        compio::time::sleep(RELAY_EVERY).await;
+    for round in 0.. {
+        compio::time::sleep(CHANGES_EVERY).await;
         expire(&node);
-        let untold = node.relay.take();
-        if untold.hosts.is_empty() && untold.services.is_empty() {
-            continue;
-        }
+        let news = take(&node, round);
         for (peer, settings) in &node.settings.peers {
             if *peer != node.id() {
                 let near = settings.centre == node.settings.node.centre;
-                tell(&node, *peer, &untold, near);
+                tell(&node, *peer, &news, near);
             }
         }
     }
 }
 
-fn tell(node: &Rc<Node>, peer: NodeId, untold: &Untold, near: bool) {
-    let hosts = match near {
-        true => untold.hosts.values().cloned().collect(),
-        false => Vec::new(),
+/// What is to be told in this round.
+fn take(node: &Node, round: u64) -> Untold {
+    let mut untold = node.relay.borrow_mut();
+    let beats = match round % BEATS_EVERY {
+        0 => std::mem::take(&mut untold.beats),
+        _ => BTreeMap::new(),
     };
-    let relay = Relay {
+    let is_due = round.is_multiple_of(SERVICES_EVERY);
+    let services = untold
+        .services
+        .extract_if(.., |_, report| is_due || report.leaving);
+    let services = services.collect();
+    Untold {
+        hosts: std::mem::take(&mut untold.hosts),
+        beats,
+        services,
+    }
+}
+
+fn tell(node: &Rc<Node>, peer: NodeId, news: &Untold, near: bool) {
+    let mut relay = Relay {
         from: node.id(),
-        hosts,
-        services: untold.services.values().cloned().collect(),
+        hosts: Vec::new(),
+        beats: Vec::new(),
+        services: news.services.values().cloned().collect(),
     };
-    if relay.hosts.is_empty() && relay.services.is_empty() {
+    if near {
+        relay.hosts = news.hosts.values().cloned().collect();
+        relay.beats = news.beats.values().copied().collect();
+    }
+    if relay.hosts.is_empty() && relay.beats.is_empty() && relay.services.is_empty() {
         return;
     }
     let addr = node.settings.peers[&peer].internal;
     let node = Rc::clone(node);
     compio::runtime::spawn(async move {
         // What is lost here is told again with the next announcement.
-        let _ = node.peers.call(addr, &relay, RELAY_WITHIN).await;
+        if let Ok(relayed) = node.peers.call(addr, &relay, RELAY_WITHIN).await {
+            tell_whole(&node, &relayed.unknown);
+        }
     })
     .detach();
 }
 
+/// Tells the whole reports of hosts that a neighbour does not know.
+fn tell_whole(node: &Node, unknown: &[HostId]) {
+    let upstreams = node.upstreams.borrow();
+    let mut untold = node.relay.borrow_mut();
+    for host in unknown {
+        if let Some(heard) = upstreams.host(*host) {
+            untold.hosts.insert(*host, heard.report.clone());
+        }
+    }
+}
+
 fn expire(node: &Node) {
     let expired = node.upstreams.borrow_mut().expire(clock::now());
     for (host, silence) in expired.hosts {
--- a/crates/daemon/src/upstreams.rs
+++ b/crates/daemon/src/upstreams.rs
@@ -12,6 +12,8 @@
 use base::ServiceReport;
 use base::Time;
 use wire::upstream::ANNOUNCEMENT_LIFE;
+use wire::upstream::HostBeat;
+use wire::upstream::SERVICE_LIFE;
 
 /// Hosts that one node keeps reports of at most.
 const MAX_HOSTS: usize = 32_768;
@@ -66,6 +68,17 @@
         hearing
     }
 
+    /// Takes a host's beat and gives its report, brought up to date. None if the host or
+    /// this life of it is not known, or if the beat is old.
+    pub fn beat(&mut self, beat: &HostBeat, now: Time) -> Option<&HostReport> {
+        let known = self.hosts.get_mut(&beat.0)?;
+        if !beat.renew(&mut known.report) {
+            return None;
+        }
+        known.at = now;
+        Some(&known.report)
+    }
+
     /// Takes a service's report.
     pub fn hear_service(&mut self, report: &ServiceReport, now: Time) -> Hearing {
         let key = (report.service.clone(), report.addr);
@@ -88,12 +101,16 @@
 
     /// Drops what was not renewed and gives the hosts and services that it was.
     pub fn expire(&mut self, now: Time) -> Expired {
-        let is_over = |at: Time| ANNOUNCEMENT_LIFE < now.since(at);
-        let hosts = self.hosts.extract_if(.., |_, heard| is_over(heard.at));
+        let is_over = |at: Time, life: Duration| life < now.since(at);
+        let hosts = self
+            .hosts
+            .extract_if(.., |_, h| is_over(h.at, ANNOUNCEMENT_LIFE));
         let hosts = hosts
             .map(|(host, heard)| (host, now.since(heard.at)))
             .collect();
-        let services = self.services.extract_if(.., |_, heard| is_over(heard.at));
+        let services = self
+            .services
+            .extract_if(.., |_, s| is_over(s.at, SERVICE_LIFE));
         let services = services.map(|(key, _)| key).collect();
         Expired { hosts, services }
     }
--- a/crates/daemon/src/voters/driver.rs
+++ b/crates/daemon/src/voters/driver.rs
@@ -38,6 +38,9 @@
 /// How often the voter goes on in time.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Time between two heartbeats of the leader.
+const HEARTBEAT: Duration = Duration::from_millis(200);
+
 /// How long a message to another voter may take.
 const WITHIN: Duration = Duration::from_millis(1_000);
 
@@ -81,7 +84,8 @@
     };
     let (log, restored) = Log::open(folder).map_err(io::Error::other)?;
     let held = disk_writer::decode(&restored).map_err(io::Error::other)?;
-    let cfg = vote::Config::new(settings.node.id, restored.disk, settings.voters());
+    let mut cfg = vote::Config::new(settings.node.id, restored.disk, settings.voters());
+    cfg.timing.heartbeat = HEARTBEAT;
     let now = clock::now();
     let (batches, queue) = async_channel::unbounded();
     let voters = Voters {
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -7,11 +7,10 @@
 use derive_more::Display;
 use derive_more::Error;
 
+use crate::Meter;
 use wire::Call;
 use wire::Fault;
 
-use crate::Meter;
-
 /// Calls one kind of peers with one secret.
 #[derive(Clone, Debug)]
 pub struct RpcClient {
--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -5,10 +5,15 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use base::HostReport;
 use base::Incarnation;
 use net::RpcClient;
 use wire::Call;
 use wire::upstream::ANNOUNCE_EVERY;
+use wire::upstream::AnnounceHost;
+use wire::upstream::BeatHost;
+use wire::upstream::Heard;
+use wire::upstream::HostBeat;
 
 /// How long an entry node may take to hear an announcement.
 const HEARD_WITHIN: Duration = Duration::from_millis(400);
@@ -35,6 +40,56 @@
     }
 }
 
+/// Announces a host. While nothing but its load changes, a beat stands for its report.
+pub(crate) async fn announce_host(
+    client: RpcClient,
+    entries: Vec<SocketAddr>,
+    report: impl Fn(u64) -> HostReport,
+) {
+    let mut at = 0;
+    let mut told: Option<HostReport> = None;
+    for sequence in 0.. {
+        let report = report(sequence);
+        for _ in 0..entries.len() {
+            let addr = entries[at % entries.len()];
+            let known = told
+                .as_ref()
+                .is_some_and(|told| HostBeat::suffices(told, &report));
+            match tell(&client, addr, &report, known).await {
+                Some(heard) => {
+                    told = heard.known.then(|| report.clone());
+                    break;
+                }
+                None => {
+                    told = None;
+                    at += 1;
+                }
+            }
+        }
+        compio::time::sleep(ANNOUNCE_EVERY).await;
+    }
+}
+
+async fn tell(
+    client: &RpcClient,
+    addr: SocketAddr,
+    report: &HostReport,
+    known: bool,
+) -> Option<Heard> {
+    if known {
+        let beat = HostBeat::of(report);
+        return client
+            .call(addr, &BeatHost { beat }, HEARD_WITHIN)
+            .await
+            .ok();
+    }
+    let report = report.clone();
+    client
+        .call(addr, &AnnounceHost { report }, HEARD_WITHIN)
+        .await
+        .ok()
+}
+
 /// A life that is larger than that of any earlier process here.
 pub(crate) fn new_incarnation() -> Incarnation {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -18,7 +18,7 @@
 use hyper::body::Incoming;
 
 use crate::Place;
-use crate::announce::announce;
+use crate::announce::announce_host;
 use crate::announce::new_incarnation;
 use crate::batch::Batch;
 use crate::batch::BatchConfig;
@@ -52,7 +52,7 @@
 use wire::engine::REPLICA_HEADER;
 use wire::engine::REQUEST_ID_HEADER;
 use wire::engine::RESUME_HEADER;
-use wire::upstream::AnnounceHost;
+use wire::upstream::ANNOUNCE_EVERY;
 
 const BODY_BYTES: usize = 16 * 1024 * 1024;
 const BODY_TIME: Duration = Duration::from_secs(10);
@@ -124,12 +124,10 @@
     compio::runtime::spawn(Rc::clone(&engine).report_on(args.lag_ms)).detach();
     let reporter = Rc::clone(&engine);
     let addr = server.addr();
-    let announcing = announce(
+    let announcing = announce_host(
         engine.client.clone(),
         place.entries.clone(),
-        move |sequence| AnnounceHost {
-            report: reporter.report(&args, addr, sequence),
-        },
+        move |sequence| reporter.report(&args, addr, sequence),
     );
     compio::runtime::spawn(announcing).detach();
     engine.leave_on_signal().await;
@@ -211,7 +209,7 @@
         const SIGTERM: i32 = 15;
         let _ = compio::signal::unix::signal(SIGTERM).await;
         self.leaving.set(true);
-        compio::time::sleep(Duration::from_secs(1)).await;
+        compio::time::sleep(ANNOUNCE_EVERY + ANNOUNCE_EVERY / 2).await;
         while !self.waiting.borrow().is_empty() {
             compio::time::sleep(Duration::from_millis(20)).await;
         }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,6 +6,8 @@
 use crate::Call;
 use crate::operator::ReplicaRow;
 use crate::operator::StrandedRow;
+use crate::upstream::HostBeat;
+use base::HostId;
 use base::HostReport;
 use base::Load;
 use base::NodeId;
@@ -26,8 +28,10 @@
 pub struct Relay {
     /// The node that heard it.
     pub from: NodeId,
-    /// Announcements of hosts.
+    /// Announcements of hosts that are new or have changed.
     pub hosts: Vec<HostReport>,
+    /// Announcements of hosts that have not.
+    pub beats: Vec<HostBeat>,
     /// Announcements of services.
     pub services: Vec<ServiceReport>,
 }
@@ -36,9 +40,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Taken {}
 
+/// The answer to [`Relay`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Relayed {
+    /// Hosts of which only beats came and the rest is not known.
+    pub unknown: Vec<HostId>,
+}
+
 impl Call for Relay {
     const METHOD: &'static str = "relay";
-    type Reply = Taken;
+    type Reply = Relayed;
 }
 
 /// Asks for a configuration that is newer than the one this node has.
