--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -19,6 +19,8 @@
 const LEARN: f64 = 0.05;
 /// Requests a second that are assumed at least, so that a wait is a finite time.
 const SLOWEST: f64 = 1e-3;
+/// Part of the slots that come free that work within contracts gets at least.
+const LEAST_PART: f64 = 0.4;
 /// Time over which demand beyond the contracts is averaged.
 const DEMAND: Duration = Duration::from_secs(2);
 
@@ -30,7 +32,7 @@
     /// Seconds that a request of a length holds a slot.
     residence: BTreeMap<Length, f64>,
     /// Requests beyond the contracts sent a second, of late.
-    flow: BTreeMap<Length, Rate>,
+    flow: BTreeMap<(Standing, Length), Rate>,
     pub usual: Usual,
     /// Fair shares over all nodes.
     pub shares: Shares,
@@ -151,25 +153,23 @@
     /// Counts a request that was sent.
     pub fn sent(&mut self, waiting: &Waiting, now: Time) {
         self.shares.sent(waiting.work(), now);
-        if waiting.standing == Standing::Beyond {
-            let flow = self.flow.entry(waiting.length).or_default();
-            flow.add(1.0, span(waiting.length), now);
-        }
+        let flow = self.flow.entry(waiting.kind()).or_default();
+        flow.add(1.0, span(waiting.length), now);
     }
 
-    /// Requests that this node can start a second. Work within its contract may take
-    /// every slot that comes free: by Little's law what runs over how long it runs. Work
-    /// beyond it goes as fast as such work went of late.
+    /// Requests that this node can start a second: as many as it started of late. Work
+    /// within its contract may take every slot that comes free, by Little's law what runs
+    /// over how long it runs, and gets a part of that at least.
     pub fn drain(&self, standing: Standing, length: Length, now: Time) -> f64 {
+        let flow = self.flow.get(&(standing, length));
+        let flow = flow.map_or(0.0, |flow| flow.get(span(length), now));
         let rate = match standing {
             Standing::Within => {
                 let residence = self.residence.get(&length).copied().unwrap_or(1.0);
-                f64::from(self.running(length)).max(0.5) / residence.max(1e-3)
-            }
-            Standing::Beyond => {
-                let flow = self.flow.get(&length);
-                flow.map_or(0.0, |flow| flow.get(span(length), now))
+                let free = f64::from(self.running(length)).max(0.5) / residence.max(1e-3);
+                flow.clamp(LEAST_PART * free, free)
             }
+            Standing::Beyond => flow,
         };
         rate.max(SLOWEST)
     }
--- /dev/null
+++ b/crates/admit/tests/shares.rs
@@ -0,0 +1,246 @@
+//! Fair shares of capacity over several nodes, beside the ideal division by weight.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use admit::Arrival;
+use admit::Config;
+use admit::Decision;
+use admit::DemandReport;
+use admit::Dispatcher;
+use base::Contract;
+use base::Load;
+use base::ModelName;
+use base::NodeId;
+use base::Overflow;
+use base::Priority;
+use base::ReplicaId;
+use base::RequestId;
+use base::RequestRate;
+use base::Time;
+use base::TokenCount;
+use base::TokenRate;
+use route::Candidate;
+
+const NODES: usize = 3;
+const REPLICAS: usize = 10;
+const SLOTS: u32 = 4;
+const ANSWER: Duration = Duration::from_millis(200);
+const SECONDS: u64 = 20;
+
+/// One organisation: its weight and the requests a second that it asks for at each node.
+struct Org {
+    weight: u32,
+    asks: [f64; NODES],
+}
+
+fn contract(org: usize, weight: u32) -> Contract {
+    let name = format!("org{org}");
+    Contract {
+        name: name.parse().unwrap(),
+        callers: vec![],
+        org: name.parse().unwrap(),
+        weight,
+        model: model(),
+        first_token: Duration::from_millis(400),
+        token_rate: TokenRate(1.0),
+        request_rate: RequestRate(1e6),
+        burst: 1_000_000,
+        total_token_rate: TokenRate(1e9),
+        overflow: Overflow::Refuse,
+        priority: Priority(1),
+    }
+}
+
+fn model() -> ModelName {
+    "m".parse().unwrap()
+}
+
+fn candidate(replica: usize, running: u32) -> Candidate {
+    Candidate {
+        replica: ReplicaId(replica as u64),
+        load: Load {
+            running,
+            slots: SLOTS,
+            prefill_rate: TokenRate(1e6),
+            token_rate: TokenRate(50.0),
+            ..Load::default()
+        },
+        ..Candidate::default()
+    }
+}
+
+/// Nodes that share replicas, each of which answers in 200 ms and reports every 20 ms.
+struct Fleet {
+    nodes: Vec<Dispatcher>,
+    running: [u32; REPLICAS],
+    ends: BTreeMap<(Time, RequestId), (usize, usize, usize)>,
+    places: BTreeMap<RequestId, (usize, usize)>,
+    answered: Vec<u32>,
+}
+
+impl Fleet {
+    fn open(orgs: &[Org]) -> Self {
+        let contracts: Vec<_> = orgs
+            .iter()
+            .enumerate()
+            .map(|(at, o)| contract(at, o.weight))
+            .collect();
+        let open = |node: usize| {
+            let cfg = Config {
+                node: NodeId(node as u16),
+                ..Config::default()
+            };
+            let mut dispatcher = Dispatcher::open(cfg, node as u64);
+            dispatcher.configure(&contracts, Time::ZERO);
+            let idle = (0..REPLICAS).map(|replica| candidate(replica, 0));
+            dispatcher.replicas(&model(), idle.collect(), Time::ZERO);
+            dispatcher
+        };
+        Self {
+            nodes: (0..NODES).map(open).collect(),
+            running: [0; REPLICAS],
+            ends: BTreeMap::new(),
+            places: BTreeMap::new(),
+            answered: vec![0; orgs.len()],
+        }
+    }
+
+    fn act(&mut self, request: RequestId, decision: &Decision, now: Time) {
+        let Decision::Send { replica, .. } = decision else {
+            return;
+        };
+        let (node, org) = self.places[&request];
+        let replica = replica.0 as usize;
+        // Requests above the slots wait in the engine.
+        self.running[replica] += 1;
+        let queued = self.running[replica].saturating_sub(SLOTS);
+        self.nodes[node].first_token(request, now + ANSWER * queued / SLOTS);
+        let end = now + ANSWER + ANSWER * queued / SLOTS;
+        self.ends.insert((end, request), (node, org, replica));
+    }
+
+    fn end_due(&mut self, now: Time) {
+        while let Some((key, (node, org, replica))) = self.ends.pop_first() {
+            if now < key.0 {
+                self.ends.insert(key, (node, org, replica));
+                return;
+            }
+            self.running[replica] -= 1;
+            self.answered[org] += 1;
+            self.nodes[node].finished(key.1, now);
+        }
+    }
+
+    fn exchange(&mut self, now: Time) {
+        let reports: Vec<DemandReport> = self.nodes.iter_mut().map(|n| n.demand(now)).collect();
+        let live: BTreeSet<_> = (0..NODES).map(|node| NodeId(node as u16)).collect();
+        for node in &mut self.nodes {
+            node.peers(&reports, &live, now);
+        }
+    }
+
+    fn report(&mut self, now: Time) {
+        for node in &mut self.nodes {
+            for replica in 0..REPLICAS {
+                node.report(&model(), candidate(replica, self.running[replica]), now);
+            }
+        }
+    }
+}
+
+/// Answers a second for each organisation.
+fn run(orgs: &[Org]) -> Vec<f64> {
+    let mut fleet = Fleet::open(orgs);
+    let mut due = vec![[0.0; NODES]; orgs.len()];
+    for ms in 0..SECONDS * 1_000 {
+        let now = Time::from_millis(ms);
+        fleet.end_due(now);
+        if ms.is_multiple_of(20) {
+            fleet.report(now);
+        }
+        if ms.is_multiple_of(100) {
+            fleet.exchange(now);
+        }
+        for node in 0..NODES {
+            for (request, decision) in fleet.nodes[node].poll(now) {
+                fleet.act(request, &decision, now);
+            }
+            for (org, demand) in orgs.iter().enumerate() {
+                due[org][node] += demand.asks[node] / 1_000.0;
+                while 1.0 <= due[org][node] {
+                    due[org][node] -= 1.0;
+                    let request = RequestId(fleet.places.len() as u64);
+                    fleet.places.insert(request, (node, org));
+                    let decision = fleet.nodes[node].arrive(Arrival {
+                        request,
+                        contract: format!("org{org}").parse().unwrap(),
+                        prompt: TokenCount(10),
+                        max_tokens: TokenCount(10),
+                        prefix: None,
+                        now,
+                    });
+                    fleet.act(request, &decision, now);
+                }
+            }
+        }
+    }
+    let per_second = |count: &u32| f64::from(*count) / SECONDS as f64;
+    fleet.answered.iter().map(per_second).collect()
+}
+
+#[test]
+fn a_small_organisation_at_one_busy_node_keeps_its_share() {
+    // Forty slots of 200 ms give 200 answers a second, so half of them are a share of 100.
+    let orgs = [
+        Org {
+            weight: 1,
+            asks: [150.0, 150.0, 150.0],
+        },
+        Org {
+            weight: 1,
+            asks: [60.0, 0.0, 0.0],
+        },
+    ];
+    let answered = run(&orgs);
+    println!("{answered:?}, ideal [140, 60]");
+    assert!(54.0 <= answered[1]);
+    assert!(110.0 <= answered[0]);
+}
+
+#[test]
+fn weights_divide_what_all_ask_for_wherever_they_ask() {
+    let orgs = [
+        Org {
+            weight: 3,
+            asks: [200.0, 20.0, 20.0],
+        },
+        Org {
+            weight: 1,
+            asks: [20.0, 20.0, 200.0],
+        },
+    ];
+    let answered = run(&orgs);
+    println!("{answered:?}, ideal [150, 50]");
+    let ratio = answered[0] / answered[1];
+    assert!((2.0..=4.0).contains(&ratio), "{ratio}");
+    assert!(170.0 <= answered[0] + answered[1]);
+}
+
+#[test]
+fn nothing_is_held_back_while_capacity_suffices() {
+    let orgs = [
+        Org {
+            weight: 1,
+            asks: [60.0, 40.0, 40.0],
+        },
+        Org {
+            weight: 9,
+            asks: [2.0, 2.0, 2.0],
+        },
+    ];
+    let answered = run(&orgs);
+    println!("{answered:?}, ideal [140, 6]");
+    assert!(136.0 <= answered[0] && 5.5 <= answered[1]);
+}
