--- a/crates/admit/tests/shares.rs
+++ b/crates/admit/tests/shares.rs
@@ -153,7 +153,7 @@
 /// Answers a second for each organisation.
 fn run(orgs: &[Org]) -> Vec<f64> {
     let mut fleet = Fleet::open(orgs);
-    let mut due = vec![[0.0; NODES]; orgs.len()];
+    let mut due = vec![vec![0.0; orgs.len()]; NODES];
     for ms in 0..SECONDS * 1_000 {
         let now = Time::from_millis(ms);
         fleet.end_due(now);
@@ -163,14 +163,14 @@
         if ms.is_multiple_of(100) {
             fleet.exchange(now);
         }
-        for node in 0..NODES {
+        for (node, due) in due.iter_mut().enumerate() {
             for (request, decision) in fleet.nodes[node].poll(now) {
                 fleet.act(request, &decision, now);
             }
             for (org, demand) in orgs.iter().enumerate() {
-                due[org][node] += demand.asks[node] / 1_000.0;
-                while 1.0 <= due[org][node] {
-                    due[org][node] -= 1.0;
+                due[org] += demand.asks[node] / 1_000.0;
+                while 1.0 <= due[org] {
+                    due[org] -= 1.0;
                     let request = RequestId(fleet.places.len() as u64);
                     fleet.places.insert(request, (node, org));
                     let decision = fleet.nodes[node].arrive(Arrival {
