--- a/crates/bench/src/crest.rs
+++ b/crates/bench/src/crest.rs
@@ -26,6 +26,7 @@
 
 const RISE: Time = Time::from_millis(20_000);
 const FALL: Time = Time::from_millis(60_000);
+const CUT: (Time, Time) = (Time::from_millis(30_000), Time::from_millis(45_000));
 const SWING: Duration = Duration::from_secs(2);
 const POLICIES: [Policy; 4] = [
     Policy::Lend,
@@ -53,18 +54,58 @@
         .note("small: seven organisations that stay within what they bought; large: three that ask for 2.2 times as much")
         .note("of contract: answers in time over the requests that one token bucket for all nodes would admit")
         .note("goodput: engine time in the crest spent on answers in time; bound: the engine time there is, or less if the requests that may be served can't use it");
-    for mix in [Mix::Lantern, Mix::Association] {
-        let title = format!("{mix}: swing to 1.5 times capacity");
-        report = report.table(table(&title, mix, 1.0, &POLICIES, seed));
+    for scenario in scenarios() {
+        report = report.table(table(&scenario, seed));
     }
-    let title = "lantern: the same swing, but twice as much sold: nearly all within contract";
-    let policies = [Policy::Limit, Policy::RoundRobin];
-    report = report.table(table(title, Mix::Lantern, 2.0, &policies, seed));
     report.table(decide::table(seed))
 }
 
-/// One swing. `sold` scales what the contracts allow.
-fn table(title: &str, mix: Mix, sold: f64, policies: &[Policy], seed: u64) -> Table {
+/// One swing.
+struct Scenario {
+    title: &'static str,
+    mix: Mix,
+    /// Scales what the contracts allow.
+    sold: f64,
+    /// From when until when the third data centre is cut off.
+    cut: (Time, Time),
+    policies: &'static [Policy],
+}
+
+impl Default for Scenario {
+    fn default() -> Self {
+        Self {
+            title: "lantern: swing to 1.5 times capacity",
+            mix: Mix::Lantern,
+            sold: 1.0,
+            cut: (Time::NEVER, Time::NEVER),
+            policies: &POLICIES,
+        }
+    }
+}
+
+fn scenarios() -> [Scenario; 4] {
+    let association = Scenario {
+        title: "association: swing to 1.5 times capacity",
+        mix: Mix::Association,
+        ..Scenario::default()
+    };
+    let oversold = Scenario {
+        title: "lantern: the same swing, but twice as much sold: nearly all within contract",
+        sold: 2.0,
+        policies: &[Policy::Limit, Policy::RoundRobin],
+        ..Scenario::default()
+    };
+    let cut = Scenario {
+        title: "lantern: the same swing, the third data centre cut off for 15 s of the crest",
+        cut: CUT,
+        policies: &[Policy::Lend, Policy::Limit, Policy::RoundRobin],
+        ..Scenario::default()
+    };
+    [Scenario::default(), association, oversold, cut]
+}
+
+fn table(scenario: &Scenario, seed: u64) -> Table {
+    let mix = scenario.mix;
     let capacity = load_capacity(mix);
     let profile = Profile {
         calm: 0.15,
@@ -74,15 +115,16 @@
         fall: FALL,
         end: FALL + Duration::from_secs(5),
     };
-    let contracts = contracts(mix, capacity * sold);
+    let contracts = contracts(mix, capacity * scenario.sold);
     let requests = requests(mix, &profile, capacity, &contracts, seed);
-    let mut table = Table::new(title, &COLUMNS);
-    for policy in policies {
+    let mut table = Table::new(scenario.title, &COLUMNS);
+    for policy in scenario.policies {
         let cfg = Run {
             policy: *policy,
             contracts: contracts.clone(),
             window: (RISE + SWING, FALL),
             slow: Time::NEVER,
+            cut: scenario.cut,
             seed,
         };
         let outcomes = run_load(&cfg, &requests);
--- a/crates/bench/src/hol.rs
+++ b/crates/bench/src/hol.rs
@@ -64,6 +64,7 @@
             contracts: contracts.clone(),
             window: (WARM, END),
             slow: WARM,
+            cut: (Time::NEVER, Time::NEVER),
             seed,
         };
         let outcomes = run_load(&cfg, &requests);
@@ -85,6 +86,7 @@
                 contracts: contracts.clone(),
                 window: (WARM, END),
                 slow: Time::NEVER,
+                cut: (Time::NEVER, Time::NEVER),
                 seed,
             };
             let outcomes = run_load(&cfg, requests);
--- a/crates/bench/src/load/world.rs
+++ b/crates/bench/src/load/world.rs
@@ -1,36 +1,32 @@
 //! Runs requests through entry nodes and engines in virtual time.
 
+mod links;
+
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use self::links::Link;
 use super::engine::Engine;
 use super::engine::Job;
 use super::engine::Order;
 use super::engine::PROMPT_COST;
 use super::engine::Progress;
 use super::engine::TOKEN_COST;
-use super::mix::model;
 use super::node::node_count;
 use super::node::open_node;
 use super::outcome::Outcome;
 use super::policy::Policy;
 use super::traffic::Request;
 use admit::Arrival;
-use admit::Config;
 use admit::Decision;
 use admit::DemandReport;
 use admit::Dispatcher;
-use base::CentreId;
 use base::Contract;
 use base::Load;
-use base::NodeId;
-use base::ReplicaId;
 use base::RequestId;
 use base::Time;
 use base::TokenCount;
-use route::Candidate;
 
 /// Replicas over all data centres.
 pub const REPLICAS: usize = 60;
@@ -38,14 +34,10 @@
 pub const CENTRES: usize = 3;
 /// One way within a data centre.
 pub const NEAR: Duration = Duration::from_micros(300);
-/// One way between data centres.
-const FAR: Duration = Duration::from_millis(4);
 /// Time between two load reports.
 const REPORT_EVERY: Duration = Duration::from_millis(200);
 /// Age of a load report when it comes.
 const REPORT_LAG: Duration = Duration::from_millis(100);
-/// Age of a demand report when it comes.
-const DEMAND_LAG: Duration = Duration::from_millis(10);
 /// Tokens that a node counts at once.
 const TOKENS_AT_ONCE: u32 = 8;
 /// How many times slower a replica turns.
@@ -64,6 +56,8 @@
     pub window: (Time, Time),
     /// When replica 0 turns ten times slower.
     pub slow: Time,
+    /// From when until when the last data centre is cut off from the others.
+    pub cut: (Time, Time),
     /// Seed of the dispatchers.
     pub seed: u64,
 }
@@ -81,6 +75,7 @@
     ReportSeen,
     Exchange,
     Slow,
+    Link(Link),
     Poll(usize),
 }
 
@@ -101,6 +96,7 @@
     events: BTreeMap<(Time, u64), Event>,
     sequence: u64,
     now: Time,
+    state: Link,
 }
 
 /// Runs requests under a policy.
@@ -143,10 +139,15 @@
             events: BTreeMap::new(),
             sequence: 0,
             now: Time::ZERO,
+            state: Link::Whole,
         };
         if !requests.is_empty() {
             world.push(requests[0].at, Event::Arrive(0));
         }
+        if run.cut.0 < Time::NEVER {
+            world.push(run.cut.0, Event::Link(Link::Cut));
+            world.push(run.cut.1, Event::Link(Link::Whole));
+        }
         if run.slow < Time::NEVER {
             world.push(run.slow, Event::Slow);
         }
@@ -157,12 +158,7 @@
     }
 
     fn introduce(&mut self) {
-        let load = self.engines[0].load();
-        for node in 0..self.nodes.len() {
-            let known = (0..REPLICAS).map(|replica| self.candidate(node, replica, &load));
-            let known = known.collect();
-            self.nodes[node].replicas(&model(), known, Time::ZERO);
-        }
+        self.place_all();
         for replica in 0..REPLICAS {
             let phase = REPORT_EVERY.mul_f64(replica as f64 / REPLICAS as f64);
             self.push(Time::ZERO + phase, Event::ReportTaken(replica));
@@ -170,16 +166,6 @@
         self.push(Time::ZERO, Event::Exchange);
     }
 
-    fn candidate(&self, node: usize, replica: usize, load: &Load) -> Candidate {
-        Candidate {
-            replica: ReplicaId(replica as u64),
-            centre: CentreId((replica % CENTRES) as u16),
-            load: load.clone(),
-            age: self.lag(),
-            link: self.link(node, replica),
-        }
-    }
-
     fn lag(&self) -> Duration {
         match self.run.policy {
             Policy::Perfect => Duration::ZERO,
@@ -187,14 +173,6 @@
         }
     }
 
-    fn link(&self, node: usize, replica: usize) -> Duration {
-        if self.run.policy == Policy::Perfect || node % CENTRES == replica % CENTRES {
-            NEAR
-        } else {
-            FAR
-        }
-    }
-
     fn push(&mut self, at: Time, event: Event) {
         self.sequence += 1;
         self.events.insert((at, self.sequence), event);
@@ -230,6 +208,7 @@
             Event::ReportTaken(replica) => self.take_report(replica),
             Event::ReportSeen => self.see_report(),
             Event::Exchange => self.exchange(),
+            Event::Link(state) => self.set_link(state),
             Event::Slow => self.engines[0].slowness = SLOWNESS,
             Event::Poll(node) => {
                 if self.polls[node] == self.now {
@@ -249,6 +228,10 @@
         if self.run.policy == Policy::RoundRobin {
             self.turns[node] += 1;
             let replica = self.turns[node] % REPLICAS;
+            if !self.is_linked(node, replica) {
+                self.outcomes[request].refused = Some(self.now);
+                return;
+            }
             self.send(request, replica, 0);
             return;
         }
@@ -361,40 +344,4 @@
         self.polls[node] = next;
         self.push(next, Event::Poll(node));
     }
-
-    fn take_report(&mut self, replica: usize) {
-        let load = self.engines[replica].load();
-        self.travelling.push_back((replica, load));
-        self.push(self.now + self.lag(), Event::ReportSeen);
-        self.push(self.now + REPORT_EVERY, Event::ReportTaken(replica));
-    }
-
-    fn see_report(&mut self) {
-        let Some((replica, load)) = self.travelling.pop_front() else {
-            return;
-        };
-        for node in 0..self.nodes.len() {
-            let candidate = self.candidate(node, replica, &load);
-            self.nodes[node].report(&model(), candidate, self.now);
-        }
-    }
-
-    fn report_all(&mut self) {
-        for replica in 0..REPLICAS {
-            let load = self.engines[replica].load();
-            let candidate = self.candidate(0, replica, &load);
-            self.nodes[0].report(&model(), candidate, self.now);
-        }
-    }
-
-    fn exchange(&mut self) {
-        let reports: Vec<_> = self.reports.values().cloned().collect();
-        let live: BTreeSet<_> = (0..self.nodes.len()).map(|n| NodeId(n as u16)).collect();
-        for (at, node) in self.nodes.iter_mut().enumerate() {
-            node.peers(&reports, &live, self.now);
-            self.reports.insert(at, node.demand(self.now));
-        }
-        let every = Config::default().exchange.max(DEMAND_LAG);
-        self.push(self.now + every, Event::Exchange);
-    }
 }
