Let long lent work follow the room that first tokens show

Cause: with a fixed 0.5 of the slots, 13 % of the long work (beyond contract) was refused at a steady 0.8 load with slots to spare, and a fixed 0.65 cost the crest. Long lent work now stays 0.25 of the slots below the fill that lent work may reach, which is 0.95 in calm and falls at a crest.

--- a/crates/admit/src/config.rs
+++ b/crates/admit/src/config.rs
@@ -86,7 +86,7 @@
             within_short: Room::new(1.06, Duration::MAX),
             within_long: Room::new(1.0, Duration::from_secs(2)),
             beyond_short: Room::new(0.95, Duration::from_millis(600)),
-            beyond_long: Room::new(0.5, Duration::from_millis(200)),
+            beyond_long: Room::new(0.7, Duration::from_millis(200)),
             tick: Duration::from_millis(5),
             silence: Duration::from_secs(30),
             route: route::Config::default(),
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -21,6 +21,8 @@
 const SLOWEST: f64 = 1e-3;
 /// Part of the slots that come free that work within contracts gets at least.
 const LEAST_PART: f64 = 0.4;
+/// Share of the slots that long lent work leaves below what lent work may fill.
+const LONG_MARGIN: f64 = 0.25;
 /// Time over which demand beyond the contracts is averaged.
 const DEMAND: Duration = Duration::from_secs(2);
 
@@ -146,7 +148,8 @@
         match waiting.kind() {
             (Standing::Within, Length::Short) => self.within.fill(most),
             (Standing::Within, Length::Long) => most,
-            (Standing::Beyond, _) => self.lent.fill(most),
+            (Standing::Beyond, Length::Short) => self.lent.fill(most),
+            (Standing::Beyond, Length::Long) => (self.lent.fill(1.0) - LONG_MARGIN).min(most),
         }
     }
 
