--- a/crates/admit/src/feedback.rs
+++ b/crates/admit/src/feedback.rs
@@ -112,11 +112,14 @@
             }
             return false;
         }
+        // A decision that was not polled yet is never given.
+        let decided = self.decided.len();
+        self.decided.retain(|(other, _)| *other != id);
         let Some(flight) = self.end_attempt(id, now) else {
             return false;
         };
         self.refund(&flight.waiting, flight.generated);
-        true
+        self.decided.len() == decided
     }
 
     fn end_attempt(&mut self, id: RequestId, now: Time) -> Option<Flight> {
