--- a/crates/bench/src/crest/decide.rs
+++ b/crates/bench/src/crest/decide.rs
@@ -1,12 +1,16 @@
-//! Time that a choice of a replica takes, over the number of replicas.
+//! Time that a decision takes, over the number of replicas.
 
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::load::Mix;
+use crate::load::contracts;
+use crate::load::model;
 use crate::report::Table;
+use admit::Arrival;
+use admit::Dispatcher;
 use base::CentreId;
 use base::Load;
-use base::ModelName;
 use base::ReplicaId;
 use base::RequestId;
 use base::Time;
@@ -24,11 +28,15 @@
 pub fn table(seed: u64) -> Table {
     let columns = [
         "replicas",
+        "whole decision us",
         "choice us",
         "linear search us",
         "replace all us",
     ];
-    let mut table = Table::new("time to choose a replica and count the request", &columns);
+    let mut table = Table::new(
+        "time of a decision and the feedback of one answer",
+        &columns,
+    );
     for size in SIZES {
         let sampled = Config::default();
         let linear = Config {
@@ -40,6 +48,7 @@
         let (search, _) = measure(linear, size, CHOICES / 20, seed);
         table.row([
             size.to_string(),
+            format!("{:.2}", decide(size, seed)),
             format!("{choice:.2}"),
             format!("{search:.2}"),
             format!("{replace:.0}"),
@@ -49,7 +58,7 @@
 }
 
 fn measure(cfg: Config, size: usize, choices: u64, seed: u64) -> (f64, f64) {
-    let model: ModelName = "assistant".parse().expect("a valid name");
+    let model = model();
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut router = Router::open(cfg, seed);
     let start = Instant::now();
@@ -79,6 +88,33 @@
     )
 }
 
+/// Time of a whole decision: limits, queue, choice, and the feedback of its answer.
+fn decide(size: usize, seed: u64) -> f64 {
+    let model = model();
+    let contracts = contracts(Mix::Lantern, 1e6);
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut dispatcher = Dispatcher::open(admit::Config::default(), seed);
+    dispatcher.configure(&contracts, Time::ZERO);
+    dispatcher.replicas(&model, candidates(size, &mut rng), Time::ZERO);
+    let start = Instant::now();
+    for request in 0..CHOICES {
+        let now = Time::from_millis(request);
+        dispatcher.arrive(Arrival {
+            request: RequestId(request),
+            contract: contracts[request as usize % contracts.len()].name.clone(),
+            prompt: TokenCount(300),
+            max_tokens: TokenCount(100),
+            prefix: None,
+            now,
+        });
+        if let Some(ended) = request.checked_sub(100) {
+            dispatcher.first_token(RequestId(ended), now);
+            dispatcher.finished(RequestId(ended), now);
+        }
+    }
+    start.elapsed().as_secs_f64() * 1e6 / CHOICES as f64
+}
+
 fn candidates(size: usize, rng: &mut fastrand::Rng) -> Vec<Candidate> {
     let candidate = |at: usize| Candidate {
         replica: ReplicaId(at as u64),
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -16,6 +16,7 @@
 pub use mix::Mix;
 pub use mix::contracts;
 pub use mix::load_capacity;
+pub use mix::model;
 pub use mix::orgs;
 pub use mix::terms_of;
 pub use outcome::Outcome;
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -46,6 +46,8 @@
     near: usize,
     /// Places in the order of the hashes of their ids.
     ring: Vec<usize>,
+    /// Slots over all replicas.
+    slots: u64,
     pub usual: Usual,
     ejected: usize,
     prefixes: Prefixes,
@@ -63,6 +65,7 @@
             index: BTreeMap::new(),
             near: 0,
             ring: Vec::new(),
+            slots: 0,
             usual: Usual::default(),
             ejected: 0,
             prefixes: Prefixes::default(),
@@ -90,6 +93,7 @@
             })
             .collect();
         self.replicas.sort_by_key(|r| (r.link, r.id));
+        self.slots = self.replicas.iter().map(|r| u64::from(r.load.slots)).sum();
         self.index = (0..)
             .zip(&self.replicas)
             .map(|(at, r)| (r.id, at))
@@ -105,9 +109,13 @@
 
     /// Takes one report of a replica that is known.
     pub fn report(&mut self, candidate: Candidate, now: Time) {
-        if let Some(replica) = self.get(candidate.replica) {
-            replica.report(candidate, now);
-        }
+        let Some(replica) = self.get(candidate.replica) else {
+            return;
+        };
+        let before = u64::from(replica.load.slots);
+        replica.report(candidate, now);
+        let after = u64::from(replica.load.slots);
+        self.slots = self.slots + after - before;
     }
 
     pub fn get(&mut self, replica: ReplicaId) -> Option<&mut Replica> {
@@ -138,7 +146,7 @@
 
     /// Slots over all replicas.
     pub fn slots(&self) -> u64 {
-        self.replicas.iter().map(|r| u64::from(r.load.slots)).sum()
+        self.slots
     }
 
     pub fn remember(&mut self, prefix: u64, replica: ReplicaId, limit: usize) {
