--- a/crates/bench/src/config/members/mesh.rs
+++ b/crates/bench/src/config/members/mesh.rs
@@ -37,7 +37,7 @@
         datagrams: 2.0 * others,
         core,
         core_max: core,
-        in_time: f64::from(u8::from(load == Load::Reports)),
+        in_time: None,
         memory: f64::from(nodes) * (HEARTBEAT_BYTES as f64 + report * REPORT_S),
     }
 }
--- a/crates/members/src/record.rs
+++ b/crates/members/src/record.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::hash;
 use base::CentreId;
 use base::Incarnation;
 use base::NodeId;
@@ -91,6 +92,16 @@
 }
 
 impl Record {
+    /// A hash of what members compare.
+    pub fn hash(&self) -> u64 {
+        hash::hash(&[
+            u64::from(self.peer.node.0),
+            self.generation.incarnation.0,
+            u64::from(self.generation.refutation),
+            self.standing as u64,
+        ])
+    }
+
     /// Whether this claim wins over another about the same member.
     pub fn supersedes(&self, known: &Self) -> bool {
         let mine = self.generation;
--- a/crates/members/src/roster.rs
+++ b/crates/members/src/roster.rs
@@ -8,7 +8,6 @@
 use crate::Peer;
 use crate::Standing;
 use crate::Timing;
-use crate::hash;
 use crate::record::Record;
 use base::CentreId;
 use base::NodeId;
@@ -28,6 +27,8 @@
     pub answered: Option<Time>,
     /// When a suspicion ends in death.
     deadline: Time,
+    /// The hash of the record, the same on all nodes.
+    hash: u64,
 }
 
 /// What became of a claim.
@@ -86,6 +87,7 @@
             let before = old.record.peer.centre;
             old.record = record;
             old.deadline = deadline;
+            old.hash = record.hash();
             self.centres.entry(before).or_default().remove(&peer.node);
         } else {
             let member = Member {
@@ -93,6 +95,7 @@
                 version: Version(0),
                 answered: None,
                 deadline,
+                hash: record.hash(),
             };
             self.members.insert(peer.node, member);
         }
@@ -249,16 +252,7 @@
     pub fn hashes(&self) -> impl Iterator<Item = (NodeId, u64)> {
         let heard = self.members.iter();
         let heard = heard.filter(|(_, m)| m.record.generation != Generation::default());
-        heard.map(|(node, member)| {
-            let generation = member.record.generation;
-            let parts = [
-                u64::from(node.0),
-                generation.incarnation.0,
-                u64::from(generation.refutation),
-                member.record.standing as u64,
-            ];
-            (*node, hash::hash(&parts))
-        })
+        heard.map(|(node, member)| (*node, member.hash))
     }
 
     /// Bytes held, roughly.
