--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -161,9 +161,11 @@
         let Some(table) = self.table else {
             return;
         };
+        let known: Vec<_> = self.taken.iter().copied().collect();
+        let known = known.join(", ");
         for (key, _) in table.iter() {
             if !self.taken.contains(key) {
-                self.find(key, "is not a known key");
+                self.find(key, format_args!("is not a known key; known are {known}"));
             }
         }
     }
