--- a/crates/settings/tests/parse.rs
+++ b/crates/settings/tests/parse.rs
@@ -4,9 +4,10 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use quickcheck::quickcheck;
+
 use base::ByteSize;
 use base::NodeId;
-use quickcheck::quickcheck;
 use settings::Limits;
 use settings::Role;
 use settings::Settings;
