--- a/crates/admit/src/feedback.rs
+++ b/crates/admit/src/feedback.rs
@@ -9,6 +9,7 @@
 use crate::dispatcher::SWEEP;
 use crate::dispatcher::refuse;
 use crate::flight::Flight;
+use crate::lane::Charge;
 use crate::lane::Waiting;
 use crate::length::work;
 use base::RequestId;
@@ -28,6 +29,13 @@
         flight.seen = now;
         if flight.generated == flight.waiting.from.0 {
             flight.generated += 1;
+            let waiting = &flight.waiting;
+            let allowed = waiting.due.since(waiting.arrived).as_secs_f64();
+            let took = now.since(waiting.arrived).as_secs_f64();
+            let part = took / allowed.max(1e-3);
+            if let Some(queue) = self.queues.get_mut(&waiting.model) {
+                queue.observe(waiting, part, &self.cfg);
+            }
         }
         self.router.first_token(id, now);
     }
@@ -58,7 +66,7 @@
         let more = raised - waiting.estimate;
         waiting.estimate = raised;
         if let Some(terms) = self.terms.get_mut(&waiting.contract)
-            && waiting.standing == crate::Standing::Within
+            && waiting.charge == Charge::Counted
         {
             terms.tokens.charge(more);
         }
@@ -154,7 +162,7 @@
 
     /// Gives back the tokens that were counted and not generated.
     pub(crate) fn refund(&mut self, waiting: &Waiting, generated: u32) {
-        if waiting.standing == crate::Standing::Beyond {
+        if waiting.charge == Charge::Free {
             return;
         }
         let Some(terms) = self.terms.get_mut(&waiting.contract) else {
--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -20,6 +20,15 @@
 use route::Length;
 use route::Standing;
 
+/// Whether a request counts against its contract's limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Charge {
+    /// It was counted.
+    Counted,
+    /// It runs beyond the limits.
+    Free,
+}
+
 /// A request that waits for a replica.
 #[derive(Clone, Debug)]
 pub(crate) struct Waiting {
@@ -29,6 +38,8 @@
     pub weight: f64,
     pub model: ModelName,
     pub standing: Standing,
+    /// Whether it counts against its contract's limits.
+    pub charge: Charge,
     pub length: Length,
     pub priority: Priority,
     pub prompt: TokenCount,
@@ -37,6 +48,7 @@
     /// Tokens that the answer probably has.
     pub estimate: f64,
     pub token_rate: TokenRate,
+    pub arrived: Time,
     /// When the first token is due.
     pub due: Time,
     /// When it leaves the queue, at the latest.
@@ -82,9 +94,11 @@
         self.len
     }
 
-    /// Adds a request to the end of its organisation's line.
+    /// Adds a request to its organisation's line, the earliest due first.
     pub fn push(&mut self, waiting: Waiting) {
-        self.line(&waiting).waiting.push_back(waiting);
+        let line = &mut self.line(&waiting).waiting;
+        let at = line.partition_point(|other| other.due <= waiting.due);
+        line.insert(at, waiting);
         self.len += 1;
     }
 
@@ -151,7 +165,8 @@
     /// Requests that go before a new one of this organisation and work.
     pub fn ahead(&self, waiting: &Waiting) -> f64 {
         let own = self.lines.get(&waiting.org);
-        let own_len = own.map_or(0, |line| line.waiting.len()) as f64;
+        let earlier = |line: &Line| line.waiting.iter().filter(|w| w.due <= waiting.due).count();
+        let own_len = own.map_or(0, earlier) as f64;
         let step = waiting.work() / waiting.weight;
         let start = own.map_or(self.clock, |line| line.time.max(self.clock));
         let turn = start + own_len * step;
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -3,9 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::Config;
+use crate::headroom::Headroom;
 use crate::lane::Lane;
 use crate::lane::Waiting;
 use crate::length::Usual;
+use crate::rate::Rate;
+use crate::shares::Shares;
 use base::Time;
 use route::Length;
 use route::Slice;
@@ -19,40 +23,44 @@
 const DEMAND: Duration = Duration::from_secs(2);
 
 /// What waits and runs of one model at this node.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Queue {
     lanes: BTreeMap<(Standing, Length), Lane>,
     running: BTreeMap<(Standing, Length), u32>,
     /// Seconds that a request of a length holds a slot.
     residence: BTreeMap<Length, f64>,
     /// Requests beyond the contracts sent a second, of late.
-    flow: BTreeMap<Length, Flow>,
+    flow: BTreeMap<Length, Rate>,
     pub usual: Usual,
+    /// Fair shares over all nodes.
+    pub shares: Shares,
     /// This node's part of all nodes' long work.
     pub long_share: f64,
     /// Work beyond the contracts that is asked for a second, in generated tokens.
-    beyond: f64,
-    beyond_at: Time,
+    beyond: Rate,
     /// The replicas that this node lends on.
     pub slice: Option<Slice>,
+    /// How far replicas are filled with lent work.
+    pub lent: Headroom,
+    /// How far replicas are filled with short work within contracts.
+    pub within: Headroom,
 }
 
-/// Requests sent a second, of late.
-#[derive(Clone, Copy, Debug, Default)]
-struct Flow {
-    rate: f64,
-    at: Time,
-}
-
-impl Flow {
-    fn add(&mut self, length: Length, now: Time) {
-        self.rate = self.rate(length, now) + 1.0 / span(length).as_secs_f64();
-        self.at = now;
-    }
-
-    fn rate(&self, length: Length, now: Time) -> f64 {
-        let age = now.since(self.at).as_secs_f64();
-        self.rate * (-age / span(length).as_secs_f64()).exp()
+impl Default for Queue {
+    fn default() -> Self {
+        Self {
+            lanes: BTreeMap::new(),
+            running: BTreeMap::new(),
+            residence: BTreeMap::new(),
+            flow: BTreeMap::new(),
+            usual: Usual::default(),
+            shares: Shares::default(),
+            long_share: 1.0,
+            beyond: Rate::default(),
+            slice: None,
+            lent: Headroom::lent(),
+            within: Headroom::within(),
+        }
     }
 }
 
@@ -75,14 +83,12 @@
 
     /// Counts work beyond the contracts that was asked for.
     pub fn ask_beyond(&mut self, work: f64, now: Time) {
-        self.beyond = self.beyond(now) + work / DEMAND.as_secs_f64();
-        self.beyond_at = self.beyond_at.max(now);
+        self.beyond.add(work, DEMAND, now);
     }
 
     /// Work beyond the contracts that is asked for a second.
     pub fn beyond(&self, now: Time) -> f64 {
-        let age = now.since(self.beyond_at).as_secs_f64();
-        self.beyond * (-age / DEMAND.as_secs_f64()).exp()
+        self.beyond.get(DEMAND, now)
     }
 
     /// Requests that wait.
@@ -118,13 +124,36 @@
         *residence += LEARN * (seconds - *residence);
     }
 
+    /// Takes the part of the time allowed that a first token took.
+    pub fn observe(&mut self, waiting: &Waiting, part: f64, cfg: &Config) {
+        if waiting.kind() == (Standing::Within, Length::Short) {
+            self.lent.observe(part, cfg.beyond_short.fill);
+            self.within.observe(part, cfg.within_short.fill);
+        }
+    }
+
+    /// Takes the refusal of a request within its contract.
+    pub fn observe_refusal(&mut self, waiting: &Waiting, cfg: &Config) {
+        if waiting.kind() == (Standing::Within, Length::Short) {
+            self.lent.observe(1.0, cfg.beyond_short.fill);
+        }
+    }
+
+    /// How full a replica may be for a request to go there.
+    pub fn fill(&self, waiting: &Waiting, most: f64) -> f64 {
+        match waiting.kind() {
+            (Standing::Within, Length::Short) => self.within.fill(most),
+            (Standing::Within, Length::Long) => most,
+            (Standing::Beyond, _) => self.lent.fill(most),
+        }
+    }
+
     /// Counts a request that was sent.
     pub fn sent(&mut self, waiting: &Waiting, now: Time) {
+        self.shares.sent(waiting.work(), now);
         if waiting.standing == Standing::Beyond {
-            self.flow
-                .entry(waiting.length)
-                .or_default()
-                .add(waiting.length, now);
+            let flow = self.flow.entry(waiting.length).or_default();
+            flow.add(1.0, span(waiting.length), now);
         }
     }
 
@@ -139,7 +168,7 @@
             }
             Standing::Beyond => {
                 let flow = self.flow.get(&length);
-                flow.map_or(0.0, |flow| flow.rate(length, now))
+                flow.map_or(0.0, |flow| flow.get(span(length), now))
             }
         };
         rate.max(SLOWEST)
--- a/crates/bench/src/config.rs
+++ b/crates/bench/src/config.rs
@@ -1,12 +1,13 @@
 //! Time until a change is in force everywhere, and what changes cost.
 
 pub mod members;
+mod voters;
 
 use crate::report::Report;
 
 /// Runs the measure.
 pub fn run(seed: u64) -> Report {
-    let mut report = Report::new("config", seed);
+    let mut report = voters::measure(Report::new("config", seed), seed);
     for table in members::tables(seed) {
         report = report.table(table);
     }
--- a/crates/bench/src/config/members.rs
+++ b/crates/bench/src/config/members.rs
@@ -7,12 +7,13 @@
 
 mod fleet;
 mod mesh;
+mod spent;
 
 use std::time::Duration;
 
 use self::fleet::Fleet;
-use self::fleet::Load;
-use self::fleet::Spent;
+use self::spent::Load;
+use self::spent::Spent;
 use crate::report::Table;
 
 /// Data centres and nodes in each.
--- a/crates/bench/src/load/world.rs
+++ b/crates/bench/src/load/world.rs
@@ -12,19 +12,18 @@
 use super::engine::Progress;
 use super::engine::TOKEN_COST;
 use super::mix::model;
+use super::node::node_count;
+use super::node::open_node;
 use super::outcome::Outcome;
 use super::policy::Policy;
-use super::traffic::NODE_WEIGHTS;
 use super::traffic::Request;
 use admit::Arrival;
-use admit::Beyond;
 use admit::Config;
 use admit::Decision;
 use admit::DemandReport;
 use admit::Dispatcher;
 use base::CentreId;
 use base::Contract;
-use base::Incarnation;
 use base::Load;
 use base::NodeId;
 use base::ReplicaId;
@@ -36,9 +35,9 @@
 /// Replicas over all data centres.
 pub const REPLICAS: usize = 60;
 /// Data centres.
-const CENTRES: usize = 3;
+pub const CENTRES: usize = 3;
 /// One way within a data centre.
-const NEAR: Duration = Duration::from_micros(300);
+pub const NEAR: Duration = Duration::from_micros(300);
 /// One way between data centres.
 const FAR: Duration = Duration::from_millis(4);
 /// Time between two load reports.
@@ -49,6 +48,8 @@
 const DEMAND_LAG: Duration = Duration::from_millis(10);
 /// Tokens that a node counts at once.
 const TOKENS_AT_ONCE: u32 = 8;
+/// How many times slower a replica turns.
+const SLOWNESS: u32 = 10;
 /// Nothing runs longer than this after the last arrival.
 const DRAIN: Duration = Duration::from_secs(240);
 
@@ -61,6 +62,8 @@
     pub contracts: Vec<Contract>,
     /// Work done in this window counts for goodput.
     pub window: (Time, Time),
+    /// When replica 0 turns ten times slower.
+    pub slow: Time,
     /// Seed of the dispatchers.
     pub seed: u64,
 }
@@ -77,6 +80,7 @@
     ReportTaken(usize),
     ReportSeen,
     Exchange,
+    Slow,
     Poll(usize),
 }
 
@@ -116,22 +120,6 @@
     world.outcomes
 }
 
-/// Time of a request that has an engine for itself.
-pub fn time_alone(request: &Request) -> Duration {
-    let mut engine = Engine::open(Order::Fifo);
-    engine.push(Job {
-        request: 0,
-        priority: 0,
-        prompt: request.prompt,
-        output: request.output,
-    });
-    let mut span = 2 * NEAR;
-    while !engine.is_idle() {
-        span += engine.step(&mut Vec::new());
-    }
-    span
-}
-
 impl<'a> World<'a> {
     fn open(run: &'a Run, requests: &'a [Request]) -> Self {
         let order = match run.policy {
@@ -159,6 +147,9 @@
         if !requests.is_empty() {
             world.push(requests[0].at, Event::Arrive(0));
         }
+        if run.slow < Time::NEVER {
+            world.push(run.slow, Event::Slow);
+        }
         if run.policy != Policy::RoundRobin {
             world.introduce();
         }
@@ -239,6 +230,7 @@
             Event::ReportTaken(replica) => self.take_report(replica),
             Event::ReportSeen => self.see_report(),
             Event::Exchange => self.exchange(),
+            Event::Slow => self.engines[0].slowness = SLOWNESS,
             Event::Poll(node) => {
                 if self.polls[node] == self.now {
                     self.poll(node);
@@ -406,29 +398,3 @@
         self.push(self.now + every, Event::Exchange);
     }
 }
-
-fn node_count(policy: Policy) -> usize {
-    match policy {
-        Policy::Perfect => 1,
-        Policy::Limit | Policy::Lend | Policy::RoundRobin => NODE_WEIGHTS.len(),
-    }
-}
-
-fn open_node(run: &Run, node: usize) -> Dispatcher {
-    let beyond = match run.policy {
-        Policy::Limit => Beyond::Refuse,
-        Policy::Lend | Policy::Perfect | Policy::RoundRobin => Beyond::Lend,
-    };
-    let count = node_count(run.policy) as u16;
-    let nodes = (0..count).map(|n| (NodeId(n), CentreId(n % CENTRES as u16)));
-    let cfg = Config {
-        node: NodeId(node as u16),
-        incarnation: Incarnation(1),
-        nodes: nodes.collect(),
-        beyond,
-        ..Config::default()
-    };
-    let mut dispatcher = Dispatcher::open(cfg, run.seed + node as u64);
-    dispatcher.configure(&run.contracts, Time::ZERO);
-    dispatcher
-}
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -30,14 +30,19 @@
 use order::NotTaken;
 use order::Others;
 use order::Refusal;
+use order::Sent;
 use rules::Repeat;
 use rules::Service;
 use state::Body as StoredBody;
 use state::Digest;
 use state::StoredAnswer;
 
-/// When to come back after a refusal that will pass.
-const SOON: Duration = Duration::from_secs(1);
+/// When to come back after a refusal that will pass. Sooner a key may still be closed.
+const SOON: Duration = Duration::from_secs(2);
+
+/// Set to `true` by a caller that has made no other call under the key and makes
+/// none until this one is answered.
+const FIRST_CALL_HEADER: &str = "x-first-call";
 
 /// Serves one call.
 pub async fn call(
@@ -86,6 +91,17 @@
     Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, kind, why).retry_after(SOON)
 }
 
+/// Says of a refusal before the ledger was asked what can be said: this call was not
+/// sent, but with a key an earlier one may have run.
+pub fn before_ledger(problem: Problem, headers: &HeaderMap) -> Problem {
+    let is_keyed = headers.contains_key("idempotency-key");
+    let is_open = is_keyed && others(headers) == Others::Possible;
+    match problem.sent {
+        None if is_open => problem.at_least(Ran::Unknown).sent(false),
+        _ => problem,
+    }
+}
+
 /// How often a call may run, by its service's rule and its key.
 fn kind(
     arrival: &Arrival,
@@ -110,11 +126,19 @@
             rules::Ask::Allowed => Ask::Allowed,
             rules::Ask::Never => Ask::Never,
         },
-        others: Others::Possible,
+        others: others(headers),
         retention: rule.retention,
     }))
 }
 
+/// What the caller says of other calls under the key.
+fn others(headers: &HeaderMap) -> Others {
+    match headers.get(FIRST_CALL_HEADER) {
+        Some(value) if value == "true" => Others::Excluded,
+        _ => Others::Possible,
+    }
+}
+
 fn digest(name: &ServiceName, headers: &HeaderMap, body: &[u8]) -> Digest {
     let content_type = headers.get("content-type");
     let content_type = content_type.map_or(&b""[..], |v| v.as_bytes());
@@ -125,7 +149,10 @@
     match answer.content {
         Content::Fresh(stored) => Ok(give(&stored, answer.ran, "fresh")),
         Content::Stored(stored) => Ok(give(&stored, answer.ran, "stored")),
-        Content::Refused(refusal) => Err(refuse(&refusal).ran(answer.ran)),
+        Content::Refused(refusal) => {
+            let sent = answer.sent == Sent::Yes;
+            Err(refuse(&refusal).ran(answer.ran).sent(sent))
+        }
     }
 }
 
--- a/crates/daemon/src/entry/orders.rs
+++ b/crates/daemon/src/entry/orders.rs
@@ -31,9 +31,12 @@
 use order::Answer;
 use order::Book;
 use order::Call;
+use order::Content;
 use order::Event;
 use order::NotTaken;
 use order::Proposal;
+use order::Refusal;
+use order::Sent;
 use order::Step;
 use state::Op;
 use state::StoredAnswer;
@@ -44,8 +47,8 @@
 /// How often the book is looked at.
 const TICK: Duration = Duration::from_millis(20);
 
-/// How long one proposal looks for the voters' leader.
-const PROPOSE_WITHIN: Duration = Duration::from_millis(1_500);
+/// How long one proposal looks for the voters' leader. The book proposes again.
+const PROPOSE_WITHIN: Duration = Duration::from_millis(250);
 
 /// The calls that are open at this node.
 #[derive(Debug)]
@@ -91,7 +94,7 @@
     /// No call is open.
     pub fn open(node: NodeId, incarnation: Incarnation) -> Self {
         Self {
-            book: RefCell::new(Book::new(node, incarnation, MOST_OPEN)),
+            book: RefCell::new(Book::open_at(clock::now(), node, incarnation, MOST_OPEN)),
             flights: RefCell::default(),
         }
     }
@@ -132,9 +135,16 @@
     carry_out(node, sequence, steps);
     let answer = wait(&told).await;
     caller.told = true;
-    answer.ok_or(NotTaken::Busy { open: 0 })
+    Ok(answer.unwrap_or(LOST))
 }
 
+/// What is told if the book never tells: the call may have been sent.
+const LOST: Answer = Answer {
+    ran: Ran::Unknown,
+    sent: Sent::Yes,
+    content: Content::Refused(Refusal::AnswerLost),
+};
+
 async fn wait(told: &Receiver<Answer>) -> Option<Answer> {
     told.recv().await.ok()
 }
--- a/crates/plan/tests/world/process.rs
+++ b/crates/plan/tests/world/process.rs
@@ -4,6 +4,7 @@
 
 use super::Message;
 use base::Fence;
+use base::HostReport;
 use base::Time;
 use plan::Controller;
 use plan::Order;
@@ -74,6 +75,8 @@
     /// Cut from the controllers until then.
     pub cut_until: Time,
     pub next_poll: Time,
+    /// Reports that came while it was frozen.
+    pub queue: Vec<HostReport>,
     /// Until then, its clock's standing still may let an ended route look valid.
     pub sound_from: Time,
 }
@@ -90,6 +93,7 @@
             frozen_until: Time::ZERO,
             cut_until: Time::ZERO,
             next_poll: Time::ZERO,
+            queue: Vec::new(),
             sound_from: Time::ZERO,
         }
     }
@@ -99,16 +103,29 @@
     }
 }
 
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Lease {
     pub holder: Option<usize>,
     pub until: Time,
     pub fence: Fence,
 }
 
+/// Fencing numbers grow with the wall clock.
+const FIRST_FENCE: Fence = Fence(256 * 1_800_000_000);
+
 const LEASE: Duration = Duration::from_secs(4);
 const LEASE_MARGIN: Duration = Duration::from_millis(400);
 
+impl Default for Lease {
+    fn default() -> Self {
+        Self {
+            holder: None,
+            until: Time::ZERO,
+            fence: FIRST_FENCE,
+        }
+    }
+}
+
 impl Lease {
     /// Renews the holder's lease, or gives an ended one to who asks.
     pub fn renew(&mut self, at: usize, control: &mut Control, now: Time) {
--- a/crates/vote/src/voter.rs
+++ b/crates/vote/src/voter.rs
@@ -31,10 +31,14 @@
 use crate::log::Log;
 use crate::outbox::Outbox;
 use crate::role::State;
+use base::ByteSize;
 use base::DiskId;
 use base::NodeId;
 use base::Time;
 
+/// Disks of which it is remembered what they have.
+const MAX_FLOORS: usize = 64;
+
 /// One member of a group that agrees on a log.
 #[derive(Debug)]
 pub struct Voter {
@@ -124,6 +128,7 @@
             _ if self.bound.is_none() || group.is_none() => {}
             Body::Ask(ask) => self.on_ask(from, disk, ask),
             Body::Ballot(ballot) => self.on_ballot(from, disk, ballot),
+            Body::HandOver { term } => self.on_hand_over(from, term),
             Body::Append(append) => self.on_append(from, append),
             Body::Install(install) => self.on_install(from, install),
             Body::Ack(ack) => self.on_ack(from, disk, ack),
@@ -210,6 +215,12 @@
         self.checkpoint();
     }
 
+    /// Roughly what the log holds in memory, for the daemon to know when to
+    /// [`Voter::compact`] it.
+    pub fn log_bytes(&self) -> ByteSize {
+        ByteSize(self.log.bytes() as u64)
+    }
+
     /// The members, none if it belongs to no group or does not know them yet.
     pub fn group(&self) -> Option<&Group> {
         self.log.group().map(|(_, group)| group)
@@ -262,6 +273,11 @@
     }
 
     pub(crate) fn raise_floor(&mut self, node: NodeId, disk: DiskId, index: Index) {
+        if MAX_FLOORS <= self.floors.len() {
+            let group = self.log.group().map(|(_, group)| group);
+            self.floors
+                .retain(|(node, disk), _| group.is_some_and(|g| g.has(*node, *disk)));
+        }
         let floor = self.floors.entry((node, disk)).or_default();
         *floor = index.max(*floor);
     }
