Take the wall clock's floor from a duration, and name no holder of an ended promise

Cause: a caller that gave milliseconds for seconds got no floor at all (known number e0 at its start), without a sign of it. A status that shows the last promise's holder names one whose lease has ended.

--- a/crates/lease/src/fence.rs
+++ b/crates/lease/src/fence.rs
@@ -5,6 +5,8 @@
 //! remains when every granter lost its memory: it grows by [`PER_SECOND`] each
 //! second, which is faster than bids can be made.
 
+use std::time::Duration;
+
 use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
@@ -28,6 +30,11 @@
 pub struct WallTime(pub u64);
 
 impl WallTime {
+    /// The wall clock's reading, whatever its unit was.
+    pub fn since_1970(span: Duration) -> Self {
+        Self(span.as_secs())
+    }
+
     /// The fencing number below which nothing is issued any more.
     pub(crate) fn floor(self) -> Fence {
         match self.0 < MAX_WALL {
--- a/crates/lease/src/granter.rs
+++ b/crates/lease/src/granter.rs
@@ -75,6 +75,16 @@
         self.promise
     }
 
+    /// To whom the lease is promised, while the promise lasts.
+    pub fn holder(&self, now: Time) -> Option<Holder> {
+        self.promise.holder.filter(|_| now < self.until)
+    }
+
+    /// The largest fencing number it knows.
+    pub fn known(&self) -> Fence {
+        self.known
+    }
+
     /// Takes in a fencing number that a host reported.
     pub fn saw(&mut self, fence: Fence) {
         raise(&mut self.known, fence);
--- a/crates/lease/tests/schedules.rs
+++ b/crates/lease/tests/schedules.rs
@@ -9,8 +9,17 @@
 use crate::world::Faults;
 use crate::world::STEP;
 use crate::world::World;
+use base::Fence;
+use base::Incarnation;
 use base::NodeId;
+use base::Time;
 use lease::Config;
+use lease::Granter;
+use lease::Holder;
+use lease::MAX_SPAN;
+use lease::Memory;
+use lease::Promise;
+use lease::WallTime;
 
 /// Longest time without a controller once a majority can talk without loss.
 const BOUND: Duration = Duration::from_secs(13);
@@ -202,3 +211,26 @@
     assert!(before <= world.doubted);
     assert_eq!(world.holder(), Some(new));
 }
+
+#[test]
+fn a_granter_without_memory_knows_the_floor_of_its_wall_clock() {
+    let wall = WallTime::since_1970(Duration::from_millis(1_790_000_000_999));
+    let granter = Granter::open(Memory::Lost, wall, Time(5));
+    assert_eq!(granter.known(), Fence(1_790_000_000 * 256));
+    assert_eq!(granter.holder(Time(5)), None);
+}
+
+#[test]
+fn a_promise_that_ended_names_no_holder() {
+    let promise = Promise {
+        fence: Fence(7),
+        holder: Some(Holder {
+            node: NodeId(1),
+            incarnation: Incarnation(1),
+        }),
+    };
+    let start = Time::from_millis(1_000);
+    let granter = Granter::open(Memory::Kept(promise), WallTime(0), start);
+    assert_eq!(granter.holder(start), promise.holder);
+    assert_eq!(granter.holder(start + MAX_SPAN), None);
+}
