--- a/crates/bench/src/config/members/mesh.rs
+++ b/crates/bench/src/config/members/mesh.rs
@@ -7,8 +7,8 @@
 use std::hint::black_box;
 use std::time::Instant;
 
-use super::fleet::Load;
-use super::fleet::Spent;
+use super::spent::Load;
+use super::spent::Spent;
 use members::OVERHEAD_BYTES;
 
 /// Node, incarnation, sequence, version in force.
