Check the lease right before each order; keep configurations before they are in force

Cause: the wall clock's floor of fencing numbers was off (milliseconds given for seconds, so a new system began at e1); orders were checked before their connection stood; nothing confirmed the tenure for engines that ignore fences; two versions of the kept configuration could be written at once, and one could be in force before it was kept; a read that no node answered exited as "unknown". Ruled out: keeping after it is in force, which a crash can undo.

--- a/crates/cli/src/link.rs
+++ b/crates/cli/src/link.rs
@@ -35,6 +35,17 @@
         })
     }
 
+    /// Asks the nodes in turn what changes nothing, until one answers.
+    pub async fn ask<C: Call>(&self, call: &C) -> Result<C::Reply, CliError> {
+        match self.call(call).await {
+            Err(CliError::NoAnswer { last, .. }) => Err(CliError::NoAnswer {
+                last,
+                maybe_done: false,
+            }),
+            other => other,
+        }
+    }
+
     /// Calls the nodes in turn until one answers.
     pub async fn call<C: Call>(&self, call: &C) -> Result<C::Reply, CliError> {
         let mut last = None;
@@ -59,5 +70,6 @@
         RpcError::Unreachable { .. } | RpcError::Timeout { .. } | RpcError::Unreadable { .. } => {
             true
         }
+        RpcError::Withheld => false,
     }
 }
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -116,7 +116,7 @@
 }
 
 async fn rules(args: &Args, rules: &RulesArgs) -> Result<Exit, CliError> {
-    let reply = Link::open(args)?.call(&ShowRules {}).await?;
+    let reply = Link::open(args)?.ask(&ShowRules {}).await?;
     if let Some(file) = &rules.write {
         write(file, &reply.text, reply.version)?;
         say(args, &format!("{} holds {}", file.display(), reply.version));
@@ -134,7 +134,7 @@
 }
 
 async fn status(args: &Args) -> Result<Exit, CliError> {
-    let reply = Link::open(args)?.call(&ShowStatus {}).await?;
+    let reply = Link::open(args)?.ask(&ShowStatus {}).await?;
     show_json(args, &reply);
     if !args.json {
         show_status(&reply);
@@ -148,7 +148,7 @@
         org: order.org.clone().ok_or(missing("--org"))?,
         key: order.key.clone().ok_or(missing("the order's key"))?,
     };
-    let reply = Link::open(args)?.call(&call).await?;
+    let reply = Link::open(args)?.ask(&call).await?;
     show_json(args, &reply);
     if !args.json {
         match &reply.record {
@@ -176,7 +176,7 @@
         );
         return Ok(Exit::Done);
     }
-    let reply = link.call(&ShowVoters {}).await?;
+    let reply = link.ask(&ShowVoters {}).await?;
     show_json(args, &reply);
     if !args.json {
         show_voters(&reply);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -22,11 +22,13 @@
 use base::Load;
 use base::NodeId;
 use base::ReplicaId;
+use base::Time;
 use lease::Lease;
 use lease::Memory;
 use lease::WallTime;
 use net::Methods;
 use plan::Controller;
+use plan::Order;
 use plan::Tenure;
 use settings::Settings;
 
@@ -78,7 +80,8 @@
     /// The controller of the data centre, as far as this node knows.
     pub fn controller(&self) -> Option<NodeId> {
         let lease = self.lease.borrow();
-        lease.granter.promise().holder.map(|holder| holder.node)
+        let holder = lease.granter.holder(clock::now());
+        holder.map(|holder| holder.node)
     }
 
     /// What an operator sees.
@@ -86,6 +89,25 @@
         self.controller.borrow().status(clock::now())
     }
 
+    /// Whether an order may be sent now. Asked right before it is, with no wait between.
+    fn may_send(&self, order: &Order) -> bool {
+        let now = clock::now();
+        let holds = self.lease.borrow().candidate.holds(order.fence, now);
+        holds && self.controller.borrow().may_send(order.id, now)
+    }
+
+    /// Whether a majority confirmed the tenure after `since`, which does not rest on this
+    /// node's clock having gone on.
+    fn is_confirmed_since(&self, fence: Fence, since: Time) -> bool {
+        let lease = self.lease.borrow();
+        lease.candidate.confirmed_since(fence, since, clock::now())
+    }
+
+    /// Asks for a renewal of the lease at the next tick.
+    fn renew(&self) {
+        self.lease.borrow_mut().candidate.renew(clock::now());
+    }
+
     fn tenure(&self) -> Option<Tenure> {
         let tenure = self.lease.borrow().candidate.tenure(clock::now())?;
         Some(Tenure {
@@ -143,5 +165,5 @@
 }
 
 fn wall() -> WallTime {
-    WallTime(clock::wall().as_millis() as u64)
+    WallTime::since_1970(clock::wall())
 }
--- a/crates/daemon/src/control/orders.rs
+++ b/crates/daemon/src/control/orders.rs
@@ -7,6 +7,8 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::node::Node;
+use base::Fencing;
+use base::HostId;
 use net::RpcError;
 use plan::Action;
 use plan::Order;
@@ -19,6 +21,9 @@
 /// How long a host may take to answer an order.
 const WITHIN: Duration = Duration::from_millis(1_000);
 
+/// How often is looked whether the tenure is confirmed.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
 /// Sends each order on its own and tells the controller what became of it.
 pub fn send(node: &Rc<Node>, orders: Vec<Order>) {
     for order in orders {
@@ -41,23 +46,27 @@
         Action::Form { .. } => "form",
         Action::Release => "leave",
     };
-    // The last look at the lease, with no wait between it and the send.
-    if !node
-        .control
-        .controller
-        .borrow()
-        .may_send(order.id, clock::now())
-    {
+    if ignores_fences(node, host) && !is_confirmed(node, order).await {
         return OrderOutcome::Refused;
     }
-    emit(&Event::OrderSent {
-        replica,
-        host,
-        what,
-    });
-    match node.engines.call(order.addr, &engine_order, WITHIN).await {
+    let may_send = || {
+        let may_send = node.control.may_send(order);
+        if may_send {
+            emit(&Event::OrderSent {
+                replica,
+                host,
+                what,
+            });
+        }
+        may_send
+    };
+    match node
+        .engines
+        .call_if(order.addr, &engine_order, WITHIN, may_send)
+        .await
+    {
         Ok(state) if state.taken == Taken::Accepted => OrderOutcome::Done,
-        Ok(_) => OrderOutcome::Refused,
+        Ok(_) | Err(RpcError::Withheld) => OrderOutcome::Refused,
         Err(e) => {
             let error = e.to_string();
             emit(&Event::OrderFailed {
@@ -66,7 +75,7 @@
                 error,
             });
             match e {
-                RpcError::Refused { .. } => OrderOutcome::Refused,
+                RpcError::Refused { .. } | RpcError::Withheld => OrderOutcome::Refused,
                 RpcError::Unreachable { .. }
                 | RpcError::Timeout { .. }
                 | RpcError::Unreadable { .. } => OrderOutcome::Unknown,
@@ -75,6 +84,26 @@
     }
 }
 
+fn ignores_fences(node: &Node, host: HostId) -> bool {
+    let upstreams = node.upstreams.borrow();
+    let fencing = upstreams.host(host).map(|heard| heard.report.fencing);
+    fencing.unwrap_or_default() == Fencing::Ignored
+}
+
+/// Waits until a majority confirms the tenure anew. Nothing on such an engine stops an
+/// old order, so this node's own clock is not enough.
+async fn is_confirmed(node: &Node, order: &Order) -> bool {
+    let since = clock::now();
+    node.control.renew();
+    while clock::now().since(since) < WITHIN {
+        if node.control.is_confirmed_since(order.fence, since) {
+            return true;
+        }
+        compio::time::sleep(LOOK_EVERY).await;
+    }
+    false
+}
+
 /// The order as the engine reads it, or nothing if a host's address is not known any more.
 fn engine_order(node: &Node, order: &Order) -> Option<EngineOrder> {
     let upstreams = node.upstreams.borrow();
--- a/crates/daemon/src/control/polls.rs
+++ b/crates/daemon/src/control/polls.rs
@@ -17,7 +17,7 @@
 use wire::peer::PolledRoutes;
 
 /// How often each data centre's controller is polled.
-const POLL_EVERY: Duration = Duration::from_millis(400);
+const POLL_EVERY: Duration = Duration::from_millis(700);
 
 /// How long an answer may take.
 const WITHIN: Duration = Duration::from_millis(1_000);
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -149,6 +149,10 @@
     match answer.content {
         Content::Fresh(stored) => Ok(give(&stored, answer.ran, "fresh")),
         Content::Stored(stored) => Ok(give(&stored, answer.ran, "stored")),
+        // The other call under the key may have run.
+        Content::Refused(Refusal::OtherBody) => {
+            Err(refuse(&Refusal::OtherBody).ran(Ran::Unknown).sent(false))
+        }
         Content::Refused(refusal) => {
             let sent = answer.sent == Sent::Yes;
             Err(refuse(&refusal).ran(answer.ran).sent(sent))
--- a/crates/daemon/src/entry/orders.rs
+++ b/crates/daemon/src/entry/orders.rs
@@ -38,7 +38,9 @@
 use order::Refusal;
 use order::Sent;
 use order::Step;
+use state::ClaimReply;
 use state::Op;
+use state::Reply;
 use state::StoredAnswer;
 
 /// Calls that may be open at one node.
@@ -220,7 +222,10 @@
     compio::runtime::spawn(async move {
         let until = clock::now() + PROPOSE_WITHIN;
         let event = match voters::propose(&node, op, until).await {
-            Fate::Accepted(reply) => Event::Reply(reply),
+            Fate::Accepted(reply) => {
+                count_claim(&node, &reply);
+                Event::Reply(reply)
+            }
             Fate::Refused | Fate::Unknown => Event::ProposalLost(proposal),
         };
         on(&node, sequence, event);
@@ -228,6 +233,12 @@
     .detach();
 }
 
+fn count_claim(node: &Node, reply: &Reply) {
+    if matches!(reply, Reply::Claim(ClaimReply::Granted)) {
+        node.metrics.claims.inc();
+    }
+}
+
 fn connect(node: &Rc<Node>, sequence: u64) {
     let mut flights = node.orders.flights.borrow_mut();
     let Some(flight) = flights.get_mut(&sequence) else {
--- a/crates/daemon/src/gossip/mod.rs
+++ b/crates/daemon/src/gossip/mod.rs
@@ -92,6 +92,10 @@
         self.members.borrow_mut().publish(item, clock::now());
     }
 
+    fn receive(&self, from: NodeId, bytes: &[u8]) {
+        self.members.borrow_mut().receive(from, bytes, clock::now());
+    }
+
     /// Tells the others which configuration is in force here.
     pub fn in_force(&self, version: Version) {
         self.members.borrow_mut().set_version(version, clock::now());
@@ -122,10 +126,9 @@
         };
         node.meter.receive_raw(DATAGRAM_HEAD_BYTES + len as u64);
         if let Some((from, bytes)) = node.gossip.seal.open_datagram(&buf[..len]) {
-            let mut members = node.gossip.members.borrow_mut();
-            members.receive(from, bytes, clock::now());
-            drop(members);
+            node.gossip.receive(from, bytes);
             hear(&node);
+            send(&node, &socket).await;
         }
     }
 }
@@ -133,23 +136,25 @@
 async fn tick_on(node: Rc<Node>, socket: UdpSocket) {
     loop {
         let now = clock::now();
-        let packets = {
-            let mut members = node.gossip.members.borrow_mut();
-            members.tick(now);
-            members.take(now)
-        };
-        for packet in packets {
-            let datagram = node.gossip.seal.seal(node.id(), &packet.bytes);
-            node.meter
-                .send_raw(DATAGRAM_HEAD_BYTES + datagram.len() as u64);
-            // A datagram that cannot be sent is as good as lost.
-            let _ = socket.send_to(datagram, packet.addr).await;
-        }
+        node.gossip.members.borrow_mut().tick(now);
+        send(&node, &socket).await;
         pull(&node);
         compio::time::sleep(TICK).await;
     }
 }
 
+/// Sends what is due.
+async fn send(node: &Node, socket: &UdpSocket) {
+    let packets = node.gossip.members.borrow_mut().take(clock::now());
+    for packet in packets {
+        let datagram = node.gossip.seal.seal(node.id(), &packet.bytes);
+        node.meter
+            .send_raw(DATAGRAM_HEAD_BYTES + datagram.len() as u64);
+        // A datagram that cannot be sent is as good as lost.
+        let _ = socket.send_to(datagram, packet.addr).await;
+    }
+}
+
 /// Acts on what is new.
 fn hear(node: &Rc<Node>) {
     let news = node.gossip.members.borrow_mut().take_news();
--- a/crates/daemon/src/inner/mod.rs
+++ b/crates/daemon/src/inner/mod.rs
@@ -28,6 +28,8 @@
 use net::Server;
 use net::read_body;
 
+pub use kept::Keeper;
+pub use kept::keep_on;
 pub use kept::restore;
 pub use pull::bring_into_force;
 pub use pull::pull_from;
--- a/crates/daemon/src/inner/pull.rs
+++ b/crates/daemon/src/inner/pull.rs
@@ -10,7 +10,6 @@
 use crate::dispatch;
 use crate::events::Event;
 use crate::events::emit;
-use crate::inner::kept;
 use crate::node::InForce;
 use crate::node::Node;
 use crate::node::Phase;
@@ -81,12 +80,31 @@
     }
 }
 
-/// Puts a configuration in force unless a newer one is. Never goes back.
+/// Brings a configuration into force unless a newer one is. Never goes back.
+///
+/// A node with a data folder keeps it there first, so that it never serves an older one
+/// after a restart than it served before.
 pub fn bring_into_force(node: &Node, version: Version, text: &str) {
+    if version <= node.version().max(node.keeper.newest()) {
+        return;
+    }
+    let configuration = Configuration {
+        version,
+        text: text.to_owned(),
+    };
+    match node.settings.node.data {
+        Some(_) => node.keeper.keep(configuration),
+        None => put_in_force(node, &configuration),
+    }
+}
+
+/// Puts a configuration in force that is kept, or cannot be.
+pub fn put_in_force(node: &Node, configuration: &Configuration) {
+    let version = configuration.version;
     if version <= node.version() {
         return;
     }
-    let rules = match Rules::parse(Path::new("rules"), text) {
+    let rules = match Rules::parse(Path::new("rules"), &configuration.text) {
         Ok(rules) => rules,
         Err(findings) => {
             let error = findings.to_string();
@@ -94,14 +112,9 @@
             return;
         }
     };
-    let kept = Configuration {
-        version,
-        text: text.to_owned(),
-    };
-    keep_on(node, kept);
     node.config.replace(InForce {
         version,
-        text: text.into(),
+        text: configuration.text.as_str().into(),
         rules: Rc::new(rules),
     });
     dispatch::configure(node);
@@ -112,20 +125,3 @@
     }
     emit(&Event::ConfigInForce { version });
 }
-
-/// Keeps a configuration in the data folder, without holding up the loop.
-fn keep_on(node: &Node, configuration: Configuration) {
-    let Some(folder) = node.settings.node.data.clone() else {
-        return;
-    };
-    compio::runtime::spawn(async move {
-        let kept = folder.clone();
-        let task = compio::runtime::spawn_blocking(move || kept::keep(&kept, &configuration));
-        if let Ok(Err(e)) = task.await {
-            let error = e.to_string();
-            let folder = &folder;
-            emit(&Event::DiskFailed { folder, error });
-        }
-    })
-    .detach();
-}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -59,9 +59,9 @@
     /// Version of the configuration in force.
     pub config_version: Gauge,
     /// Bytes of control sent.
-    pub control_sent: Gauge,
+    pub control_sent: Counter,
     /// Bytes of control received.
-    pub control_received: Gauge,
+    pub control_received: Counter,
     /// One while this node orders the hosts of its data centre.
     pub controller: Gauge,
 }
@@ -83,8 +83,8 @@
             claims: Counter::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
-            control_sent: Gauge::default(),
-            control_received: Gauge::default(),
+            control_sent: Counter::default(),
+            control_received: Counter::default(),
             controller: Gauge::default(),
         };
         metrics.register();
@@ -147,8 +147,10 @@
 
     /// Takes over what the meter of control has counted.
     pub fn control_bytes(&self, meter: &Meter) {
-        self.control_sent.set(meter.sent() as i64);
-        self.control_received.set(meter.received() as i64);
+        self.control_sent
+            .inc_by(meter.sent() - self.control_sent.get());
+        self.control_received
+            .inc_by(meter.received() - self.control_received.get());
     }
 
     /// All metrics as text.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,6 +12,7 @@
 use crate::entry::Orders;
 use crate::gossip;
 use crate::gossip::Gossip;
+use crate::inner::Keeper;
 use crate::inner::Untold;
 use crate::metrics::Class;
 use crate::metrics::Metrics;
@@ -73,6 +74,8 @@
     pub phase: Cell<Phase>,
     /// The configuration in force.
     pub config: RefCell<InForce>,
+    /// Keeps configurations before they are in force.
+    pub keeper: Keeper,
     /// What it heard from upstreams.
     pub upstreams: RefCell<Upstreams>,
     /// What it heard and has not yet told other nodes.
@@ -155,6 +158,7 @@
             incarnation,
             phase: Cell::new(Phase::Starting),
             config: RefCell::default(),
+            keeper: Keeper::default(),
             upstreams: RefCell::default(),
             relay: RefCell::default(),
             dispatch,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -44,6 +44,7 @@
     let (voters, writes) = voters::open(&settings)?.unzip();
     let node = Node::open(settings, voters)?;
     inner::restore(&node);
+    compio::runtime::spawn(inner::keep_on(Rc::clone(&node))).detach();
     let inner = listening(inner::bind(&node).await, node.settings.node.internal)?;
     let entry = listening(entry::bind(&node).await, node.settings.node.callers)?;
     gossip::gossip_on(Rc::clone(&node)).await?;
--- a/crates/harness/tests/replicas.rs
+++ b/crates/harness/tests/replicas.rs
@@ -32,6 +32,19 @@
     cluster
 }
 
+/// No fencing number is smaller on a host whose wall clock is right.
+const FENCE_FLOOR: u64 = 1_000_000_000;
+
+/// The fencing number that a node said it orders under.
+fn fence_in(log: &str) -> u64 {
+    let line = log
+        .lines()
+        .find(|line| line.contains("[400]"))
+        .unwrap_or_default();
+    let fence = line.rsplit(" e").next().unwrap_or_default();
+    fence.trim().parse().unwrap_or(0)
+}
+
 fn is_served(cluster: &Cluster) -> bool {
     let served = |id| {
         let caller = cluster.caller(NodeId(id), "stall-7");
@@ -99,6 +112,12 @@
 fn a_frozen_controller_is_replaced_and_orders_nothing_when_it_wakes() {
     let mut cluster = one_centre(|id| HostSpec::new(id, 1).ignoring_fences());
     let first = controller(&cluster, NodeId(1)).expect("a controller formed the replica");
+    // Nobody remembers an earlier fencing number here: the wall clock gives the floor.
+    assert!(
+        FENCE_FLOOR < fence_in(&cluster.node(first).log()),
+        "{}",
+        cluster.logs()
+    );
     cluster.node(first).signal(Signal::STOP);
     let other = [NodeId(1), NodeId(2), NodeId(3)]
         .into_iter()
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -3,14 +3,22 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use compio::time::timeout;
 use derive_more::Display;
 use derive_more::Error;
+use http::Request;
+use http_body_util::Full;
 
+use crate::Connection;
 use crate::Meter;
+use crate::read_body;
 use wire::Call;
 use wire::Fault;
 
+/// The largest reply that is read over a connection of its own.
+const REPLY_BYTES: usize = 1024 * 1024;
+
 /// Calls one kind of peers with one secret.
 #[derive(Clone, Debug)]
 pub struct RpcClient {
@@ -44,6 +52,9 @@
         /// What was called.
         method: &'static str,
     },
+    /// It was not sent, as it was not to be any more once the connection stood.
+    #[display("the call was withheld")]
+    Withheld,
     /// The process refused the call.
     #[display("{addr} refused {method}: {fault}")]
     Refused {
@@ -86,21 +97,44 @@
         }
     }
 
-    async fn exchange<C: Call>(&self, addr: SocketAddr, call: &C) -> Result<C::Reply, RpcError> {
+    /// Calls the process at `addr` over a connection of its own, unless `may_send` says no
+    /// once the connection stands. Nothing waits between that and the send.
+    pub async fn call_if<C: Call>(
+        &self,
+        addr: SocketAddr,
+        call: &C,
+        span: Duration,
+        may_send: impl FnOnce() -> bool,
+    ) -> Result<C::Reply, RpcError> {
         let unreachable = || RpcError::Unreachable { addr };
+        let connection = Connection::open(addr, span)
+            .await
+            .map_err(|_| unreachable())?;
         let bytes = wire::encode_call(call);
         self.meter.send(bytes.len());
-        let req = self
-            .client
-            .post(format!("http://{addr}/rpc"))
-            .and_then(|req| req.bearer_auth(&self.secret))
-            .and_then(|req| req.header("content-type", "application/json"))
-            .map_err(|_| unreachable())?
-            .body(bytes);
-        let response = req.send().await.map_err(|_| unreachable())?;
-        let bytes = response.bytes().await.map_err(|_| unreachable())?;
-        self.meter.receive(bytes.len());
-        match wire::decode_reply::<C>(&bytes) {
+        let req = self.request(addr, bytes).ok_or_else(unreachable)?;
+        if !may_send() {
+            return Err(RpcError::Withheld);
+        }
+        let response = connection.send(req, span).await;
+        let response = response.map_err(|_| RpcError::Timeout { addr, span })?;
+        let body = read_body(response.into_body(), REPLY_BYTES, span).await;
+        let body = body.map_err(|_| unreachable())?;
+        self.meter.receive(body.len());
+        Self::reply_of::<C>(addr, &body)
+    }
+
+    fn request(&self, addr: SocketAddr, body: Vec<u8>) -> Option<Request<Full<Bytes>>> {
+        Request::post("/rpc")
+            .header("host", addr.to_string())
+            .header("authorization", format!("Bearer {}", self.secret))
+            .header("content-type", "application/json")
+            .body(Full::new(body.into()))
+            .ok()
+    }
+
+    fn reply_of<C: Call>(addr: SocketAddr, bytes: &[u8]) -> Result<C::Reply, RpcError> {
+        match wire::decode_reply::<C>(bytes) {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(fault)) => Err(RpcError::Refused {
                 addr,
@@ -113,4 +147,21 @@
             }),
         }
     }
+
+    async fn exchange<C: Call>(&self, addr: SocketAddr, call: &C) -> Result<C::Reply, RpcError> {
+        let unreachable = || RpcError::Unreachable { addr };
+        let bytes = wire::encode_call(call);
+        self.meter.send(bytes.len());
+        let req = self
+            .client
+            .post(format!("http://{addr}/rpc"))
+            .and_then(|req| req.bearer_auth(&self.secret))
+            .and_then(|req| req.header("content-type", "application/json"))
+            .map_err(|_| unreachable())?
+            .body(bytes);
+        let response = req.send().await.map_err(|_| unreachable())?;
+        let bytes = response.bytes().await.map_err(|_| unreachable())?;
+        self.meter.receive(bytes.len());
+        Self::reply_of::<C>(addr, &bytes)
+    }
 }
--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -46,7 +46,7 @@
     entries: Vec<SocketAddr>,
     report: impl Fn(u64) -> HostReport,
 ) {
-    let mut at = 0;
+    let mut at = fastrand::usize(..);
     let mut told: Option<HostReport> = None;
     for sequence in 0.. {
         let report = report(sequence);
@@ -62,7 +62,7 @@
                 }
                 None => {
                     told = None;
-                    at += 1;
+                    at = at.wrapping_add(1);
                 }
             }
         }
