--- a/crates/daemon/src/entry/auth.rs
+++ b/crates/daemon/src/entry/auth.rs
@@ -1,6 +1,7 @@
 //! Finds out who asks, by the bearer secret.
 
 use http::HeaderMap;
+use http::HeaderValue;
 use http::StatusCode;
 use sha2::Digest;
 use sha2::Sha256;
@@ -25,6 +26,16 @@
     value.strip_prefix("Bearer ").map(str::trim)
 }
 
+/// How this node names itself to upstreams.
+pub fn own_name(node: &Node) -> HeaderValue {
+    let secret = node.settings.secrets.upstreams.expose();
+    let value = HeaderValue::from_str(&format!("Bearer {secret}"));
+    // A secret that no head can carry names nobody, and every upstream refuses it.
+    let mut value = value.unwrap_or(HeaderValue::from_static("Bearer"));
+    value.set_sensitive(true);
+    value
+}
+
 /// The caller that a request's head names.
 pub fn caller(node: &Node, headers: &HeaderMap) -> Result<Known, Problem> {
     let unauthorized = |what| Problem::not_run(StatusCode::UNAUTHORIZED, "unknown-caller", what);
--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -178,7 +178,7 @@
             .get_or_create(&class)
             .observe(queued.as_secs_f64());
         let mut follower = Follower::new(id.clone());
-        match first_frame(work.placed(), &id, &arrival.body, &mut follower).await {
+        match first_frame(node, work.placed(), &id, &arrival.body, &mut follower).await {
             Ok((exchange, first)) => {
                 work.first_token();
                 let waited = clock::now().since(arrival.arrived);
@@ -215,12 +215,13 @@
 }
 
 async fn first_frame(
+    node: &Node,
     placed: &Placed,
     id: &str,
     body: &Bytes,
     follower: &mut Follower,
 ) -> Result<(Exchange, (Frame, String)), Break> {
-    let mut exchange = Exchange::open(placed, id, body.clone(), 0).await?;
+    let mut exchange = Exchange::open(node, placed, id, body.clone(), 0).await?;
     let first = exchange.next(follower).await?;
     Ok((exchange, first))
 }
@@ -256,7 +257,8 @@
             again.map_err(|_| broken.clone())?;
         }
         let placed = self.work.placed();
-        self.exchange = Exchange::open(placed, &self.id, self.body.clone(), delivered).await?;
+        self.exchange =
+            Exchange::open(&self.node, placed, &self.id, self.body.clone(), delivered).await?;
         self.node.metrics.retries.inc();
         let replica = placed.replica;
         emit(&Event::AnswerResumed { replica, delivered });
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -19,9 +19,11 @@
 use hyper::body::Incoming;
 
 use crate::dispatch::Placed;
+use crate::entry::auth;
 use crate::entry::chunk::Follower;
 use crate::entry::chunk::Frame;
 use crate::entry::chunk::FrameError;
+use crate::node::Node;
 use net::Connection;
 use net::SendError;
 use wire::engine::FENCE_HEADER;
@@ -72,8 +74,16 @@
 
 impl Exchange {
     /// Sends a request to the first host of the replica it was placed on.
-    pub async fn open(placed: &Placed, id: &str, body: Bytes, from: u32) -> Result<Self, Break> {
-        let req = request(placed, id, body, from);
+    pub async fn open(
+        node: &Node,
+        placed: &Placed,
+        id: &str,
+        body: Bytes,
+        from: u32,
+    ) -> Result<Self, Break> {
+        let mut req = request(placed, id, body, from);
+        req.headers_mut()
+            .insert("authorization", auth::own_name(node));
         let connection = Connection::open(placed.addr, CONNECT).await;
         let connection = connection.map_err(Break::NotSent)?;
         let response = connection.send(req, HEAD).await.map_err(|_| Break::Lost)?;
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -39,6 +39,7 @@
         connections: limits.connections,
         header_bytes: limits.header_bytes.0 as usize,
         header_time: limits.arrival,
+        stall: limits.stall,
     };
     let node = Rc::clone(node);
     let addr = node.settings.node.callers;
--- a/crates/daemon/src/entry/orders.rs
+++ b/crates/daemon/src/entry/orders.rs
@@ -252,7 +252,12 @@
     let Some(connection) = flight.connection.take() else {
         return;
     };
-    let req = service::request(connection.addr(), flight.body.clone(), &flight.headers);
+    let req = service::request(
+        node,
+        connection.addr(),
+        flight.body.clone(),
+        &flight.headers,
+    );
     let node = Rc::clone(node);
     flight.exchange = Some(compio::runtime::spawn(async move {
         let event = match service::exchange(connection, req).await {
@@ -282,7 +287,7 @@
     let headers = flight.headers.clone();
     let node = Rc::clone(node);
     compio::runtime::spawn(async move {
-        let reply = service::ask(&processes, &headers).await;
+        let reply = service::ask(&node, &processes, &headers).await;
         on(&node, sequence, Event::Asked(reply));
     })
     .detach();
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use http_body_util::Full;
 
+use crate::entry::auth;
 use crate::entry::orders::stored;
 use crate::node::Node;
 use base::ServiceName;
@@ -51,7 +52,12 @@
 }
 
 /// The request that a caller's call becomes.
-pub fn request(addr: SocketAddr, body: Bytes, headers: &HeaderMap) -> Request<Full<Bytes>> {
+pub fn request(
+    node: &Node,
+    addr: SocketAddr,
+    body: Bytes,
+    headers: &HeaderMap,
+) -> Request<Full<Bytes>> {
     const PASSED_ON: [&str; 2] = ["content-type", "idempotency-key"];
     let mut req = Request::new(Full::new(body));
     *req.method_mut() = http::Method::POST;
@@ -61,6 +67,8 @@
             req.headers_mut().insert(name, value.clone());
         }
     }
+    req.headers_mut()
+        .insert("authorization", auth::own_name(node));
     if let Ok(host) = addr.to_string().parse() {
         req.headers_mut().insert("host", host);
     }
@@ -90,18 +98,18 @@
 }
 
 /// Asks processes in turn for the outcome of the key in a head.
-pub async fn ask(processes: &[ServiceReport], headers: &HeaderMap) -> AskReply {
+pub async fn ask(node: &Node, processes: &[ServiceReport], headers: &HeaderMap) -> AskReply {
     for process in processes {
-        if let Some(reply) = ask_one(process.addr, headers).await {
+        if let Some(reply) = ask_one(node, process.addr, headers).await {
             return reply;
         }
     }
     AskReply::Failed
 }
 
-async fn ask_one(addr: SocketAddr, headers: &HeaderMap) -> Option<AskReply> {
+async fn ask_one(node: &Node, addr: SocketAddr, headers: &HeaderMap) -> Option<AskReply> {
     let connection = Connection::open(addr, CONNECT).await.ok()?;
-    let mut req = request(addr, Bytes::new(), headers);
+    let mut req = request(node, addr, Bytes::new(), headers);
     *req.uri_mut() = http::Uri::from_static("/outcome");
     let response = connection.send(req, ASK).await.ok()?;
     let (head, body) = response.into_parts();
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -36,6 +36,7 @@
     addrs: BTreeMap<NodeId, Addrs>,
     nodes: BTreeMap<NodeId, Process>,
     hosts: BTreeMap<HostId, Process>,
+    host_addrs: BTreeMap<HostId, SocketAddr>,
     services: Vec<(SocketAddr, Process)>,
 }
 
@@ -54,6 +55,7 @@
             addrs: BTreeMap::new(),
             nodes: BTreeMap::new(),
             hosts: BTreeMap::new(),
+            host_addrs: BTreeMap::new(),
             services: Vec::new(),
         };
         for spec in specs {
@@ -89,12 +91,16 @@
 
     /// Starts one host of an engine.
     pub fn start_host(&mut self, spec: HostSpec) -> io::Result<()> {
+        let addr = free_addr();
         let mut args = vec!["engine".to_owned()];
         let mut add = |name: &str, value: String| args.extend([name.to_owned(), value]);
         add("--host", spec.id.to_string());
         add("--centre", spec.centre.to_string());
         add("--domain", spec.domain.to_string());
+        add("--listen", addr.to_string());
         add("--step-ms", spec.step_ms.to_string());
+        add("--slots", spec.slots.to_string());
+        add("--prefill", spec.prefill.to_string());
         add(
             "--secret-file",
             self.folder.join("upstreams").display().to_string(),
@@ -105,9 +111,11 @@
         if spec.fencing == Fencing::Checked {
             args.push("--check-fences".to_owned());
         }
+        args.extend(spec.fault.args());
         let log = self.folder.join(format!("{}.log", spec.id));
         let process = Process::spawn("standin", &args, &log)?;
         self.hosts.insert(spec.id, process);
+        self.host_addrs.insert(spec.id, addr);
         Ok(())
     }
 
@@ -146,6 +154,16 @@
         self.hosts.get_mut(&id).expect("the host was started")
     }
 
+    /// Where a host's engine listens.
+    pub fn host_addr(&self, id: HostId) -> SocketAddr {
+        self.host_addrs[&id]
+    }
+
+    /// The secret that upstreams and nodes name themselves to each other by.
+    pub fn upstream_secret(&self) -> &'static str {
+        UPSTREAM_SECRET
+    }
+
     /// A service's process, by its address.
     pub fn service(&mut self, addr: SocketAddr) -> &mut Process {
         let found = self.services.iter_mut().find(|(at, _)| *at == addr);
@@ -259,6 +277,7 @@
         }
         text += "\n[secrets]\npeers = \"peers\"\nupstreams = \"upstreams\"\n";
         text += "operators = \"operators\"\n\n[limits]\nnotice = \"300ms\"\n";
+        text += spec.limits;
         for (id, peer) in &self.specs {
             let internal = self.addrs[id].internal;
             text += &format!("\n[peers.{id}]\ncentre = \"{}\"\n", peer.centre);
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -17,6 +17,7 @@
 pub use process::Process;
 pub use rules::rules_text;
 pub use rules::secret_of;
+pub use spec::EngineFault;
 pub use spec::HostSpec;
 pub use spec::NodeSpec;
 pub use spec::ServiceSpec;
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -38,6 +38,11 @@
         })
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
--- a/crates/harness/src/spec.rs
+++ b/crates/harness/src/spec.rs
@@ -15,6 +15,8 @@
     pub centre: CentreId,
     /// Whether it holds the durable state.
     pub voter: bool,
+    /// Further lines of its `[limits]`.
+    pub limits: &'static str,
 }
 
 /// A host of a model engine.
@@ -30,6 +32,28 @@
     pub fencing: Fencing,
     /// Milliseconds between two tokens.
     pub step_ms: u64,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Prompt tokens prefilled a second.
+    pub prefill: u32,
+    /// What is wrong with its answers.
+    pub fault: EngineFault,
+}
+
+/// What is wrong with the answers of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EngineFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// The link of each stream is dropped once after so many tokens.
+    CutAfter(u32),
+    /// Each frame of a token comes twice.
+    RepeatFrames,
+    /// Now and then a frame of another request comes.
+    ForeignFrames,
+    /// The end marker is missing.
+    NoEnd,
 }
 
 /// A process of a plain service.
@@ -52,6 +76,7 @@
             id: NodeId(id),
             centre: CentreId(centre),
             voter: true,
+            limits: "",
         }
     }
 
@@ -61,8 +86,15 @@
             id: NodeId(id),
             centre: CentreId(centre),
             voter: false,
+            limits: "",
         }
     }
+
+    /// The same node with further lines of its `[limits]`.
+    pub fn limits(mut self, lines: &'static str) -> Self {
+        self.limits = lines;
+        self
+    }
 }
 
 impl HostSpec {
@@ -74,6 +106,9 @@
             domain: DomainId(1),
             fencing: Fencing::Checked,
             step_ms: 20,
+            slots: 16,
+            prefill: 20_000,
+            fault: EngineFault::None,
         }
     }
 
@@ -88,6 +123,37 @@
         self.step_ms = step_ms;
         self
     }
+
+    /// The same host with room for so many requests at once.
+    pub fn slots(mut self, slots: u32) -> Self {
+        self.slots = slots;
+        self
+    }
+
+    /// The same host, which prefills so many prompt tokens a second.
+    pub fn prefill(mut self, rate: u32) -> Self {
+        self.prefill = rate;
+        self
+    }
+
+    /// The same host with a fault.
+    pub fn fault(mut self, fault: EngineFault) -> Self {
+        self.fault = fault;
+        self
+    }
+}
+
+impl EngineFault {
+    /// The stand-in's options for it.
+    pub(crate) fn args(self) -> Vec<String> {
+        match self {
+            Self::None => Vec::new(),
+            Self::CutAfter(tokens) => vec!["--cut-after".to_owned(), tokens.to_string()],
+            Self::RepeatFrames => vec!["--repeat-frames".to_owned()],
+            Self::ForeignFrames => vec!["--foreign-frames".to_owned()],
+            Self::NoEnd => vec!["--no-end".to_owned()],
+        }
+    }
 }
 
 impl ServiceSpec {
--- /dev/null
+++ b/crates/harness/tests/streams.rs
@@ -0,0 +1,332 @@
+//! Streams by real processes: cut links, wrong frames, callers that leave or stall.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::HostId;
+use base::NodeId;
+use harness::Caller;
+use harness::Cluster;
+use harness::EngineFault;
+use harness::HostSpec;
+use harness::NodeSpec;
+use harness::ServiceSpec;
+use harness::rules_text;
+use harness::secret_of;
+use harness::wait_until;
+
+const UP: Duration = Duration::from_secs(40);
+const ONE: NodeId = NodeId(1);
+
+/// One node and one host, which is a replica.
+fn one_host(node: NodeSpec, host: HostSpec) -> Cluster {
+    let mut cluster = Cluster::start(&[node]).unwrap();
+    cluster.start_host(host).unwrap();
+    let applied = cluster.apply(ONE, &rules_text(1), UP).unwrap();
+    assert!(applied.status.success(), "{applied:?}\n{}", cluster.logs());
+    let serving = || cluster.show(ONE, &["status"])["replicas"][0]["state"] == "serving";
+    let taken = || {
+        caller(&cluster)
+            .chat("up?", 1)
+            .is_ok_and(|r| r.status == 200)
+    };
+    assert!(
+        wait_until(UP, || serving() && taken()),
+        "{}",
+        cluster.logs()
+    );
+    cluster
+}
+
+fn faulty(fault: EngineFault) -> Cluster {
+    one_host(NodeSpec::voter(1, 1), HostSpec::new(1, 1).fault(fault))
+}
+
+fn caller(cluster: &Cluster) -> Caller {
+    cluster.caller(ONE, "stall-7")
+}
+
+/// Requests in progress at the only replica, as the node counts them.
+fn placed(cluster: &Cluster) -> u64 {
+    let status = cluster.show(ONE, &["status"]);
+    status["replicas"][0]["requests"].as_u64().unwrap_or(99)
+}
+
+/// The text that an answer to a prompt has, token by token.
+fn text_of(prompt: &str, tokens: u32) -> String {
+    let digest = prompt.bytes().fold(17_u32, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(u32::from(byte))
+    });
+    let word = |at: u32| digest.wrapping_add(at.wrapping_mul(2_654_435_761)) % 1000;
+    (0..tokens)
+        .map(|at| format!(" w{at}.{}", word(at)))
+        .collect()
+}
+
+/// Sends a chat by hand and gives its connection.
+fn open_chat(cluster: &Cluster, prompt: &str, tokens: u32) -> TcpStream {
+    let body = format!(
+        r#"{{"model":"design-chat","messages":[{{"role":"user","content":"{prompt}"}}],"max_tokens":{tokens},"stream":true}}"#
+    );
+    send(cluster, &head("/v1/chat/completions", body.len()), &body)
+}
+
+/// Sends a chat by hand and waits until its answer has begun.
+fn begun_chat(cluster: &Cluster, prompt: &str, tokens: u32) -> TcpStream {
+    let mut stream = open_chat(cluster, prompt, tokens);
+    let mut part = [0; 64];
+    let count = stream.read(&mut part).unwrap();
+    let began = String::from_utf8_lossy(&part[..count]);
+    assert!(began.starts_with("HTTP/1.1 200"), "{began}");
+    stream
+}
+
+fn head(path: &str, length: usize) -> String {
+    let secret = secret_of("stall-7");
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: node\r\nauthorization: Bearer {secret}\r\ncontent-length: {length}\r\n\r\n"
+    )
+}
+
+fn send(cluster: &Cluster, head: &str, body: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(cluster.callers_addr(ONE)).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .unwrap();
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(body.as_bytes()).unwrap();
+    stream
+}
+
+/// What comes until the connection ends, and after how long it did.
+fn read_out(mut stream: TcpStream) -> (String, Duration) {
+    let start = Instant::now();
+    let mut bytes = Vec::new();
+    let mut part = [0; 4096];
+    while let Ok(count) = stream.read(&mut part) {
+        if count == 0 {
+            break;
+        }
+        bytes.extend_from_slice(&part[..count]);
+    }
+    (
+        String::from_utf8_lossy(&bytes).into_owned(),
+        start.elapsed(),
+    )
+}
+
+#[test]
+fn upstreams_take_work_only_from_who_holds_their_secret() {
+    let mut cluster = faulty(EngineFault::None);
+    let service = cluster
+        .start_service(&ServiceSpec::new("orders", 1))
+        .unwrap();
+    let engine = cluster.host_addr(HostId(1));
+    let listens = || Caller::new(service, "stall-7").get("/runs").is_ok();
+    assert!(wait_until(UP, listens));
+    // These name themselves by a caller's secret.
+    let refused = Caller::new(engine, "stall-7").chat("a fox", 1).unwrap();
+    assert_eq!(refused.status, 401, "{refused:?}");
+    let refused = Caller::new(engine, "stall-7")
+        .post("/rpc", "{}", None)
+        .unwrap();
+    assert_eq!(refused.status, 401, "{refused:?}");
+    let stranger = Caller::new(service, "stall-7");
+    for path in ["/call", "/outcome"] {
+        let refused = stranger.post(path, "{}", Some("k")).unwrap();
+        assert_eq!(
+            (refused.status, refused.ran()),
+            (401, "not-run"),
+            "{refused:?}"
+        );
+    }
+    // The node names itself, so that its callers are served.
+    assert!(caller(&cluster).chat("a fox", 1).unwrap().is_done());
+    let ordered = || caller(&cluster).call("orders", "{}", Some("k"));
+    assert!(wait_until(UP, || ordered().is_ok_and(|r| r.status == 200)));
+    assert_eq!(stranger.get("/runs").unwrap().json()["k"], 1);
+}
+
+#[test]
+fn a_cut_stream_goes_on_at_the_exact_token() {
+    let cluster = faulty(EngineFault::CutAfter(7));
+    for tokens in [7, 8, 30] {
+        let reply = caller(&cluster).chat("a long tale", tokens).unwrap();
+        assert!(reply.is_done(), "{reply:?}\n{}", cluster.logs());
+        assert_eq!(reply.text(), text_of("a long tale", tokens));
+    }
+    let whole = caller(&cluster).whole_chat("a long tale", 30).unwrap();
+    let content = &whole.json()["choices"][0]["message"]["content"];
+    assert_eq!(*content, text_of("a long tale", 30));
+}
+
+#[test]
+fn repeated_frames_are_delivered_once() {
+    let cluster = faulty(EngineFault::RepeatFrames);
+    let reply = caller(&cluster).chat("again", 20).unwrap();
+    assert!(reply.is_done(), "{reply:?}");
+    assert_eq!(reply.text(), text_of("again", 20));
+}
+
+#[test]
+fn a_foreign_frame_is_never_delivered() {
+    let cluster = faulty(EngineFault::ForeignFrames);
+    // A foreign frame may come at any token of an answer, the first one included.
+    let mut whole = 0;
+    for tokens in [4, 6, 8, 10, 12, 60] {
+        let reply = caller(&cluster).chat("mine", tokens).unwrap();
+        assert!(!reply.body.contains("foreign"), "{reply:?}");
+        assert!(
+            text_of("mine", tokens).starts_with(&reply.text()),
+            "{reply:?}"
+        );
+        if reply.is_done() {
+            assert_eq!(reply.text(), text_of("mine", tokens));
+            whole += 1;
+            continue;
+        }
+        let refused = (reply.status, reply.ran()) == (502, "unknown");
+        assert!(refused || reply.body.contains("event: error"), "{reply:?}");
+    }
+    assert!(0 < whole, "{}", cluster.logs());
+}
+
+#[test]
+fn an_answer_without_its_end_marker_is_never_whole() {
+    let cluster = faulty(EngineFault::NoEnd);
+    let reply = caller(&cluster).chat("endless", 5).unwrap();
+    assert!(!reply.is_done(), "{reply:?}");
+    assert!(reply.body.contains("event: error"), "{reply:?}");
+    let reply = caller(&cluster).whole_chat("endless", 5).unwrap();
+    assert_eq!((reply.status, reply.ran()), (502, "run"), "{reply:?}");
+    assert!(reply.headers.contains_key("retry-after"));
+}
+
+#[test]
+fn a_caller_that_leaves_cancels_the_engines_work() {
+    // One place in the batch: who comes next gets a token only once it is free.
+    let host = HostSpec::new(1, 1).slots(1);
+    let cluster = one_host(NodeSpec::voter(1, 1), host);
+    let left = begun_chat(&cluster, "never read to its end", 5_000);
+    assert_eq!(placed(&cluster), 1);
+    left.shutdown(Shutdown::Both).unwrap();
+    drop(left);
+    let free = || placed(&cluster) == 0;
+    assert!(
+        wait_until(Duration::from_secs(2), free),
+        "{}",
+        cluster.logs()
+    );
+    // The engine's lagging report has to catch up before another is admitted.
+    let served = || caller(&cluster).chat("next", 2).is_ok_and(|r| r.is_done());
+    assert!(
+        wait_until(Duration::from_secs(5), served),
+        "{}",
+        cluster.logs()
+    );
+}
+
+#[test]
+fn a_caller_that_stops_reading_loses_its_place_and_its_connection() {
+    const LIMITS: &str = "stall = \"500ms\"\nconnections = 3\n";
+    let node = NodeSpec::voter(1, 1).limits(LIMITS);
+    let host = HostSpec::new(1, 1).step_ms(1);
+    let cluster = one_host(node, host);
+    // Far more than the sockets' buffers hold.
+    let begun = |_| begun_chat(&cluster, "stalled", 32_000);
+    let stalled: Vec<_> = (0..2).map(begun).collect();
+    assert_eq!(placed(&cluster), 2);
+    let free = || placed(&cluster) == 0;
+    assert!(
+        wait_until(Duration::from_secs(40), free),
+        "{}",
+        cluster.logs()
+    );
+    // Their connections are closed too, so that three others fit at once.
+    let fits = || {
+        let open = |_| send(&cluster, "", "");
+        let idle: Vec<_> = (0..2).map(open).collect();
+        std::thread::sleep(Duration::from_millis(50));
+        let served = caller(&cluster).get("/live").is_ok_and(|r| r.status == 200);
+        drop(idle);
+        served
+    };
+    assert!(
+        wait_until(Duration::from_secs(5), fits),
+        "{}",
+        cluster.logs()
+    );
+    drop(stalled);
+}
+
+#[test]
+fn what_is_too_large_too_slow_or_too_many_is_refused_within_bounds() {
+    const LIMITS: &str = "body_bytes = 4096\narrival = \"3s\"\nconnections = 20\n";
+    let node = NodeSpec::voter(1, 1).limits(LIMITS);
+    let cluster = one_host(node, HostSpec::new(1, 1));
+    let chat = "/v1/chat/completions";
+
+    let large = "x".repeat(5_000);
+    let (refused, _) = read_out(send(&cluster, &head(chat, large.len()), &large));
+    assert!(refused.starts_with("HTTP/1.1 413"), "{refused}");
+    assert!(refused.contains("x-ran: not-run"), "{refused}");
+    // A body that doesn't come.
+    let (refused, took) = read_out(send(&cluster, &head(chat, 100), "{"));
+    assert!(refused.starts_with("HTTP/1.1 408"), "{refused}");
+    assert!(took < Duration::from_secs(8), "{took:?}");
+    // A head that doesn't end, and one that is too long.
+    let (_, took) = read_out(send(&cluster, "POST / HTTP/1.1\r\nhost", ""));
+    assert!(took < Duration::from_secs(8), "{took:?}");
+    let long = format!("GET /live HTTP/1.1\r\nhost: {}\r\n\r\n", "x".repeat(40_000));
+    let (refused, _) = read_out(send(&cluster, &long, ""));
+    assert!(!refused.starts_with("HTTP/1.1 200"), "{refused}");
+    // Connections beyond the bound are closed at once, the others when no head comes.
+    let idle: Vec<_> = (0..30).map(|_| send(&cluster, "", "")).collect();
+    let ends = |stream| std::thread::spawn(move || read_out(stream).1);
+    let ends: Vec<_> = idle.into_iter().map(ends).collect();
+    let ends = ends.into_iter().map(|end| end.join().unwrap());
+    let (early, late): (Vec<_>, Vec<_>) = ends.partition(|end| *end < Duration::from_secs(2));
+    assert_eq!((early.len(), late.len()), (10, 20), "{early:?} {late:?}");
+    assert!(
+        late.iter().all(|end| *end < Duration::from_secs(8)),
+        "{late:?}"
+    );
+    let served = || caller(&cluster).chat("room?", 1).is_ok_and(|r| r.is_done());
+    assert!(
+        wait_until(Duration::from_secs(5), served),
+        "{}",
+        cluster.logs()
+    );
+}
+
+#[test]
+fn parallel_chats_each_get_their_own_text() {
+    let host = HostSpec::new(1, 1).slots(256).prefill(1_000_000);
+    let cluster = one_host(NodeSpec::voter(1, 1), host);
+    let runtime = compio::runtime::Runtime::new().unwrap();
+    let chats = (0..200).map(|n| {
+        let caller = caller(&cluster);
+        async move {
+            let prompt = format!("tale {n}");
+            let body = serde_json::json!({
+                "model": "design-chat",
+                "messages": [{"role": "user", "content": prompt}],
+                "max_tokens": 20,
+                "stream": true,
+            });
+            let path = "/v1/chat/completions";
+            let post = http::Method::POST;
+            let reply = caller.exchange(post, path, &body.to_string(), None).await;
+            (prompt, reply.unwrap())
+        }
+    });
+    let replies = runtime.block_on(futures_util::future::join_all(chats));
+    for (prompt, reply) in &replies {
+        assert!(reply.is_done(), "{reply:?}");
+        assert_eq!(reply.text(), text_of(prompt, 20));
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod connection;
 mod methods;
+mod patience;
 mod rpc;
 mod server;
 
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -9,13 +9,13 @@
 use compio::net::TcpListener;
 use compio::net::TcpStream;
 use cyper_core::CompioTimer;
-use cyper_core::HyperStream;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 
 use crate::Body;
+use crate::patience::Patient;
 
 /// What one listener takes at most.
 #[derive(Clone, Copy, Debug)]
@@ -26,6 +26,8 @@
     pub header_bytes: usize,
     /// Time for a request's head to arrive.
     pub header_time: Duration,
+    /// How long the other end may take nothing of an answer.
+    pub stall: Duration,
 }
 
 impl Default for Bounds {
@@ -34,6 +36,7 @@
             connections: 1024,
             header_bytes: 16 * 1024,
             header_time: Duration::from_secs(10),
+            stall: Duration::from_secs(30),
         }
     }
 }
@@ -141,7 +144,7 @@
         .timer(CompioTimer)
         .header_read_timeout(bounds.header_time)
         .max_buf_size(bounds.header_bytes.max(8192))
-        .serve_connection(HyperStream::new_plain(stream), service)
+        .serve_connection(Patient::new(stream, bounds.stall), service)
         .await;
     if let Err(e) = served {
         log::debug!("a connection ended: {e}");
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -23,9 +23,12 @@
 use crate::batch::Batch;
 use crate::batch::BatchConfig;
 use crate::batch::Key;
+use crate::fault::Faults;
+use crate::fault::ForeignFrames;
 use crate::group::Group;
 use crate::prompt::ChatRequest;
 use crate::prompt::Chunk;
+use crate::trust::is_trusted;
 use base::Assignment;
 use base::CentreId;
 use base::DomainId;
@@ -91,6 +94,25 @@
         default = "500"
     )]
     lag_ms: u64,
+    #[options(no_short, help = "drop the link of each stream after so many tokens")]
+    cut_after: Option<u32>,
+    #[options(no_short, help = "send each frame of a token twice")]
+    repeat_frames: bool,
+    #[options(no_short, help = "now and then send a frame of another request")]
+    foreign_frames: bool,
+    #[options(no_short, help = "leave out the end marker")]
+    no_end: bool,
+}
+
+impl EngineArgs {
+    fn faults(&self) -> Faults {
+        Faults {
+            cut_after: self.cut_after,
+            repeat_frames: self.repeat_frames,
+            foreign_frames: self.foreign_frames,
+            no_end: self.no_end,
+        }
+    }
 }
 
 /// One host of an engine.
@@ -103,6 +125,9 @@
     reported: RefCell<Load>,
     leaving: Cell<bool>,
     incarnation: Incarnation,
+    secret: String,
+    faults: Faults,
+    foreign: ForeignFrames,
 }
 
 pub(crate) async fn run(args: EngineArgs) -> io::Result<()> {
@@ -164,6 +189,9 @@
             reported: RefCell::new(reported),
             leaving: Cell::new(false),
             incarnation: new_incarnation(),
+            secret: place.secret.clone(),
+            faults: args.faults(),
+            foreign: ForeignFrames::default(),
         })
     }
 
@@ -242,6 +270,9 @@
     req: Request<Incoming>,
 ) -> Response<Body> {
     let (head, body) = req.into_parts();
+    if !is_trusted(&head.headers, &engine.secret) {
+        return plain(StatusCode::UNAUTHORIZED, "the upstreams' secret is missing");
+    }
     let Ok(body) = read_body(body, BODY_BYTES, BODY_TIME).await else {
         return plain(StatusCode::BAD_REQUEST, "the body cannot be read");
     };
@@ -265,10 +296,24 @@
     let id: String = header(headers, REQUEST_ID_HEADER).unwrap_or_default();
     let priority = header(headers, PRIORITY_HEADER).unwrap_or(Priority(5));
     let from: u32 = header(headers, RESUME_HEADER).unwrap_or(0);
+    let cut = engine.faults.cut_after;
+    let cut = cut.filter(|after| from == 0 && *after < chat.max_tokens);
     let (tx, body) = Body::stream();
-    let answer = answer(engine, assignment.clone(), chat, id, priority, from, tx);
-    compio::runtime::spawn(answer).detach();
-    Response::builder()
+    let work = Work {
+        assignment: assignment.clone(),
+        chat,
+        id,
+        priority,
+        from,
+        cut,
+    };
+    compio::runtime::spawn(answer(engine, work, tx)).detach();
+    let mut builder = Response::builder();
+    if cut.is_some() {
+        // A body that ends before its stated length breaks the link.
+        builder = builder.header("content-length", u32::MAX);
+    }
+    builder
         .header("content-type", "text/event-stream")
         .header(REPLICA_HEADER, assignment.replica.to_string())
         .header(FENCE_HEADER, assignment.fence.to_string())
@@ -289,43 +334,62 @@
     }
 }
 
-async fn answer(
-    engine: Rc<Engine>,
+/// A request for a completion that was taken.
+struct Work {
     assignment: Assignment,
     chat: ChatRequest,
     id: String,
     priority: Priority,
     from: u32,
-    tx: BodySender,
-) {
+    /// Tokens after which the link is dropped.
+    cut: Option<u32>,
+}
+
+async fn answer(engine: Rc<Engine>, work: Work, tx: BodySender) {
     let (token, tokens) = async_channel::bounded(1024);
+    let chat = &work.chat;
     let key = engine
         .batch
         .borrow_mut()
-        .join(priority, chat.prompt_tokens(), chat.digest());
+        .join(work.priority, chat.prompt_tokens(), chat.digest());
     engine.waiting.borrow_mut().insert(key, token);
     let _seat = Seat {
         engine: Rc::clone(&engine),
         key,
     };
-    let model = assignment.model.as_str();
-    for index in from..chat.max_tokens {
-        if tokens.recv().await.is_err() || tx.is_closed() || !engine.still_serves(&assignment) {
+    for index in work.from..chat.max_tokens {
+        let still = !tx.is_closed() && engine.still_serves(&work.assignment);
+        if work.cut == Some(index) || tokens.recv().await.is_err() || !still {
             return;
         }
-        let chunk = Chunk::token(&id, model, index, chat.token(index));
-        if tx
-            .send(Bytes::from(chunk.to_event()), READER_STALL)
-            .await
-            .is_err()
-        {
-            return;
+        for frame in frames(&engine, &work, index) {
+            if tx.send(Bytes::from(frame), READER_STALL).await.is_err() {
+                return;
+            }
         }
     }
-    let end = Chunk::end(&id, model, chat.max_tokens).to_event();
-    let _ = tx
-        .send(Bytes::from(end + "data: [DONE]\n\n"), READER_STALL)
-        .await;
+    let mut end = Chunk::end(&work.id, work.assignment.model.as_str(), chat.max_tokens).to_event();
+    if !engine.faults.no_end {
+        end += "data: [DONE]\n\n";
+    }
+    let _ = tx.send(Bytes::from(end), READER_STALL).await;
+}
+
+/// The frames that one token becomes, faults included.
+fn frames(engine: &Engine, work: &Work, index: u32) -> Vec<String> {
+    let model = work.assignment.model.as_str();
+    let token = || work.chat.token(index);
+    let own = Chunk::token(&work.id, model, index, token()).to_event();
+    let mut frames = Vec::new();
+    if engine.faults.foreign_frames && engine.foreign.is_due() {
+        let foreign = " foreign".to_owned();
+        frames.push(Chunk::token("another-request", model, index, foreign).to_event());
+    }
+    if engine.faults.repeat_frames {
+        frames.push(own.clone());
+    }
+    frames.push(own);
+    frames
 }
 
 fn header<Value: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<Value> {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -6,9 +6,11 @@
 mod announce;
 mod batch;
 mod engine;
+mod fault;
 mod group;
 mod prompt;
 mod service;
+mod trust;
 
 use std::fs;
 use std::io;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -21,6 +21,7 @@
 use crate::Place;
 use crate::announce::announce;
 use crate::announce::new_incarnation;
+use crate::trust::is_trusted;
 use base::CentreId;
 use base::ServiceName;
 use base::ServiceReport;
@@ -66,6 +67,7 @@
     drops: Cell<u32>,
     runs: RefCell<BTreeMap<String, u32>>,
     leaving: Cell<bool>,
+    secret: String,
 }
 
 /// What a call gives.
@@ -88,6 +90,7 @@
         drops: Cell::new(args.drop_answers),
         runs: RefCell::default(),
         leaving: Cell::new(false),
+        secret: place.secret.clone(),
     });
     let handled = Rc::clone(&service);
     let server = Server::bind(place.listen, Bounds::default(), move |req| {
@@ -121,6 +124,14 @@
 
 async fn handle(service: Rc<Service>, req: Request<Incoming>) -> Response<Body> {
     let (head, body) = req.into_parts();
+    let path = head.uri.path();
+    if path == "/runs" {
+        // Open to tests, which hold no secret.
+        return service.all_runs();
+    }
+    if !is_trusted(&head.headers, &service.secret) {
+        return untrusted();
+    }
     let key = head.headers.get("idempotency-key");
     let key = key
         .and_then(|key| key.to_str().ok())
@@ -132,9 +143,8 @@
             Body::whole("the body cannot be read"),
         );
     }
-    match head.uri.path() {
+    match path {
         "/outcome" => service.outcome(&key),
-        "/runs" => service.all_runs(),
         _ => service.run(key).await,
     }
 }
@@ -197,6 +207,15 @@
     response
 }
 
+/// Refuses who doesn't name itself, and says that nothing ran.
+fn untrusted() -> Response<Body> {
+    let what = "the upstreams' secret is missing";
+    let mut response = answer(StatusCode::UNAUTHORIZED, Body::whole(what));
+    let not_run = http::HeaderValue::from_static("not-run");
+    response.headers_mut().insert("x-ran", not_run);
+    response
+}
+
 fn answer(status: StatusCode, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
