--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -9,7 +9,6 @@
 use http::Response;
 use http::StatusCode;
 use serde::Deserialize;
-use serde::Serialize;
 
 use crate::clock;
 use crate::dispatch;
@@ -20,6 +19,8 @@
 use crate::entry::chunk::DONE;
 use crate::entry::chunk::Follower;
 use crate::entry::chunk::Frame;
+use crate::entry::completion::Text;
+use crate::entry::completion::completion;
 use crate::entry::exchange::Break;
 use crate::entry::exchange::Exchange;
 use crate::events::Event;
@@ -58,34 +59,6 @@
     stream: bool,
 }
 
-/// A whole answer, for callers that don't want a stream.
-#[derive(Debug, Serialize)]
-struct Completion<'a> {
-    id: &'a str,
-    object: &'static str,
-    model: &'a ModelName,
-    choices: [WholeChoice; 1],
-    usage: Usage,
-}
-
-#[derive(Debug, Serialize)]
-struct WholeChoice {
-    index: u32,
-    message: Message,
-    finish_reason: String,
-}
-
-#[derive(Debug, Serialize)]
-struct Message {
-    role: &'static str,
-    content: String,
-}
-
-#[derive(Debug, Serialize)]
-struct Usage {
-    completion_tokens: u32,
-}
-
 /// An answer that is coming in.
 struct Answer {
     node: Rc<Node>,
@@ -233,36 +206,56 @@
             return Ok(first);
         }
         loop {
-            let broken = match self.exchange.next(&mut self.follower).await {
+            match self.exchange.next(&mut self.follower).await {
                 Ok(frame) => {
                     self.note(&frame.0);
                     return Ok(frame);
                 }
-                Err(e) => e,
-            };
-            report_break(self.work.placed(), &broken);
-            if MOST_RESUMES <= self.resumes {
-                return Err(broken);
+                Err(e) => self.resume(e).await?,
             }
-            self.resumes += 1;
-            self.resume(&broken).await?;
         }
     }
 
-    /// Goes on after the last delivered token, at the same replica while it may be used.
-    async fn resume(&mut self, broken: &Break) -> Result<(), Break> {
+    /// Goes on after the last delivered token, at the same replica while that can be reached.
+    async fn resume(&mut self, mut broken: Break) -> Result<(), Break> {
         let delivered = self.follower.delivered();
-        if !self.node.dispatch.allows(self.work.placed()) {
-            let again = self.work.again(broken).await;
-            again.map_err(|_| broken.clone())?;
+        report_break(self.work.placed(), &broken);
+        while self.resumes < MOST_RESUMES {
+            self.resumes += 1;
+            self.place_again(&broken).await?;
+            let (node, placed) = (&self.node, self.work.placed());
+            let body = self.body.clone();
+            match Exchange::open(node, placed, &self.id, body, delivered).await {
+                Ok(exchange) => {
+                    self.exchange = exchange;
+                    self.node.metrics.retries.inc();
+                    let replica = placed.replica;
+                    emit(&Event::AnswerResumed { replica, delivered });
+                    return Ok(());
+                }
+                Err(e) => {
+                    report_break(placed, &e);
+                    broken = e;
+                }
+            }
         }
+        Err(broken)
+    }
+
+    /// Finds another replica of the same model unless the present one may still serve.
+    async fn place_again(&mut self, broken: &Break) -> Result<(), Break> {
         let placed = self.work.placed();
-        self.exchange =
-            Exchange::open(&self.node, placed, &self.id, self.body.clone(), delivered).await?;
-        self.node.metrics.retries.inc();
-        let replica = placed.replica;
-        emit(&Event::AnswerResumed { replica, delivered });
-        Ok(())
+        if broken.may_have_run() && self.node.dispatch.allows(placed) {
+            return Ok(());
+        }
+        let model = placed.model.clone();
+        let again = self.work.again(broken).await;
+        again.map_err(|_| broken.clone())?;
+        // Another model would not go on with the same text.
+        match self.work.placed().model == model {
+            true => Ok(()),
+            false => Err(broken.clone()),
+        }
     }
 
     fn note(&mut self, frame: &Frame) {
@@ -356,27 +349,13 @@
         }
     }
     answer.finish();
-    let completion = Completion {
-        id: &answer.id,
-        object: "chat.completion",
-        model: &answer.work.placed().model,
-        choices: [WholeChoice {
-            index: 0,
-            message: Message {
-                role: "assistant",
-                content,
-            },
-            finish_reason,
-        }],
-        usage: Usage {
-            completion_tokens: answer.follower.delivered(),
-        },
+    let model = &answer.work.placed().model;
+    let text = Text {
+        content,
+        finish_reason,
+        tokens: answer.follower.delivered(),
     };
-    let json = serde_json::to_vec(&completion).unwrap_or_default();
-    let mut response = Response::new(Body::whole(json));
-    let json = http::HeaderValue::from_static("application/json");
-    response.headers_mut().insert("content-type", json);
-    Ok(response)
+    Ok(completion(&answer.id, model, text))
 }
 
 fn event(data: &str) -> Bytes {
--- /dev/null
+++ b/crates/daemon/src/entry/completion.rs
@@ -0,0 +1,70 @@
+//! Whole answers, for callers that don't want a stream.
+
+use http::Response;
+use serde::Serialize;
+
+use base::ModelName;
+use net::Body;
+
+/// The text of a whole answer.
+#[derive(Debug)]
+pub struct Text {
+    /// All tokens.
+    pub content: String,
+    /// Why it ended, as the engine says.
+    pub finish_reason: String,
+    /// How many tokens.
+    pub tokens: u32,
+}
+
+#[derive(Debug, Serialize)]
+struct Completion<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a ModelName,
+    choices: [WholeChoice; 1],
+    usage: Usage,
+}
+
+#[derive(Debug, Serialize)]
+struct WholeChoice {
+    index: u32,
+    message: Message,
+    finish_reason: String,
+}
+
+#[derive(Debug, Serialize)]
+struct Message {
+    role: &'static str,
+    content: String,
+}
+
+#[derive(Debug, Serialize)]
+struct Usage {
+    completion_tokens: u32,
+}
+
+/// The response that carries a whole answer.
+pub fn completion(id: &str, model: &ModelName, text: Text) -> Response<Body> {
+    let completion = Completion {
+        id,
+        object: "chat.completion",
+        model,
+        choices: [WholeChoice {
+            index: 0,
+            message: Message {
+                role: "assistant",
+                content: text.content,
+            },
+            finish_reason: text.finish_reason,
+        }],
+        usage: Usage {
+            completion_tokens: text.tokens,
+        },
+    };
+    let json = serde_json::to_vec(&completion).unwrap_or_default();
+    let mut response = Response::new(Body::whole(json));
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert("content-type", json);
+    response
+}
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod chat;
 mod chunk;
+mod completion;
 mod exchange;
 mod orders;
 mod service;
--- a/crates/harness/src/caller.rs
+++ b/crates/harness/src/caller.rs
@@ -28,6 +28,7 @@
     addr: SocketAddr,
     secret: String,
     is_first_call: bool,
+    extra: Vec<(&'static str, String)>,
 }
 
 /// An answer as it came.
@@ -48,13 +49,25 @@
 impl Caller {
     /// A caller of this name.
     pub fn new(addr: SocketAddr, name: &str) -> Self {
+        Self::naming(addr, &secret_of(name))
+    }
+
+    /// Someone who names itself by this secret.
+    pub fn naming(addr: SocketAddr, secret: &str) -> Self {
         Self {
             addr,
-            secret: secret_of(name),
+            secret: secret.to_owned(),
             is_first_call: false,
+            extra: Vec::new(),
         }
     }
 
+    /// The same caller, which sends a further header.
+    pub fn header(mut self, name: &'static str, value: &str) -> Self {
+        self.extra.push((name, value.to_owned()));
+        self
+    }
+
     /// The same caller, which says that it makes no other call under its key.
     pub fn first_call(mut self) -> Self {
         self.is_first_call = true;
@@ -70,6 +83,13 @@
         )
     }
 
+    /// Streams a chat, beside others on the same thread.
+    pub async fn chat_async(&self, prompt: &str, max_tokens: u32) -> Result<Reply, SendError> {
+        let body = chat_body(prompt, max_tokens, true);
+        let path = "/v1/chat/completions";
+        self.exchange(Method::POST, path, &body, None).await
+    }
+
     /// Asks for a chat's whole answer at once.
     pub fn whole_chat(&self, prompt: &str, max_tokens: u32) -> Result<Reply, SendError> {
         self.post(
@@ -151,6 +171,9 @@
         if self.is_first_call {
             builder = builder.header("x-first-call", "true");
         }
+        for (name, value) in &self.extra {
+            builder = builder.header(*name, value);
+        }
         builder
             .body(Full::new(Bytes::from(body.to_owned())))
             .expect("the request is well formed")
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -15,6 +15,7 @@
 pub use cluster::Cluster;
 pub use cluster::wait_until;
 pub use process::Process;
+pub use process::program_path;
 pub use rules::rules_text;
 pub use rules::secret_of;
 pub use spec::EngineFault;
