--- a/crates/bench/src/nodes.rs
+++ b/crates/bench/src/nodes.rs
@@ -6,10 +6,7 @@
 
 use crate::report::Report;
 use crate::report::Table;
-use base::CentreId;
 use base::DomainId;
-use base::Fencing;
-use base::HostId;
 use base::NodeId;
 use harness::Cluster;
 use harness::HostSpec;
@@ -116,11 +113,8 @@
 
 fn host_spec(centre: u16, host: u32) -> HostSpec {
     HostSpec {
-        id: HostId(u32::from(centre) * 1_000 + host),
-        centre: CentreId(centre),
         domain: DomainId(host / DOMAIN_HOSTS),
-        fencing: Fencing::Checked,
-        step_ms: 20,
+        ..HostSpec::new(u32::from(centre) * 1_000 + host, centre)
     }
 }
 
--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -8,8 +8,6 @@
 use futures_util::select_biased;
 use http::Response;
 use http::StatusCode;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::clock;
 use crate::dispatch;
@@ -20,8 +18,11 @@
 use crate::entry::chunk::DONE;
 use crate::entry::chunk::Follower;
 use crate::entry::chunk::Frame;
+use crate::entry::completion::Text;
+use crate::entry::completion::completion;
 use crate::entry::exchange::Break;
 use crate::entry::exchange::Exchange;
+use crate::entry::request::ChatRequest;
 use crate::events::Event;
 use crate::events::emit;
 use crate::metrics::Class;
@@ -33,65 +34,18 @@
 use base::ModelName;
 use base::Ran;
 use base::Time;
-use base::TokenCount;
 use net::Body;
 use net::BodySender;
 
-/// Tokens of an answer if the caller sets no bound.
-const DEFAULT_MAX_TOKENS: u32 = 256;
-
-/// The largest bound on an answer's tokens.
-const MOST_TOKENS: u32 = 32_768;
-
 /// How often one answer is resumed after its link broke.
 const MOST_RESUMES: u32 = 3;
 
-/// What is read of a chat request. The rest goes to the engine as it came.
-#[derive(Debug, Deserialize)]
-struct ChatRequest {
-    model: ModelName,
-    #[serde(rename = "messages")]
-    _messages: Vec<serde::de::IgnoredAny>,
-    #[serde(default)]
-    max_tokens: Option<u32>,
-    #[serde(default)]
-    stream: bool,
-}
-
-/// A whole answer, for callers that don't want a stream.
-#[derive(Debug, Serialize)]
-struct Completion<'a> {
-    id: &'a str,
-    object: &'static str,
-    model: &'a ModelName,
-    choices: [WholeChoice; 1],
-    usage: Usage,
-}
-
-#[derive(Debug, Serialize)]
-struct WholeChoice {
-    index: u32,
-    message: Message,
-    finish_reason: String,
-}
-
-#[derive(Debug, Serialize)]
-struct Message {
-    role: &'static str,
-    content: String,
-}
-
-#[derive(Debug, Serialize)]
-struct Usage {
-    completion_tokens: u32,
-}
-
 /// An answer that is coming in.
 struct Answer {
     node: Rc<Node>,
     work: Work,
     id: String,
-    body: Bytes,
+    chat: ChatRequest,
     exchange: Exchange,
     follower: Follower,
     /// The frame that was read to see that the answer began.
@@ -106,7 +60,7 @@
 
 /// Serves one chat.
 pub async fn chat(node: &Rc<Node>, arrival: Arrival) -> Result<Response<Body>, Problem> {
-    let chat = parse(&arrival.body)?;
+    let chat = ChatRequest::parse(&arrival.body)?;
     let contract = contract(node, &arrival, &chat.model)?;
     let wish = wish(node, &arrival, &chat, contract);
     let class = Class {
@@ -114,18 +68,14 @@
         class: wish.contract.name.to_string(),
     };
     let turn = node.count_class(class);
-    let answer = begin(node, arrival, wish, turn).await?;
-    match chat.stream {
+    let is_streamed = chat.stream;
+    let answer = begin(node, arrival, chat, wish, turn).await?;
+    match is_streamed {
         true => Ok(stream(answer)),
         false => collect(answer).await,
     }
 }
 
-fn parse(body: &[u8]) -> Result<ChatRequest, Problem> {
-    let invalid = |e| Problem::not_run(StatusCode::BAD_REQUEST, "invalid-request", e);
-    serde_json::from_slice(body).map_err(invalid)
-}
-
 fn contract(node: &Node, arrival: &Arrival, model: &ModelName) -> Result<Contract, Problem> {
     let rules = node.rules();
     let found = rules.contract_for(&arrival.caller.name, model).cloned();
@@ -139,31 +89,21 @@
 }
 
 fn wish(node: &Node, arrival: &Arrival, chat: &ChatRequest, contract: Contract) -> Wish {
-    const BYTES_PER_TOKEN: usize = 4;
-    let max_tokens = chat.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
     Wish {
         request: node.next_request(),
         contract,
-        prompt: TokenCount((arrival.body.len() / BYTES_PER_TOKEN) as u32),
-        max_tokens: TokenCount(max_tokens.min(MOST_TOKENS)),
-        prefix: Some(prefix_of(&arrival.body)),
+        prompt: chat.prompt,
+        max_tokens: chat.max_tokens,
+        prefix: Some(chat.prefix),
         arrived: arrival.arrived,
     }
 }
 
-/// A number that stands for the start of a prompt.
-fn prefix_of(body: &[u8]) -> u64 {
-    const PREFIX_BYTES: usize = 1024;
-    let start = &body[..body.len().min(PREFIX_BYTES)];
-    start.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
-
 /// Finds a replica and waits for the first frame, trying others while that is safe.
 async fn begin(
     node: &Rc<Node>,
     arrival: Arrival,
+    chat: ChatRequest,
     wish: Wish,
     turn: ClassTurn,
 ) -> Result<Answer, Problem> {
@@ -178,7 +118,7 @@
             .get_or_create(&class)
             .observe(queued.as_secs_f64());
         let mut follower = Follower::new(id.clone());
-        match first_frame(work.placed(), &id, &arrival.body, &mut follower).await {
+        match first_frame(node, work.placed(), &id, &chat, &mut follower).await {
             Ok((exchange, first)) => {
                 work.first_token();
                 let waited = clock::now().since(arrival.arrived);
@@ -190,7 +130,7 @@
                     node: Rc::clone(node),
                     work,
                     id,
-                    body: arrival.body,
+                    chat,
                     exchange,
                     follower,
                     first: Some(first),
@@ -215,12 +155,14 @@
 }
 
 async fn first_frame(
+    node: &Node,
     placed: &Placed,
     id: &str,
-    body: &Bytes,
+    chat: &ChatRequest,
     follower: &mut Follower,
 ) -> Result<(Exchange, (Frame, String)), Break> {
-    let mut exchange = Exchange::open(placed, id, body.clone(), 0).await?;
+    let body = chat.for_engine(&placed.model);
+    let mut exchange = Exchange::open(node, placed, id, body, 0).await?;
     let first = exchange.next(follower).await?;
     Ok((exchange, first))
 }
@@ -232,35 +174,56 @@
             return Ok(first);
         }
         loop {
-            let broken = match self.exchange.next(&mut self.follower).await {
+            match self.exchange.next(&mut self.follower).await {
                 Ok(frame) => {
                     self.note(&frame.0);
                     return Ok(frame);
                 }
-                Err(e) => e,
-            };
-            report_break(self.work.placed(), &broken);
-            if MOST_RESUMES <= self.resumes {
-                return Err(broken);
+                Err(e) => self.resume(e).await?,
             }
-            self.resumes += 1;
-            self.resume(&broken).await?;
         }
     }
 
-    /// Goes on after the last delivered token, at the same replica while it may be used.
-    async fn resume(&mut self, broken: &Break) -> Result<(), Break> {
+    /// Goes on after the last delivered token, at the same replica while that can be reached.
+    async fn resume(&mut self, mut broken: Break) -> Result<(), Break> {
         let delivered = self.follower.delivered();
-        if !self.node.dispatch.allows(self.work.placed()) {
-            let again = self.work.again(broken).await;
-            again.map_err(|_| broken.clone())?;
+        report_break(self.work.placed(), &broken);
+        while self.resumes < MOST_RESUMES {
+            self.resumes += 1;
+            self.place_again(&broken).await?;
+            let (node, placed) = (&self.node, self.work.placed());
+            let body = self.chat.for_engine(&placed.model);
+            match Exchange::open(node, placed, &self.id, body, delivered).await {
+                Ok(exchange) => {
+                    self.exchange = exchange;
+                    self.node.metrics.retries.inc();
+                    let replica = placed.replica;
+                    emit(&Event::AnswerResumed { replica, delivered });
+                    return Ok(());
+                }
+                Err(e) => {
+                    report_break(placed, &e);
+                    broken = e;
+                }
+            }
         }
+        Err(broken)
+    }
+
+    /// Finds another replica of the same model unless the present one may still serve.
+    async fn place_again(&mut self, broken: &Break) -> Result<(), Break> {
         let placed = self.work.placed();
-        self.exchange = Exchange::open(placed, &self.id, self.body.clone(), delivered).await?;
-        self.node.metrics.retries.inc();
-        let replica = placed.replica;
-        emit(&Event::AnswerResumed { replica, delivered });
-        Ok(())
+        if broken.may_have_run() && self.node.dispatch.allows(placed) {
+            return Ok(());
+        }
+        let model = placed.model.clone();
+        let again = self.work.again(broken).await;
+        again.map_err(|_| broken.clone())?;
+        // Another model would not go on with the same text.
+        match self.work.placed().model == model {
+            true => Ok(()),
+            false => Err(broken.clone()),
+        }
     }
 
     fn note(&mut self, frame: &Frame) {
@@ -354,27 +317,13 @@
         }
     }
     answer.finish();
-    let completion = Completion {
-        id: &answer.id,
-        object: "chat.completion",
-        model: &answer.work.placed().model,
-        choices: [WholeChoice {
-            index: 0,
-            message: Message {
-                role: "assistant",
-                content,
-            },
-            finish_reason,
-        }],
-        usage: Usage {
-            completion_tokens: answer.follower.delivered(),
-        },
+    let model = &answer.work.placed().model;
+    let text = Text {
+        content,
+        finish_reason,
+        tokens: answer.follower.delivered(),
     };
-    let json = serde_json::to_vec(&completion).unwrap_or_default();
-    let mut response = Response::new(Body::whole(json));
-    let json = http::HeaderValue::from_static("application/json");
-    response.headers_mut().insert("content-type", json);
-    Ok(response)
+    Ok(completion(&answer.id, model, text))
 }
 
 fn event(data: &str) -> Bytes {
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -19,9 +19,11 @@
 use hyper::body::Incoming;
 
 use crate::dispatch::Placed;
+use crate::entry::auth;
 use crate::entry::chunk::Follower;
 use crate::entry::chunk::Frame;
 use crate::entry::chunk::FrameError;
+use crate::node::Node;
 use net::Connection;
 use net::SendError;
 use wire::engine::FENCE_HEADER;
@@ -45,6 +47,9 @@
     /// Nothing was sent.
     #[display("nothing was sent: {_0}")]
     NotSent(#[error(not(source))] SendError),
+    /// The route ended before anything was sent.
+    #[display("the route ended before anything was sent")]
+    NotRouted,
     /// The engine took no work: it is of another replica, or full.
     #[display("the engine refused with status {_0}")]
     Refused(#[error(not(source))] StatusCode),
@@ -59,7 +64,7 @@
 impl Break {
     /// Whether the engine can have worked on the request.
     pub fn may_have_run(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::Refused(_))
+        !matches!(self, Self::NotSent(_) | Self::NotRouted | Self::Refused(_))
     }
 }
 
@@ -72,10 +77,22 @@
 
 impl Exchange {
     /// Sends a request to the first host of the replica it was placed on.
-    pub async fn open(placed: &Placed, id: &str, body: Bytes, from: u32) -> Result<Self, Break> {
-        let req = request(placed, id, body, from);
+    pub async fn open(
+        node: &Node,
+        placed: &Placed,
+        id: &str,
+        body: Bytes,
+        from: u32,
+    ) -> Result<Self, Break> {
+        let mut req = request(placed, id, body, from);
+        req.headers_mut()
+            .insert("authorization", auth::own_name(node));
         let connection = Connection::open(placed.addr, CONNECT).await;
         let connection = connection.map_err(Break::NotSent)?;
+        // The last look at the route, with no wait between it and the send.
+        if !node.dispatch.allows(placed) {
+            return Err(Break::NotRouted);
+        }
         let response = connection.send(req, HEAD).await.map_err(|_| Break::Lost)?;
         if response.status() != StatusCode::OK {
             return Err(Break::Refused(response.status()));
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -4,8 +4,10 @@
 mod call;
 mod chat;
 mod chunk;
+mod completion;
 mod exchange;
 mod orders;
+mod request;
 mod service;
 
 pub use auth::bearer;
@@ -40,6 +42,7 @@
         connections: limits.connections,
         header_bytes: limits.header_bytes.0 as usize,
         header_time: limits.arrival,
+        stall: limits.stall,
     };
     let node = Rc::clone(node);
     let addr = node.settings.node.callers;
--- a/crates/daemon/src/gossip/demand.rs
+++ b/crates/daemon/src/gossip/demand.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::clock;
+use crate::fnv;
 use crate::node::Node;
 use admit::ContractDemand;
 use admit::DemandReport;
@@ -176,10 +177,18 @@
         let contracts = rules
             .contracts
             .keys()
-            .map(|n| (hash(n.as_str()), n.clone()));
-        let models = rules.models.keys().map(|n| (hash(n.as_str()), n.clone()));
+            .map(|n| (fnv::hash(n.as_str().as_bytes()), n.clone()));
+        let models = rules
+            .models
+            .keys()
+            .map(|n| (fnv::hash(n.as_str().as_bytes()), n.clone()));
         let orgs = rules.orgs.iter();
-        let orgs = orgs.map(|(n, org)| (hash(n.as_str()), (n.clone(), f64::from(org.weight))));
+        let orgs = orgs.map(|(n, org)| {
+            (
+                fnv::hash(n.as_str().as_bytes()),
+                (n.clone(), f64::from(org.weight)),
+            )
+        });
         Self {
             contracts: contracts.collect(),
             models: models.collect(),
@@ -227,7 +236,7 @@
 
 fn contract_part(demand: &ContractDemand) -> ContractPart {
     ContractPart {
-        contract: hash(demand.contract.as_str()),
+        contract: fnv::hash(demand.contract.as_str().as_bytes()),
         requests: demand.requests as f32,
         tokens: demand.tokens as f32,
         spent_requests: demand.spent_requests,
@@ -237,7 +246,7 @@
 
 fn model_part(demand: &ModelDemand) -> ModelPart {
     ModelPart {
-        model: hash(demand.model.as_str()),
+        model: fnv::hash(demand.model.as_str().as_bytes()),
         long: demand.long as f32,
         beyond: demand.beyond as f32,
         sent: demand.sent as f32,
@@ -254,16 +263,7 @@
 
 fn org_part(demand: &OrgDemand) -> OrgPart {
     OrgPart {
-        org: hash(demand.org.as_str()),
+        org: fnv::hash(demand.org.as_str().as_bytes()),
         asked: demand.asked as f32,
     }
 }
-
-/// FNV-1a, which is the same on every node.
-fn hash(name: &str) -> u64 {
-    const START: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    name.bytes().fold(START, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-    })
-}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod entry;
 mod events;
+mod fnv;
 mod gossip;
 mod inner;
 mod metrics;
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -38,7 +38,7 @@
         })
     }
 
-    /// Its id.
+    /// Its process id.
     pub fn id(&self) -> u32 {
         self.child.id()
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 mod connection;
 mod meter;
 mod methods;
+mod patience;
 mod rpc;
 mod server;
 
