--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use crate::path::cpu::Cpu;
+use crate::path::load::Outcome;
+use crate::path::setup::Path;
 use crate::report::Report;
 use crate::report::Table;
 
@@ -9,10 +12,6 @@
 mod load;
 mod setup;
 
-use cpu::Cpu;
-use load::Outcome;
-use setup::Path;
-
 /// Requests a second, and for how long.
 const PHASES: [(u32, Duration); 3] = [
     (1, Duration::from_secs(10)),
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -26,9 +26,10 @@
 use crate::fault::Faults;
 use crate::fault::ForeignFrames;
 use crate::group::Group;
+use crate::head::header;
+use crate::head::is_trusted;
 use crate::prompt::ChatRequest;
 use crate::prompt::Chunk;
-use crate::trust::is_trusted;
 use base::Assignment;
 use base::CentreId;
 use base::DomainId;
@@ -392,10 +393,6 @@
     frames
 }
 
-fn header<Value: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<Value> {
-    headers.get(name)?.to_str().ok()?.parse().ok()
-}
-
 fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
     let mut response = Response::new(Body::whole(text));
     *response.status_mut() = status;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -8,9 +8,9 @@
 mod engine;
 mod fault;
 mod group;
+mod head;
 mod prompt;
 mod service;
-mod trust;
 
 use std::fs;
 use std::io;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -21,7 +21,7 @@
 use crate::Place;
 use crate::announce::announce;
 use crate::announce::new_incarnation;
-use crate::trust::is_trusted;
+use crate::head::is_trusted;
 use base::CentreId;
 use base::ServiceName;
 use base::ServiceReport;
