--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -1,5 +1,9 @@
 //! What the path through an entry node adds to a direct call.
 
+mod cpu;
+mod load;
+mod setup;
+
 use std::time::Duration;
 
 use crate::path::cpu::Cpu;
@@ -8,10 +12,6 @@
 use crate::report::Report;
 use crate::report::Table;
 
-mod cpu;
-mod load;
-mod setup;
-
 /// Requests a second, and for how long.
 const PHASES: [(u32, Duration); 3] = [
     (1, Duration::from_secs(10)),
