--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -1,17 +1,16 @@
 //! What the path through an entry node adds to a direct call.
 
-use std::time::Duration;
-
-use crate::report::Report;
-use crate::report::Table;
-
 mod cpu;
 mod load;
 mod setup;
 
-use cpu::Cpu;
-use load::Outcome;
-use setup::Path;
+use std::time::Duration;
+
+use crate::path::cpu::Cpu;
+use crate::path::load::Outcome;
+use crate::path::setup::Path;
+use crate::report::Report;
+use crate::report::Table;
 
 /// Requests a second, and for how long.
 const PHASES: [(u32, Duration); 3] = [
