Say beats on one long request, answer voters in the same exchange, type the refusals

Cause: heads were most of what announcements and heartbeats cost. Ruled out: datagrams from upstreams, which they cannot be asked for.

--- a/crates/daemon/src/dispatch/work.rs
+++ b/crates/daemon/src/dispatch/work.rs
@@ -3,14 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::StatusCode;
-
 use crate::clock;
 use crate::dispatch::Placed;
 use crate::dispatch::refresh::decide;
 use crate::entry::Break;
 use crate::node::Node;
 use crate::problem::Problem;
+use crate::problem_kind::ProblemKind;
 use admit::Decision;
 use admit::Failure;
 use admit::Reason;
@@ -160,16 +159,16 @@
 }
 
 fn refusal(reason: Reason, retry_after: Duration) -> Problem {
-    let (status, kind) = match reason {
-        Reason::NoContract => (StatusCode::FORBIDDEN, "no-contract"),
-        Reason::RequestRate => (StatusCode::TOO_MANY_REQUESTS, "request-rate"),
-        Reason::TokenRate => (StatusCode::TOO_MANY_REQUESTS, "token-rate"),
-        Reason::NoReplica => (StatusCode::SERVICE_UNAVAILABLE, "no-replica"),
-        Reason::Late => (StatusCode::SERVICE_UNAVAILABLE, "late"),
-        Reason::Failed => (StatusCode::BAD_GATEWAY, "replica-failed"),
-        Reason::Interrupted => (StatusCode::BAD_GATEWAY, "interrupted"),
+    let kind = match reason {
+        Reason::NoContract => ProblemKind::NoContract,
+        Reason::RequestRate => ProblemKind::RequestRate,
+        Reason::TokenRate => ProblemKind::TokenRate,
+        Reason::NoReplica => ProblemKind::NoReplica,
+        Reason::Late => ProblemKind::Late,
+        Reason::Failed => ProblemKind::ReplicaFailed,
+        Reason::Interrupted => ProblemKind::Interrupted,
     };
-    let problem = Problem::not_run(status, kind, reason).ran(reason.ran());
+    let problem = Problem::not_run(kind, reason).ran(reason.ran());
     match reason {
         Reason::NoContract => problem,
         _ => problem.retry_after(retry_after),
--- a/crates/daemon/src/entry/auth.rs
+++ b/crates/daemon/src/entry/auth.rs
@@ -2,12 +2,12 @@
 
 use http::HeaderMap;
 use http::HeaderValue;
-use http::StatusCode;
 use sha2::Digest;
 use sha2::Sha256;
 
 use crate::node::Node;
 use crate::problem::Problem;
+use crate::problem_kind::ProblemKind;
 use base::CallerName;
 use base::OrgName;
 
@@ -38,7 +38,7 @@
 
 /// The caller that a request's head names.
 pub fn caller(node: &Node, headers: &HeaderMap) -> Result<Known, Problem> {
-    let unauthorized = |what| Problem::not_run(StatusCode::UNAUTHORIZED, "unknown-caller", what);
+    let unauthorized = |what| Problem::not_run(ProblemKind::UnknownCaller, what);
     let secret = bearer(headers).ok_or_else(|| unauthorized("a bearer secret is missing"))?;
     let digest: [u8; 32] = Sha256::digest(secret.as_bytes()).into();
     let rules = node.rules();
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -17,6 +17,7 @@
 use crate::metrics::Class;
 use crate::node::Node;
 use crate::problem::Problem;
+use crate::problem_kind::ProblemKind;
 use base::OrderKey;
 use base::Ran;
 use base::ServiceName;
@@ -52,7 +53,7 @@
     headers: &HeaderMap,
 ) -> Result<Response<Body>, Problem> {
     let rules = node.rules();
-    let forbidden = |what: String| Problem::not_run(StatusCode::FORBIDDEN, "no-service", what);
+    let forbidden = |what: String| Problem::not_run(ProblemKind::NoService, what);
     let name: ServiceName = service.parse().map_err(|e| forbidden(format!("{e}")))?;
     let rule = rules.service_for(&arrival.caller.name, &name);
     let caller = &arrival.caller.name;
@@ -85,10 +86,10 @@
 
 fn not_taken(why: &NotTaken) -> Problem {
     let kind = match why {
-        NotTaken::Busy { .. } => "node-full",
-        NotTaken::JustWoke => "just-woke",
+        NotTaken::Busy { .. } => ProblemKind::NodeFull,
+        NotTaken::JustWoke => ProblemKind::JustWoke,
     };
-    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, kind, why).retry_after(SOON)
+    Problem::not_run(kind, why).retry_after(SOON)
 }
 
 /// Says of a refusal before the ledger was asked what can be said: this call was not
@@ -115,7 +116,7 @@
     let Some(key) = headers.get("idempotency-key") else {
         return Ok(Kind::Keyless);
     };
-    let invalid = |e: String| Problem::not_run(StatusCode::BAD_REQUEST, "invalid-key", e);
+    let invalid = |e: String| Problem::not_run(ProblemKind::InvalidKey, e);
     let key = key.to_str().map_err(|e| invalid(e.to_string()))?;
     let key: OrderKey = key.parse().map_err(|e| invalid(format!("{e}")))?;
     Ok(Kind::Keyed(Key {
@@ -183,75 +184,32 @@
 }
 
 fn refuse(refusal: &Refusal) -> Problem {
-    let conflict = StatusCode::CONFLICT;
-    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
-    let gateway = StatusCode::BAD_GATEWAY;
-    let (status, kind, what, retry) = match refusal {
-        Refusal::OtherBody => (
-            StatusCode::UNPROCESSABLE_ENTITY,
-            "key-reused",
-            "the key was used for another call",
-            None,
-        ),
-        Refusal::LedgerFull => (
-            unavailable,
-            "ledger-full",
-            "no room for another key",
-            Some(SOON),
-        ),
-        Refusal::NoQuorum => (
-            unavailable,
-            "no-quorum",
-            "the voters were not reached",
-            Some(SOON),
-        ),
-        Refusal::Running { .. } => (
-            conflict,
-            "running",
-            "a call under this key may be running",
-            Some(SOON),
-        ),
+    let (kind, what) = match refusal {
+        Refusal::OtherBody => (ProblemKind::KeyReused, "the key was used for another call"),
+        Refusal::LedgerFull => (ProblemKind::LedgerFull, "no room for another key"),
+        Refusal::NoQuorum => (ProblemKind::NoQuorum, "the voters were not reached"),
+        Refusal::Running { .. } => (ProblemKind::Running, "a call under this key may be running"),
         Refusal::OutcomeUnknown { .. } => (
-            conflict,
-            "outcome-unknown",
+            ProblemKind::OutcomeUnknown,
             "a call under this key may have run; it is never run again",
-            None,
         ),
         Refusal::JustRefused => (
-            unavailable,
-            "just-refused",
+            ProblemKind::JustRefused,
             "a call under this key was just refused",
-            Some(SOON),
         ),
         Refusal::NoUpstream => (
-            unavailable,
-            "no-upstream",
+            ProblemKind::NoUpstream,
             "no process of the service was reached",
-            Some(SOON),
-        ),
-        Refusal::Declined => (
-            unavailable,
-            "declined",
-            "the service did not take it",
-            Some(SOON),
-        ),
-        Refusal::TooLate => (
-            unavailable,
-            "too-late",
-            "it could not be sent in time",
-            Some(SOON),
-        ),
-        Refusal::AnswerLost => (
-            gateway,
-            "answer-lost",
-            "it was sent, its answer was lost",
-            None,
         ),
-        Refusal::CallerGone => (unavailable, "caller-gone", "the caller left", None),
+        Refusal::Declined => (ProblemKind::Declined, "the service did not take it"),
+        Refusal::TooLate => (ProblemKind::TooLate, "it could not be sent in time"),
+        Refusal::AnswerLost => (ProblemKind::AnswerLost, "it was sent, its answer was lost"),
+        Refusal::CallerGone => (ProblemKind::CallerGone, "the caller left"),
     };
-    let problem = Problem::not_run(status, kind, what);
-    match retry {
-        Some(span) => problem.retry_after(span),
-        None => problem,
+    let problem = Problem::not_run(kind, what);
+    match kind {
+        // Coming back changes nothing about these.
+        ProblemKind::KeyReused | ProblemKind::OutcomeUnknown | ProblemKind::AnswerLost => problem,
+        _ => problem.retry_after(SOON),
     }
 }
--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -7,7 +7,6 @@
 use futures_util::FutureExt;
 use futures_util::select_biased;
 use http::Response;
-use http::StatusCode;
 
 use crate::clock;
 use crate::dispatch;
@@ -30,6 +29,7 @@
 use crate::node::InFlight;
 use crate::node::Node;
 use crate::problem::Problem;
+use crate::problem_kind::ProblemKind;
 use base::Contract;
 use base::ModelName;
 use base::Ran;
@@ -84,7 +84,7 @@
             "no contract gives {} the model {model}",
             arrival.caller.name
         );
-        Problem::not_run(StatusCode::FORBIDDEN, "no-contract", what)
+        Problem::not_run(ProblemKind::NoContract, what)
     })
 }
 
@@ -339,7 +339,7 @@
 
 fn broken_off(error: &Break) -> Problem {
     let what = format_args!("the answer broke off: {error}");
-    let problem = Problem::not_run(StatusCode::BAD_GATEWAY, "answer-broken", what);
+    let problem = Problem::not_run(ProblemKind::AnswerBroken, what);
     problem.retry_after(Duration::from_secs(1))
 }
 
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -29,6 +29,7 @@
 use crate::node::Node;
 use crate::node::Phase;
 use crate::problem::Problem;
+use crate::problem_kind::ProblemKind;
 use net::Body;
 use net::BodyError;
 use net::Bounds;
@@ -64,7 +65,7 @@
         Err(problem) => {
             let problem = call::before_ledger(problem, &keyed);
             let labels = RefusalLabels {
-                reason: problem.kind.to_owned(),
+                reason: problem.kind.name().to_owned(),
                 ran: problem.ran.to_string(),
             };
             node.metrics.refusals.get_or_create(&labels).inc();
@@ -93,11 +94,7 @@
         Route::Service(service) => call::call(node, arrival, service, &head.headers).await,
         Route::Unknown => {
             let what = format_args!("there is no {} {}", head.method, head.uri.path());
-            Err(Problem::not_run(
-                StatusCode::NOT_FOUND,
-                "no-such-path",
-                what,
-            ))
+            Err(Problem::not_run(ProblemKind::NoSuchPath, what))
         }
     }
 }
@@ -140,33 +137,32 @@
 }
 
 fn check_room(node: &Node) -> Result<(), Problem> {
-    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
     let soon = std::time::Duration::from_secs(1);
     match node.phase.get() {
         Phase::Starting => {
             let what = "this node has no configuration yet";
-            return Err(Problem::not_run(unavailable, "starting", what).retry_after(soon));
+            return Err(Problem::not_run(ProblemKind::Starting, what).retry_after(soon));
         }
         Phase::Draining => {
             let what = "this node is stopping";
-            return Err(Problem::not_run(unavailable, "stopping", what).retry_after(soon));
+            return Err(Problem::not_run(ProblemKind::Stopping, what).retry_after(soon));
         }
         Phase::Serving | Phase::Leaving => {}
     }
     if node.settings.limits.requests <= node.in_flight() {
         let what = "this node has as many requests in progress as it takes";
-        return Err(Problem::not_run(unavailable, "node-full", what).retry_after(soon));
+        return Err(Problem::not_run(ProblemKind::NodeFull, what).retry_after(soon));
     }
     Ok(())
 }
 
 fn unreadable(error: BodyError) -> Problem {
-    let (status, kind) = match error {
-        BodyError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
-        BodyError::TooSlow { .. } => (StatusCode::REQUEST_TIMEOUT, "body-too-slow"),
-        BodyError::Broken => (StatusCode::BAD_REQUEST, "body-broken"),
+    let kind = match error {
+        BodyError::TooLarge { .. } => ProblemKind::BodyTooLarge,
+        BodyError::TooSlow { .. } => ProblemKind::BodyTooSlow,
+        BodyError::Broken => ProblemKind::BodyBroken,
     };
-    Problem::not_run(status, kind, error)
+    Problem::not_run(kind, error)
 }
 
 fn ready(node: &Node) -> Response<Body> {
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use http::StatusCode;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use serde_json::value::to_raw_value;
 
 use crate::fnv;
 use crate::problem::Problem;
+use crate::problem_kind::ProblemKind;
 use base::ModelName;
 use base::TokenCount;
 
@@ -55,7 +55,7 @@
 impl ChatRequest {
     /// Reads a request's body.
     pub fn parse(body: &[u8]) -> Result<Self, Problem> {
-        let invalid = |e| Problem::not_run(StatusCode::BAD_REQUEST, "invalid-request", e);
+        let invalid = |e| Problem::not_run(ProblemKind::InvalidRequest, e);
         let read: Read = serde_json::from_slice(body).map_err(invalid)?;
         let max_tokens = read.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
         Ok(Self {
--- a/crates/daemon/src/inner/announce.rs
+++ b/crates/daemon/src/inner/announce.rs
@@ -12,7 +12,6 @@
 use net::Methods;
 use wire::upstream::AnnounceHost;
 use wire::upstream::AnnounceService;
-use wire::upstream::BeatHost;
 use wire::upstream::Heard;
 use wire::upstream::HostBeat;
 
@@ -20,31 +19,17 @@
     methods
         .on(|node: Rc<Node>, call: AnnounceHost| async move {
             announce_host(&node, call.report);
-            Ok(heard(&node, true))
-        })
-        .on(|node: Rc<Node>, call: BeatHost| async move {
-            let known = hear_beat(&node, &call.beat);
-            if known {
-                node.relay.borrow_mut().beats.insert(call.beat.0, call.beat);
-            }
-            Ok(heard(&node, known))
+            Ok(Heard { by: node.id() })
         })
         .on(|node: Rc<Node>, call: AnnounceService| async move {
             if hear_service(&node, &call.report) {
                 let key = (call.report.service.clone(), call.report.addr);
                 node.relay.borrow_mut().services.insert(key, call.report);
             }
-            Ok(heard(&node, true))
+            Ok(Heard { by: node.id() })
         })
 }
 
-fn heard(node: &Node, known: bool) -> Heard {
-    Heard {
-        by: node.id(),
-        known,
-    }
-}
-
 /// Takes a whole report. The neighbours get all of it only if more than its load is new.
 fn announce_host(node: &Node, report: HostReport) {
     let before = node
--- a/crates/daemon/src/inner/mod.rs
+++ b/crates/daemon/src/inner/mod.rs
@@ -4,6 +4,7 @@
 //! the methods that are meant for it.
 
 mod announce;
+mod beats;
 mod kept;
 mod operate;
 mod pull;
@@ -27,6 +28,7 @@
 use net::Methods;
 use net::Server;
 use net::read_body;
+use wire::upstream::BEATS_PATH;
 
 pub use kept::Keeper;
 pub use kept::keep_on;
@@ -95,6 +97,7 @@
             node.metrics.control_bytes(&node.meter);
             return Response::new(Body::whole(node.metrics.encode()));
         }
+        BEATS_PATH => return take_beats(node, req),
         "/rpc" => {}
         _ => return status(StatusCode::NOT_FOUND),
     }
@@ -113,6 +116,14 @@
     }
 }
 
+fn take_beats(node: Rc<Node>, req: Request<Incoming>) -> Response<Body> {
+    let given = bearer(req.headers()).unwrap_or_default();
+    match node.settings.secrets.upstreams.matches(given) {
+        true => beats::take(node, req.into_body()),
+        false => status(StatusCode::UNAUTHORIZED),
+    }
+}
+
 fn status(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::default());
     *response.status_mut() = status;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod node;
 mod problem;
+mod problem_kind;
 mod run;
 mod upstreams;
 mod voters;
@@ -39,6 +40,8 @@
     check: bool,
     #[options(no_short, help = "print the catalogue of log events")]
     events: bool,
+    #[options(no_short, help = "print the kinds of refusals and their status")]
+    problems: bool,
 }
 
 fn main() -> ExitCode {
@@ -47,6 +50,10 @@
         print!("{}", events::catalogue());
         return ExitCode::SUCCESS;
     }
+    if args.problems {
+        print!("{}", problem_kind::catalogue());
+        return ExitCode::SUCCESS;
+    }
     let Some(file) = args.settings else {
         eprintln!("berylbayd: --settings is missing; --help tells more");
         return ExitCode::from(EXIT_SETTINGS);
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -6,18 +6,18 @@
 
 use http::HeaderValue;
 use http::Response;
-use http::StatusCode;
 use serde::Serialize;
 
+use crate::problem_kind::ProblemKind;
 use base::Ran;
 use net::Body;
 
 /// A refusal.
 #[derive(Clone, Debug, Serialize)]
 pub struct Problem {
-    /// A name of the kind of refusal, the same for all of its kind.
+    /// What kind of refusal.
     #[serde(rename = "type")]
-    pub kind: &'static str,
+    pub kind: ProblemKind,
     /// HTTP's status.
     pub status: u16,
     /// What is wrong, in full.
@@ -34,10 +34,10 @@
 
 impl Problem {
     /// A refusal of a request that did not run.
-    pub fn not_run(status: StatusCode, kind: &'static str, detail: impl ToString) -> Self {
+    pub fn not_run(kind: ProblemKind, detail: impl ToString) -> Self {
         Self {
             kind,
-            status: status.as_u16(),
+            status: kind.status().as_u16(),
             detail: detail.to_string(),
             ran: Ran::NotRun,
             sent: None,
@@ -73,7 +73,7 @@
     pub fn into_response(self) -> Response<Body> {
         let json = serde_json::to_vec(&self).unwrap_or_default();
         let mut response = Response::new(Body::whole(json));
-        *response.status_mut() = StatusCode::from_u16(self.status).unwrap_or_default();
+        *response.status_mut() = self.kind.status();
         let headers = response.headers_mut();
         let kind = HeaderValue::from_static("application/problem+json");
         headers.insert("content-type", kind);
--- a/crates/daemon/src/voters/driver.rs
+++ b/crates/daemon/src/voters/driver.rs
@@ -16,6 +16,7 @@
 use crate::inner::bring_into_force;
 use crate::node::Node;
 use crate::voters::disk_writer;
+use base::NodeId;
 use base::Version;
 use disk::Log;
 use settings::Role as Part;
@@ -121,13 +122,36 @@
 
 /// Carries out what the voter asks for. Called after each input.
 pub fn step(node: &Rc<Node>) {
+    for outgoing in carry_out(node) {
+        send(node, outgoing);
+    }
+}
+
+/// Takes a message of another voter, and gives what there is to say back to it at once.
+pub fn hear(node: &Rc<Node>, from: NodeId, message: vote::Message) -> Vec<vote::Message> {
     let Some(voters) = node.voters.as_ref().filter(|v| !v.is_halted()) else {
-        return;
+        return Vec::new();
     };
-    let effects = voters.voter.borrow_mut().take();
-    for outgoing in effects.sends {
-        send(node, outgoing);
+    voters
+        .voter
+        .borrow_mut()
+        .receive(from, message, clock::now());
+    let mut back = Vec::new();
+    for outgoing in carry_out(node) {
+        match outgoing.to == from {
+            true => back.push(outgoing.message),
+            false => send(node, outgoing),
+        }
     }
+    back
+}
+
+/// Carries out what the voter asks for but its sends, which it gives.
+fn carry_out(node: &Rc<Node>) -> Vec<Outgoing> {
+    let Some(voters) = node.voters.as_ref().filter(|v| !v.is_halted()) else {
+        return Vec::new();
+    };
+    let effects = voters.voter.borrow_mut().take();
     if let Some(snapshot) = effects.install {
         voters.install(&snapshot.state);
     }
@@ -135,7 +159,7 @@
         voters.apply(&entry);
     }
     if voters.is_halted() {
-        return;
+        return Vec::new();
     }
     if let Some(batch) = effects.batch {
         let _ = voters.batches.try_send(batch);
@@ -146,6 +170,7 @@
     if node.version() < version {
         bring_into_force(node, version, &text);
     }
+    effects.sends
 }
 
 /// Lets another voter lead before this process ends.
@@ -190,7 +215,16 @@
     let node = Rc::clone(node);
     compio::runtime::spawn(async move {
         // The voter sends again what is not answered.
-        let _ = node.peers.call(addr, &call, WITHIN).await;
+        let Ok(answer) = node.peers.call(addr, &call, WITHIN).await else {
+            return;
+        };
+        for message in answer.messages {
+            let back = hear(&node, outgoing.to, message);
+            for message in back {
+                let to = outgoing.to;
+                send(&node, Outgoing { to, message });
+            }
+        }
     })
     .detach();
 }
--- a/crates/daemon/src/voters/rpc.rs
+++ b/crates/daemon/src/voters/rpc.rs
@@ -2,9 +2,8 @@
 
 use std::rc::Rc;
 
-use crate::clock;
 use crate::node::Node;
-use crate::voters::driver::step;
+use crate::voters::driver::hear;
 use crate::voters::group;
 use crate::voters::propose::propose_here;
 use crate::voters::propose::relay;
@@ -16,19 +15,14 @@
 use wire::peer::Propose;
 use wire::peer::ReadOrder;
 use wire::peer::Relaying;
-use wire::peer::Taken;
+use wire::peer::VoteAnswer;
 use wire::peer::VoteMessage;
 
 pub fn methods(methods: Methods<Node>) -> Methods<Node> {
     group::peer_methods(methods)
         .on(|node: Rc<Node>, call: VoteMessage| async move {
-            if let Some(voters) = node.voters.as_ref().filter(|v| !v.is_halted()) {
-                let mut voter = voters.voter.borrow_mut();
-                voter.receive(call.from, call.message, clock::now());
-                drop(voter);
-                step(&node);
-            }
-            Ok(Taken {})
+            let messages = hear(&node, call.from, call.message);
+            Ok(VoteAnswer { messages })
         })
         .on(|node: Rc<Node>, call: Propose| async move {
             let op: Op = postcard::from_bytes(&call.op).map_err(Fault::invalid)?;
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -135,3 +135,20 @@
         "docs/EVENTS.md lacks:\n{catalogue}"
     );
 }
+
+#[test]
+fn every_kind_of_refusal_is_on_the_callers_pages_with_its_status() {
+    let daemon = Command::new(env!("CARGO_BIN_EXE_berylbayd"));
+    let output = { daemon }.arg("--problems").output().unwrap();
+    let kinds = String::from_utf8(output.stdout).unwrap();
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/callers/chats.md");
+    let page = fs::read_to_string(page).unwrap();
+    for line in kinds.lines() {
+        let (kind, status) = line.split_once(' ').unwrap();
+        let row = format!("| `{kind}` | {status} |");
+        assert!(
+            page.contains(&row),
+            "docs/callers/chats.md lacks the row {row}"
+        );
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,8 @@
 
 mod body;
 mod connection;
+mod dialogue;
+mod lines;
 mod meter;
 mod methods;
 mod patience;
@@ -21,6 +23,8 @@
 pub use body::read_body;
 pub use connection::Connection;
 pub use connection::SendError;
+pub use dialogue::Dialogue;
+pub use lines::Lines;
 pub use meter::Meter;
 pub use methods::Methods;
 pub use rpc::RpcClient;
--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -5,14 +5,16 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use crate::Place;
 use base::HostReport;
 use base::Incarnation;
+use net::Dialogue;
 use net::RpcClient;
 use wire::Call;
 use wire::upstream::ANNOUNCE_EVERY;
 use wire::upstream::AnnounceHost;
-use wire::upstream::BeatHost;
-use wire::upstream::Heard;
+use wire::upstream::BEAT_HEARD;
+use wire::upstream::BEATS_PATH;
 use wire::upstream::HostBeat;
 
 /// How long an entry node may take to hear an announcement.
@@ -43,51 +45,69 @@
 /// Announces a host. While nothing but its load changes, a beat stands for its report.
 pub(crate) async fn announce_host(
     client: RpcClient,
-    entries: Vec<SocketAddr>,
+    place: Place,
     report: impl Fn(u64) -> HostReport,
 ) {
     let mut at = fastrand::usize(..);
-    let mut told: Option<HostReport> = None;
+    let mut told: Option<Told> = None;
     for sequence in 0.. {
         let report = report(sequence);
-        for _ in 0..entries.len() {
-            let addr = entries[at % entries.len()];
-            let known = told
-                .as_ref()
-                .is_some_and(|told| HostBeat::suffices(told, &report));
-            match tell(&client, addr, &report, known).await {
-                Some(heard) => {
-                    told = heard.known.then(|| report.clone());
-                    break;
-                }
-                None => {
-                    told = None;
-                    at = at.wrapping_add(1);
-                }
+        for _ in 0..place.entries.len() {
+            let addr = place.entries[at % place.entries.len()];
+            told = match told.take() {
+                Some(before) => before.tell(&client, &report).await,
+                None => Told::whole(&client, addr, &place.secret, &report).await,
+            };
+            if told.is_some() {
+                break;
             }
+            at = at.wrapping_add(1);
         }
         compio::time::sleep(ANNOUNCE_EVERY).await;
     }
 }
 
-async fn tell(
-    client: &RpcClient,
+/// An entry node that knows a host's whole report, and the way that beats go to it.
+struct Told {
     addr: SocketAddr,
-    report: &HostReport,
-    known: bool,
-) -> Option<Heard> {
-    if known {
-        let beat = HostBeat::of(report);
-        return client
-            .call(addr, &BeatHost { beat }, HEARD_WITHIN)
-            .await
-            .ok();
+    report: HostReport,
+    beats: Dialogue,
+}
+
+impl Told {
+    /// Tells an entry node the whole report.
+    async fn whole(
+        client: &RpcClient,
+        addr: SocketAddr,
+        secret: &str,
+        report: &HostReport,
+    ) -> Option<Self> {
+        let call = AnnounceHost {
+            report: report.clone(),
+        };
+        client.call(addr, &call, HEARD_WITHIN).await.ok()?;
+        let beats = Dialogue::open(addr, BEATS_PATH, secret, HEARD_WITHIN).await;
+        Some(Self {
+            addr,
+            report: report.clone(),
+            beats: beats.ok()?,
+        })
+    }
+
+    /// Tells the same node a newer report, by a beat if that is enough.
+    async fn tell(mut self, client: &RpcClient, report: &HostReport) -> Option<Self> {
+        if !HostBeat::suffices(&self.report, report) {
+            let call = AnnounceHost {
+                report: report.clone(),
+            };
+            client.call(self.addr, &call, HEARD_WITHIN).await.ok()?;
+            self.report = report.clone();
+            return Some(self);
+        }
+        let beat = serde_json::to_string(&HostBeat::of(report)).ok()?;
+        let answer = self.beats.say(&beat, HEARD_WITHIN).await?;
+        (answer == BEAT_HEARD).then_some(self)
     }
-    let report = report.clone();
-    client
-        .call(addr, &AnnounceHost { report }, HEARD_WITHIN)
-        .await
-        .ok()
 }
 
 /// A life that is larger than that of any earlier process here.
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -150,11 +150,9 @@
     compio::runtime::spawn(Rc::clone(&engine).report_on(args.lag_ms)).detach();
     let reporter = Rc::clone(&engine);
     let addr = server.addr();
-    let announcing = announce_host(
-        engine.client.clone(),
-        place.entries.clone(),
-        move |sequence| reporter.report(&args, addr, sequence),
-    );
+    let announcing = announce_host(engine.client.clone(), place.clone(), move |sequence| {
+        reporter.report(&args, addr, sequence)
+    });
     compio::runtime::spawn(announcing).detach();
     engine.leave_on_signal().await;
     Ok(())
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -234,9 +234,16 @@
     pub standing: Option<state::Standing>,
 }
 
+/// The answer to [`VoteMessage`]: what the voter has to say back at once.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VoteAnswer {
+    /// Its messages.
+    pub messages: Vec<vote::Message>,
+}
+
 impl Call for VoteMessage {
     const METHOD: &'static str = "vote";
-    type Reply = Taken;
+    type Reply = VoteAnswer;
 }
 
 impl Call for Propose {
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -30,12 +30,15 @@
     pub report: HostReport,
 }
 
-/// A host says that nothing has changed but its load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BeatHost {
-    /// What it says.
-    pub beat: HostBeat,
-}
+/// Where a host sends its beats: one long request whose body is a line for each beat,
+/// answered by a line for each.
+pub const BEATS_PATH: &str = "/beats";
+
+/// The answer to a beat that was heard.
+pub const BEAT_HEARD: &str = "heard";
+
+/// The answer to a beat of a host whose whole report is needed first. The last one.
+pub const BEAT_UNKNOWN: &str = "unknown";
 
 /// What changes all the time about a host, in few bytes: the host, the lower half of
 /// its incarnation, the report's sequence, and its load as running, waiting, prefill
@@ -103,8 +106,6 @@
 pub struct Heard {
     /// The entry node that heard it.
     pub by: NodeId,
-    /// Whether that node knows the rest. If not, it needs the whole report.
-    pub known: bool,
 }
 
 impl Call for AnnounceHost {
@@ -112,11 +113,6 @@
     type Reply = Heard;
 }
 
-impl Call for BeatHost {
-    const METHOD: &'static str = "beat_host";
-    type Reply = Heard;
-}
-
 impl Call for AnnounceService {
     const METHOD: &'static str = "announce_service";
     type Reply = Heard;
