Serve again at once when replicas come back; loads that did not change stay fresh

Cause: fair shares took what was sent as the capacity. Also: loads that were not told again, as they had not changed, counted as old; the first token of a resumed answer was not told to the router. Ruled out: a request counted as waiting for its first token for ever (the state of the node that refused held no flight and no pending one).

--- a/crates/admit/src/exchange.rs
+++ b/crates/admit/src/exchange.rs
@@ -20,6 +20,9 @@
 /// Work added to each node's demand beyond contracts, in generated tokens a second.
 const LENT_FLOOR: f64 = 10.0;
 
+/// Share of the slots below which capacity isn't short.
+const IN_USE: f64 = 0.5;
+
 impl Dispatcher {
     /// This node's report for the others, due every [`crate::Config::exchange`].
     pub fn demand(&mut self, now: Time) -> DemandReport {
@@ -91,6 +94,11 @@
             let sent = others.iter().map(|m| m.sent).sum();
             let orgs = others.iter().flat_map(|m| &m.orgs);
             queue.shares.exchange(orgs, sent, now);
+            // What was sent tells the capacity only while the slots are in use: after an
+            // outage nothing was sent, and all are free.
+            if self.router.fill(model) < IN_USE {
+                queue.shares.lift();
+            }
         }
     }
 
--- a/crates/admit/src/shares.rs
+++ b/crates/admit/src/shares.rs
@@ -105,6 +105,11 @@
         self.limit(&total, level, now);
     }
 
+    /// Limits nobody until the next exchange.
+    pub fn lift(&mut self) {
+        self.limits.clear();
+    }
+
     fn limit(&mut self, total: &BTreeMap<OrgName, (f64, f64)>, level: f64, now: Time) {
         let mut before = std::mem::take(&mut self.limits);
         for (org, (weight, asked)) in total {
--- a/crates/daemon/src/control/polls.rs
+++ b/crates/daemon/src/control/polls.rs
@@ -23,7 +23,10 @@
 const WITHIN: Duration = Duration::from_millis(1_000);
 
 /// A load that was not heard of for this long is dropped.
-const LOAD_LIFE: Duration = Duration::from_secs(20);
+const LOAD_LIFE: Duration = Duration::from_secs(10);
+
+/// How old a load that did not change may be, at the controller.
+const UNCHANGED_AGE: Duration = Duration::from_millis(1_500);
 
 /// Polls between two answers with all loads.
 const ALL_LOADS_EVERY: u64 = 16;
@@ -54,7 +57,7 @@
     let rows = loads(node);
     let mut told = node.control.told_loads.borrow_mut();
     let told = told.entry(poll.node).or_default();
-    if poll.number % ALL_LOADS_EVERY == 1 {
+    if tells_all(poll) {
         told.clear();
     }
     let mut is_new = |row: &LoadRow| told.insert(row.0, row.load()) != Some(row.load());
@@ -129,16 +132,23 @@
     match polled.grant {
         Some(grant) => {
             node.dispatch.routes.borrow_mut().apply(&grant);
-            take_loads(node, centre, &polled.loads, sent);
+            take_loads(node, centre, &call.poll, &polled.loads, sent);
             Asked::Granted
         }
         None => polled.controller.map_or(Asked::Nothing, Asked::Elsewhere),
     }
 }
 
-/// Takes the loads of a data centre. They are at least as old as the poll's way there.
-fn take_loads(node: &Node, centre: CentreId, rows: &[LoadRow], sent: Time) {
+/// Takes the loads of a data centre. They are at least as old as the poll's way there, and
+/// what wasn't told again is as it was.
+fn take_loads(node: &Node, centre: CentreId, poll: &RoutePoll, rows: &[LoadRow], sent: Time) {
     let mut loads = node.dispatch.loads.borrow_mut();
+    if tells_all(poll) {
+        loads.retain(|_, heard| heard.centre != centre);
+    }
+    for heard in loads.values_mut().filter(|heard| heard.centre == centre) {
+        heard.at = heard.at.max(sent - UNCHANGED_AGE);
+    }
     for row in rows {
         let at = sent - Duration::from_millis(u64::from(row.1));
         let row = *row;
@@ -147,3 +157,8 @@
     let now = clock::now();
     loads.retain(|_, heard| now.since(heard.at) < LOAD_LIFE);
 }
+
+/// Whether the answer to a poll tells all loads, not only those that changed.
+fn tells_all(poll: &RoutePoll) -> bool {
+    poll.number % ALL_LOADS_EVERY == 1
+}
--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -51,6 +51,8 @@
     /// The frame that was read to see that the answer began.
     first: Option<(Frame, String)>,
     resumes: u32,
+    /// Whether the engine that goes on has still to show its first token.
+    awaits_first: bool,
     class: Class,
     turn: ClassTurn,
     arrived: Time,
@@ -135,6 +137,7 @@
                     follower,
                     first: Some(first),
                     resumes: 0,
+                    awaits_first: false,
                     class,
                     turn,
                     arrived: arrival.arrived,
@@ -196,6 +199,7 @@
             match Exchange::open(node, placed, &self.id, body, delivered).await {
                 Ok(exchange) => {
                     self.exchange = exchange;
+                    self.awaits_first = true;
                     self.node.metrics.retries.inc();
                     let replica = placed.replica;
                     emit(&Event::AnswerResumed { replica, delivered });
@@ -233,7 +237,10 @@
         let now = clock::now();
         let gap = now.since(self.last);
         self.last = now;
-        self.work.token();
+        match std::mem::take(&mut self.awaits_first) {
+            true => self.work.first_token(),
+            false => self.work.token(),
+        }
         let times = &self.node.metrics.between_tokens;
         times.get_or_create(&self.class).observe(gap.as_secs_f64());
     }
--- a/crates/harness/tests/replicas.rs
+++ b/crates/harness/tests/replicas.rs
@@ -68,6 +68,14 @@
         .collect()
 }
 
+/// What is seen from outside, for a failed test.
+fn seen(cluster: &Cluster) -> String {
+    let answer = |id| cluster.caller(NodeId(id), "stall-7").chat("seen?", 1);
+    let answers: Vec<_> = (1..=3).map(answer).collect();
+    let status = cluster.show(NodeId(2), &["status"]);
+    format!("{answers:?}\n{status}\n{}", cluster.logs())
+}
+
 fn controller(cluster: &Cluster, seen_by: NodeId) -> Option<NodeId> {
     let controller = cluster.show(seen_by, &["status"])["controller"].as_u64()?;
     u16::try_from(controller).ok().map(NodeId)
@@ -97,7 +105,7 @@
         let hosts = serving(&cluster);
         hosts.len() == 2 && !hosts.contains(&lost) && is_served(&cluster)
     };
-    assert!(wait_until(UP, repaired), "{}", cluster.logs());
+    assert!(wait_until(UP, repaired), "{}", seen(&cluster));
     // The lost host comes back and is a spare.
     cluster.start_host(HostSpec::new(lost.0, 1)).unwrap();
     let spare = || {
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -149,6 +149,12 @@
         self.slots
     }
 
+    /// Share of all slots that are taken.
+    pub fn fill(&self) -> f64 {
+        let occupied: f64 = self.replicas.iter().map(Replica::occupied).sum();
+        occupied / (self.slots as f64).max(1.0)
+    }
+
     pub fn remember(&mut self, prefix: u64, replica: ReplicaId, limit: usize) {
         self.prefixes.put(prefix, replica, limit);
     }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -223,6 +223,11 @@
         self.pools.get(model).map_or(0, Pool::slots)
     }
 
+    /// Share of the slots over all replicas of a model that are taken, as this node sees it.
+    pub fn fill(&self, model: &ModelName) -> f64 {
+        self.pools.get(model).map_or(0.0, Pool::fill)
+    }
+
     /// Seconds that a request of the model holds a slot.
     pub fn residence(&self, model: &ModelName) -> f64 {
         self.pools.get(model).map_or(1.0, Pool::residence)
