--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -19,7 +19,6 @@
 use base::Fence;
 use base::HostReport;
 use base::Incarnation;
-use base::Load;
 use base::NodeId;
 use base::ReplicaId;
 use base::Time;
@@ -31,6 +30,7 @@
 use plan::Order;
 use plan::Tenure;
 use settings::Settings;
+use wire::BriefLoad;
 
 pub use polls::poll_on;
 
@@ -47,7 +47,7 @@
     controller: RefCell<Controller>,
     ordering: Cell<Option<Fence>>,
     /// The loads that each entry node was told last.
-    told_loads: RefCell<BTreeMap<NodeId, BTreeMap<ReplicaId, Load>>>,
+    told_loads: RefCell<BTreeMap<NodeId, BTreeMap<ReplicaId, BriefLoad>>>,
 }
 
 impl Control {
--- a/crates/daemon/src/control/polls.rs
+++ b/crates/daemon/src/control/polls.rs
@@ -12,6 +12,7 @@
 use base::Time;
 use net::Methods;
 use plan::RoutePoll;
+use wire::BriefLoad;
 use wire::peer::LoadRow;
 use wire::peer::PollRoutes;
 use wire::peer::PolledRoutes;
@@ -60,7 +61,7 @@
     if tells_all(poll) {
         told.clear();
     }
-    let mut is_new = |row: &LoadRow| told.insert(row.0, row.load()) != Some(row.load());
+    let mut is_new = |row: &LoadRow| told.insert(row.replica, row.load) != Some(row.load);
     rows.into_iter().filter(|row| is_new(row)).collect()
 }
 
@@ -72,7 +73,11 @@
     let row = |replica: &plan::ReplicaStatus| {
         let heard = upstreams.host(*replica.hosts.first()?)?;
         let age = now.since(heard.at).as_millis() as u32;
-        Some(LoadRow::of(replica.replica, age, &heard.report.load))
+        Some(LoadRow {
+            replica: replica.replica,
+            age_ms: age,
+            load: BriefLoad::from(&heard.report.load),
+        })
     };
     status.replicas.iter().filter_map(row).collect()
 }
@@ -150,9 +155,9 @@
         heard.at = heard.at.max(sent - UNCHANGED_AGE);
     }
     for row in rows {
-        let at = sent - Duration::from_millis(u64::from(row.1));
-        let row = *row;
-        loads.insert(row.0, HeardLoad { row, at, centre });
+        let at = sent - Duration::from_millis(u64::from(row.age_ms));
+        let load = row.load.into();
+        loads.insert(row.replica, HeardLoad { load, at, centre });
     }
     let now = clock::now();
     loads.retain(|_, heard| now.since(heard.at) < LOAD_LIFE);
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 use base::Fence;
 use base::HostId;
 use base::HostReport;
+use base::Load;
 use base::ModelName;
 use base::NodeId;
 use base::Priority;
@@ -31,7 +32,6 @@
 use base::Time;
 use base::TokenCount;
 use plan::RouteTable;
-use wire::peer::LoadRow;
 
 pub use refresh::configure;
 pub use refresh::dispatch_on;
@@ -70,10 +70,10 @@
 }
 
 /// A load and when it was reported, on this node's clock.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct HeardLoad {
     /// The load.
-    pub row: LoadRow,
+    pub load: Load,
     /// When it was reported.
     pub at: Time,
     /// The replica's data centre.
--- a/crates/daemon/src/dispatch/refresh.rs
+++ b/crates/daemon/src/dispatch/refresh.rs
@@ -104,7 +104,7 @@
         Some(Candidate {
             replica,
             centre: heard.centre,
-            load: heard.row.load(),
+            load: heard.load.clone(),
             age: now.since(heard.at),
             link,
         })
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -73,8 +73,8 @@
         headers: headers.clone(),
     };
     let answer = orders::make(node, request).await;
-    let answer = answer.map_err(|e| not_taken(&e))?;
-    let response = respond(answer)?;
+    let answer = answer.map_err(|e| not_taken(&e).of(&class))?;
+    let response = respond(answer).map_err(|problem| problem.of(&class))?;
     turn.answered();
     let total = clock::now().since(arrival.arrived);
     node.metrics
--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -69,12 +69,13 @@
         org: arrival.caller.org.to_string(),
         class: wish.contract.name.to_string(),
     };
-    let turn = node.count_class(class);
+    let turn = node.count_class(class.clone());
     let is_streamed = chat.stream;
-    let answer = begin(node, arrival, chat, wish, turn).await?;
+    let begun = begin(node, arrival, chat, wish, turn).await;
+    let answer = begun.map_err(|problem| problem.of(&class))?;
     match is_streamed {
         true => Ok(stream(answer)),
-        false => collect(answer).await,
+        false => collect(answer).await.map_err(|problem| problem.of(&class)),
     }
 }
 
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -65,6 +65,8 @@
         Err(problem) => {
             let problem = call::before_ledger(problem, &keyed);
             let labels = RefusalLabels {
+                org: problem.class.org.clone(),
+                class: problem.class.class.clone(),
                 reason: problem.kind.name().to_owned(),
                 ran: problem.ran.to_string(),
             };
--- a/crates/daemon/src/inner/announce.rs
+++ b/crates/daemon/src/inner/announce.rs
@@ -56,8 +56,8 @@
 pub fn hear_beat(node: &Node, beat: &HostBeat) -> bool {
     let mut upstreams = node.upstreams.borrow_mut();
     let Some(report) = upstreams.beat(beat, clock::now()) else {
-        let known = upstreams.host(beat.0);
-        return known.is_some_and(|known| known.report.incarnation.0 as u32 == beat.1);
+        let known = upstreams.host(beat.host);
+        return known.is_some_and(|known| HostBeat::life_of(&known.report) == beat.life);
     };
     node.control.hear(report);
     node.dispatch.hear(report);
--- a/crates/daemon/src/inner/beats.rs
+++ b/crates/daemon/src/inner/beats.rs
@@ -41,7 +41,7 @@
         node.meter.receive_raw(LINE_HEAD_BYTES + line.len() as u64);
         let known = hear_beat(&node, &beat);
         if known {
-            node.relay.borrow_mut().beats.insert(beat.0, beat);
+            node.relay.borrow_mut().beats.insert(beat.host, beat);
         }
         let answer = match known {
             true => BEAT_HEARD,
--- a/crates/daemon/src/inner/relay.rs
+++ b/crates/daemon/src/inner/relay.rs
@@ -56,7 +56,7 @@
             hear_service(&node, report);
         }
         let unknown = relay.beats.iter().filter(|beat| !hear_beat(&node, beat));
-        let unknown = unknown.map(|beat| beat.0).collect();
+        let unknown = unknown.map(|beat| beat.host).collect();
         Ok(Relayed { unknown })
     })
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -16,7 +16,7 @@
 ];
 
 /// A contract and the organisation that pays for it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, EncodeLabelSet)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, EncodeLabelSet)]
 pub struct Class {
     /// The organisation.
     pub org: String,
@@ -27,6 +27,10 @@
 /// A refusal.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RefusalLabels {
+    /// The organisation, empty if the caller is not known.
+    pub org: String,
+    /// The contract or service, empty if none was found.
+    pub class: String,
     /// Why.
     pub reason: String,
     /// Whether the request ran.
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -8,6 +8,7 @@
 use http::Response;
 use serde::Serialize;
 
+use crate::metrics::Class;
 use crate::problem_kind::ProblemKind;
 use base::Ran;
 use net::Body;
@@ -30,6 +31,9 @@
     /// When to come back.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
+    /// The class of the request, once that is known. Only counted.
+    #[serde(skip)]
+    pub class: Class,
 }
 
 impl Problem {
@@ -42,6 +46,7 @@
             ran: Ran::NotRun,
             sent: None,
             retry_after_ms: None,
+            class: Class::default(),
         }
     }
 
@@ -51,6 +56,12 @@
         self
     }
 
+    /// Counts it with a class.
+    pub fn of(mut self, class: &Class) -> Self {
+        self.class = class.clone();
+        self
+    }
+
     /// Says whether this call itself was sent.
     pub fn sent(mut self, sent: bool) -> Self {
         self.sent = Some(sent);
--- a/crates/daemon/src/upstreams.rs
+++ b/crates/daemon/src/upstreams.rs
@@ -71,7 +71,7 @@
     /// Takes a host's beat and gives its report, brought up to date. None if the host or
     /// this life of it is not known, or if the beat is old.
     pub fn beat(&mut self, beat: &HostBeat, now: Time) -> Option<&HostReport> {
-        let known = self.hosts.get_mut(&beat.0)?;
+        let known = self.hosts.get_mut(&beat.host)?;
         if !beat.renew(&mut known.report) {
             return None;
         }
--- /dev/null
+++ b/crates/wire/src/brief.rs
@@ -0,0 +1,41 @@
+//! An engine's load in few bytes.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use base::Load;
+use base::TokenCount;
+use base::TokenRate;
+
+/// An engine's load as running, waiting, prompt tokens to prefill, slots, prefill rate
+/// and token rate, the rates in whole tokens a second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct BriefLoad([u32; 6]);
+
+impl From<&Load> for BriefLoad {
+    fn from(load: &Load) -> Self {
+        Self([
+            load.running,
+            load.waiting,
+            load.prefill.0,
+            load.slots,
+            load.prefill_rate.0 as u32,
+            load.token_rate.0 as u32,
+        ])
+    }
+}
+
+impl From<BriefLoad> for Load {
+    fn from(brief: BriefLoad) -> Self {
+        let [running, waiting, prefill, slots, prefill_rate, token_rate] = brief.0;
+        Self {
+            running,
+            waiting,
+            prefill: TokenCount(prefill),
+            slots,
+            prefill_rate: TokenRate(f64::from(prefill_rate)),
+            token_rate: TokenRate(f64::from(token_rate)),
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,8 +10,10 @@
 pub mod peer;
 pub mod upstream;
 
+mod brief;
 mod call;
 
+pub use brief::BriefLoad;
 pub use call::Call;
 pub use call::Fault;
 pub use call::FaultKind;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,20 +3,18 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::BriefLoad;
 use crate::Call;
 use crate::operator::ReplicaRow;
 use crate::operator::StrandedRow;
 use crate::upstream::HostBeat;
 use base::HostId;
 use base::HostReport;
-use base::Load;
 use base::NodeId;
 use base::OrderKey;
 use base::OrgName;
 use base::ReplicaId;
 use base::ServiceReport;
-use base::TokenCount;
-use base::TokenRate;
 use base::Version;
 use lease::Message;
 use plan::RouteGrant;
@@ -120,45 +118,33 @@
     pub loads: Vec<LoadRow>,
 }
 
-/// A replica's load in few bytes: replica, age in milliseconds, running, waiting,
-/// prefill tokens, slots, prefill rate and token rate, both in whole tokens a second.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LoadRow(
-    pub ReplicaId,
-    pub u32,
-    pub u32,
-    pub u32,
-    pub u32,
-    pub u32,
-    pub u32,
-    pub u32,
-);
-
-impl LoadRow {
-    /// The row of a load that is `age_ms` old.
-    pub fn of(replica: ReplicaId, age_ms: u32, load: &Load) -> Self {
-        Self(
+/// A replica's load. It travels without its fields' names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "LoadFields", into = "LoadFields")]
+pub struct LoadRow {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// How old the load is, in milliseconds.
+    pub age_ms: u32,
+    /// The load.
+    pub load: BriefLoad,
+}
+
+type LoadFields = (ReplicaId, u32, BriefLoad);
+
+impl From<LoadFields> for LoadRow {
+    fn from((replica, age_ms, load): LoadFields) -> Self {
+        Self {
             replica,
             age_ms,
-            load.running,
-            load.waiting,
-            load.prefill.0,
-            load.slots,
-            load.prefill_rate.0 as u32,
-            load.token_rate.0 as u32,
-        )
+            load,
+        }
     }
+}
 
-    /// The load.
-    pub fn load(&self) -> Load {
-        Load {
-            running: self.2,
-            waiting: self.3,
-            prefill: TokenCount(self.4),
-            slots: self.5,
-            prefill_rate: TokenRate(f64::from(self.6)),
-            token_rate: TokenRate(f64::from(self.7)),
-        }
+impl From<LoadRow> for LoadFields {
+    fn from(row: LoadRow) -> Self {
+        (row.replica, row.age_ms, row.load)
     }
 }
 
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -5,14 +5,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::BriefLoad;
 use crate::Call;
 use base::HostId;
 use base::HostReport;
-use base::Load;
 use base::NodeId;
 use base::ServiceReport;
-use base::TokenCount;
-use base::TokenRate;
 
 /// How often an upstream announces itself.
 pub const ANNOUNCE_EVERY: Duration = Duration::from_millis(1_000);
@@ -40,30 +38,53 @@
 /// The answer to a beat of a host whose whole report is needed first. The last one.
 pub const BEAT_UNKNOWN: &str = "unknown";
 
-/// What changes all the time about a host, in few bytes: the host, the lower half of
-/// its incarnation, the report's sequence, and its load as running, waiting, prefill
-/// tokens, slots, prefill rate and token rate, the rates in whole tokens a second.
+/// What changes all the time about a host. It travels without its fields' names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HostBeat(pub HostId, pub u32, pub u64, pub [u32; 6]);
+#[serde(from = "BeatFields", into = "BeatFields")]
+pub struct HostBeat {
+    /// The host.
+    pub host: HostId,
+    /// The lower half of its incarnation.
+    pub life: u32,
+    /// The report's sequence.
+    pub sequence: u64,
+    /// Its load.
+    pub load: BriefLoad,
+}
+
+type BeatFields = (HostId, u32, u64, BriefLoad);
+
+impl From<BeatFields> for HostBeat {
+    fn from((host, life, sequence, load): BeatFields) -> Self {
+        Self {
+            host,
+            life,
+            sequence,
+            load,
+        }
+    }
+}
+
+impl From<HostBeat> for BeatFields {
+    fn from(beat: HostBeat) -> Self {
+        (beat.host, beat.life, beat.sequence, beat.load)
+    }
+}
 
 impl HostBeat {
     /// The beat that stands for a report whose rest is known.
     pub fn of(report: &HostReport) -> Self {
-        let load = &report.load;
-        let load = [
-            load.running,
-            load.waiting,
-            load.prefill.0,
-            load.slots,
-            load.prefill_rate.0 as u32,
-            load.token_rate.0 as u32,
-        ];
-        Self(
-            report.host,
-            report.incarnation.0 as u32,
-            report.sequence,
-            load,
-        )
+        Self {
+            host: report.host,
+            life: Self::life_of(report),
+            sequence: report.sequence,
+            load: BriefLoad::from(&report.load),
+        }
+    }
+
+    /// What a beat says of a host's life.
+    pub fn life_of(report: &HostReport) -> u32 {
+        report.incarnation.0 as u32
     }
 
     /// Whether a beat tells all that is new in a report to one who knows an earlier one.
@@ -76,20 +97,12 @@
 
     /// Brings a known report up to date. False if the beat is of another life, or old.
     pub fn renew(&self, report: &mut HostReport) -> bool {
-        let same_life = report.incarnation.0 as u32 == self.1;
-        if report.host != self.0 || !same_life || self.2 <= report.sequence {
+        let same_life = Self::life_of(report) == self.life;
+        if report.host != self.host || !same_life || self.sequence <= report.sequence {
             return false;
         }
-        let [running, waiting, prefill, slots, prefill_rate, token_rate] = self.3;
-        report.sequence = self.2;
-        report.load = Load {
-            running,
-            waiting,
-            prefill: TokenCount(prefill),
-            slots,
-            prefill_rate: TokenRate(f64::from(prefill_rate)),
-            token_rate: TokenRate(f64::from(token_rate)),
-        };
+        report.sequence = self.sequence;
+        report.load = self.load.into();
         true
     }
 }
