--- a/crates/daemon/src/gossip/demand.rs
+++ b/crates/daemon/src/gossip/demand.rs
@@ -88,14 +88,18 @@
 pub async fn exchange_on(node: Rc<Node>) {
     loop {
         compio::time::sleep(EXCHANGE_EVERY).await;
-        let now = clock::now();
-        let report = node.dispatch.demand(now);
+        let report = node.dispatch.demand(clock::now());
         publish(&node, &report);
-        let reports = heard(&node);
-        node.dispatch.peers(&reports, &alive(&node), now);
+        take(&node);
     }
 }
 
+/// Takes in what other nodes told, as soon as it has come and with each exchange.
+pub fn take(node: &Node) {
+    let reports = heard(node);
+    node.dispatch.peers(&reports, &alive(node), clock::now());
+}
+
 fn publish(node: &Node, report: &DemandReport) {
     let used = |c: &&ContractDemand| 0.0 < c.spent_requests || 0.0 < c.requests;
     let contracts: Vec<_> = report
--- a/crates/daemon/src/gossip/mod.rs
+++ b/crates/daemon/src/gossip/mod.rs
@@ -4,6 +4,7 @@
 mod demand;
 mod seal;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
@@ -53,6 +54,8 @@
     pub members: RefCell<Members>,
     puller: RefCell<Puller>,
     seal: Seal,
+    /// Whether another node told its demand since it was last taken in.
+    demand_told: Cell<bool>,
 }
 
 impl Gossip {
@@ -77,6 +80,7 @@
             members: RefCell::new(Members::open(cfg, clock::now())),
             puller: RefCell::new(Puller::open(seed)),
             seal: Seal::open(settings.secrets.peers.expose()),
+            demand_told: Cell::new(false),
         }
     }
 
@@ -139,6 +143,9 @@
         node.gossip.members.borrow_mut().tick(now);
         send(&node, &socket).await;
         pull(&node);
+        if node.gossip.demand_told.replace(false) {
+            demand::take(&node);
+        }
         compio::time::sleep(TICK).await;
     }
 }
@@ -159,6 +166,9 @@
 fn hear(node: &Rc<Node>) {
     let news = node.gossip.members.borrow_mut().take_news();
     for News { item, .. } in news {
+        if item.kind == Kind::Demand {
+            node.gossip.demand_told.set(true);
+        }
         if item.kind == Kind::Leaving
             && let Ok(host) = u32::try_from(item.key)
         {
--- a/crates/harness/tests/limits.rs
+++ b/crates/harness/tests/limits.rs
@@ -23,7 +23,7 @@
 const RATE: f64 = 2.0;
 const BURST: f64 = 4.0;
 
-/// Time between two exchanges of demand, and for one to get through.
+/// Time between two exchanges of demand, and for one to get through and be taken in.
 const EXCHANGE: f64 = 0.5 + 0.1;
 
 fn ask_on(caller: &Caller) -> usize {
