--- a/crates/admit/tests/exchange.rs
+++ b/crates/admit/tests/exchange.rs
@@ -25,7 +25,7 @@
 use base::TokenRate;
 use route::Candidate;
 
-const NODES: u16 = 6;
+const NODES: u32 = 6;
 const RATE: f64 = 60.0;
 const BURST: u32 = 30;
 
@@ -46,7 +46,7 @@
     }
 }
 
-fn open(node: u16) -> Dispatcher {
+fn open(node: u32) -> Dispatcher {
     let cfg = Config {
         node: NodeId(node),
         incarnation: Incarnation(1),
@@ -72,7 +72,7 @@
 
 /// Asks far beyond the rate at the nodes that `asks` names and exchanges reports among
 /// the nodes that `live` names, for `seconds`. What was admitted.
-fn admitted(asks: &[u16], live: &BTreeSet<NodeId>, seconds: u64) -> u64 {
+fn admitted(asks: &[u32], live: &BTreeSet<NodeId>, seconds: u64) -> u64 {
     let mut nodes: Vec<_> = (0..NODES).map(open).collect();
     let mut reports: BTreeMap<NodeId, DemandReport> = BTreeMap::new();
     let mut admitted = 0;
@@ -81,14 +81,14 @@
         if ms.is_multiple_of(100) {
             let heard: Vec<_> = reports.values().cloned().collect();
             for node in live {
-                let dispatcher = &mut nodes[usize::from(node.0)];
+                let dispatcher = &mut nodes[node.0 as usize];
                 dispatcher.peers(&heard, live, now);
                 reports.insert(*node, dispatcher.demand(now));
             }
         }
         for node in asks {
             let request = RequestId(ms);
-            let decision = nodes[usize::from(*node)].arrive(Arrival {
+            let decision = nodes[*node as usize].arrive(Arrival {
                 request,
                 contract: "quotes".parse().unwrap(),
                 prompt: TokenCount(10),
@@ -98,15 +98,15 @@
             });
             if matches!(decision, Decision::Send { .. }) {
                 admitted += 1;
-                nodes[usize::from(*node)].first_token(request, now);
-                nodes[usize::from(*node)].finished(request, now);
+                nodes[*node as usize].first_token(request, now);
+                nodes[*node as usize].finished(request, now);
             }
         }
     }
     admitted
 }
 
-fn set(nodes: impl IntoIterator<Item = u16>) -> BTreeSet<NodeId> {
+fn set(nodes: impl IntoIterator<Item = u32>) -> BTreeSet<NodeId> {
     nodes.into_iter().map(NodeId).collect()
 }
 
--- a/crates/admit/tests/limits.rs
+++ b/crates/admit/tests/limits.rs
@@ -75,7 +75,7 @@
             let live = self.sides.iter().filter(|s| **s == Some(side)).count();
             self.buckets[at].exchange(&heard, live, scale, now);
             let said = PeerUse {
-                node: NodeId(at as u16),
+                node: NodeId(at as u32),
                 incarnation: Incarnation(self.lives[at]),
                 demand: self.buckets[at].demand(),
                 spent: self.buckets[at].spent(),
--- a/crates/admit/tests/recovery.rs
+++ b/crates/admit/tests/recovery.rs
@@ -22,7 +22,7 @@
 use base::TokenRate;
 use route::Candidate;
 
-const NODES: u16 = 3;
+const NODES: u32 = 3;
 
 fn model() -> ModelName {
     "m".parse().unwrap()
@@ -58,7 +58,7 @@
     }
 }
 
-fn open(node: u16) -> Dispatcher {
+fn open(node: u32) -> Dispatcher {
     let cfg = Config {
         node: NodeId(node),
         ..Config::default()
--- a/crates/admit/tests/shares.rs
+++ b/crates/admit/tests/shares.rs
@@ -89,7 +89,7 @@
             .collect();
         let open = |node: usize| {
             let cfg = Config {
-                node: NodeId(node as u16),
+                node: NodeId(node as u32),
                 ..Config::default()
             };
             let mut dispatcher = Dispatcher::open(cfg, node as u64);
@@ -135,7 +135,7 @@
 
     fn exchange(&mut self, now: Time) {
         let reports: Vec<DemandReport> = self.nodes.iter_mut().map(|n| n.demand(now)).collect();
-        let live: BTreeSet<_> = (0..NODES).map(|node| NodeId(node as u16)).collect();
+        let live: BTreeSet<_> = (0..NODES).map(|node| NodeId(node as u32)).collect();
         for node in &mut self.nodes {
             node.peers(&reports, &live, now);
         }
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -64,11 +64,11 @@
 
 id!(
     /// A node of the system: one `berylbayd` process.
-    NodeId, u16, "n"
+    NodeId, u32, "n"
 );
 id!(
     /// A data centre.
-    CentreId, u16, "dc"
+    CentreId, u32, "dc"
 );
 id!(
     /// A fabric domain, unique within its data centre.
--- a/crates/bench/src/config/members.rs
+++ b/crates/bench/src/config/members.rs
@@ -17,7 +17,7 @@
 use crate::report::Table;
 
 /// Data centres and nodes in each.
-const SIZES: [(u16, u16); 4] = [(3, 3), (3, 10), (6, 15), (20, 17)];
+const SIZES: [(u32, u32); 4] = [(3, 3), (3, 10), (6, 15), (20, 17)];
 
 /// Changes a day, at the target.
 const CHANGES_A_DAY: f64 = 40_000.0;
@@ -46,7 +46,7 @@
     vec![costs(&spent), slopes(&spent)]
 }
 
-type Costs = [((u16, u16), [Spent; 2])];
+type Costs = [((u32, u32), [Spent; 2])];
 
 fn in_force(seed: u64) -> Table {
     let columns = [
@@ -79,7 +79,7 @@
 
 /// The naive way: each node asks one voter in turn, whether or not there is
 /// something new.
-fn polled_row(load: &str, nodes: u16, seed: u64, changes: &[Duration]) -> Vec<String> {
+fn polled_row(load: &str, nodes: u32, seed: u64, changes: &[Duration]) -> Vec<String> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let phases = (0..nodes).map(|_| POLL_EVERY.mul_f64(rng.f64()));
     let phases: Vec<Duration> = phases.collect();
@@ -106,7 +106,7 @@
     times.collect()
 }
 
-fn in_force_row(load: &str, size: (u16, u16), seed: u64, changes: &[Duration]) -> Vec<String> {
+fn in_force_row(load: &str, size: (u32, u32), seed: u64, changes: &[Duration]) -> Vec<String> {
     let mut fleet = Fleet::open(size, Load::None, seed);
     for at in changes {
         fleet.change_at(*at);
@@ -120,7 +120,7 @@
 
 fn row_of(
     load: &str,
-    nodes: u16,
+    nodes: u32,
     changes: usize,
     mut waits: Vec<Duration>,
     asks: f64,
@@ -142,7 +142,7 @@
     ]
 }
 
-fn spent(size: (u16, u16), load: Load, seed: u64) -> Spent {
+fn spent(size: (u32, u32), load: Load, seed: u64) -> Spent {
     let mut fleet = Fleet::open(size, load, seed);
     let span = Duration::from_secs(if size.0 < 20 { 60 } else { 12 });
     let changes = (span.as_secs_f64() * CHANGES_A_DAY / 86_400.0) as u32;
@@ -186,7 +186,7 @@
     table
 }
 
-fn cost_row(nodes: u16, load: &str, spent: &Spent) -> Vec<String> {
+fn cost_row(nodes: u32, load: &str, spent: &Spent) -> Vec<String> {
     vec![
         nodes.to_string(),
         load.to_owned(),
--- a/crates/bench/src/config/members/fleet.rs
+++ b/crates/bench/src/config/members/fleet.rs
@@ -80,7 +80,7 @@
 impl Fleet {
     /// Starts all nodes at once. The first nodes of the first three data
     /// centres vote.
-    pub fn open((centres, per_centre): (u16, u16), load: Load, seed: u64) -> Self {
+    pub fn open((centres, per_centre): (u32, u32), load: Load, seed: u64) -> Self {
         let mut fleet = Self {
             seats: Vec::new(),
             voters: (0..centres.min(3))
@@ -260,7 +260,7 @@
 
     fn count_reports(&mut self, at: usize, news: &[News]) {
         for report in news.iter().filter(|news| news.item.kind == Kind::Loads) {
-            let origin = usize::from(report.origin.0);
+            let origin = report.origin.0 as usize;
             let age = self.now - self.seats[origin].published_at;
             let is_counted = self.reset_at <= self.seats[origin].published_at;
             self.seats[at].in_time += usize::from(is_counted && age < REPORT_US);
@@ -278,7 +278,7 @@
         let mut packets = Vec::new();
         self.timed(at, |seat, now| packets = seat.members.take(now));
         for packet in packets {
-            let to = usize::from(packet.to.0);
+            let to = packet.to.0 as usize;
             self.seats[at].sent += packet.bytes.len() + OVERHEAD_BYTES;
             self.seats[at].datagrams += 1;
             if let Some(delay) = self.delay(at, to) {
@@ -300,7 +300,7 @@
         let version = Version(self.versions.len() as u64 + 1);
         self.versions.push((self.now, 0, self.now));
         for voter in self.voters.clone() {
-            let at = usize::from(voter.0);
+            let at = voter.0 as usize;
             self.set_version(at, version);
             self.flush(at);
         }
@@ -335,7 +335,7 @@
             return;
         };
         self.asks += 1;
-        let to = usize::from(to.0);
+        let to = to.0 as usize;
         if let Some(delay) = self.delay(at, to) {
             self.put(self.now + delay, Event::Ask(at, to));
         }
--- a/crates/bench/src/config/members/mesh.rs
+++ b/crates/bench/src/config/members/mesh.rs
@@ -21,7 +21,7 @@
 const SECONDS: u64 = 20;
 
 /// What a full mesh costs a node.
-pub fn spent(nodes: u16, load: Load) -> Spent {
+pub fn spent(nodes: u32, load: Load) -> Spent {
     let others = f64::from(nodes - 1);
     let heartbeat = (HEARTBEAT_BYTES + OVERHEAD_BYTES) as f64;
     let report = match load {
@@ -42,12 +42,12 @@
     }
 }
 
-fn core(nodes: u16, load: Load) -> f64 {
+fn core(nodes: u32, load: Load) -> f64 {
     let body = match load {
         Load::None => 0,
         Load::Reports => (Load::LOADS_BYTES + Load::DEMAND_BYTES) / REPORT_S as usize,
     };
-    let mut known: BTreeMap<u16, Vec<u8>> = BTreeMap::new();
+    let mut known: BTreeMap<u32, Vec<u8>> = BTreeMap::new();
     let begun = Instant::now();
     for second in 0..SECONDS {
         for other in 1..nodes {
@@ -56,7 +56,7 @@
             datagram.extend([second; 3].map(u64::to_le_bytes).concat());
             datagram.resize(HEARTBEAT_BYTES + body, 0);
             let received = black_box(datagram);
-            let from = u16::from_le_bytes([received[0], received[1]]);
+            let from = u32::from_le_bytes([received[0], received[1], received[2], received[3]]);
             known.insert(from, received);
         }
     }
--- a/crates/bench/src/config/voters/cost.rs
+++ b/crates/bench/src/config/voters/cost.rs
@@ -39,7 +39,7 @@
 }
 
 /// Bytes sent by the leader and by a follower, and microseconds of a voter.
-fn change(size: u16, bytes: usize, seed: u64) -> (f64, f64, f64) {
+fn change(size: u32, bytes: usize, seed: u64) -> (f64, f64, f64) {
     let mut sim = Sim::open(size, Wire::Json, seed);
     let leader = sim.settle();
     let command = vec![7; bytes];
--- a/crates/bench/src/config/voters/fault.rs
+++ b/crates/bench/src/config/voters/fault.rs
@@ -67,7 +67,7 @@
     table
 }
 
-fn lose_leader(size: u16, seed: u64) -> Duration {
+fn lose_leader(size: u32, seed: u64) -> Duration {
     let mut sim = Sim::open(size, Wire::Plain, seed);
     let leader = sim.settle();
     sim.propose(leader, &COMMAND);
--- a/crates/bench/src/config/voters/sim.rs
+++ b/crates/bench/src/config/voters/sim.rs
@@ -65,10 +65,10 @@
 }
 
 impl Sim {
-    pub fn open(size: u16, wire: Wire, seed: u64) -> Self {
+    pub fn open(size: u32, wire: Wire, seed: u64) -> Self {
         let mut rng = Rng::with_seed(seed);
         let now = Time::from_millis(1_000);
-        let node = |id: u16| {
+        let node = |id: u32| {
             let disk = DiskId(rng.u64(1..));
             let cfg = Config::new(NodeId(id), disk, (1..=size).map(NodeId));
             let node = Node {
--- a/crates/bench/src/crest/decide.rs
+++ b/crates/bench/src/crest/decide.rs
@@ -118,7 +118,7 @@
 fn candidates(size: usize, rng: &mut fastrand::Rng) -> Vec<Candidate> {
     let candidate = |at: usize| Candidate {
         replica: ReplicaId(at as u64),
-        centre: CentreId((at % 20) as u16),
+        centre: CentreId((at % 20) as u32),
         load: Load {
             running: rng.u32(20..32),
             slots: 32,
--- a/crates/bench/src/downtime/planning.rs
+++ b/crates/bench/src/downtime/planning.rs
@@ -38,7 +38,7 @@
 const DOMAIN_HOSTS: usize = 32;
 const RUNS: usize = 5;
 /// Entry nodes that poll one data centre: 340 over 20.
-const POLLERS: u16 = 17;
+const POLLERS: u32 = 17;
 
 /// Planning time from nothing, for a lost replica, and where moves are needed.
 pub fn table(seed: u64) -> Table {
@@ -265,7 +265,7 @@
 
     /// The answer to a node that has nothing yet.
     fn first_answer_bytes(&mut self) -> usize {
-        let mut table = RouteTable::open(NodeId(u16::MAX), Incarnation(1));
+        let mut table = RouteTable::open(NodeId(u32::MAX), Incarnation(1));
         let poll = table.poll(CENTRE, self.now);
         let grant = self.controller.routes(&poll, self.now);
         grant.map_or(0, |grant| {
--- a/crates/bench/src/load/node.rs
+++ b/crates/bench/src/load/node.rs
@@ -26,10 +26,10 @@
         Policy::Limit => Beyond::Refuse,
         Policy::Lend | Policy::Perfect | Policy::RoundRobin => Beyond::Lend,
     };
-    let count = node_count(run.policy) as u16;
-    let nodes = (0..count).map(|n| (NodeId(n), CentreId(n % CENTRES as u16)));
+    let count = node_count(run.policy) as u32;
+    let nodes = (0..count).map(|n| (NodeId(n), CentreId(n % CENTRES as u32)));
     let cfg = Config {
-        node: NodeId(node as u16),
+        node: NodeId(node as u32),
         incarnation: Incarnation(1),
         nodes: nodes.collect(),
         beyond,
--- a/crates/bench/src/load/world/links.rs
+++ b/crates/bench/src/load/world/links.rs
@@ -59,7 +59,7 @@
     pub(super) fn candidate(&self, node: usize, replica: usize, load: &Load) -> Candidate {
         Candidate {
             replica: ReplicaId(replica as u64),
-            centre: CentreId((replica % CENTRES) as u16),
+            centre: CentreId((replica % CENTRES) as u32),
             load: load.clone(),
             age: self.lag(),
             link: self.link(node, replica),
@@ -107,7 +107,7 @@
             let seen: Vec<_> = (0..self.nodes.len())
                 .filter(|n| self.is_linked(node, *n))
                 .collect();
-            let live: BTreeSet<_> = seen.iter().map(|n| NodeId(*n as u16)).collect();
+            let live: BTreeSet<_> = seen.iter().map(|n| NodeId(*n as u32)).collect();
             let said = seen.iter().filter_map(|n| self.reports.get(n));
             let said: Vec<_> = said.cloned().collect();
             self.nodes[node].peers(&said, &live, self.now);
--- a/crates/bench/src/nodes.rs
+++ b/crates/bench/src/nodes.rs
@@ -103,7 +103,7 @@
 }
 
 /// One voter in each data centre, and two further entry nodes.
-fn node(id: u16) -> NodeSpec {
+fn node(id: u32) -> NodeSpec {
     let centre = (id - 1) % 3 + 1;
     match id <= 3 {
         true => NodeSpec::voter(id, centre),
@@ -111,7 +111,7 @@
     }
 }
 
-fn host_spec(centre: u16, host: u32) -> HostSpec {
+fn host_spec(centre: u32, host: u32) -> HostSpec {
     HostSpec {
         domain: DomainId(host / DOMAIN_HOSTS),
         ..HostSpec::new(u32::from(centre) * 1_000 + host, centre)
--- a/crates/bench/src/order/claim.rs
+++ b/crates/bench/src/order/claim.rs
@@ -30,7 +30,7 @@
         body: Digest([n as u8; 32]),
         service: "orders".parse().expect("a name"),
         attempt: AttemptId {
-            node: NodeId((n % 9) as u16),
+            node: NodeId((n % 9) as u32),
             incarnation: Incarnation(1),
             sequence: n / 9,
         },
--- a/crates/bench/src/order/voters.rs
+++ b/crates/bench/src/order/voters.rs
@@ -204,9 +204,9 @@
             ..
         } = self.nodes[at].voter.take();
         for Outgoing { to, message } in sends {
-            let to = usize::from(to.0) - 1;
+            let to = to.0 as usize - 1;
             let wait = self.way(at, to);
-            let from = NodeId(at as u16 + 1);
+            let from = NodeId(at as u32 + 1);
             self.after(wait, Happening::Message(to, from, message));
         }
         committed.iter().for_each(|entry| self.apply(at, entry));
--- a/crates/daemon/src/control/lease_link.rs
+++ b/crates/daemon/src/control/lease_link.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::clock;
 use crate::node::Node;
 use base::NodeId;
 use lease::Output;
 use net::Methods;
+use quorum::clock;
 use wire::peer::LeaseAnswer;
 use wire::peer::LeaseMessage;
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -12,7 +12,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::clock;
 use crate::events::Event;
 use crate::events::emit;
 use crate::node::Node;
@@ -29,6 +28,7 @@
 use plan::Controller;
 use plan::Order;
 use plan::Tenure;
+use quorum::clock;
 use settings::Settings;
 use wire::BriefLoad;
 
--- a/crates/daemon/src/control/orders.rs
+++ b/crates/daemon/src/control/orders.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::clock;
 use crate::events::Event;
 use crate::events::emit;
 use crate::node::Node;
@@ -13,6 +12,7 @@
 use plan::Action;
 use plan::Order;
 use plan::OrderOutcome;
+use quorum::clock;
 use wire::engine::EngineAction;
 use wire::engine::EngineOrder;
 use wire::engine::GroupHost;
--- a/crates/daemon/src/control/polls.rs
+++ b/crates/daemon/src/control/polls.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::clock;
 use crate::dispatch::HeardLoad;
 use crate::node::Node;
 use base::CentreId;
@@ -12,6 +11,7 @@
 use base::Time;
 use net::Methods;
 use plan::RoutePoll;
+use quorum::clock;
 use wire::BriefLoad;
 use wire::peer::LoadRow;
 use wire::peer::PollRoutes;
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -11,7 +11,6 @@
 
 use async_channel::Sender;
 
-use crate::clock;
 use crate::node::Node;
 use crate::problem::Problem;
 use admit::Arrival;
@@ -32,6 +31,7 @@
 use base::Time;
 use base::TokenCount;
 use plan::RouteTable;
+use quorum::clock;
 
 pub use refresh::configure;
 pub use refresh::dispatch_on;
--- a/crates/daemon/src/dispatch/refresh.rs
+++ b/crates/daemon/src/dispatch/refresh.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::clock;
 use crate::dispatch::Dispatch;
 use crate::node::Node;
 use base::CentreId;
 use base::Contract;
 use base::ModelName;
 use base::Time;
+use quorum::clock;
 use route::Candidate;
 
 /// How often the dispatcher looks at its queue while something waits.
--- a/crates/daemon/src/dispatch/work.rs
+++ b/crates/daemon/src/dispatch/work.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::clock;
 use crate::dispatch::Placed;
 use crate::dispatch::refresh::decide;
 use crate::entry::Break;
@@ -14,6 +13,7 @@
 use admit::Failure;
 use admit::Reason;
 use base::RequestId;
+use quorum::clock;
 
 /// A request that was admitted. Dropped before its end, it counts as cancelled.
 #[derive(Debug)]
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -11,7 +11,6 @@
 use http::Response;
 use http::StatusCode;
 
-use crate::clock;
 use crate::entry::Arrival;
 use crate::entry::orders;
 use crate::metrics::Class;
@@ -32,6 +31,7 @@
 use order::Others;
 use order::Refusal;
 use order::Sent;
+use quorum::clock;
 use rules::Repeat;
 use rules::Service;
 use state::Body as StoredBody;
--- a/crates/daemon/src/entry/chat.rs
+++ b/crates/daemon/src/entry/chat.rs
@@ -8,7 +8,6 @@
 use futures_util::select_biased;
 use http::Response;
 
-use crate::clock;
 use crate::dispatch;
 use crate::dispatch::Placed;
 use crate::dispatch::Wish;
@@ -36,6 +35,7 @@
 use base::Time;
 use net::Body;
 use net::BodySender;
+use quorum::clock;
 
 /// How often one answer is resumed after its link broke.
 const MOST_RESUMES: u32 = 3;
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -24,7 +24,6 @@
 use http::request::Parts;
 use hyper::body::Incoming;
 
-use crate::clock;
 use crate::metrics::RefusalLabels;
 use crate::node::Node;
 use crate::node::Phase;
@@ -35,6 +34,7 @@
 use net::Bounds;
 use net::Server;
 use net::read_body;
+use quorum::clock;
 
 /// Listens for callers.
 pub async fn bind(node: &Rc<Node>) -> std::io::Result<Server> {
--- a/crates/daemon/src/entry/orders.rs
+++ b/crates/daemon/src/entry/orders.rs
@@ -15,7 +15,6 @@
 use compio::runtime::JoinHandle;
 use http::HeaderMap;
 
-use crate::clock;
 use crate::entry::service;
 use crate::entry::service::Declined;
 use crate::events;
@@ -38,6 +37,7 @@
 use order::Refusal;
 use order::Sent;
 use order::Step;
+use quorum::clock;
 use state::ClaimReply;
 use state::Op;
 use state::Reply;
--- a/crates/daemon/src/gossip/demand.rs
+++ b/crates/daemon/src/gossip/demand.rs
@@ -10,7 +10,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::clock;
 use crate::fnv;
 use crate::node::Node;
 use admit::ContractDemand;
@@ -27,6 +26,7 @@
 use members::News;
 use members::Scope;
 use members::Standing;
+use quorum::clock;
 use rules::Rules;
 
 /// How often demand is told.
--- a/crates/daemon/src/gossip/mod.rs
+++ b/crates/daemon/src/gossip/mod.rs
@@ -12,7 +12,6 @@
 
 use compio::net::UdpSocket;
 
-use crate::clock;
 use crate::gossip::seal::Seal;
 use crate::inner::pull_from;
 use crate::node::Node;
@@ -31,6 +30,7 @@
 use members::Scope;
 use members::Source;
 use members::Timing;
+use quorum::clock;
 use settings::Settings;
 
 pub use demand::EXCHANGE_EVERY;
--- a/crates/daemon/src/gossip/seal.rs
+++ b/crates/daemon/src/gossip/seal.rs
@@ -10,7 +10,7 @@
 const TAG_BYTES: usize = 16;
 
 /// Bytes of the sender's id.
-const ID_BYTES: usize = 2;
+const ID_BYTES: usize = 4;
 
 /// Bytes that sealing adds.
 pub const BYTES: usize = TAG_BYTES + ID_BYTES;
@@ -47,7 +47,7 @@
         mac.update(id);
         mac.update(bytes);
         mac.verify_truncated_left(tag).ok()?;
-        let id = u16::from_be_bytes(id.try_into().ok()?);
+        let id = u32::from_be_bytes(id.try_into().ok()?);
         Some((NodeId(id), bytes))
     }
 
--- a/crates/daemon/src/inner/announce.rs
+++ b/crates/daemon/src/inner/announce.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use crate::clock;
 use crate::events::Event;
 use crate::events::emit;
 use crate::node::Node;
@@ -10,6 +9,7 @@
 use base::HostReport;
 use base::ServiceReport;
 use net::Methods;
+use quorum::clock;
 use wire::upstream::AnnounceHost;
 use wire::upstream::AnnounceService;
 use wire::upstream::Heard;
--- a/crates/daemon/src/inner/operate.rs
+++ b/crates/daemon/src/inner/operate.rs
@@ -5,12 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::clock;
 use crate::inner::status;
 use crate::node::Node;
 use crate::voters;
 use crate::voters::Fate;
 use net::Methods;
+use quorum::clock;
 use rules::Rules;
 use state::Change;
 use state::ChangeReply;
--- a/crates/daemon/src/inner/relay.rs
+++ b/crates/daemon/src/inner/relay.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::clock;
 use crate::events::Event;
 use crate::events::emit;
 use crate::inner::announce::hear_beat;
@@ -20,6 +19,7 @@
 use base::ServiceName;
 use base::ServiceReport;
 use net::Methods;
+use quorum::clock;
 use wire::peer::Relay;
 use wire::peer::Relayed;
 use wire::upstream::HostBeat;
--- a/crates/daemon/src/inner/status.rs
+++ b/crates/daemon/src/inner/status.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::clock;
 use crate::node::Node;
 use crate::node::Phase;
 use base::NodeId;
 use members::Generation;
 use net::Methods;
+use quorum::clock;
 use wire::operator::ClassRow;
 use wire::operator::NodeRow;
 use wire::operator::ReplicaRow;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,5 @@
 //! `berylbayd`, one node of the system: `berylbayd --settings FILE`.
 
-mod clock;
 mod control;
 mod dispatch;
 mod entry;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::clock;
 use crate::control::Control;
 use crate::dispatch::Dispatch;
 use crate::entry::Orders;
@@ -17,7 +16,6 @@
 use crate::metrics::Class;
 use crate::metrics::Metrics;
 use crate::upstreams::Upstreams;
-use crate::voters::Voters;
 use base::Incarnation;
 use base::NodeId;
 use base::ReplicaId;
@@ -25,6 +23,8 @@
 use base::Version;
 use net::Meter;
 use net::RpcClient;
+use quorum::Voters;
+use quorum::clock;
 use rules::Rules;
 use settings::Settings;
 
--- a/crates/daemon/src/voters/group.rs
+++ b/crates/daemon/src/voters/group.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::clock;
 use crate::node::Node;
-use crate::voters::Voters;
 use crate::voters::driver::step;
 use base::DiskId;
 use base::NodeId;
 use net::Methods;
 use net::RpcError;
+use quorum::Voters;
+use quorum::clock;
 use vote::Change;
 use vote::ChangeError;
 use vote::Duty;
--- a/crates/daemon/src/voters/mod.rs
+++ b/crates/daemon/src/voters/mod.rs
@@ -1,13 +1,11 @@
 //! The durable state: this node's part among the voters, and the way to it for
 //! nodes that are none.
 
-mod disk_writer;
 mod driver;
 mod group;
 mod propose;
 mod rpc;
 
-pub use driver::Voters;
 pub use driver::drive_on;
 pub use driver::hand_over;
 pub use driver::open;
--- a/crates/daemon/src/voters/propose.rs
+++ b/crates/daemon/src/voters/propose.rs
@@ -5,7 +5,6 @@
 
 use compio::time::timeout;
 
-use crate::clock;
 use crate::node::Node;
 use crate::voters::driver::step;
 use base::NodeId;
@@ -13,6 +12,7 @@
 use base::OrgName;
 use base::Time;
 use net::RpcError;
+use quorum::clock;
 use state::Op;
 use state::Reply;
 use vote::Blob;
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -217,7 +217,7 @@
     /// The node that leads the voters, as another one sees it.
     pub fn leader(&self, seen_by: NodeId) -> Option<NodeId> {
         let leader = self.show(seen_by, &["status"])["leader"].as_u64()?;
-        u16::try_from(leader).ok().map(NodeId)
+        u32::try_from(leader).ok().map(NodeId)
     }
 
     /// The version of the configuration in force at a node.
--- a/crates/harness/src/spec.rs
+++ b/crates/harness/src/spec.rs
@@ -71,7 +71,7 @@
 
 impl NodeSpec {
     /// A voter.
-    pub fn voter(id: u16, centre: u16) -> Self {
+    pub fn voter(id: u32, centre: u32) -> Self {
         Self {
             id: NodeId(id),
             centre: CentreId(centre),
@@ -81,7 +81,7 @@
     }
 
     /// An entry node without a disk.
-    pub fn entry(id: u16, centre: u16) -> Self {
+    pub fn entry(id: u32, centre: u32) -> Self {
         Self {
             id: NodeId(id),
             centre: CentreId(centre),
@@ -99,7 +99,7 @@
 
 impl HostSpec {
     /// A host that refuses old orders, in the first domain of its data centre.
-    pub fn new(id: u32, centre: u16) -> Self {
+    pub fn new(id: u32, centre: u32) -> Self {
         Self {
             id: HostId(id),
             centre: CentreId(centre),
@@ -158,7 +158,7 @@
 
 impl ServiceSpec {
     /// A service that answers quickly.
-    pub fn new(name: &str, centre: u16) -> Self {
+    pub fn new(name: &str, centre: u32) -> Self {
         Self {
             name: name.to_owned(),
             centre: CentreId(centre),
--- a/crates/harness/tests/replicas.rs
+++ b/crates/harness/tests/replicas.rs
@@ -78,7 +78,7 @@
 
 fn controller(cluster: &Cluster, seen_by: NodeId) -> Option<NodeId> {
     let controller = cluster.show(seen_by, &["status"])["controller"].as_u64()?;
-    u16::try_from(controller).ok().map(NodeId)
+    u32::try_from(controller).ok().map(NodeId)
 }
 
 #[test]
--- a/crates/lease/tests/schedules.rs
+++ b/crates/lease/tests/schedules.rs
@@ -56,22 +56,22 @@
             world.restart(at);
         }
         _ => {
-            let other = world.rng.u16(0..size as u16);
-            world.cut(at as u16, other, span);
+            let other = world.rng.u32(0..size as u32);
+            world.cut(at as u32, other, span);
         }
     }
 }
 
 fn isolate(world: &mut World, at: usize, span: Duration) {
-    for other in (0..world.nodes.len() as u16).filter(|other| usize::from(*other) != at) {
-        world.cut(at as u16, other, span);
-        world.cut(other, at as u16, span);
+    for other in (0..world.nodes.len() as u32).filter(|other| *other as usize != at) {
+        world.cut(at as u32, other, span);
+        world.cut(other, at as u32, span);
     }
 }
 
 fn one_way(world: &mut World, at: usize, span: Duration) {
-    for other in (0..world.nodes.len() as u16).filter(|other| usize::from(*other) != at) {
-        world.cut(other, at as u16, span);
+    for other in (0..world.nodes.len() as u32).filter(|other| *other as usize != at) {
+        world.cut(other, at as u32, span);
     }
 }
 
--- a/crates/lease/tests/world/mod.rs
+++ b/crates/lease/tests/world/mod.rs
@@ -67,7 +67,7 @@
 }
 
 impl World {
-    pub fn open(size: u16, seed: u64, faults: Faults) -> Self {
+    pub fn open(size: u32, seed: u64, faults: Faults) -> Self {
         Self::with(Config::of((0..size).map(NodeId)), seed, faults)
     }
 
@@ -146,7 +146,7 @@
         self.net = later;
         let due: Vec<(u64, NodeId, NodeId, Message)> = due;
         for (_, from, to, message) in due {
-            self.nodes[usize::from(to.0)].inbox.push((from, message));
+            self.nodes[to.0 as usize].inbox.push((from, message));
         }
     }
 
@@ -259,7 +259,7 @@
     }
 
     /// Cuts what goes from one node to another.
-    pub fn cut(&mut self, from: u16, to: u16, span: Duration) {
+    pub fn cut(&mut self, from: u32, to: u32, span: Duration) {
         let until = self.now + span.as_micros() as u64;
         self.cut.insert((NodeId(from), NodeId(to)), until);
     }
--- a/crates/members/tests/items.rs
+++ b/crates/members/tests/items.rs
@@ -33,7 +33,7 @@
     }
 }
 
-fn settled(centres: u16, per_centre: u16, seed: u64) -> World {
+fn settled(centres: u32, per_centre: u32, seed: u64) -> World {
     println!("seed {seed}");
     let mut world = World::open(centres, per_centre, seed, CALM);
     let wait = world.until(Duration::from_secs(25), World::is_settled);
@@ -48,7 +48,7 @@
 
 fn body(world: &World, viewer: usize, origin: usize, kind: Kind) -> Option<Vec<u8>> {
     let items = world.nodes[viewer].members.items(kind, world.time());
-    let from = NodeId(origin as u16);
+    let from = NodeId(origin as u32);
     items
         .into_iter()
         .find(|n| n.origin == from)
@@ -296,7 +296,7 @@
 
 quickcheck! {
     /// Only a whole header says something, and only about its sender.
-    fn random_datagrams_bring_no_members_and_no_items(bytes: Vec<u8>, from: u16) -> bool {
+    fn random_datagrams_bring_no_members_and_no_items(bytes: Vec<u8>, from: u32) -> bool {
         let mut world = World::open(1, 3, 1, CALM);
         let now = world.time();
         let from = NodeId(from % 5);
--- a/crates/members/tests/membership.rs
+++ b/crates/members/tests/membership.rs
@@ -20,7 +20,7 @@
 /// Longest time until all that can reach each other see each other as alive.
 const RETURN_BOUND: Duration = Duration::from_secs(25);
 
-fn settled(centres: u16, per_centre: u16, seed: u64) -> World {
+fn settled(centres: u32, per_centre: u32, seed: u64) -> World {
     println!("seed {seed}");
     let mut world = World::open(centres, per_centre, seed, CALM);
     let wait = world.until(RETURN_BOUND, World::is_settled);
@@ -307,7 +307,7 @@
         return;
     }
     for view in node.members.view(world.time()) {
-        let of = usize::from(view.peer.node.0);
+        let of = view.peer.node.0 as usize;
         assert!(known[of] <= view.generation, "{viewer} went back on {of}");
         assert!(view.generation.incarnation.0 <= world.nodes[of].life);
         known[of] = view.generation;
--- a/crates/members/tests/pull.rs
+++ b/crates/members/tests/pull.rs
@@ -41,7 +41,7 @@
 }
 
 impl Pulls {
-    fn open(centres: u16, per_centre: u16, seed: u64) -> Self {
+    fn open(centres: u32, per_centre: u32, seed: u64) -> Self {
         println!("seed {seed}");
         let mut world = World::open(centres, per_centre, seed, CALM);
         let wait = world.until(Duration::from_secs(25), World::is_settled);
@@ -64,7 +64,7 @@
     /// The voters accept a version.
     fn accept(&mut self, version: Version) {
         for voter in self.voters.clone() {
-            self.put(usize::from(voter.0), version);
+            self.put(voter.0 as usize, version);
         }
     }
 
@@ -80,7 +80,7 @@
         self.world.step();
         self.answer();
         for at in 0..self.pullers.len() {
-            if self.world.is_running(at) && !self.voters.contains(&NodeId(at as u16)) {
+            if self.world.is_running(at) && !self.voters.contains(&NodeId(at as u32)) {
                 self.pull(at);
             }
         }
@@ -94,7 +94,7 @@
             return;
         };
         let (Source::Mate(to) | Source::Voter(to)) = source;
-        let answerer = usize::from(to.0);
+        let answerer = to.0 as usize;
         if let Source::Voter(_) = source {
             *self
                 .second
@@ -105,7 +105,7 @@
     }
 
     fn carry(&mut self, asker: usize, answerer: usize, answer: Option<Version>) {
-        let [a, b] = [asker, answerer].map(|at| NodeId(at as u16));
+        let [a, b] = [asker, answerer].map(|at| NodeId(at as u32));
         let is_cut = self.world.cuts.contains(&(a, b)) || self.world.cuts.contains(&(b, a));
         if is_cut || self.world.rng.f64() < self.loss {
             return;
@@ -218,7 +218,7 @@
     for seed in seeds(6) {
         let mut pulls = Pulls::open(3, 4, seed);
         pulls.accept(Version(1));
-        let first = usize::from(pulls.voters[0].0);
+        let first = pulls.voters[0].0 as usize;
         pulls.world.crash(first);
         let others: Vec<usize> = (0..12).filter(|at| *at != first).collect();
         pulls.until_in_force(&others, Version(1));
--- a/crates/members/tests/world/mod.rs
+++ b/crates/members/tests/world/mod.rs
@@ -62,7 +62,7 @@
     sizes: BTreeMap<NodeId, Vec<usize>>,
 }
 
-pub fn peer(node: u16, per_centre: u16) -> Peer {
+pub fn peer(node: u32, per_centre: u32) -> Peer {
     Peer {
         node: NodeId(node),
         centre: CentreId(node / per_centre),
@@ -84,7 +84,7 @@
 }
 
 impl World {
-    pub fn open(centres: u16, per_centre: u16, seed: u64, net: Net) -> Self {
+    pub fn open(centres: u32, per_centre: u32, seed: u64, net: Net) -> Self {
         let mut world = Self {
             now: 1_000_000,
             nodes: Vec::new(),
@@ -176,7 +176,7 @@
         self.sizes.clear();
         let later = self.queue.split_off(&(self.now + 1, 0));
         for (_, (from, to, bytes)) in std::mem::replace(&mut self.queue, later) {
-            let node = &mut self.nodes[usize::from(to.0)];
+            let node = &mut self.nodes[to.0 as usize];
             if node.up {
                 node.inbox.push((from, bytes));
             }
@@ -232,7 +232,7 @@
     pub fn standing(&self, viewer: usize, of: usize) -> Standing {
         let view = self.nodes[viewer]
             .members
-            .get(NodeId(of as u16), Time(self.now));
+            .get(NodeId(of as u32), Time(self.now));
         view.map_or(Standing::Dead, |view| view.standing)
     }
 
--- a/crates/order/tests/world/mod.rs
+++ b/crates/order/tests/world/mod.rs
@@ -30,7 +30,7 @@
 /// One attempt of one life of a node, and the caller's number for its call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
-    pub node: u16,
+    pub node: u32,
     pub life: u64,
     pub sequence: u64,
     pub call: usize,
@@ -40,7 +40,7 @@
 #[derive(Clone, Debug)]
 enum Happening {
     Call {
-        node: u16,
+        node: u32,
         call: usize,
         terms: Call,
         /// The life of the process in whose socket it waits.
@@ -50,7 +50,7 @@
     Event(Place, Event),
     Arrive(Place),
     Ask(Place),
-    Tick(u16),
+    Tick(u32),
     Fault,
     CallerLeaves(Place),
 }
@@ -90,7 +90,7 @@
 }
 
 impl World {
-    pub fn new(seed: u64, nodes: u16, faults: Faults) -> Self {
+    pub fn new(seed: u64, nodes: u32, faults: Faults) -> Self {
         let mut world = Self {
             rng: fastrand::Rng::with_seed(seed),
             now: Time::ZERO,
@@ -113,7 +113,7 @@
 
     /// A caller calls a node after a while.
     pub fn call(&mut self, wait: Duration, terms: Call) -> usize {
-        let node = self.rng.u16(0..self.nodes.len() as u16);
+        let node = self.rng.u32(0..self.nodes.len() as u32);
         let call = self.callers.open(self.now + wait, &terms);
         let waits_at = None;
         let happening = Happening::Call {
@@ -178,9 +178,9 @@
         }
     }
 
-    fn take_call(&mut self, at: u16, call: usize, terms: Call, waits_at: Option<u64>) {
+    fn take_call(&mut self, at: u32, call: usize, terms: Call, waits_at: Option<u64>) {
         let now = self.now;
-        let node = &mut self.nodes[usize::from(at)];
+        let node = &mut self.nodes[at as usize];
         let life = node.life;
         if node.is_down(now) || waits_at.is_some_and(|waits_at| waits_at != life) {
             return self.callers.leave(call);
@@ -217,7 +217,7 @@
 
     fn take_event(&mut self, place: Place, event: Event) {
         let now = self.now;
-        let node = &mut self.nodes[usize::from(place.node)];
+        let node = &mut self.nodes[place.node as usize];
         if node.life != place.life || node.is_down(now) {
             return;
         }
@@ -267,7 +267,7 @@
     }
 
     fn write(&mut self, place: Place) {
-        let (_, taken_at) = self.nodes[usize::from(place.node)].calls[&place.sequence];
+        let (_, taken_at) = self.nodes[place.node as usize].calls[&place.sequence];
         assert!(
             self.now.since(taken_at) < SEND_WINDOW,
             "written late: {place:?}"
@@ -339,8 +339,8 @@
         self.after(wait, happening);
     }
 
-    fn is_cut(&self, node: u16) -> bool {
-        self.now < self.nodes[usize::from(node)].cut_until
+    fn is_cut(&self, node: u32) -> bool {
+        self.now < self.nodes[node as usize].cut_until
     }
 
     fn delay(&mut self) -> Duration {
@@ -348,9 +348,9 @@
         ms(self.rng.u64(1..if slow { 3_000 } else { 12 }))
     }
 
-    fn tick(&mut self, at: u16) {
+    fn tick(&mut self, at: u32) {
         let now = self.now;
-        let node = &mut self.nodes[usize::from(at)];
+        let node = &mut self.nodes[at as usize];
         if now < node.frozen_until || node.is_down(now) {
             return self.after(ms(10), Happening::Tick(at));
         }
@@ -374,9 +374,9 @@
             return;
         };
         let now = self.now;
-        let at = self.rng.u16(0..self.nodes.len() as u16);
+        let at = self.rng.u32(0..self.nodes.len() as u32);
         let span = ms(self.rng.u64(10..6_000));
-        let node = &mut self.nodes[usize::from(at)];
+        let node = &mut self.nodes[at as usize];
         match self.rng.u8(0..6) {
             0 => {
                 let life = node.life + 1;
@@ -399,7 +399,7 @@
 }
 
 impl Node {
-    fn new(node: u16, life: u64, start: Time) -> Self {
+    fn new(node: u32, life: u64, start: Time) -> Self {
         Self {
             life,
             book: Book::open_at(start, NodeId(node), Incarnation(life), MAX_OPEN),
--- a/crates/daemon/src/voters/disk_writer.rs
+++ b/crates/quorum/src/disk_writer.rs
@@ -3,17 +3,15 @@
 //! While one batch is being synced the loop goes on, and what comes in
 //! meanwhile is synced together.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use async_channel::Receiver;
 use serde::Serialize;
 
 use crate::clock;
-use crate::events::Event;
-use crate::events::emit;
-use crate::node::Node;
-use crate::voters::driver::step;
+use crate::edge::Edge;
+use crate::edge::Note;
+use crate::voters::step;
 use disk::Log;
 use disk::WriteError;
 use vote::Batch;
@@ -30,24 +28,24 @@
 }
 
 /// Writes batches in their order, for as long as the node runs and the disk is sound.
-pub async fn write_on(node: Rc<Node>, log: Log, batches: Receiver<Batch>) {
+pub async fn write_on<Around: Edge>(edge: Around, log: Log, batches: Receiver<Batch>) {
     let mut log = log;
     while let Ok(batch) = batches.recv().await {
-        match write(&node, log, Encoded::of(&batch.work)).await {
+        match write(&edge, log, Encoded::of(&batch.work)).await {
             Some(same) => log = same,
             None => return,
         }
-        let Some(voters) = &node.voters else {
+        let Some(voters) = edge.voters() else {
             return;
         };
         voters.voter.borrow_mut().synced(batch.id, clock::now());
-        step(&node);
+        step(&edge);
     }
 }
 
 /// Writes one batch, trying again while the disk is full. None if the disk failed:
 /// this voter then takes no further part, and the node serves on without it.
-async fn write(node: &Node, mut log: Log, mut encoded: Encoded) -> Option<Log> {
+async fn write<Around: Edge>(edge: &Around, mut log: Log, mut encoded: Encoded) -> Option<Log> {
     loop {
         let task = compio::runtime::spawn_blocking(move || {
             let written = encoded.write(&mut log);
@@ -58,7 +56,7 @@
             Ok(()) => return Some(same_log),
             Err(e) => e,
         };
-        report(node, &error);
+        report(edge, &error);
         if !matches!(error, WriteError::Full { .. }) {
             return None;
         }
@@ -68,10 +66,11 @@
     }
 }
 
-fn report(node: &Node, error: &WriteError) {
+fn report<Around: Edge>(edge: &Around, error: &WriteError) {
     let error = error.to_string();
-    if let Some(folder) = &node.settings.node.data {
-        emit(&Event::DiskFailed { folder, error });
+    if let Some(voters) = edge.voters() {
+        let folder = &voters.folder;
+        edge.note(&Note::DiskFailed { folder, error });
     }
 }
 
--- /dev/null
+++ b/crates/quorum/src/voters.rs
@@ -0,0 +1,296 @@
+//! One voter with its disk, and the proposals that wait for it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+
+use crate::clock;
+use crate::disk_writer;
+use crate::edge::Edge;
+use crate::edge::Note;
+use base::NodeId;
+use base::Version;
+use disk::Log;
+use state::Command;
+use state::LogClock;
+use state::Reply;
+use state::State;
+use vote::Batch;
+use vote::Entry;
+use vote::Index;
+use vote::Outgoing;
+use vote::Payload;
+use vote::Role;
+use vote::Standing;
+use vote::Term;
+use vote::Voter;
+
+/// How often the voter goes on in time.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Bytes of the log before a snapshot is made, unless the state is larger.
+const SNAPSHOT_BYTES: u64 = 1024 * 1024;
+
+/// This node's part among the voters.
+#[derive(Debug)]
+pub struct Voters {
+    /// Its data folder.
+    pub folder: PathBuf,
+    /// Its voter.
+    pub voter: RefCell<Voter>,
+    /// The state that the committed entries make.
+    pub state: RefCell<State>,
+    clock: RefCell<LogClock>,
+    batches: Sender<Batch>,
+    waiting: RefCell<BTreeMap<Index, Waiter>>,
+    snapshot_bytes: Cell<u64>,
+    encoding: Cell<bool>,
+    halted: Cell<bool>,
+    reported: RefCell<Option<(Role, Standing)>>,
+}
+
+/// A proposal that waits for its entry.
+#[derive(Debug)]
+struct Waiter {
+    term: Term,
+    done: Sender<Option<Reply>>,
+}
+
+/// The log and the batches that are to be written to it.
+pub struct Writes {
+    log: Log,
+    batches: Receiver<Batch>,
+}
+
+/// Opens a voter that keeps its log in `folder`. Its settings are made from the
+/// identity of that folder.
+pub fn open(
+    folder: &Path,
+    cfg: impl FnOnce(base::DiskId) -> vote::Config,
+) -> io::Result<(Voters, Writes)> {
+    let (log, restored) = Log::open(folder).map_err(io::Error::other)?;
+    let held = disk_writer::decode(&restored).map_err(io::Error::other)?;
+    let cfg = cfg(restored.disk);
+    let now = clock::now();
+    let (batches, queue) = async_channel::unbounded();
+    let voters = Voters {
+        folder: folder.to_owned(),
+        voter: RefCell::new(Voter::open(cfg, held, now)),
+        state: RefCell::default(),
+        clock: RefCell::new(LogClock::open(state::Millis(0), now)),
+        batches,
+        waiting: RefCell::default(),
+        snapshot_bytes: Cell::new(0),
+        encoding: Cell::new(false),
+        halted: Cell::new(false),
+        reported: RefCell::default(),
+    };
+    let writes = Writes {
+        log,
+        batches: queue,
+    };
+    Ok((voters, writes))
+}
+
+/// Drives the voter, for as long as the process runs.
+pub async fn drive_on<Around: Edge>(edge: Around, writes: Writes) {
+    let writing = disk_writer::write_on(edge.clone(), writes.log, writes.batches);
+    compio::runtime::spawn(writing).detach();
+    loop {
+        if let Some(voters) = edge.voters().filter(|v| !v.is_halted()) {
+            voters.voter.borrow_mut().tick(clock::now());
+        }
+        step(&edge);
+        compio::time::sleep(TICK).await;
+    }
+}
+
+/// Carries out what the voter asks for. Called after each input.
+pub fn step<Around: Edge>(edge: &Around) {
+    for outgoing in carry_out(edge) {
+        edge.send(outgoing);
+    }
+}
+
+/// Takes a message of another voter, and gives what there is to say back to it at once.
+pub fn hear<Around: Edge>(
+    edge: &Around,
+    from: NodeId,
+    message: vote::Message,
+) -> Vec<vote::Message> {
+    let Some(voters) = edge.voters().filter(|v| !v.is_halted()) else {
+        return Vec::new();
+    };
+    voters
+        .voter
+        .borrow_mut()
+        .receive(from, message, clock::now());
+    let mut back = Vec::new();
+    for outgoing in carry_out(edge) {
+        match outgoing.to == from {
+            true => back.push(outgoing.message),
+            false => edge.send(outgoing),
+        }
+    }
+    back
+}
+
+/// Carries out what the voter asks for but its sends, which it gives.
+fn carry_out<Around: Edge>(edge: &Around) -> Vec<Outgoing> {
+    let Some(voters) = edge.voters().filter(|v| !v.is_halted()) else {
+        return Vec::new();
+    };
+    let effects = voters.voter.borrow_mut().take();
+    if let Some(snapshot) = effects.install {
+        voters.install(edge, &snapshot.state);
+    }
+    for entry in effects.committed {
+        voters.apply(edge, &entry);
+    }
+    if voters.is_halted() {
+        return Vec::new();
+    }
+    if let Some(batch) = effects.batch {
+        // The writer ends only with the disk, and then this voter takes no part.
+        let _ = voters.batches.try_send(batch);
+    }
+    compact(edge, voters);
+    voters.report(edge);
+    edge.applied();
+    effects.sends
+}
+
+/// Lets another voter lead before this process ends.
+pub fn hand_over<Around: Edge>(edge: &Around) {
+    if let Some(voters) = edge.voters() {
+        voters.voter.borrow_mut().hand_over(clock::now());
+    }
+    step(edge);
+}
+
+/// Makes a snapshot once enough was applied. It is encoded on a thread that may wait.
+fn compact<Around: Edge>(edge: &Around, voters: &Voters) {
+    let limit = SNAPSHOT_BYTES.max(2 * voters.snapshot_bytes.get());
+    if voters.encoding.get() || voters.voter.borrow().log_bytes().0 < limit {
+        return;
+    }
+    voters.encoding.set(true);
+    let applied = voters.applied();
+    let image = voters.state.borrow().image();
+    let edge = edge.clone();
+    compio::runtime::spawn(async move {
+        let encoded = compio::runtime::spawn_blocking(move || image.encode()).await;
+        if let (Ok(bytes), Some(voters)) = (encoded, edge.voters()) {
+            voters.snapshot_bytes.set(bytes.len() as u64);
+            voters.encoding.set(false);
+            voters.voter.borrow_mut().compact(Index(applied), bytes);
+            step(&edge);
+        }
+    })
+    .detach();
+}
+
+impl Voters {
+    /// Proposes a command. The reply comes once it is applied, None if it was not accepted.
+    pub fn propose(&self, op: state::Op) -> Result<Receiver<Option<Reply>>, vote::ProposeError> {
+        let now = clock::now();
+        let at = self.clock.borrow().stamp(now);
+        let command = Command { at, op }.encode();
+        let ticket = self.voter.borrow_mut().propose(command, now)?;
+        let (done, reply) = async_channel::bounded(1);
+        let waiter = Waiter {
+            term: ticket.term,
+            done,
+        };
+        self.waiting.borrow_mut().insert(ticket.index, waiter);
+        Ok(reply)
+    }
+
+    /// The index of the last applied entry.
+    pub fn applied(&self) -> u64 {
+        self.state.borrow().applied()
+    }
+
+    /// The configuration that was accepted last.
+    pub fn configuration(&self) -> (Version, std::sync::Arc<str>) {
+        let state = self.state.borrow();
+        let register = state.register();
+        (register.version(), register.text().clone())
+    }
+
+    /// Whether this voter has stopped: going on would make its state differ from the
+    /// others'.
+    pub fn is_halted(&self) -> bool {
+        self.halted.get()
+    }
+
+    fn halt<Around: Edge>(&self, edge: &Around, reason: String) {
+        self.halted.set(true);
+        edge.note(&Note::Lost { reason });
+    }
+
+    fn install<Around: Edge>(&self, edge: &Around, bytes: &[u8]) {
+        match State::decode(bytes) {
+            Ok(state) => {
+                self.snapshot_bytes.set(bytes.len() as u64);
+                self.clock.borrow_mut().observe(state.now(), clock::now());
+                self.state.replace(state);
+            }
+            Err(e) => self.halt(edge, e.to_string()),
+        }
+    }
+
+    fn apply<Around: Edge>(&self, edge: &Around, entry: &Entry) {
+        if self.is_halted() {
+            return;
+        }
+        let reply = match &entry.payload {
+            Payload::Command(bytes) => match Command::decode(bytes) {
+                Ok(command) => {
+                    self.clock.borrow_mut().observe(command.at, clock::now());
+                    Some(self.state.borrow_mut().apply(entry.index.0, &command))
+                }
+                Err(e) => {
+                    let reason = format!("entry {} cannot be read: {e}", entry.index);
+                    self.halt(edge, reason);
+                    return;
+                }
+            },
+            Payload::Nothing | Payload::Group(_) => None,
+        };
+        let waiter = self.waiting.borrow_mut().remove(&entry.index);
+        if let Some(waiter) = waiter {
+            // Another term at this place means that another leader's entry took it.
+            let reply = reply.filter(|_| waiter.term == entry.term);
+            let _ = waiter.done.try_send(reply);
+        }
+    }
+
+    /// Logs a change of this voter's part.
+    fn report<Around: Edge>(&self, edge: &Around) {
+        let status = self.voter.borrow().status();
+        let now = (status.role, status.standing);
+        if *self.reported.borrow() == Some(now) {
+            return;
+        }
+        self.reported.replace(Some(now));
+        match (status.role, status.leader) {
+            (Role::Leader, _) => edge.note(&Note::Leading {
+                term: status.term.0,
+            }),
+            (_, Some(leader)) => edge.note(&Note::Following { leader }),
+            _ => {}
+        }
+        if matches!(status.standing, Standing::Lost | Standing::Replaced) {
+            let reason = format!("{:?}", status.standing);
+            edge.note(&Note::Lost { reason });
+        }
+    }
+}
--- a/crates/state/src/change.rs
+++ b/crates/state/src/change.rs
@@ -57,3 +57,31 @@
         max: u64,
     },
 }
+
+/// A configuration whose operator numbers its versions. The highest is in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Offer {
+    /// Its version.
+    pub version: Version,
+    /// The whole file. It was checked before it was proposed.
+    pub text: Arc<str>,
+}
+
+/// The answer to an [`Offer`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OfferReply {
+    /// It is in force.
+    InForce,
+    /// An equal or higher version is, and stays.
+    Kept {
+        /// That version.
+        current: Version,
+    },
+    /// It is larger than allowed.
+    TooLarge {
+        /// Bytes given.
+        bytes: u64,
+        /// Bytes allowed.
+        max: u64,
+    },
+}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -9,6 +9,8 @@
 use crate::ClaimReply;
 use crate::Learn;
 use crate::Millis;
+use crate::Offer;
+use crate::OfferReply;
 use crate::Record;
 use crate::RecordReply;
 use crate::Standing;
@@ -47,6 +49,8 @@
         /// Its first life that goes on.
         before: Incarnation,
     },
+    /// Offers a configuration that carries its own version.
+    Offer(Offer),
 }
 
 /// What applying a command gave.
@@ -69,4 +73,6 @@
         /// How many.
         orders: u64,
     },
+    /// The answer to an [`Offer`].
+    Offer(OfferReply),
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -28,6 +28,8 @@
 pub use attempt::AttemptId;
 pub use change::Change;
 pub use change::ChangeReply;
+pub use change::Offer;
+pub use change::OfferReply;
 pub use claim::Claim;
 pub use claim::ClaimReply;
 pub use claim::Learn;
--- a/crates/state/src/limits.rs
+++ b/crates/state/src/limits.rs
@@ -24,7 +24,7 @@
             ledger_bytes: 64 << 20,
             org_bytes: 32 << 20,
             answer_bytes: 16 << 10,
-            text_bytes: 1 << 20,
+            text_bytes: 4 << 20,
             changes: 65_536,
         }
     }
--- a/crates/state/src/register.rs
+++ b/crates/state/src/register.rs
@@ -16,6 +16,8 @@
 use crate::ChangeReply;
 use crate::Digest;
 use crate::Limits;
+use crate::Offer;
+use crate::OfferReply;
 use base::ChangeId;
 use base::Version;
 
@@ -72,6 +74,22 @@
         self.accept(change, digest, limits)
     }
 
+    /// Takes a configuration that carries its own version, if it is the highest.
+    pub(crate) fn offer(&mut self, offer: &Offer, limits: &Limits) -> OfferReply {
+        let bytes = offer.text.len() as u64;
+        let max = limits.text_bytes;
+        if max < bytes {
+            return OfferReply::TooLarge { bytes, max };
+        }
+        if offer.version <= self.version {
+            let current = self.version;
+            return OfferReply::Kept { current };
+        }
+        self.version = offer.version;
+        self.text = offer.text.clone();
+        OfferReply::InForce
+    }
+
     /// A copy without what is not part of a snapshot.
     pub(crate) fn image(&self) -> Self {
         Self {
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -50,6 +50,7 @@
             Op::Withdraw(withdraw) => {
                 Reply::Withdraw(self.ledger.withdraw(withdraw, index, now, limits))
             }
+            Op::Offer(offer) => Reply::Offer(self.register.offer(offer, limits)),
             Op::Gone { node, before } => Reply::Gone {
                 orders: self.ledger.gone(*node, *before, now),
             },
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -91,7 +91,7 @@
                 let orders = lost.map(|row| end(row, Phase::Unknown, now)).count() as u64;
                 Reply::Gone { orders }
             }
-            Op::Nothing | Op::Change(_) => Reply::Nothing,
+            Op::Nothing | Op::Change(_) | Op::Offer(_) => Reply::Nothing,
         }
     }
 
@@ -203,7 +203,7 @@
 /// A random command about few keys and attempts, so that they meet.
 fn op(rng: &mut fastrand::Rng, index: u64) -> Op {
     let attempt = AttemptId {
-        node: NodeId(rng.u16(0..2)),
+        node: NodeId(rng.u32(0..2)),
         incarnation: Incarnation(rng.u64(0..1 + index / 60)),
         sequence: index / 8 + rng.u64(0..3),
     };
--- a/crates/vote/src/config.rs
+++ b/crates/vote/src/config.rs
@@ -32,6 +32,9 @@
     pub disk: DiskId,
     /// The voters in the settings. They form the group on its first start.
     pub voters: BTreeSet<NodeId>,
+    /// Whether this node may take part in founding a group. After the first start of
+    /// a deployment it only joins one that exists.
+    pub founding: Founding,
     /// Seed of the random part of election times.
     pub seed: u64,
     /// Times.
@@ -40,6 +43,16 @@
     pub limits: Limits,
 }
 
+/// Whether a node may take part in founding a group.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Founding {
+    /// With the other voters of the settings, if all their disks are empty.
+    #[default]
+    Allowed,
+    /// Never.
+    Forbidden,
+}
+
 /// Times of a voter.
 #[derive(Clone, Debug)]
 pub struct Timing {
@@ -88,6 +101,7 @@
             id,
             disk,
             voters: voters.into_iter().collect(),
+            founding: Founding::Allowed,
             seed: disk.0,
             timing: Timing::default(),
             limits: Limits::default(),
--- a/crates/vote/src/form.rs
+++ b/crates/vote/src/form.rs
@@ -12,6 +12,7 @@
 use crate::Body;
 use crate::Duty;
 use crate::Entry;
+use crate::Founding;
 use crate::Group;
 use crate::GroupId;
 use crate::Index;
@@ -89,6 +90,9 @@
             self.refer(from, disk);
             return;
         }
+        if self.cfg.founding == Founding::Forbidden {
+            return;
+        }
         let mutual = met == Some(self.cfg.disk);
         let at = self.now;
         self.forming.met.insert(from, Met { disk, at, mutual });
@@ -181,6 +185,9 @@
     }
 
     fn try_form(&mut self) {
+        if self.cfg.founding == Founding::Forbidden {
+            return;
+        }
         let lowest = self.cfg.voters.first() == Some(&self.cfg.id);
         let others = self.cfg.voters.iter().filter(|node| **node != self.cfg.id);
         let since = self.now - self.cfg.timing.hello_valid;
--- a/crates/vote/src/lib.rs
+++ b/crates/vote/src/lib.rs
@@ -39,6 +39,7 @@
 pub use crate::change::Change;
 pub use crate::change::ChangeError;
 pub use crate::config::Config;
+pub use crate::config::Founding;
 pub use crate::config::Limits;
 pub use crate::config::Timing;
 pub use crate::effects::Batch;
--- a/crates/vote/tests/fake/mod.rs
+++ b/crates/vote/tests/fake/mod.rs
@@ -43,7 +43,7 @@
 }
 
 impl Cluster {
-    pub fn new(size: u16, seed: u64) -> Self {
+    pub fn new(size: u32, seed: u64) -> Self {
         let mut rng = Rng::with_seed(seed);
         let ids: Vec<_> = (1..=size).map(NodeId).collect();
         let nodes = ids.iter().map(|id| {
--- a/crates/vote/tests/rules.rs
+++ b/crates/vote/tests/rules.rs
@@ -44,11 +44,11 @@
 
 const GROUP: GroupId = GroupId(11);
 
-fn disk(node: u16) -> DiskId {
+fn disk(node: u32) -> DiskId {
     DiskId(10 + u64::from(node))
 }
 
-fn group(size: u16) -> Group {
+fn group(size: u32) -> Group {
     let seat = |node| {
         let disk = disk(node);
         let duty = Duty::Voter;
@@ -89,7 +89,7 @@
     Voter::open(config, restored, Time::ZERO)
 }
 
-fn from(node: u16, body: Body) -> Message {
+fn from(node: u32, body: Body) -> Message {
     Message {
         disk: disk(node),
         group: Some(GROUP),
