--- a/crates/base/src/name.rs
+++ b/crates/base/src/name.rs
@@ -114,6 +114,27 @@
     OrderKey, "key", MAX_KEY_BYTES, is_key_char
 );
 
+name!(
+    /// One process of an upstream, as it names itself.
+    UpstreamId, "upstream's id", MAX_KEY_BYTES, is_key_char
+);
+name!(
+    /// A replica of a model on engines that name their groups.
+    ReplicaName, "replica's name", MAX_KEY_BYTES, is_key_char
+);
+name!(
+    /// A data centre, as a deployment names it.
+    CentreName, "data centre's name", MAX_KEY_BYTES, is_key_char
+);
+name!(
+    /// A fabric domain, as a deployment names it.
+    DomainName, "fabric domain's name", MAX_KEY_BYTES, is_key_char
+);
+name!(
+    /// A route of a configuration.
+    RouteName, "route's name", MAX_KEY_BYTES, is_key_char
+);
+
 fn check(
     text: &str,
     kind: &'static str,
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -4,9 +4,6 @@
 use std::path::Path;
 use std::time::Duration;
 
-use derive_more::Display;
-use log::Level;
-
 use base::CentreId;
 use base::Fence;
 use base::HostId;
@@ -15,39 +12,7 @@
 use base::ServiceName;
 use base::Version;
 
-macro_rules! events {
-    ($($number:literal $level:ident $name:ident $fields:tt $text:literal;)*) => {
-        /// Something that an operator may want to know of.
-        #[derive(Clone, Debug, Display)]
-        pub enum Event<'a> {
-            $(
-                #[doc = $text]
-                #[display($text)]
-                $name $fields,
-            )*
-            /// Never made; it holds the lifetime of the others.
-            #[display("")]
-            #[doc(hidden)]
-            #[allow(dead_code)]
-            Never(std::convert::Infallible, &'a ()),
-        }
-
-        impl Event<'_> {
-            fn number_and_level(&self) -> (u16, Level) {
-                match self {
-                    $(Self::$name { .. } => ($number, Level::$level),)*
-                    Self::Never(never, _) => match *never {},
-                }
-            }
-        }
-
-        /// Number, level, name and text of every event.
-        pub const CATALOGUE: &[(u16, &str, &str, &str)] =
-            &[$(($number, stringify!($level), stringify!($name), $text),)*];
-    };
-}
-
-events! {
+catalogue::events! {
     100 Info Started { node: NodeId, centre: CentreId, callers: SocketAddr, internal: SocketAddr }
         "{node} in {centre} serves callers at {callers} and the system at {internal}";
     101 Info Stopping { in_flight: usize }
@@ -93,18 +58,3 @@
     701 Info AnswerResumed { replica: ReplicaId, delivered: u32 }
         "an answer was resumed at {replica} after {delivered} tokens";
 }
-
-/// Writes an event to the log.
-pub fn emit(event: &Event<'_>) {
-    let (number, level) = event.number_and_level();
-    log::log!(target: "berylbay", level, "[{number}] {event}");
-}
-
-/// The catalogue as a Markdown table.
-pub fn catalogue() -> String {
-    let mut text = String::from("| number | level | name | text |\n|---|---|---|---|\n");
-    for (number, level, name, what) in CATALOGUE {
-        text += &format!("| {number} | {level} | {name} | {what} |\n");
-    }
-    text
-}
--- /dev/null
+++ b/crates/form/src/adopt.rs
@@ -0,0 +1,66 @@
+//! Takes over replicas that an earlier term formed, from what their hosts report.
+
+use std::collections::BTreeMap;
+
+use crate::Controller;
+use crate::replica::Phase;
+use crate::replica::Replica;
+use base::Fence;
+use base::Time;
+use base::UpstreamId;
+use fleet::PlaceState;
+
+impl Controller {
+    /// Makes a record of each replica that hosts report and that none is kept of.
+    pub(crate) fn adopt(&mut self, now: Time) {
+        let mut found: BTreeMap<Fence, Vec<UpstreamId>> = BTreeMap::new();
+        for (id, host) in &self.hosts {
+            let place = host
+                .place()
+                .filter(|p| !self.replicas.contains_key(&p.epoch));
+            if let Some(place) = place {
+                found.entry(place.epoch).or_default().push(id.clone());
+            }
+        }
+        for (epoch, hosts) in found {
+            self.observe_epoch(epoch);
+            if let Some(replica) = self.found(epoch, hosts, now) {
+                self.replicas.insert(epoch, replica);
+            }
+        }
+    }
+
+    fn found(&self, epoch: Fence, mut hosts: Vec<UpstreamId>, now: Time) -> Option<Replica> {
+        let rank = |id: &UpstreamId| self.hosts.get(id)?.place().map(|place| place.rank);
+        hosts.sort_by_key(|id| rank(id));
+        let first = self.hosts.get(hosts.first()?)?;
+        let place = first.place()?;
+        let engine = self.engines.get(&first.said.service)?;
+        let life = |id: &UpstreamId| Some((id.clone(), self.hosts.get(id)?.said.life));
+        let model = engine
+            .models
+            .iter()
+            .find(|model| first.staged().contains(&model.model))?;
+        let is_whole = model.width == hosts.len()
+            && hosts.iter().map(rank).eq((0..).map(Some).take(hosts.len()));
+        let head = hosts.first().filter(|id| rank(id) == Some(0));
+        let head = head.and_then(life);
+        let others = hosts.iter().skip(usize::from(head.is_some()));
+        let phase = match (is_whole, place.state) {
+            (true, PlaceState::Open) => Phase::Serving,
+            (true, PlaceState::Joining | PlaceState::Ready) => Phase::Joining,
+            _ => Phase::Closing(now),
+        };
+        Some(Replica {
+            name: place.replica.clone(),
+            epoch,
+            service: first.said.service.clone(),
+            model: model.model.clone(),
+            others: others.filter_map(life).collect(),
+            head,
+            phase,
+            since: now,
+            ordered: Time::ZERO,
+        })
+    }
+}
--- /dev/null
+++ b/crates/form/src/config.rs
@@ -0,0 +1,47 @@
+//! Times and shares that the controller keeps.
+
+use std::time::Duration;
+
+/// Settings of a [`crate::Controller`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Config {
+    /// A new term listens this long before it orders anything, so that all hosts in
+    /// reach have announced themselves.
+    pub settle: Duration,
+    /// At the first start it listens only this long after the first host.
+    pub gather: Duration,
+    /// A host that is silent this long is not chosen for a replica.
+    pub silent: Duration,
+    /// A first host that is lost may still serve. Its hosts are free after this time:
+    /// longer than engines stand still before they give up a replica.
+    pub head_wait: Duration,
+    /// A replica with a host that leaves finishes its work for this long.
+    pub drain: Duration,
+    /// An order whose effect isn't reported within this time has failed.
+    pub effect: Duration,
+    /// Time between two tries of an order without an answer.
+    pub retry: Duration,
+    /// Share of the hosts that stand by, staged, for those that are lost.
+    pub spare_share: f64,
+    /// Share of the loads that the weight store allows.
+    pub load_share: f64,
+    /// The window over which loads are counted.
+    pub load_window: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            settle: Duration::from_millis(1_500),
+            gather: Duration::from_millis(900),
+            silent: Duration::from_millis(4_000),
+            head_wait: Duration::from_millis(5_500),
+            drain: Duration::from_millis(1_500),
+            effect: Duration::from_millis(1_500),
+            retry: Duration::from_millis(300),
+            spare_share: 0.2,
+            load_share: 0.8,
+            load_window: Duration::from_secs(5),
+        }
+    }
+}
--- /dev/null
+++ b/crates/form/src/controller.rs
@@ -0,0 +1,301 @@
+//! The one process of a deployment that orders its engines' hosts.
+
+use std::collections::BTreeMap;
+
+use crate::Config;
+use crate::Loads;
+use crate::Order;
+use crate::OrderId;
+use crate::Outcome;
+use crate::host::Host;
+use crate::order::Action;
+use crate::replica::Phase;
+use crate::replica::Replica;
+use base::Fence;
+use base::Incarnation;
+use base::ModelName;
+use base::ServiceName;
+use base::Time;
+use base::UpstreamId;
+use fleet::Announcement;
+use fleet::Directions;
+use fleet::Edition;
+use fleet::Engine;
+use fleet::Serving;
+
+/// Orders that one term can number.
+const EPOCHS_OF_TERM: u64 = 1_000_000;
+
+/// An order whose outcome is not known yet.
+#[derive(Clone, Debug)]
+pub(crate) struct Outstanding {
+    pub host: UpstreamId,
+    pub life: Incarnation,
+    pub action: Action,
+}
+
+/// What the controller holds at present, for logs and metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Shape {
+    /// Hosts that can be counted on.
+    pub hosts: usize,
+    /// Hosts that belong to no replica.
+    pub free: usize,
+    /// Replicas that are served by.
+    pub serving: usize,
+    /// Replicas that join or open.
+    pub forming: usize,
+    /// Replicas that are being ended.
+    pub closing: usize,
+}
+
+/// Orders the hosts of all engines of a deployment, while it holds a term.
+#[derive(Clone, Debug)]
+pub struct Controller {
+    pub(crate) cfg: Config,
+    pub(crate) engines: BTreeMap<ServiceName, Engine>,
+    pub(crate) hosts: BTreeMap<UpstreamId, Host>,
+    pub(crate) replicas: BTreeMap<Fence, Replica>,
+    pub(crate) orders: BTreeMap<OrderId, Outstanding>,
+    pub(crate) loads: Loads,
+    pub(crate) work: BTreeMap<ModelName, f64>,
+    pub(crate) last_order: OrderId,
+    /// Traffic has begun, so loads take their time and are counted.
+    pub(crate) has_traffic: bool,
+    term: Option<u64>,
+    settled_at: Time,
+    last_epoch: Fence,
+    edition: Edition,
+    served: Vec<Serving>,
+}
+
+impl Controller {
+    /// A controller without a term that has heard nothing.
+    pub fn open(cfg: Config) -> Self {
+        Self {
+            cfg,
+            engines: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            replicas: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            loads: Loads::default(),
+            work: BTreeMap::new(),
+            last_order: OrderId::default(),
+            has_traffic: false,
+            term: None,
+            settled_at: Time::NEVER,
+            last_epoch: Fence::default(),
+            edition: Edition::default(),
+            served: Vec::new(),
+        }
+    }
+
+    /// Takes what a configuration says of the engines.
+    pub fn configure(&mut self, engines: BTreeMap<ServiceName, Engine>) {
+        self.engines = engines;
+    }
+
+    /// Takes what a host says.
+    pub fn hear(&mut self, said: &Announcement, now: Time) {
+        if said.engine.is_none() {
+            return;
+        }
+        match self.hosts.get_mut(&said.id) {
+            Some(host) => host.hear(said, now),
+            None => {
+                let host = Host::new(said.clone(), now);
+                self.hosts.insert(said.id.clone(), host);
+            }
+        }
+    }
+
+    /// Takes that a host is gone.
+    pub fn gone(&mut self, id: &UpstreamId) {
+        self.hosts.remove(id);
+    }
+
+    /// Takes that a host does not answer, though it was asked.
+    pub fn lost(&mut self, id: &UpstreamId, life: Incarnation, now: Time) {
+        let host = self.hosts.get_mut(id);
+        if let Some(host) = host.filter(|host| host.said.life == life) {
+            host.lost.get_or_insert(now);
+        }
+    }
+
+    /// Takes that callers' requests have begun.
+    pub fn traffic_began(&mut self) {
+        self.has_traffic = true;
+    }
+
+    /// Takes how much work each model gets, in any unit.
+    pub fn work(&mut self, work: BTreeMap<ModelName, f64>) {
+        self.work = work;
+    }
+
+    /// Takes the term that this process holds now, if any.
+    pub fn lead(&mut self, term: Option<u64>, now: Time) {
+        if term == self.term {
+            return;
+        }
+        self.term = term;
+        self.orders.clear();
+        for host in self.hosts.values_mut() {
+            host.order = None;
+        }
+        self.settled_at = now + self.cfg.settle;
+        if let Some(term) = term {
+            let first = Fence(term * EPOCHS_OF_TERM);
+            self.last_epoch = first.max(self.last_epoch);
+            self.edition = Edition { term, count: 0 };
+            self.served.clear();
+            self.replicas.clear();
+        }
+    }
+
+    /// Whether it holds a term and has listened for long enough.
+    pub fn is_settled(&self, now: Time) -> bool {
+        self.term.is_some() && self.settled_at <= now
+    }
+
+    /// Goes on in time. Called several times a second.
+    pub fn tick(&mut self, now: Time) -> Vec<Order> {
+        if !self.is_settled(now) {
+            return Vec::new();
+        }
+        self.forget(now);
+        self.adopt(now);
+        let mut orders = self.advance(now);
+        orders.extend(self.place(now));
+        self.direct();
+        orders
+    }
+
+    /// Takes what became of an order.
+    pub fn outcome(&mut self, id: OrderId, outcome: Outcome, now: Time) {
+        let Some(outstanding) = self.orders.remove(&id) else {
+            return;
+        };
+        let host = self.hosts.get_mut(&outstanding.host);
+        let host = host.filter(|host| host.said.life == outstanding.life);
+        if let Some(host) = host {
+            host.order = None;
+            if outcome != Outcome::Done {
+                host.rest_until = now + self.cfg.retry;
+            }
+            let is_stage = matches!(outstanding.action, Action::Stage { .. });
+            if is_stage && outcome != Outcome::Done {
+                host.staging = None;
+            }
+        }
+        self.effect(&outstanding, outcome, now);
+    }
+
+    /// The replicas that requests may be sent to. None before the controller knows.
+    pub fn directions(&self) -> Option<Directions> {
+        (0 < self.edition.count).then(|| Directions {
+            edition: self.edition,
+            serving: self.served.clone(),
+        })
+    }
+
+    /// The hosts of the replica that a first host serves, with their addresses.
+    pub fn hosts_of(&self, head: &UpstreamId) -> Vec<Announcement> {
+        let holds = |replica: &&Replica| {
+            let is_head = replica.head.as_ref().is_some_and(|(id, _)| id == head);
+            is_head && replica.counts()
+        };
+        let Some(replica) = self.replicas.values().find(holds) else {
+            return Vec::new();
+        };
+        let hosts = replica.hosts().filter_map(|(id, _)| self.hosts.get(id));
+        hosts.map(|host| host.said.clone()).collect()
+    }
+
+    /// Hosts of replicas that have been silent for longer than `silent` and are not yet
+    /// known to be lost.
+    pub fn silent_hosts(&self, silent: std::time::Duration, now: Time) -> Vec<Announcement> {
+        let is_silent = |host: &&Host| host.lost.is_none() && silent <= now.since(host.heard);
+        let silent = self.hosts.values().filter(is_silent);
+        silent.map(|host| host.said.clone()).collect()
+    }
+
+    /// What it holds at present.
+    pub fn shape(&self, now: Time) -> Shape {
+        let count = |is: fn(&Phase) -> bool| {
+            let phases = self.replicas.values().map(|r| &r.phase);
+            phases.filter(|phase| is(phase)).count()
+        };
+        let well = |host: &&Host| host.is_well(self.cfg.silent, now);
+        Shape {
+            hosts: self.hosts.values().filter(well).count(),
+            free: self.free_hosts(now).len(),
+            serving: count(|p| *p == Phase::Serving),
+            forming: count(|p| matches!(p, Phase::Joining | Phase::Opening)),
+            closing: count(|p| matches!(p, Phase::Closing(_))),
+        }
+    }
+
+    pub(crate) fn next_epoch(&mut self) -> Fence {
+        self.last_epoch = self.last_epoch.next();
+        self.last_epoch
+    }
+
+    /// Takes in the largest number that is in use, so that new ones are larger.
+    pub(crate) fn observe_epoch(&mut self, epoch: Fence) {
+        self.last_epoch = self.last_epoch.max(epoch);
+    }
+
+    /// An order to a host, unless it has one whose outcome is not known.
+    pub(crate) fn order(&mut self, id: &UpstreamId, action: Action, now: Time) -> Option<Order> {
+        let host = self.hosts.get_mut(id)?;
+        if host.order.is_some() || now < host.rest_until {
+            return None;
+        }
+        self.last_order.0 += 1;
+        host.order = Some(self.last_order);
+        let outstanding = Outstanding {
+            host: id.clone(),
+            life: host.said.life,
+            action: action.clone(),
+        };
+        self.orders.insert(self.last_order, outstanding);
+        Some(Order {
+            id: self.last_order,
+            host: id.clone(),
+            life: host.said.life,
+            addr: host.said.addr,
+            action,
+        })
+    }
+
+    /// Forgets hosts that nobody has heard of for long, and replicas that nobody reports.
+    fn forget(&mut self, now: Time) {
+        let forget = 10 * self.cfg.head_wait;
+        self.hosts.retain(|_, host| now.since(host.heard) < forget);
+        self.replicas.retain(|_, replica| {
+            replica.phase != Phase::Ended || now.since(replica.since) < forget
+        });
+    }
+
+    /// Brings what may be sent to up to date.
+    fn direct(&mut self) {
+        let serving = self.replicas.values().filter(|r| r.phase == Phase::Serving);
+        let served: Vec<Serving> = serving
+            .filter_map(|replica| {
+                let (head, life) = replica.head.clone()?;
+                Some(Serving {
+                    replica: replica.name.clone(),
+                    epoch: replica.epoch,
+                    service: replica.service.clone(),
+                    model: replica.model.clone(),
+                    head,
+                    life,
+                })
+            })
+            .collect();
+        if served != self.served || self.edition.count == 0 {
+            self.served = served;
+            self.edition.count += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/form/src/host.rs
@@ -0,0 +1,78 @@
+//! One host as the controller knows it.
+
+use std::time::Duration;
+
+use crate::OrderId;
+use base::ModelName;
+use base::Time;
+use fleet::Announcement;
+use fleet::Place;
+
+/// One host.
+#[derive(Clone, Debug)]
+pub(crate) struct Host {
+    pub said: Announcement,
+    pub heard: Time,
+    /// Since when it does not answer, though it was asked.
+    pub lost: Option<Time>,
+    /// The order whose outcome is not known yet.
+    pub order: Option<OrderId>,
+    /// The model it was told to stage, and when.
+    pub staging: Option<(ModelName, Time)>,
+    /// No order before this time.
+    pub rest_until: Time,
+}
+
+impl Host {
+    pub fn new(said: Announcement, now: Time) -> Self {
+        Self {
+            said,
+            heard: now,
+            lost: None,
+            order: None,
+            staging: None,
+            rest_until: Time::ZERO,
+        }
+    }
+
+    /// Takes what it says now. A later life has forgotten its place and orders.
+    pub fn hear(&mut self, said: &Announcement, now: Time) {
+        if said.life != self.said.life {
+            *self = Self::new(said.clone(), now);
+            return;
+        }
+        self.said = said.clone();
+        self.heard = now;
+        self.lost = None;
+        let staged = |(model, _): &(ModelName, Time)| self.staged().contains(model);
+        if self.staging.as_ref().is_some_and(staged) {
+            self.staging = None;
+        }
+    }
+
+    /// The models that it keeps.
+    pub fn staged(&self) -> &[ModelName] {
+        match &self.said.engine {
+            Some(engine) => &engine.staged,
+            None => &[],
+        }
+    }
+
+    /// The model that it keeps or will keep.
+    pub fn model(&self) -> Option<&ModelName> {
+        match &self.staging {
+            Some((model, _)) => Some(model),
+            None => self.staged().last(),
+        }
+    }
+
+    /// Its place in a replica.
+    pub fn place(&self) -> Option<&Place> {
+        self.said.place()
+    }
+
+    /// Whether it can be counted on.
+    pub fn is_well(&self, silent: Duration, now: Time) -> bool {
+        self.lost.is_none() && !self.said.leaving && now.since(self.heard) < silent
+    }
+}
--- /dev/null
+++ b/crates/forward/src/board.rs
@@ -0,0 +1,219 @@
+//! The targets that an entry host knows, and the choice among them.
+//!
+//! A request goes to the target with the least load for its slots, of two that are
+//! equal to one in this data centre. One that failed lately, or that stands still, is
+//! left out while there is another.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use derive_more::Display;
+use fastrand::Rng;
+
+use crate::Target;
+use crate::TargetId;
+use base::CentreName;
+use base::ModelName;
+use base::ServiceName;
+use base::Time;
+use base::UpstreamId;
+
+/// A target that gave nothing for this long, though it has own requests, stands still.
+const STILL_AFTER: Duration = Duration::from_millis(350);
+
+/// How long a target that stands still is left out.
+const STILL_BAN: Duration = Duration::from_millis(1_500);
+
+/// What a target in another data centre counts as more, in requests for each slot.
+const FAR_COST: f64 = 0.04;
+
+/// Requests beyond its slots that a target may be given, for each slot.
+const QUEUE_SHARE: f64 = 0.25;
+
+/// What a request needs.
+#[derive(Clone, Debug)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The model, if it asks for one.
+    pub model: Option<&'a ModelName>,
+    /// Targets that failed this request.
+    pub avoid: &'a BTreeSet<UpstreamId>,
+}
+
+/// Why there is no target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum Miss {
+    /// None is known.
+    #[display("no target is known")]
+    None,
+    /// All that are known have as many requests as they may.
+    #[display("all targets are full")]
+    Full,
+}
+
+/// The targets that an entry host knows.
+#[derive(Clone, Debug)]
+pub struct Board {
+    /// The data centre of this entry host.
+    pub centre: CentreName,
+    targets: BTreeMap<UpstreamId, Target>,
+    rng: Rng,
+}
+
+impl Board {
+    /// A board without targets.
+    pub fn open(centre: CentreName, seed: u64) -> Self {
+        Self {
+            centre,
+            targets: BTreeMap::new(),
+            rng: Rng::with_seed(seed),
+        }
+    }
+
+    /// Takes the targets that there are now. What is known of one that stays is kept.
+    pub fn replace(&mut self, targets: Vec<Target>) {
+        let mut old = std::mem::take(&mut self.targets);
+        for mut target in targets {
+            let known = old.remove(&target.id).filter(|t| t.life == target.life);
+            if let Some(known) = known {
+                target.own = known.own;
+                target.others = known.others;
+                target.health = known.health;
+                target.progress = known.progress;
+                target.waiting_since = known.waiting_since;
+                target.usual = known.usual;
+            }
+            self.targets.insert(target.id.clone(), target);
+        }
+    }
+
+    /// Takes how many requests the other entry hosts have at each target.
+    pub fn others(&mut self, loads: &BTreeMap<UpstreamId, u32>) {
+        for target in self.targets.values_mut() {
+            target.others = loads.get(&target.id).copied().unwrap_or(0);
+        }
+    }
+
+    /// Own requests at each target that has any.
+    pub fn own(&self) -> BTreeMap<UpstreamId, u32> {
+        let busy = self.targets.values().filter(|target| 0 < target.own);
+        busy.map(|target| (target.id.clone(), target.own)).collect()
+    }
+
+    /// A target that is known.
+    pub fn get(&self, id: &UpstreamId) -> Option<&Target> {
+        self.targets.get(id)
+    }
+
+    /// All targets.
+    pub fn targets(&self) -> impl Iterator<Item = &Target> {
+        self.targets.values()
+    }
+
+    /// Chooses a target.
+    pub fn choose(&mut self, want: &Want<'_>, now: Time) -> Result<Target, Miss> {
+        let of = self.targets.values().filter(|t| {
+            t.service == *want.service && (t.model.is_none() || t.model.as_ref() == want.model)
+        });
+        let all: Vec<&Target> = of.collect();
+        let fresh = |t: &&&Target| !want.avoid.contains(&t.id);
+        let well: Vec<&&Target> = all
+            .iter()
+            .filter(fresh)
+            .filter(|t| !t.health.is_banned(now))
+            .collect();
+        let any: Vec<&&Target> = all.iter().filter(fresh).collect();
+        let among = match (well.is_empty(), any.is_empty()) {
+            (false, _) => well,
+            (true, false) if all.iter().all(|t| t.model.is_none()) => any,
+            _ => {
+                return Err(if all.is_empty() {
+                    Miss::None
+                } else {
+                    Miss::Full
+                });
+            }
+        };
+        let rng = &mut self.rng;
+        let cost = |t: &Target, drawn: f64| {
+            let far = if t.centre == self.centre {
+                0.0
+            } else {
+                FAR_COST
+            };
+            let full = f64::from(t.load()) / f64::from(t.slots.max(1));
+            full * t.pace + far + drawn * 0.01
+        };
+        let best = among
+            .iter()
+            .map(|t| (cost(t, rng.f64()), t))
+            .min_by(|a, b| a.0.total_cmp(&b.0));
+        let Some((_, best)) = best else {
+            return Err(Miss::None);
+        };
+        let most = f64::from(best.slots) * (1.0 + QUEUE_SHARE);
+        match f64::from(best.load()) < most {
+            true => Ok((***best).clone()),
+            false => Err(Miss::Full),
+        }
+    }
+
+    /// Counts a request that goes to a target.
+    pub fn sent(&mut self, id: &TargetId, now: Time) {
+        if let Some(target) = self.known(id) {
+            if target.own == 0 {
+                target.waiting_since = now;
+            }
+            target.own += 1;
+        }
+    }
+
+    /// Counts a request out that was at a target.
+    pub fn ended(&mut self, id: &TargetId) {
+        if let Some(target) = self.known(id) {
+            target.own = target.own.saturating_sub(1);
+        }
+    }
+
+    /// Takes that a target gave something.
+    pub fn progress(&mut self, id: &TargetId, now: Time) {
+        if let Some(target) = self.known(id) {
+            target.progress = now;
+        }
+    }
+
+    /// Takes that a target answered.
+    pub fn good(&mut self, id: &TargetId, now: Time) {
+        if let Some(target) = self.known(id) {
+            target.health.good();
+            target.progress = now;
+        }
+    }
+
+    /// Takes that a target failed.
+    pub fn bad(&mut self, id: &TargetId, now: Time) {
+        if let Some(target) = self.known(id) {
+            target.health.bad(now);
+        }
+    }
+
+    /// Whether a target gave nothing to any own request for too long. It is then left
+    /// out for a while.
+    pub fn stands_still(&mut self, id: &TargetId, now: Time) -> bool {
+        let Some(target) = self.known(id) else {
+            return true;
+        };
+        let since = target.progress.max(target.waiting_since);
+        let still = 0 < target.own && STILL_AFTER <= now.since(since);
+        if still {
+            target.health.ban(now + STILL_BAN);
+        }
+        still
+    }
+
+    fn known(&mut self, (id, life): &TargetId) -> Option<&mut Target> {
+        self.targets.get_mut(id).filter(|t| t.life == *life)
+    }
+}
--- /dev/null
+++ b/crates/forward/src/lib.rs
@@ -0,0 +1,29 @@
+//! Decides where an opaque request goes, and whether it goes again.
+//!
+//! [`Board`] knows the targets: first hosts of replicas and processes of plain
+//! services, with the load that this entry host and the others put on them, and how
+//! they did lately. [`Budget`] holds this entry host's part of the retries that the
+//! whole deployment may make. [`Again`] says what may follow an attempt that failed.
+//! [`Events`] finds the whole events in a stream, so that it can go on elsewhere.
+//!
+//! Pure: time and inputs in, decisions out.
+
+mod again;
+mod board;
+mod budget;
+mod events;
+mod health;
+mod target;
+
+pub use again::Again;
+pub use again::Failure;
+pub use board::Board;
+pub use board::Miss;
+pub use board::Want;
+pub use budget::Budget;
+pub use events::EventError;
+pub use events::Events;
+pub use events::Whole;
+pub use health::Health;
+pub use target::Target;
+pub use target::TargetId;
--- /dev/null
+++ b/crates/forward/src/target.rs
@@ -0,0 +1,60 @@
+//! One process that requests are sent to.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::Health;
+use base::CentreName;
+use base::Incarnation;
+use base::ModelName;
+use base::ServiceName;
+use base::Time;
+use base::UpstreamId;
+
+/// A process in one of its lives.
+pub type TargetId = (UpstreamId, Incarnation);
+
+/// One process that requests are sent to.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The process.
+    pub id: UpstreamId,
+    /// Its life.
+    pub life: Incarnation,
+    /// Where it takes requests.
+    pub addr: SocketAddr,
+    /// Its service.
+    pub service: ServiceName,
+    /// The model that it serves, if it is the first host of a replica.
+    pub model: Option<ModelName>,
+    /// Its data centre.
+    pub centre: CentreName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Factor on its times, of its model.
+    pub pace: f64,
+    /// Own requests there.
+    pub own: u32,
+    /// Requests of other entry hosts there, as last told.
+    pub others: u32,
+    /// How it did lately.
+    pub health: Health,
+    /// When it last gave this entry host anything.
+    pub progress: Time,
+    /// Own requests there that wait for something since then.
+    pub waiting_since: Time,
+    /// Mean time of its answers, for plain services.
+    pub usual: Duration,
+}
+
+impl Target {
+    /// Requests there, as far as this entry host can know.
+    pub fn load(&self) -> u32 {
+        self.own + self.others
+    }
+
+    /// Whether it runs as many requests as it can.
+    pub fn is_full(&self) -> bool {
+        self.slots <= self.load()
+    }
+}
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,6 +1,6 @@
 //! Bodies of answers, whole or streamed, and the bounded reading of requests' bodies.
 
-use std::convert::Infallible;
+use std::fmt;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
@@ -21,13 +21,33 @@
 /// Frames a streamed body holds before its sender has to wait.
 const STREAM_FRAMES: usize = 64;
 
+/// A body that ends before its end: the connection is broken off, so that it does not
+/// look whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[display("the body was broken off")]
+pub struct BrokenOff;
+
+/// The frames of a body as somebody makes them.
+pub type Frames = Pin<Box<dyn Stream<Item = Result<Bytes, BrokenOff>>>>;
+
 /// The body of an answer.
-#[derive(Debug)]
 pub enum Body {
     /// All of it at once.
     Whole(Option<Bytes>),
     /// Frame by frame, until the sender is dropped.
     Stream(Pin<Box<Receiver<Bytes>>>),
+    /// Frame by frame, made as the connection asks for them. They are dropped with it.
+    Driven(Frames),
+}
+
+impl fmt::Debug for Body {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Whole(_) => "Whole",
+            Self::Stream(_) => "Stream",
+            Self::Driven(_) => "Driven",
+        })
+    }
 }
 
 /// The sending end of a streamed body.
@@ -100,18 +120,22 @@
 
 impl http_body::Body for Body {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = BrokenOff;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Self::Stream(rx) => rx
                 .as_mut()
                 .poll_next(cx)
                 .map(|b| b.map(|b| Ok(Frame::data(b)))),
+            Self::Driven(frames) => frames
+                .as_mut()
+                .poll_next(cx)
+                .map(|b| b.map(|b| b.map(Frame::data))),
         }
     }
 
@@ -125,7 +149,7 @@
                 let len = bytes.as_ref().map_or(0, Bytes::len);
                 http_body::SizeHint::with_exact(len as u64)
             }
-            Self::Stream(_) => http_body::SizeHint::default(),
+            Self::Stream(_) | Self::Driven(_) => http_body::SizeHint::default(),
         }
     }
 }
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -1,13 +1,15 @@
-//! One request over a connection of its own.
+//! A connection for one request, or for several one after the other.
 //!
 //! Its errors say whether a byte of the request can have left. That is what
 //! decides if "not run" may be said.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use compio::net::TcpStream;
+use compio::runtime::JoinHandle;
 use compio::time::timeout;
 use cyper_core::HyperStream;
 use derive_more::Display;
@@ -18,11 +20,29 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 
-/// A connection that nothing was sent on yet.
-#[derive(Debug)]
+/// A connection. Dropped, it is closed at once, unless its last request was sent with
+/// [`Connection::send`].
 pub struct Connection {
     addr: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl fmt::Debug for Connection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Connection({})", self.addr)
+    }
+}
+
+/// Why a request on a kept connection has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+pub enum RequestError {
+    /// The connection had ended before. No byte of the request left.
+    #[display("the connection had ended")]
+    NotSent,
+    /// The connection broke after the request may have left.
+    #[display("the connection broke before the answer")]
+    Lost,
 }
 
 /// Why there is no answer.
@@ -61,11 +81,16 @@
         let io = HyperStream::new_plain(stream);
         let handshake = hyper::client::conn::http1::handshake(io).await;
         let (sender, driver) = handshake.map_err(|_| refused)?;
-        compio::runtime::spawn(async move {
-            let _ = driver.await;
+        let driver = compio::runtime::spawn(async move {
+            if let Err(e) = driver.await {
+                log::debug!("the connection to {addr} ended: {e}");
+            }
+        });
+        Ok(Self {
+            addr,
+            sender,
+            driver,
         })
-        .detach();
-        Ok(Self { addr, sender })
     }
 
     /// Whom it is to.
@@ -73,6 +98,24 @@
         self.addr
     }
 
+    /// Whether another request may be sent now.
+    pub fn is_idle(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request and waits for the head of its answer. The connection takes the
+    /// next one after the answer's body has been read to its end.
+    pub async fn request(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, RequestError> {
+        let sent = self.sender.try_send_request(req).await;
+        sent.map_err(|mut e| match e.take_message() {
+            Some(_) => RequestError::NotSent,
+            None => RequestError::Lost,
+        })
+    }
+
     /// Sends the one request and waits at most `span` for the head of its answer.
     pub async fn send(
         mut self,
@@ -80,6 +123,7 @@
         span: Duration,
     ) -> Result<Response<Incoming>, SendError> {
         let addr = self.addr;
+        self.driver.detach();
         match timeout(span, self.sender.send_request(req)).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(_)) => Err(SendError::Lost { addr }),
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -6,9 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_channel::Receiver;
+use async_channel::Sender;
 use compio::net::TcpListener;
 use compio::net::TcpStream;
 use cyper_core::CompioTimer;
+use futures_util::future::Either;
+use futures_util::future::select;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -47,6 +51,8 @@
     addr: SocketAddr,
     open: Rc<Cell<usize>>,
     accepting: Rc<Cell<bool>>,
+    /// Closed when connections are to end between their requests.
+    ending: (Sender<()>, Receiver<()>),
 }
 
 /// Counts a connection for as long as it lives.
@@ -81,10 +87,12 @@
             addr: listener.local_addr()?,
             open: Rc::default(),
             accepting: Rc::new(Cell::new(true)),
+            ending: async_channel::bounded(1),
         };
         let open = Rc::clone(&server.open);
         let accepting = Rc::clone(&server.accepting);
-        compio::runtime::spawn(accept(listener, bounds, open, accepting, handler)).detach();
+        let ending = server.ending.1.clone();
+        compio::runtime::spawn(accept(listener, bounds, open, accepting, ending, handler)).detach();
         Ok(server)
     }
 
@@ -98,6 +106,11 @@
         self.open.get()
     }
 
+    /// Ends connections between their requests, new ones after their first.
+    pub fn end_idle(&self) {
+        self.ending.0.close();
+    }
+
     /// Takes no further connections. Open ones go on.
     pub fn close(&self) {
         self.accepting.set(false);
@@ -109,6 +122,7 @@
     bounds: Bounds,
     open: Rc<Cell<usize>>,
     accepting: Rc<Cell<bool>>,
+    ending: Receiver<()>,
     handler: Handler,
 ) where
     Handler: Fn(Request<Incoming>) -> Answer + Clone + 'static,
@@ -125,12 +139,17 @@
         }
         let slot = Slot::take(&open);
         let handler = handler.clone();
-        compio::runtime::spawn(serve(stream, bounds, slot, handler)).detach();
+        compio::runtime::spawn(serve(stream, bounds, slot, ending.clone(), handler)).detach();
     }
 }
 
-async fn serve<Handler, Answer>(stream: TcpStream, bounds: Bounds, slot: Slot, handler: Handler)
-where
+async fn serve<Handler, Answer>(
+    stream: TcpStream,
+    bounds: Bounds,
+    slot: Slot,
+    ending: Receiver<()>,
+    handler: Handler,
+) where
     Handler: Fn(Request<Incoming>) -> Answer + 'static,
     Answer: Future<Output = Response<Body>> + 'static,
 {
@@ -140,12 +159,21 @@
         let answer = handler(req);
         async move { Ok::<_, std::convert::Infallible>(answer.await) }
     });
-    let served = hyper::server::conn::http1::Builder::new()
+    let connection = hyper::server::conn::http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(bounds.header_time)
         .max_buf_size(bounds.header_bytes.max(8192))
-        .serve_connection(Patient::new(stream, bounds.stall), service)
-        .await;
+        .serve_connection(Patient::new(stream, bounds.stall), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = ending.recv();
+    let ended = std::pin::pin!(ended);
+    let served = match select(connection.as_mut(), ended).await {
+        Either::Left((served, _)) => served,
+        Either::Right(_) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(e) = served {
         log::debug!("a connection ended: {e}");
     }
--- /dev/null
+++ b/crates/site/src/control/lead.rs
@@ -0,0 +1,112 @@
+//! What the control host that leads does: it orders, directs, and takes configurations.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::time::timeout;
+
+use crate::control::Control;
+use crate::control::orders;
+use crate::control::voter::AtControl;
+use crate::events::Event;
+use crate::events::emit;
+use crate::message::ConfigRead;
+use crate::message::ConfigText;
+use crate::message::Offered;
+use quorum::clock;
+use state::OfferReply;
+use state::Op;
+use state::Reply;
+use vote::ProposeError;
+
+/// The longest time between two looks at the replicas.
+const EVERY: Duration = Duration::from_millis(50);
+
+/// How long a configuration may take to be agreed on.
+const AGREE_WITHIN: Duration = Duration::from_millis(800);
+
+/// Orders and directs while this control host leads, for as long as the process runs.
+pub(crate) async fn lead_on(control: Rc<Control>) {
+    loop {
+        control.due.wait(EVERY).await;
+        let now = clock::now();
+        let term = control.term();
+        let due = {
+            let mut controller = control.controller.borrow_mut();
+            controller.lead(term, now);
+            if term.is_some() && has_traffic(&control) {
+                controller.traffic_began();
+            }
+            controller.tick(now)
+        };
+        for order in due {
+            orders::spawn(&control, order);
+        }
+        if term.is_some() {
+            direct(&control);
+        }
+        control.roster.borrow_mut().expire(now);
+        control.pool.expire();
+    }
+}
+
+fn has_traffic(control: &Control) -> bool {
+    let entries = control.entries.borrow();
+    let mut work = entries.values().flat_map(|entry| &entry.state.work);
+    work.any(|work| 0.0 < work.rate)
+}
+
+/// Gives out the controller's directions if they are newer.
+fn direct(control: &Control) {
+    let Some(newer) = control.controller.borrow().directions() else {
+        return;
+    };
+    if newer.edition <= control.directions.borrow().edition {
+        return;
+    }
+    let shape = control.controller.borrow().shape(clock::now());
+    emit(&Event::Directed {
+        edition: newer.edition,
+        serving: newer.serving.len(),
+        shape: format!("{shape:?}"),
+    });
+    control.directions.replace(newer);
+    control.news.ring();
+}
+
+/// Gets a configuration agreed on, if this control host leads.
+pub(crate) async fn offer_here(control: &Rc<Control>, configuration: ConfigText) -> Offered {
+    let op = Op::Offer(state::Offer {
+        version: configuration.version,
+        text: configuration.text.into(),
+    });
+    let waiting = match control.voters.propose(op) {
+        Ok(waiting) => waiting,
+        Err(ProposeError::NotLeader { leader }) => return Offered::NotLeading { leader },
+        Err(ProposeError::Busy) => return Offered::NotLeading { leader: None },
+        Err(ProposeError::TooLarge { .. }) => return Offered::TooLarge,
+    };
+    quorum::step(&AtControl(Rc::clone(control)));
+    match timeout(AGREE_WITHIN, waiting.recv()).await {
+        Ok(Ok(Some(Reply::Offer(OfferReply::InForce | OfferReply::Kept { .. })))) => Offered::Taken,
+        Ok(Ok(Some(Reply::Offer(OfferReply::TooLarge { .. })))) => Offered::TooLarge,
+        Ok(Ok(None)) => Offered::NotLeading { leader: None },
+        Ok(Ok(Some(_)) | Err(_)) | Err(_) => Offered::Unknown,
+    }
+}
+
+/// Reads the newest configuration, if this control host leads.
+pub(crate) fn read_here(control: &Control) -> ConfigRead {
+    if !control.leads() {
+        let leader = control.known_leader();
+        return ConfigRead::NotLeading { leader };
+    }
+    let (version, text) = control.voters.configuration();
+    match text.is_empty() {
+        true => ConfigRead::None,
+        false => ConfigRead::Newest(ConfigText {
+            version,
+            text: text.as_ref().to_owned(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/site/src/control/orders.rs
@@ -0,0 +1,95 @@
+//! Carries orders to the engines' hosts.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::time::timeout;
+use http::StatusCode;
+
+use crate::control::Control;
+use crate::events::Event;
+use crate::events::emit;
+use form::Order;
+use form::Outcome;
+use net::Connection;
+use net::RequestError;
+use net::read_body;
+use quorum::clock;
+
+/// How long a connection to a host may take.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// How long a host may take to answer an order.
+const ANSWER: Duration = Duration::from_millis(1_000);
+
+/// The largest answer to an order in bytes.
+const ANSWER_BYTES: usize = 64 * 1024;
+
+/// Carries an order out beside everything else.
+pub(crate) fn spawn(control: &Rc<Control>, order: Order) {
+    let control = Rc::clone(control);
+    compio::runtime::spawn(async move {
+        let began = clock::now();
+        let outcome = carry_out(&control, &order).await;
+        let now = clock::now();
+        emit(&Event::OrderSent {
+            host: &order.host,
+            order: order.action.to_string(),
+            outcome: outcome.to_string(),
+            ms: now.since(began).as_millis(),
+        });
+        let mut controller = control.controller.borrow_mut();
+        controller.outcome(order.id, outcome, now);
+        drop(controller);
+        control.due.ring();
+    })
+    .detach();
+}
+
+async fn carry_out(control: &Control, order: &Order) -> Outcome {
+    let id = (order.host.clone(), order.life);
+    if let Some(kept) = control.pool.take(&id) {
+        match send(control, order, kept).await {
+            Err(RequestError::NotSent) => {}
+            Err(RequestError::Lost) => return Outcome::Unknown,
+            Ok(outcome) => return outcome,
+        }
+    }
+    let Ok(fresh) = control.pool.open(order.addr, CONNECT).await else {
+        return Outcome::Refused;
+    };
+    match send(control, order, fresh).await {
+        Ok(outcome) => outcome,
+        Err(RequestError::NotSent) => Outcome::Refused,
+        Err(RequestError::Lost) => Outcome::Unknown,
+    }
+}
+
+async fn send(
+    control: &Control,
+    order: &Order,
+    mut connection: Connection,
+) -> Result<Outcome, RequestError> {
+    // Checked after the last wait: a process that was frozen may lead no more.
+    if !control.leads() {
+        return Ok(Outcome::Refused);
+    }
+    let req = control.platform.order(&order.action);
+    let Ok(sent) = timeout(ANSWER, connection.request(req)).await else {
+        return Ok(Outcome::Unknown);
+    };
+    let response = sent?;
+    let status = response.status();
+    let id = (order.host.clone(), order.life);
+    if read_body(response.into_body(), ANSWER_BYTES, ANSWER)
+        .await
+        .is_ok()
+    {
+        control.pool.put(&id, connection, None);
+    }
+    Ok(match status {
+        StatusCode::OK | StatusCode::ACCEPTED => Outcome::Done,
+        _ if status.is_client_error() => Outcome::Refused,
+        _ => Outcome::Unknown,
+    })
+}
--- /dev/null
+++ b/crates/site/src/control/probe.rs
@@ -0,0 +1,121 @@
+//! Asks hosts that are silent, or whose replica stands still, whether they live.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::time::timeout;
+
+use crate::control::Control;
+use crate::events::Event;
+use crate::events::emit;
+use base::UpstreamId;
+use fleet::Announcement;
+use net::read_body;
+use quorum::clock;
+
+/// Time between two looks for silent hosts.
+const EVERY: Duration = Duration::from_millis(200);
+
+/// A host that is silent this long is asked: announcements come about each 1.2 s.
+const SILENT: Duration = Duration::from_millis(1_900);
+
+/// How long a host may take to answer.
+const ANSWER: Duration = Duration::from_millis(250);
+
+/// Times that a host is asked before it counts as lost.
+const TRIES: usize = 2;
+
+/// The largest answer in bytes.
+const ANSWER_BYTES: usize = 256 * 1024;
+
+/// Asks silent hosts while this control host leads, for as long as the process runs.
+pub(crate) async fn probe_on(control: Rc<Control>) {
+    loop {
+        compio::time::sleep(EVERY).await;
+        if !control.leads() {
+            continue;
+        }
+        let silent = control
+            .controller
+            .borrow()
+            .silent_hosts(SILENT, clock::now());
+        for host in silent {
+            ask(&control, host, "silent");
+        }
+    }
+}
+
+/// Takes that a replica stands still: the hosts of it are asked.
+pub(crate) fn still(control: &Rc<Control>, head: &UpstreamId) {
+    if !control.leads() {
+        control.untold.borrow_mut().still.push(head.clone());
+        control.telling.ring();
+        return;
+    }
+    let hosts = control.controller.borrow().hosts_of(head);
+    emit(&Event::HostStill {
+        head,
+        hosts: hosts.len(),
+    });
+    for host in hosts {
+        ask(control, host, "replica stands still");
+    }
+}
+
+fn ask(control: &Rc<Control>, host: Announcement, why: &'static str) {
+    if !control.asked.borrow_mut().insert(host.id.clone()) {
+        return;
+    }
+    let control = Rc::clone(control);
+    compio::runtime::spawn(async move {
+        let lives = lives(&control, &host).await;
+        control.asked.borrow_mut().remove(&host.id);
+        let now = clock::now();
+        let heard = control
+            .roster
+            .borrow()
+            .get(&host.id)
+            .map(|entry| entry.heard);
+        let silent = heard.map(|heard| now.since(heard)).unwrap_or_default();
+        if lives {
+            return;
+        }
+        emit(&Event::HostLost {
+            host: &host.id,
+            silent_ms: silent.as_millis(),
+            why,
+        });
+        control
+            .controller
+            .borrow_mut()
+            .lost(&host.id, host.life, now);
+        control.due.ring();
+    })
+    .detach();
+}
+
+async fn lives(control: &Control, host: &Announcement) -> bool {
+    for _ in 0..TRIES {
+        if answers(control, host).await {
+            return true;
+        }
+    }
+    false
+}
+
+async fn answers(control: &Control, host: &Announcement) -> bool {
+    let id = (host.id.clone(), host.life);
+    let asked = async {
+        let kept = control.pool.take(&id);
+        let mut connection = match kept {
+            Some(kept) => kept,
+            None => control.pool.open(host.addr, ANSWER).await.ok()?,
+        };
+        let response = connection.request(control.platform.probe()).await.ok()?;
+        let read = read_body(response.into_body(), ANSWER_BYTES, ANSWER).await;
+        read.ok()?;
+        control.pool.put(&id, connection, None);
+        Some(())
+    };
+    matches!(timeout(ANSWER, asked).await, Ok(Some(())))
+}
--- /dev/null
+++ b/crates/site/src/control/watch.rs
@@ -0,0 +1,166 @@
+//! Tells followers what is new, as soon as it is.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::control::Control;
+use crate::control::Follower;
+use crate::control::lead;
+use crate::control::probe;
+use crate::message::ConfigText;
+use crate::message::EntryState;
+use crate::message::News;
+use crate::message::Offer;
+use crate::message::ReadConfig;
+use crate::message::TargetLoad;
+use crate::message::Tell;
+use crate::message::Told;
+use crate::message::Watch;
+use crate::message::Watched;
+use crate::message::Watcher;
+use base::NodeId;
+use base::UpstreamId;
+use fleet::Change;
+use fleet::Heard;
+use fleet::Revision;
+use net::Methods;
+use quorum::clock;
+
+/// How long an answer waits for something new.
+const WAIT: Duration = Duration::from_millis(200);
+
+/// What control hosts offer to the others and to entry hosts.
+pub(crate) fn methods(methods: Methods<Control>) -> Methods<Control> {
+    methods
+        .on(|control: Rc<Control>, call: Watch| async move { Ok(watch(control, call).await) })
+        .on(|control: Rc<Control>, call: Tell| async move {
+            hear(&control, call);
+            Ok(Told {})
+        })
+        .on(|control: Rc<Control>, call: Offer| async move {
+            Ok(lead::offer_here(&control, call.configuration).await)
+        })
+        .on(|control: Rc<Control>, _: ReadConfig| async move { Ok(lead::read_here(&control)) })
+}
+
+async fn watch(control: Rc<Control>, call: Watch) -> Watched {
+    let needs_leader = matches!(call.watcher, Watcher::Control { .. });
+    if needs_leader && !control.leads() {
+        let leader = control.known_leader();
+        return Watched::NotLeading { leader };
+    }
+    take(&control, call.from, call.watcher);
+    let is_new = |control: &Control| {
+        call.life != control.life
+            || call.revision < control.roster.borrow().revision()
+            || call.version < control.in_force.borrow().version
+            || call.edition < control.directions.borrow().edition
+    };
+    if !is_new(&control) {
+        control.news.wait(WAIT).await;
+    }
+    if needs_leader && !control.leads() {
+        let leader = control.known_leader();
+        return Watched::NotLeading { leader };
+    }
+    let since = match call.life == control.life {
+        true => call.revision,
+        false => Revision::default(),
+    };
+    let mut news = news(&control, since);
+    news.configuration = newer_config(&control, call.version);
+    let directions = control.directions.borrow();
+    let is_newer = call.edition < directions.edition;
+    news.directions = is_newer.then(|| directions.clone());
+    Watched::News(Box::new(news))
+}
+
+fn news(control: &Control, since: Revision) -> News {
+    let now = clock::now();
+    let confirmed = match control.leads() {
+        true => Some(Duration::ZERO),
+        false => control.confirmed.get().map(|at| now.since(at)),
+    };
+    let entries = control.fresh_entries();
+    let roster = control.roster.borrow();
+    News {
+        life: control.life,
+        revision: roster.revision(),
+        changes: roster.changes(since),
+        configuration: None,
+        directions: None,
+        loads: loads(&entries),
+        confirmed_ago: confirmed,
+        controls: control.controls().into_iter().collect(),
+        entries: entries.len(),
+    }
+}
+
+fn newer_config(control: &Control, known: base::Version) -> Option<ConfigText> {
+    let in_force = control.in_force.borrow();
+    (known < in_force.version).then(|| ConfigText {
+        version: in_force.version,
+        text: in_force.text.as_ref().to_owned(),
+    })
+}
+
+/// All entry hosts' requests at each target.
+fn loads(entries: &BTreeMap<NodeId, Follower>) -> Vec<TargetLoad> {
+    let mut all: BTreeMap<&UpstreamId, u32> = BTreeMap::new();
+    for load in entries.values().flat_map(|entry| &entry.state.loads) {
+        *all.entry(&load.id).or_default() += load.requests;
+    }
+    let all = all.into_iter();
+    all.map(|(id, requests)| TargetLoad {
+        id: id.clone(),
+        requests,
+    })
+    .collect()
+}
+
+/// Takes what a follower tells of itself.
+fn take(control: &Control, from: NodeId, watcher: Watcher) {
+    match watcher {
+        Watcher::Entry(state) => take_entry(control, from, state, true),
+        Watcher::Control { entries } => {
+            for entry in entries {
+                take_entry(control, entry.node, entry.state, false);
+            }
+        }
+    }
+}
+
+fn take_entry(control: &Control, node: NodeId, state: EntryState, own: bool) {
+    let heard = clock::now();
+    let follower = Follower { state, heard, own };
+    control.entries.borrow_mut().insert(node, follower);
+}
+
+/// Takes what another process heard.
+pub(crate) fn hear(control: &Rc<Control>, tell: Tell) {
+    for change in tell.changes {
+        let id = match &change {
+            Change::Says(said) => said.id.clone(),
+            Change::Gone { id, .. } => id.clone(),
+        };
+        let heard = control.roster.borrow_mut().follow(change, clock::now());
+        control.heard(&id, heard);
+    }
+    for beat in tell.beats {
+        let known = control
+            .roster
+            .borrow()
+            .get(&beat.id)
+            .map(|e| e.said.clone());
+        let Some(mut said) = known.filter(|said| said.life == beat.life) else {
+            continue;
+        };
+        said.sequence = beat.sequence;
+        let heard: Heard = control.roster.borrow_mut().hear(said, clock::now());
+        control.heard(&beat.id, heard);
+    }
+    for head in tell.still {
+        probe::still(control, &head);
+    }
+}
--- /dev/null
+++ b/crates/site/src/entry/answer.rs
@@ -0,0 +1,111 @@
+//! Answers that this entry host gives by itself.
+
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+
+use net::Body;
+
+/// Why a request got no answer of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// No configuration is known yet.
+    Starting,
+    /// No route fits.
+    NoRoute,
+    /// The caller has no key that counts.
+    NoKey,
+    /// It isn't known whether the key still counts.
+    KeysUncertain,
+    /// The body did not come whole and in time.
+    Unread,
+    /// The body is too large.
+    TooLarge,
+    /// There is nobody to send it to.
+    NoTarget,
+    /// All that it could be sent to are full.
+    Full,
+    /// Every upstream that it was sent to refused it.
+    NotRun,
+    /// It may have run, and its answer is lost.
+    Lost,
+    /// Its time is over, and it has not run.
+    OutOfTime,
+    /// Its time is over, and it may have run.
+    Timeout,
+}
+
+impl Refusal {
+    /// What is said in words.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Starting => "no configuration is known here yet",
+            Self::NoRoute => "no route fits this host and path",
+            Self::NoKey => "the key is not known",
+            Self::KeysUncertain => "it is not known whether the key still counts",
+            Self::Unread => "the request did not arrive whole",
+            Self::TooLarge => "the body is too large",
+            Self::NoTarget => "no upstream is there for it",
+            Self::Full => "all upstreams are full",
+            Self::NotRun => "no upstream took it",
+            Self::Lost => "its answer was lost, it may have run",
+            Self::OutOfTime => "its time was over before it ran",
+            Self::Timeout => "no answer came in time, it may have run",
+        }
+    }
+
+    /// The status. 503 promises that it has not run and never will.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::Unread => StatusCode::REQUEST_TIMEOUT,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Self::Starting
+            | Self::KeysUncertain
+            | Self::NoTarget
+            | Self::Full
+            | Self::NotRun
+            | Self::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// When to come back, where that helps.
+    fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::Starting | Self::KeysUncertain => Some(Duration::from_millis(100)),
+            Self::NoTarget | Self::Full => Some(Duration::from_millis(400)),
+            Self::NotRun => Some(Duration::from_millis(200)),
+            _ => None,
+        }
+    }
+
+    /// The answer.
+    pub fn response(self) -> Response<Body> {
+        let text = serde_json::json!({ "error": self.text() }).to_string();
+        let mut response = Response::new(Body::whole(text));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(header::CONTENT_TYPE, json);
+        let after = self
+            .retry_after()
+            .map(|span| span.as_secs_f64().to_string());
+        if let Some(Ok(after)) = after.map(|after| HeaderValue::from_str(&after)) {
+            headers.insert(header::RETRY_AFTER, after);
+        }
+        response
+    }
+}
+
+/// An answer with a status and nothing else.
+pub(crate) fn bare(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/site/src/entry/follow.rs
@@ -0,0 +1,278 @@
+//! Follows a control host: everything that an entry host has to know comes from there.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::entry::Entry;
+use crate::entry::Phase;
+use crate::events::Event;
+use crate::events::emit;
+use crate::message::EntryState;
+use crate::message::ModelWork;
+use crate::message::News;
+use crate::message::TargetLoad;
+use crate::message::Tell;
+use crate::message::Watch;
+use crate::message::Watched;
+use crate::message::Watcher;
+use base::Incarnation;
+use base::NodeId;
+use base::Time;
+use base::UpstreamId;
+use fleet::Announcement;
+use fleet::Configuration;
+use fleet::Revision;
+use fleet::Serving;
+use forward::Health;
+use forward::Target;
+use quorum::clock;
+
+/// How long a control host may take to answer: longer than it waits for something new.
+const WITHIN: Duration = Duration::from_millis(600);
+
+/// Time between two tries to find a control host.
+const RETRY: Duration = Duration::from_millis(80);
+
+/// The time over which arrivals are counted.
+const WORK_SPAN: Duration = Duration::from_secs(1);
+
+/// What is known of a control host's state.
+#[derive(Debug, Default)]
+struct Known {
+    control: Option<NodeId>,
+    life: Incarnation,
+    revision: Revision,
+    controls: Vec<NodeId>,
+    turn: usize,
+    heard: Time,
+    work: Vec<ModelWork>,
+    work_at: Time,
+}
+
+/// Follows one control host after the other, for as long as the process runs.
+pub(crate) async fn follow_on(entry: Rc<Entry>) {
+    let mut known = Known::default();
+    loop {
+        let Some(control) = known.control.or_else(|| next(&entry, &mut known)) else {
+            compio::time::sleep(RETRY).await;
+            continue;
+        };
+        let asked = clock::now();
+        let call = call(&entry, &mut known, asked);
+        let addr = entry.settings.internal(control);
+        match entry.peers.call(addr, &call, WITHIN).await {
+            Ok(Watched::News(news)) => {
+                if known.control != Some(control) {
+                    emit(&Event::FollowBegan { control, addr });
+                    known.control = Some(control);
+                }
+                known.heard = asked;
+                take(&entry, &mut known, *news, asked);
+            }
+            Ok(Watched::NotLeading { .. }) => known.control = None,
+            Err(e) => {
+                if known.control.take().is_some() {
+                    emit(&Event::FollowLost {
+                        control,
+                        error: e.to_string(),
+                        silent_ms: asked.since(known.heard).as_millis(),
+                    });
+                }
+                known.turn += 1;
+                compio::time::sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// The next control host to try: the seeds and all that were told, those with an address
+/// like this host's first, as they are the nearest.
+fn next(entry: &Entry, known: &mut Known) -> Option<NodeId> {
+    let me = entry.settings.node().0;
+    let mut all: Vec<NodeId> = entry.seeds.borrow().clone();
+    all.extend(&known.controls);
+    all.sort_by_key(|id| (id.0 ^ me, *id));
+    all.dedup();
+    let count = all.len().max(1);
+    all.get(known.turn % count).copied()
+}
+
+fn call(entry: &Entry, known: &mut Known, now: Time) -> Watch {
+    let span = now.since(known.work_at);
+    if WORK_SPAN <= span {
+        let arrivals = std::mem::take(&mut *entry.arrivals.borrow_mut());
+        let rate = |count: u32| f64::from(count) / span.as_secs_f64();
+        let arrivals = arrivals.into_iter();
+        known.work = arrivals
+            .map(|(model, count)| ModelWork {
+                model,
+                rate: rate(count),
+            })
+            .collect();
+        known.work_at = now;
+    }
+    let own = entry.board.borrow().own().into_iter();
+    Watch {
+        from: entry.settings.node(),
+        life: known.life,
+        revision: known.revision,
+        version: entry.version.get(),
+        edition: entry.directions.borrow().edition,
+        watcher: Watcher::Entry(EntryState {
+            centre: entry.settings.centre.clone(),
+            loads: own
+                .map(|(id, requests)| TargetLoad { id, requests })
+                .collect(),
+            work: known.work.clone(),
+        }),
+    }
+}
+
+fn take(entry: &Rc<Entry>, known: &mut Known, news: News, asked: Time) {
+    known.life = news.life;
+    known.revision = news.revision;
+    known.controls = news.controls;
+    if let Some(ago) = news.confirmed_ago {
+        let at = asked - ago;
+        let known = entry.confirmed.get();
+        entry
+            .confirmed
+            .set(Some(known.map_or(at, |known| known.max(at))));
+    }
+    entry.budget.borrow_mut().senders = news.entries;
+    let mut is_changed = !news.changes.is_empty();
+    for change in news.changes {
+        entry.roster.borrow_mut().follow(change, asked);
+    }
+    if let Some(newer) = news.configuration
+        && entry.version.get() < newer.version
+    {
+        bring_into_force(entry, newer.version, &newer.text);
+        is_changed = true;
+    }
+    if let Some(newer) = news.directions
+        && entry.directions.borrow().edition < newer.edition
+    {
+        entry.directions.replace(newer);
+        is_changed = true;
+    }
+    if is_changed {
+        retarget(entry);
+    }
+    let loads = news.loads.into_iter();
+    let loads: BTreeMap<UpstreamId, u32> = loads.map(|load| (load.id, load.requests)).collect();
+    let own = entry.board.borrow().own();
+    let others = loads.into_iter().map(|(id, all)| {
+        let mine = own.get(&id).copied().unwrap_or(0);
+        (id, all.saturating_sub(mine))
+    });
+    let others = others.collect();
+    entry.board.borrow_mut().others(&others);
+}
+
+fn bring_into_force(entry: &Entry, version: base::Version, text: &str) {
+    match entry.platform.configuration(text) {
+        Ok(configuration) => {
+            let routes = configuration.routes.values().map(Vec::len).sum();
+            emit(&Event::ConfigInForce { version, routes });
+            entry.configuration.replace(Rc::new(configuration));
+            entry.version.set(version);
+            if entry.phase.get() == Phase::Starting {
+                entry.phase.set(Phase::Serving);
+            }
+        }
+        Err(findings) => {
+            let error = findings.to_string();
+            emit(&Event::ConfigUnreadable { version, error });
+        }
+    }
+}
+
+/// Works the targets out from what upstreams say and the directions.
+fn retarget(entry: &Entry) {
+    let configuration = Rc::clone(&entry.configuration.borrow());
+    let roster = entry.roster.borrow();
+    let directions = entry.directions.borrow();
+    let plain = roster.present().filter_map(|known| {
+        let service = configuration.services.get(&known.said.service)?;
+        let is_plain = service.engine.is_none() && !known.said.leaving;
+        is_plain.then(|| target(&known.said, known.said.slots))
+    });
+    let served = directions.serving.iter().filter_map(|serving| {
+        let head = &roster.get(&serving.head)?.said;
+        serves(head, serving).then_some(())?;
+        engine_target(&configuration, head, serving)
+    });
+    let targets = plain.chain(served).collect();
+    entry.board.borrow_mut().replace(targets);
+    entry.freed.ring();
+}
+
+/// Whether a first host says nothing that speaks against the directions.
+fn serves(head: &Announcement, serving: &Serving) -> bool {
+    let place = head.place();
+    let fits = place.is_some_and(|place| place.epoch == serving.epoch && place.state.may_serve());
+    head.life == serving.life && !head.leaving && fits
+}
+
+fn engine_target(
+    configuration: &Configuration,
+    head: &Announcement,
+    serving: &Serving,
+) -> Option<Target> {
+    let service = configuration.services.get(&serving.service)?;
+    let engine = service.engine.as_ref()?;
+    let model = engine.model(&serving.model)?;
+    Some(Target {
+        model: Some(serving.model.clone()),
+        pace: model.pace,
+        ..target(head, engine.slots)
+    })
+}
+
+fn target(said: &Announcement, slots: u32) -> Target {
+    Target {
+        id: said.id.clone(),
+        life: said.life,
+        addr: said.addr,
+        service: said.service.clone(),
+        model: None,
+        centre: said.centre.clone(),
+        slots,
+        pace: 1.0,
+        own: 0,
+        others: 0,
+        health: Health::default(),
+        progress: Time::ZERO,
+        waiting_since: Time::ZERO,
+        usual: Duration::ZERO,
+    }
+}
+
+/// Tells control hosts of first hosts that stand still, for as long as the process runs.
+pub(crate) async fn tell_on(entry: Rc<Entry>) {
+    loop {
+        entry.telling.wait(Duration::from_secs(1)).await;
+        let still = std::mem::take(&mut *entry.still.borrow_mut());
+        if still.is_empty() {
+            continue;
+        }
+        let call = Tell {
+            still,
+            ..Tell::default()
+        };
+        let mut known = Known::default();
+        for _ in 0..3 {
+            let Some(control) = next(&entry, &mut known) else {
+                break;
+            };
+            let addr = entry.settings.internal(control);
+            match entry.peers.call(addr, &call, WITHIN).await {
+                Ok(_) => break,
+                Err(e) => log::debug!("{control} cannot be told of a standstill: {e}"),
+            }
+            known.turn += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/site/src/entry/metrics.rs
@@ -0,0 +1,101 @@
+//! What an entry host counts and times, in the form that Prometheus reads.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Bounds of the buckets of all times, in seconds.
+const TIME_BUCKETS: [f64; 14] = [
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0,
+];
+
+/// A route and the organisation that a request is made for.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Class {
+    /// The route.
+    pub route: String,
+    /// The organisation, empty if the caller has none.
+    pub organisation: String,
+}
+
+/// How requests of a route ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Ending {
+    /// The route.
+    pub route: String,
+    /// How it ended.
+    pub outcome: String,
+}
+
+/// Histograms of times by class.
+type Times = Family<Class, Histogram, fn() -> Histogram>;
+
+/// The metrics of an entry host.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    first: Times,
+    total: Times,
+    endings: Family<Ending, Counter>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let times: fn() -> Histogram = || Histogram::new(TIME_BUCKETS);
+        let mut registry = Registry::with_prefix("berylbay");
+        let first = Times::new_with_constructor(times);
+        let total = Times::new_with_constructor(times);
+        let endings = Family::default();
+        registry.register(
+            "first_seconds",
+            "From a request's arrival to the first bytes of its answer",
+            first.clone(),
+        );
+        registry.register(
+            "total_seconds",
+            "From a request's arrival to the end of its answer",
+            total.clone(),
+        );
+        registry.register("requests", "Requests by how they ended", endings.clone());
+        Self {
+            registry,
+            first,
+            total,
+            endings,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts how a request ended.
+    pub fn ended(&self, route: &str, outcome: &str) {
+        let ending = Ending {
+            route: route.to_owned(),
+            outcome: outcome.to_owned(),
+        };
+        self.endings.get_or_create(&ending).inc();
+    }
+
+    /// Takes the times of an answer.
+    pub fn answered(&self, class: &Class, first: Duration, total: Duration) {
+        let first_times = self.first.get_or_create(class);
+        first_times.observe(first.as_secs_f64());
+        drop(first_times);
+        let total_times = self.total.get_or_create(class);
+        total_times.observe(total.as_secs_f64());
+    }
+
+    /// All metrics as text.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        if let Err(e) = encode(&mut text, &self.registry) {
+            log::warn!("metrics cannot be written: {e}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/site/src/entry/mod.rs
@@ -0,0 +1,239 @@
+//! An entry host: it takes callers' requests and sends them on.
+
+mod answer;
+mod attempt;
+mod follow;
+mod handle;
+mod metrics;
+mod outbound;
+mod relay;
+mod turn;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::bell::Bell;
+use crate::entry::metrics::Metrics;
+use crate::platform::Platform;
+use crate::pool::Pool;
+use crate::settings::RetryTerms;
+use crate::settings::Settings;
+use base::ModelName;
+use base::NodeId;
+use base::Time;
+use base::UpstreamId;
+use base::Version;
+use fleet::Configuration;
+use fleet::Directions;
+use fleet::Roster;
+use forward::Board;
+use forward::Budget;
+use net::Bounds;
+use net::RpcClient;
+use net::Server;
+use quorum::clock;
+
+/// How long a caller's connection may be idle. Longer than callers do.
+const CALLER_IDLE: Duration = Duration::from_secs(25);
+
+/// Callers' connections that are open at once.
+const CALLER_CONNECTIONS: usize = 2_500;
+
+/// How long a caller may take nothing of an answer.
+const CALLER_STALL: Duration = Duration::from_secs(10);
+
+/// The largest head of a request in bytes.
+const HEAD_BYTES: usize = 64 * 1024;
+
+/// How long this host goes on as usual after it was told to stop, until no new
+/// connections come.
+const NOTICE: Duration = Duration::from_millis(2_600);
+
+/// Time before the end at which the last requests are given up.
+const LAST: Duration = Duration::from_millis(400);
+
+/// What an entry host is told when it starts.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Where callers call.
+    pub callers: SocketAddr,
+    /// Where the balancer asks if it is ready.
+    pub readiness: SocketAddr,
+    /// How long keys count after a majority was last known to stand behind them.
+    pub key_life: Duration,
+    /// How many retries the whole deployment may make.
+    pub retries: RetryTerms,
+}
+
+/// What an entry host is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// It has no configuration yet.
+    Starting,
+    /// It takes requests.
+    Serving,
+    /// It says that it isn't ready, and finishes what comes.
+    Leaving,
+}
+
+/// What all tasks of an entry host share.
+pub(crate) struct Entry {
+    pub settings: Settings,
+    pub own: EntrySettings,
+    pub platform: Rc<dyn Platform>,
+    pub phase: Cell<Phase>,
+    pub seeds: RefCell<Vec<NodeId>>,
+    pub roster: RefCell<Roster>,
+    pub directions: RefCell<Directions>,
+    pub configuration: RefCell<Rc<Configuration>>,
+    pub version: Cell<Version>,
+    /// When a majority last stood behind the configuration.
+    pub confirmed: Cell<Option<Time>>,
+    pub board: RefCell<Board>,
+    pub budget: RefCell<Budget>,
+    /// Requests for each model since the last report.
+    pub arrivals: RefCell<BTreeMap<ModelName, u32>>,
+    /// First hosts that stand still and of which no control host knows yet.
+    pub still: RefCell<Vec<UpstreamId>>,
+    pub telling: Bell,
+    /// A request has ended, so a place may be free.
+    pub freed: Bell,
+    pub in_flight: Cell<usize>,
+    pub peers: RpcClient,
+    pub pool: Pool,
+    pub metrics: Metrics,
+}
+
+/// An entry host that runs.
+pub(crate) struct Running {
+    pub entry: Rc<Entry>,
+    callers: Server,
+    readiness: Option<Server>,
+}
+
+impl Running {
+    /// Starts an entry host.
+    pub async fn spawn(
+        settings: Settings,
+        own: EntrySettings,
+        platform: Rc<dyn Platform>,
+    ) -> Result<Self, crate::RunError> {
+        let entry = Rc::new(Entry::new(settings, own, platform)?);
+        let bounds = Bounds {
+            connections: CALLER_CONNECTIONS,
+            header_bytes: HEAD_BYTES,
+            header_time: CALLER_IDLE,
+            stall: CALLER_STALL,
+        };
+        let callers = Self::listen(&entry, entry.own.callers, bounds).await?;
+        let readiness = match entry.own.readiness == entry.own.callers {
+            true => None,
+            false => Some(Self::listen(&entry, entry.own.readiness, Bounds::default()).await?),
+        };
+        compio::runtime::spawn(follow::follow_on(Rc::clone(&entry))).detach();
+        compio::runtime::spawn(follow::tell_on(Rc::clone(&entry))).detach();
+        compio::runtime::spawn(keep_on(Rc::clone(&entry))).detach();
+        Ok(Self {
+            entry,
+            callers,
+            readiness,
+        })
+    }
+
+    async fn listen(
+        entry: &Rc<Entry>,
+        addr: SocketAddr,
+        bounds: Bounds,
+    ) -> std::io::Result<Server> {
+        let entry = Rc::clone(entry);
+        Server::bind(addr, bounds, move |req| {
+            handle::handle(Rc::clone(&entry), req)
+        })
+        .await
+    }
+
+    /// Takes newer settings.
+    pub fn reload(&self, settings: &Settings) {
+        self.entry.seeds.replace(settings.seeds.clone());
+    }
+
+    /// Says that it isn't ready, goes on until no new connections come, and finishes
+    /// what it has.
+    pub async fn stop(&self) {
+        let until = clock::now() + self.entry.settings.stop_within;
+        self.entry.phase.set(Phase::Leaving);
+        compio::time::sleep(NOTICE).await;
+        self.callers.end_idle();
+        while 0 < self.entry.in_flight.get() && clock::now() + LAST < until {
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        // The last bytes are with the connections: give them a moment to leave.
+        compio::time::sleep(Duration::from_millis(60)).await;
+        self.callers.close();
+        if let Some(readiness) = &self.readiness {
+            readiness.close();
+        }
+    }
+}
+
+impl Entry {
+    fn new(
+        settings: Settings,
+        own: EntrySettings,
+        platform: Rc<dyn Platform>,
+    ) -> Result<Self, cyper::Error> {
+        let RetryTerms {
+            ratio,
+            slack,
+            window,
+        } = own.retries;
+        let seed = u64::from(settings.node().0);
+        Ok(Self {
+            phase: Cell::new(Phase::Starting),
+            seeds: RefCell::new(settings.seeds.clone()),
+            roster: RefCell::default(),
+            directions: RefCell::default(),
+            configuration: RefCell::default(),
+            version: Cell::default(),
+            confirmed: Cell::new(None),
+            board: RefCell::new(Board::open(settings.centre.clone(), seed)),
+            budget: RefCell::new(Budget::open(ratio, slack, window)),
+            arrivals: RefCell::default(),
+            still: RefCell::default(),
+            telling: Bell::default(),
+            freed: Bell::default(),
+            in_flight: Cell::new(0),
+            peers: RpcClient::open(String::new())?,
+            pool: Pool::default(),
+            metrics: Metrics::default(),
+            settings,
+            own,
+            platform,
+        })
+    }
+
+    /// How long ago a majority was last known to stand behind the configuration.
+    pub fn confirmed_ago(&self) -> Duration {
+        let now = clock::now();
+        self.confirmed
+            .get()
+            .map_or(Duration::MAX, |at| now.since(at))
+    }
+
+    /// Whether keys may still be believed.
+    pub fn trusts_keys(&self) -> bool {
+        self.confirmed_ago() < self.own.key_life
+    }
+}
+
+/// Closes connections that have been idle for too long, for as long as the process runs.
+async fn keep_on(entry: Rc<Entry>) {
+    loop {
+        compio::time::sleep(Duration::from_millis(500)).await;
+        entry.pool.expire();
+    }
+}
--- /dev/null
+++ b/crates/site/src/entry/outbound.rs
@@ -0,0 +1,111 @@
+//! A caller's request as it goes to upstreams.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Uri;
+use http::header;
+use http_body_util::Full;
+
+use crate::platform::Headers;
+use base::OrgName;
+use base::UpstreamId;
+
+/// Headers that concern one connection only.
+const HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// A caller's request as it goes to upstreams.
+#[derive(Clone, Debug)]
+pub(crate) struct Outbound {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Outbound {
+    /// The request without what concerns the caller's connection, with its organisation
+    /// in place of its key.
+    pub fn of(
+        head: &http::request::Parts,
+        body: Bytes,
+        names: &Headers,
+        organisation: Option<&OrgName>,
+    ) -> Self {
+        let mut headers = end_to_end(&head.headers);
+        for name in [&names.target, &names.organisation, &names.deadline] {
+            headers.remove(name);
+        }
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        if let Some(organisation) = organisation {
+            headers.remove(header::AUTHORIZATION);
+            if let Ok(value) = HeaderValue::from_str(organisation.as_str()) {
+                headers.insert(names.organisation.clone(), value);
+            }
+        }
+        let uri = head.uri.path_and_query().map(|path| path.as_str());
+        Self {
+            method: head.method.clone(),
+            uri: uri.and_then(|path| path.parse().ok()).unwrap_or_default(),
+            headers,
+            body,
+        }
+    }
+
+    /// The request for one process, with the time that is left.
+    pub fn to(
+        &self,
+        names: &Headers,
+        target: &UpstreamId,
+        left: Duration,
+        after: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        let mut headers = self.headers.clone();
+        headers.insert(names.deadline.clone(), (left.as_millis() as u64).into());
+        if let Ok(value) = HeaderValue::from_str(target.as_str()) {
+            headers.insert(names.target.clone(), value);
+        }
+        if let Some(after) = after {
+            headers.insert(names.last_event.clone(), after.into());
+        }
+        *req.headers_mut() = headers;
+        req
+    }
+}
+
+/// The headers that don't concern one connection only.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let is_hop = HOP.contains(name) || named.iter().any(|other| other == name.as_str());
+        if !is_hop {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
--- /dev/null
+++ b/crates/site/src/entry/turn.rs
@@ -0,0 +1,49 @@
+//! One request at one target, counted for as long as it is there.
+
+use std::rc::Rc;
+
+use crate::entry::Entry;
+use forward::TargetId;
+use quorum::clock;
+
+/// One request at one target. Dropped, it is counted out.
+pub(crate) struct Turn {
+    entry: Rc<Entry>,
+    /// The target.
+    pub id: TargetId,
+}
+
+impl Turn {
+    /// Counts a request in.
+    pub fn open(entry: &Rc<Entry>, id: TargetId) -> Self {
+        entry.board.borrow_mut().sent(&id, clock::now());
+        Self {
+            entry: Rc::clone(entry),
+            id,
+        }
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.entry.board.borrow_mut().ended(&self.id);
+        self.entry.freed.ring();
+    }
+}
+
+/// One request at this entry host. Dropped, it is counted out.
+pub(crate) struct InFlight(Rc<Entry>);
+
+impl InFlight {
+    /// Counts a request in.
+    pub fn open(entry: &Rc<Entry>) -> Self {
+        entry.in_flight.set(entry.in_flight.get() + 1);
+        Self(Rc::clone(entry))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/site/src/events.rs
@@ -0,0 +1,77 @@
+//! The numbered events of a deployment's log. `docs/EVENTS.md` lists them.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use base::CentreName;
+use base::NodeId;
+use base::RouteName;
+use base::ServiceName;
+use base::UpstreamId;
+use base::Version;
+use fleet::Edition;
+
+catalogue::events! {
+    2000 Info Started { name: &'a str, centre: &'a CentreName, roles: &'a str }
+        "started name={name} centre={centre} roles={roles}";
+    2001 Info Stopping { in_flight: usize }
+        "stopping in_flight={in_flight}";
+    2002 Info Stopped { in_flight: usize }
+        "stopped in_flight={in_flight}";
+    2003 Info Reloaded { seeds: usize }
+        "settings reloaded seeds={seeds}";
+    2004 Error ReloadFailed { error: String }
+        "settings not reloaded, the old ones stay error={error:?}";
+    2005 Warn ListenFailed { addr: SocketAddr, error: String }
+        "cannot listen addr={addr} error={error:?}";
+    2100 Info ConfigInForce { version: Version, routes: usize }
+        "configuration in force version={version} routes={routes}";
+    2101 Error ConfigUnreadable { version: Version, error: String }
+        "configuration agreed on but unreadable, the old one stays version={version} error={error:?}";
+    2102 Info ConfigTaken { version: Version, outcome: &'a str }
+        "configuration offered version={version} outcome={outcome}";
+    2103 Warn ConfigRefused { findings: usize, first: String }
+        "configuration refused findings={findings} first={first:?}";
+    2110 Info FollowBegan { control: NodeId, addr: SocketAddr }
+        "following a control host control={control} addr={addr}";
+    2111 Warn FollowLost { control: NodeId, error: String, silent_ms: u128 }
+        "control host lost control={control} silent_ms={silent_ms} error={error:?}";
+    2200 Info UpstreamSays { id: &'a UpstreamId, service: &'a ServiceName, what: String }
+        "upstream changed id={id} service={service} {what}";
+    2201 Info UpstreamGone { id: &'a UpstreamId }
+        "upstream gone id={id}";
+    2202 Warn UpstreamUnreadable { id: &'a UpstreamId, error: String }
+        "announcement unreadable id={id} error={error:?}";
+    2300 Info Leading { term: u64 }
+        "this voter leads term={term}";
+    2301 Info Following { leader: NodeId }
+        "this voter follows leader={leader}";
+    2302 Error VoterLost { reason: String }
+        "this voter isn't counted reason={reason:?}";
+    2303 Error DiskFailed { folder: &'a Path, error: String }
+        "state cannot be written folder={folder:?} error={error:?}";
+    2304 Info SeatChanged { change: String, outcome: String }
+        "voters changed change={change:?} outcome={outcome:?}";
+    2400 Info OrderSent { host: &'a UpstreamId, order: String, outcome: String, ms: u128 }
+        "order host={host} order={order:?} outcome={outcome} ms={ms}";
+    2401 Info Directed { edition: Edition, serving: usize, shape: String }
+        "directions edition={edition:?} serving={serving} {shape}";
+    2402 Warn HostLost { host: &'a UpstreamId, silent_ms: u128, why: &'a str }
+        "host lost host={host} silent_ms={silent_ms} why={why}";
+    2403 Info HostStill { head: &'a UpstreamId, hosts: usize }
+        "replica stands still, its hosts are asked head={head} hosts={hosts}";
+    2500 Info Answered { id: &'a str, route: &'a RouteName, target: &'a UpstreamId, status: u16, attempts: u32, first_ms: u128, total_ms: u128 }
+        "answered id={id} route={route} target={target} status={status} attempts={attempts} first_ms={first_ms} total_ms={total_ms}";
+    2501 Info Refused { id: &'a str, route: &'a str, status: u16, why: &'a str, waited_ms: u128, attempts: u32, version: Version, age_ms: u128 }
+        "refused id={id} route={route} status={status} why={why:?} waited_ms={waited_ms} attempts={attempts} version={version} confirmed_ms_ago={age_ms}";
+    2502 Info AttemptFailed { id: &'a str, target: &'a UpstreamId, failure: String, why: String, next: String, left_ms: u128 }
+        "attempt failed id={id} target={target} failure={failure} why={why:?} next={next} left_ms={left_ms}";
+    2503 Info Resumed { id: &'a str, from: &'a UpstreamId, to: &'a UpstreamId, after: Option<u64> }
+        "stream resumed id={id} from={from} to={to} after={after:?}";
+    2504 Warn BrokenOff { id: &'a str, target: &'a UpstreamId, after: Option<u64>, why: String, total_ms: u128 }
+        "stream broken off id={id} target={target} after={after:?} why={why:?} total_ms={total_ms}";
+    2505 Info CallerLeft { id: &'a str, total_ms: u128 }
+        "caller left id={id} total_ms={total_ms}";
+    2506 Info TargetStill { target: &'a UpstreamId, own: u32 }
+        "target stands still target={target} own={own}";
+}
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -1,1 +1,31 @@
-//! Not yet.
+//! The programs of a deployment: control hosts and entry hosts.
+//!
+//! A **control host** has a disk and a voter. It hears upstreams and operators; the one
+//! whose voter leads also orders the engines' hosts. An **entry host** has no disk. It
+//! takes callers' requests, and follows a control host for everything it has to know.
+//!
+//! What a platform calls its fields, headers and paths is behind [`Platform`].
+
+mod bell;
+mod control;
+mod entry;
+mod events;
+mod message;
+mod peers;
+mod platform;
+mod pool;
+mod run;
+mod settings;
+
+pub use control::ControlSettings;
+pub use entry::EntrySettings;
+pub use events::catalogue;
+pub use platform::ControlCall;
+pub use platform::Headers;
+pub use platform::Platform;
+pub use platform::Unreadable;
+pub use run::RunError;
+pub use run::run;
+pub use settings::RetryTerms;
+pub use settings::Settings;
+pub use settings::node_of;
--- /dev/null
+++ b/crates/site/src/peers.rs
@@ -0,0 +1,53 @@
+//! Calls between the processes of a deployment.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+
+use net::Body;
+use net::Bounds;
+use net::Methods;
+use net::Server;
+use net::read_body;
+
+/// The largest call in bytes: a configuration with its envelope.
+const CALL_BYTES: usize = 12 * 1024 * 1024;
+
+/// How long a call may take to arrive.
+const ARRIVAL: Duration = Duration::from_secs(3);
+
+/// Connections from other processes are kept idle this long.
+const IDLE: Duration = Duration::from_secs(60);
+
+/// Listens for the other processes.
+pub(crate) async fn bind<Context: 'static>(
+    addr: SocketAddr,
+    methods: Methods<Context>,
+) -> std::io::Result<Server> {
+    let bounds = Bounds {
+        header_time: IDLE,
+        ..Bounds::default()
+    };
+    let methods = Rc::new(methods);
+    Server::bind(addr, bounds, move |req| answer(Rc::clone(&methods), req)).await
+}
+
+async fn answer<Context: 'static>(
+    methods: Rc<Methods<Context>>,
+    req: Request<Incoming>,
+) -> Response<Body> {
+    match read_body(req.into_body(), CALL_BYTES, ARRIVAL).await {
+        Ok(bytes) => Response::new(Body::whole(methods.answer(&bytes).await)),
+        Err(e) => {
+            log::debug!("a call could not be read: {e}");
+            let mut response = Response::new(Body::default());
+            *response.status_mut() = StatusCode::BAD_REQUEST;
+            response
+        }
+    }
+}
--- /dev/null
+++ b/crates/site/src/run.rs
@@ -0,0 +1,205 @@
+//! The life of a process: start, reload, stop.
+
+use std::io;
+use std::rc::Rc;
+
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use futures_util::FutureExt;
+use futures_util::future::Fuse;
+use futures_util::future::LocalBoxFuture;
+use futures_util::select_biased;
+use http::Response;
+use http::StatusCode;
+
+use crate::control;
+use crate::entry;
+use crate::events::Event;
+use crate::events::emit;
+use crate::platform::Platform;
+use crate::settings::Settings;
+use net::Body;
+use net::Bounds;
+use net::Server;
+
+const SIGHUP: i32 = 1;
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
+
+/// Why a process cannot run.
+#[derive(Debug, Display, Error, From)]
+pub enum RunError {
+    /// A listener, a file or the runtime failed.
+    #[display("{_0}")]
+    Io(io::Error),
+    /// The client for other processes cannot be made.
+    #[display("{_0}")]
+    Client(cyper::Error),
+}
+
+/// What a signal asks for.
+enum Asked {
+    Reload,
+    Stop,
+}
+
+/// The roles of a process.
+struct Roles {
+    control: Option<control::Running>,
+    entry: Option<entry::Running>,
+}
+
+/// Runs a process until it is told to stop. `load` reads its settings anew.
+pub fn run(
+    settings: Settings,
+    platform: Rc<dyn Platform>,
+    load: impl Fn() -> Result<Settings, String>,
+) -> Result<(), RunError> {
+    compio::runtime::Runtime::new()?.block_on(serve(settings, platform, load))
+}
+
+async fn serve(
+    settings: Settings,
+    platform: Rc<dyn Platform>,
+    load: impl Fn() -> Result<Settings, String>,
+) -> Result<(), RunError> {
+    let roles = Roles::spawn(&settings, &platform).await?;
+    let _metrics = metrics(&settings, &roles).await;
+    emit(&Event::Started {
+        name: &settings.name,
+        centre: &settings.centre,
+        roles: roles.names(),
+    });
+    let mut signals = Signals::open();
+    while let Asked::Reload = signals.next().await {
+        match load() {
+            Ok(newer) => {
+                emit(&Event::Reloaded {
+                    seeds: newer.seeds.len(),
+                });
+                roles.reload(&newer);
+            }
+            Err(error) => emit(&Event::ReloadFailed { error }),
+        }
+    }
+    let in_flight = roles.in_flight();
+    emit(&Event::Stopping { in_flight });
+    if let Some(entry) = &roles.entry {
+        entry.stop().await;
+    }
+    if let Some(control) = &roles.control {
+        control.stop().await;
+    }
+    let in_flight = roles.in_flight();
+    emit(&Event::Stopped { in_flight });
+    Ok(())
+}
+
+impl Roles {
+    async fn spawn(settings: &Settings, platform: &Rc<dyn Platform>) -> Result<Self, RunError> {
+        let control = match settings.control.clone() {
+            Some(own) => {
+                let running = control::Running::spawn(settings.clone(), own, Rc::clone(platform));
+                Some(running.await?)
+            }
+            None => None,
+        };
+        let entry = match settings.entry.clone() {
+            Some(own) => {
+                let running = entry::Running::spawn(settings.clone(), own, Rc::clone(platform));
+                Some(running.await?)
+            }
+            None => None,
+        };
+        Ok(Self { control, entry })
+    }
+
+    fn names(&self) -> &'static str {
+        match (&self.control, &self.entry) {
+            (Some(_), Some(_)) => "control,entry",
+            (Some(_), None) => "control",
+            (None, Some(_)) => "entry",
+            (None, None) => "none",
+        }
+    }
+
+    fn in_flight(&self) -> usize {
+        self.entry
+            .as_ref()
+            .map_or(0, |running| running.entry.in_flight.get())
+    }
+
+    fn reload(&self, settings: &Settings) {
+        if let Some(entry) = &self.entry {
+            entry.reload(settings);
+        }
+        if let Some(control) = &self.control {
+            control.reload(settings);
+        }
+    }
+}
+
+/// Shows the metrics. Without them the process runs all the same.
+async fn metrics(settings: &Settings, roles: &Roles) -> Option<Server> {
+    let entry = Rc::clone(&roles.entry.as_ref()?.entry);
+    let addr = settings.metrics;
+    let bound = Server::bind(addr, Bounds::default(), move |_| {
+        let entry = Rc::clone(&entry);
+        async move {
+            let mut response = Response::new(Body::whole(entry.metrics.encode()));
+            *response.status_mut() = StatusCode::OK;
+            response
+        }
+    })
+    .await;
+    match bound {
+        Ok(server) => Some(server),
+        Err(e) => {
+            let error = e.to_string();
+            emit(&Event::ListenFailed { addr, error });
+            None
+        }
+    }
+}
+
+/// The signals that a process obeys. Each keeps a listener that is never waited for, or
+/// a signal that comes between two waits would end the process.
+struct Signals {
+    hup: Listener,
+    term: Listener,
+    int: Listener,
+    _standing: [Listener; 3],
+}
+
+type Listener = Fuse<LocalBoxFuture<'static, io::Result<()>>>;
+
+impl Signals {
+    fn open() -> Self {
+        Self {
+            hup: listen(SIGHUP),
+            term: listen(SIGTERM),
+            int: listen(SIGINT),
+            _standing: [SIGHUP, SIGTERM, SIGINT].map(listen),
+        }
+    }
+
+    async fn next(&mut self) -> Asked {
+        select_biased! {
+            _ = &mut self.term => return Asked::Stop,
+            _ = &mut self.int => return Asked::Stop,
+            _ = &mut self.hup => {}
+        }
+        self.hup = listen(SIGHUP);
+        Asked::Reload
+    }
+}
+
+/// A listener that is registered already.
+fn listen(signal: i32) -> Listener {
+    let listener: LocalBoxFuture<'static, _> = Box::pin(compio::signal::unix::signal(signal));
+    let mut listener = listener.fuse();
+    // The first poll registers it.
+    let _ = (&mut listener).now_or_never();
+    listener
+}
--- /dev/null
+++ b/crates/site/src/settings.rs
@@ -0,0 +1,63 @@
+//! What a process is told when it starts.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::control::ControlSettings;
+use crate::entry::EntrySettings;
+use base::CentreName;
+use base::NodeId;
+
+/// How many retries the whole deployment may make.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryTerms {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries beyond that in a window.
+    pub slack: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+/// What a process is told when it starts.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its name in logs.
+    pub name: String,
+    /// Its data centre.
+    pub centre: CentreName,
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// The port of all processes for each other.
+    pub internal_port: u16,
+    /// Control hosts that were there when the settings were written.
+    pub seeds: Vec<NodeId>,
+    /// What it is told as a control host, if it is one.
+    pub control: Option<ControlSettings>,
+    /// What it is told as an entry host, if it is one.
+    pub entry: Option<EntrySettings>,
+    /// Where it shows its metrics.
+    pub metrics: SocketAddr,
+    /// How long it may take to stop.
+    pub stop_within: Duration,
+}
+
+impl Settings {
+    /// The process, named by its address.
+    pub fn node(&self) -> NodeId {
+        node_of(self.ip)
+    }
+
+    /// Where another process is reached.
+    pub fn internal(&self, node: NodeId) -> SocketAddr {
+        let ip = Ipv4Addr::from(node.0);
+        SocketAddr::new(IpAddr::V4(ip), self.internal_port)
+    }
+}
+
+/// The process at an address.
+pub fn node_of(ip: Ipv4Addr) -> NodeId {
+    NodeId(u32::from(ip))
+}
