A leader's state counts entries without a command; standstill by flowing streams

Cause: after a change of leader the term's first entry has no command, so the state's index stayed below the lease's for ever and no process answered a read or trusted a key (920 refusals 'it is not known whether the key still counts' at one host). Ruled out: lost messages between voters; the entry was committed. The daemon's read of the ledger had the same fault, hidden by the commands that follow there. A replica counts as standing still only while own streams that have begun give nothing, else after 1.3 s: 350 ms from the send took queueing for a standstill.

--- a/crates/daemon/src/voters/propose.rs
+++ b/crates/daemon/src/voters/propose.rs
@@ -188,10 +188,9 @@
 /// What the ledger says of a key, if this node leads and its state is current.
 pub fn standing_here(node: &Node, call: &ReadOrder) -> Option<state::Standing> {
     let voters = node.voters.as_ref()?;
-    let lease = voters.voter.borrow().lease(clock::now())?;
+    voters.leads(clock::now())?;
     let state = voters.state.borrow();
-    let is_current = lease.index.0 <= state.applied();
-    is_current.then(|| state.ledger().standing(&call.org, &call.key))
+    Some(state.ledger().standing(&call.org, &call.key))
 }
 
 fn encoded(reply: &Reply) -> Blob {
--- a/crates/form/src/config.rs
+++ b/crates/form/src/config.rs
@@ -8,7 +8,7 @@
     /// A new term listens this long before it orders anything, so that all hosts in
     /// reach have announced themselves.
     pub settle: Duration,
-    /// At the first start it listens only this long after the first host.
+    /// Before the first replica it listens this long after each new host.
     pub gather: Duration,
     /// A host that is silent this long is not chosen for a replica.
     pub silent: Duration,
@@ -32,14 +32,14 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            settle: Duration::from_millis(1_500),
-            gather: Duration::from_millis(900),
+            settle: Duration::from_millis(1_400),
+            gather: Duration::from_millis(400),
             silent: Duration::from_millis(4_000),
             head_wait: Duration::from_millis(5_500),
             drain: Duration::from_millis(1_500),
             effect: Duration::from_millis(1_500),
             retry: Duration::from_millis(300),
-            spare_share: 0.2,
+            spare_share: 0.0,
             load_share: 0.8,
             load_window: Duration::from_secs(5),
         }
--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -105,6 +105,7 @@
             None => {
                 let host = Host::new(said.clone(), now);
                 self.hosts.insert(said.id.clone(), host);
+                self.gather(now);
             }
         }
     }
@@ -157,6 +158,15 @@
         self.term.is_some() && self.settled_at <= now
     }
 
+    /// Waits a little for more hosts while none has a place yet, so that the first layout
+    /// is made with all of them.
+    fn gather(&mut self, now: Time) {
+        let is_first = self.replicas.is_empty() && self.term.is_some() && !self.has_traffic;
+        if is_first {
+            self.settled_at = self.settled_at.max(now + self.cfg.gather);
+        }
+    }
+
     /// Goes on in time. Called several times a second.
     pub fn tick(&mut self, now: Time) -> Vec<Order> {
         if !self.is_settled(now) {
--- a/crates/forward/src/board.rs
+++ b/crates/forward/src/board.rs
@@ -19,9 +19,13 @@
 use base::Time;
 use base::UpstreamId;
 
-/// A target that gave nothing for this long, though it has own requests, stands still.
+/// A target whose own streams gave nothing for this long stands still: steps between
+/// events take less, also with long prompts between them.
 const STILL_AFTER: Duration = Duration::from_millis(350);
 
+/// The same while none of them has begun: they may wait for a place.
+const UNBEGUN_STILL_AFTER: Duration = Duration::from_millis(1_300);
+
 /// How long a target that stands still is left out.
 const STILL_BAN: Duration = Duration::from_millis(1_500);
 
@@ -79,6 +83,7 @@
             let known = old.remove(&target.id).filter(|t| t.life == target.life);
             if let Some(known) = known {
                 target.own = known.own;
+                target.flowing = known.flowing;
                 target.others = known.others;
                 target.health = known.health;
                 target.progress = known.progress;
@@ -177,6 +182,20 @@
         }
     }
 
+    /// Counts a stream that has given its first event.
+    pub fn began(&mut self, id: &TargetId) {
+        if let Some(target) = self.known(id) {
+            target.flowing += 1;
+        }
+    }
+
+    /// Counts a stream out that had given events.
+    pub fn dried(&mut self, id: &TargetId) {
+        if let Some(target) = self.known(id) {
+            target.flowing = target.flowing.saturating_sub(1);
+        }
+    }
+
     /// Takes that a target gave something.
     pub fn progress(&mut self, id: &TargetId, now: Time) {
         if let Some(target) = self.known(id) {
@@ -206,7 +225,12 @@
             return true;
         };
         let since = target.progress.max(target.waiting_since);
-        let still = 0 < target.own && STILL_AFTER <= now.since(since);
+        let silent = now.since(since);
+        let still = match (target.own, target.flowing) {
+            (0, _) => false,
+            (_, 0) => UNBEGUN_STILL_AFTER <= silent,
+            _ => STILL_AFTER <= silent,
+        };
         if still {
             target.health.ban(now + STILL_BAN);
         }
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -39,6 +39,8 @@
     pub others: u32,
     /// How it did lately.
     pub health: Health,
+    /// Own streams there that have given events.
+    pub flowing: u32,
     /// When it last gave this entry host anything.
     pub progress: Time,
     /// Own requests there that wait for something since then.
--- a/crates/quorum/src/voters.rs
+++ b/crates/quorum/src/voters.rs
@@ -16,6 +16,7 @@
 use crate::edge::Edge;
 use crate::edge::Note;
 use base::NodeId;
+use base::Time;
 use base::Version;
 use disk::Log;
 use state::Command;
@@ -28,6 +29,7 @@
 use vote::Outgoing;
 use vote::Payload;
 use vote::Role;
+use vote::Snapshot;
 use vote::Standing;
 use vote::Term;
 use vote::Voter;
@@ -50,6 +52,8 @@
     clock: RefCell<LogClock>,
     batches: Sender<Batch>,
     waiting: RefCell<BTreeMap<Index, Waiter>>,
+    /// The last entry that was applied. Entries without a command count too.
+    applied: Cell<Index>,
     snapshot_bytes: Cell<u64>,
     encoding: Cell<bool>,
     halted: Cell<bool>,
@@ -87,6 +91,7 @@
         clock: RefCell::new(LogClock::open(state::Millis(0), now)),
         batches,
         waiting: RefCell::default(),
+        applied: Cell::default(),
         snapshot_bytes: Cell::new(0),
         encoding: Cell::new(false),
         halted: Cell::new(false),
@@ -149,7 +154,7 @@
     };
     let effects = voters.voter.borrow_mut().take();
     if let Some(snapshot) = effects.install {
-        voters.install(edge, &snapshot.state);
+        voters.install(edge, &snapshot);
     }
     for entry in effects.committed {
         voters.apply(edge, &entry);
@@ -215,7 +220,15 @@
 
     /// The index of the last applied entry.
     pub fn applied(&self) -> u64 {
-        self.state.borrow().applied()
+        self.applied.get().0
+    }
+
+    /// The term in which it leads with a majority behind it and a state that contains all
+    /// that was committed. None if it may not answer from its state.
+    pub fn leads(&self, now: Time) -> Option<Term> {
+        let voter = self.voter.borrow();
+        let lease = voter.lease(now)?;
+        (lease.index <= self.applied.get()).then(|| voter.status().term)
     }
 
     /// The configuration that was accepted last.
@@ -236,12 +249,14 @@
         edge.note(&Note::Lost { reason });
     }
 
-    fn install<Around: Edge>(&self, edge: &Around, bytes: &[u8]) {
+    fn install<Around: Edge>(&self, edge: &Around, snapshot: &Snapshot) {
+        let bytes = &snapshot.state;
         match State::decode(bytes) {
             Ok(state) => {
                 self.snapshot_bytes.set(bytes.len() as u64);
                 self.clock.borrow_mut().observe(state.now(), clock::now());
                 self.state.replace(state);
+                self.applied.set(snapshot.at.index);
             }
             Err(e) => self.halt(edge, e.to_string()),
         }
@@ -265,6 +280,7 @@
             },
             Payload::Nothing | Payload::Group(_) => None,
         };
+        self.applied.set(entry.index);
         let waiter = self.waiting.borrow_mut().remove(&entry.index);
         if let Some(waiter) = waiter {
             // Another term at this place means that another leader's entry took it.
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -208,9 +208,7 @@
 
     /// The term in which its voter leads.
     pub fn term(&self) -> Option<u64> {
-        let voter = self.voters.voter.borrow();
-        let lease = voter.lease(clock::now())?;
-        (lease.index.0 <= self.voters.applied()).then(|| voter.status().term.0)
+        self.voters.leads(clock::now()).map(|term| term.0)
     }
 
     /// The control host that leads, as far as this one knows.
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -243,6 +243,7 @@
         pace: 1.0,
         own: 0,
         others: 0,
+        flowing: 0,
         health: Health::default(),
         progress: Time::ZERO,
         waiting_since: Time::ZERO,
--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -165,7 +165,8 @@
         let now = clock::now();
         self.first.get_or_insert(now);
         self.last = now;
-        if let Some(source) = &self.source {
+        if let Some(source) = &mut self.source {
+            source.turn.flow();
             let mut board = self.job.entry.board.borrow_mut();
             board.good(&source.turn.id, now);
         }
--- a/crates/site/src/entry/turn.rs
+++ b/crates/site/src/entry/turn.rs
@@ -11,6 +11,7 @@
     entry: Rc<Entry>,
     /// The target.
     pub id: TargetId,
+    flows: bool,
 }
 
 impl Turn {
@@ -20,13 +21,27 @@
         Self {
             entry: Rc::clone(entry),
             id,
+            flows: false,
+        }
+    }
+
+    /// Takes that its stream has given an event.
+    pub fn flow(&mut self) {
+        if !self.flows {
+            self.flows = true;
+            self.entry.board.borrow_mut().began(&self.id);
         }
     }
 }
 
 impl Drop for Turn {
     fn drop(&mut self) {
-        self.entry.board.borrow_mut().ended(&self.id);
+        let mut board = self.entry.board.borrow_mut();
+        board.ended(&self.id);
+        if self.flows {
+            board.dried(&self.id);
+        }
+        drop(board);
         self.entry.freed.ring();
     }
 }
