--- a/crates/bench/src/nodes.rs
+++ b/crates/bench/src/nodes.rs
@@ -114,7 +114,7 @@
 fn host_spec(centre: u32, host: u32) -> HostSpec {
     HostSpec {
         domain: DomainId(host / DOMAIN_HOSTS),
-        ..HostSpec::new(u32::from(centre) * 1_000 + host, centre)
+        ..HostSpec::new(centre * 1_000 + host, centre)
     }
 }
 
--- a/crates/form/src/advance.rs
+++ b/crates/form/src/advance.rs
@@ -2,6 +2,7 @@
 
 use crate::Controller;
 use crate::Order;
+use crate::OrderId;
 use crate::Outcome;
 use crate::controller::Outstanding;
 use crate::host::Host;
@@ -27,6 +28,7 @@
 impl Controller {
     /// Looks at every replica, and gives the orders that are due.
     pub(crate) fn advance(&mut self, now: Time) -> Vec<Order> {
+        self.restart_waits(now);
         let epochs: Vec<Fence> = self.replicas.keys().copied().collect();
         let orders = epochs.into_iter().filter_map(|epoch| self.next(epoch, now));
         orders.collect()
@@ -54,6 +56,39 @@
         }
     }
 
+    /// Replicas whose first host cannot be reached from here: others may be able to tell
+    /// it to leave.
+    pub fn unreachable(&self) -> Vec<Order> {
+        let closing = self.replicas.values().filter(|replica| {
+            let head = replica.head.as_ref().and_then(|(id, _)| self.hosts.get(id));
+            let lost = head.is_some_and(|host| host.lost.is_some());
+            matches!(replica.phase, Phase::Closing(_)) && lost
+        });
+        let leave = |replica: &Replica| {
+            let (id, life) = replica.head.clone()?;
+            let addr = self.hosts.get(&id)?.said.addr;
+            Some(Order {
+                id: OrderId(0),
+                host: id,
+                life,
+                addr,
+                action: Action::Leave {
+                    replica: replica.name.clone(),
+                    epoch: replica.epoch,
+                },
+            })
+        };
+        closing.filter_map(leave).collect()
+    }
+
+    /// Takes that the first host of a replica has left it, as somebody else saw.
+    pub fn left(&mut self, epoch: Fence, now: Time) {
+        let replica = self.replicas.get_mut(&epoch);
+        if let Some(replica) = replica.filter(|r| matches!(r.phase, Phase::Closing(_))) {
+            replica.enter(Phase::Ended, now);
+        }
+    }
+
     fn next(&mut self, epoch: Fence, now: Time) -> Option<Order> {
         let replica = self.replicas.get(&epoch)?;
         match self.step(replica, now) {
@@ -83,6 +118,10 @@
             },
             Phase::Closing(not_before) => self.close_step(replica, not_before, now),
             Phase::Ended => Step::Wait,
+            Phase::GivenUp => match self.is_back(replica) {
+                true => Step::Enter(Phase::Closing(now)),
+                false => Step::Wait,
+            },
         }
     }
 
@@ -129,12 +168,11 @@
     }
 
     fn close_step(&self, replica: &Replica, not_before: Time, now: Time) -> Step {
+        let gives_up = replica.since + self.cfg.head_wait <= now;
         let Some((id, life)) = &replica.head else {
-            let wait = replica.since + self.cfg.head_wait;
-            return if wait <= now {
-                Step::Enter(Phase::Ended)
-            } else {
-                Step::Wait
+            return match gives_up {
+                true => Step::Enter(Phase::GivenUp),
+                false => Step::Wait,
             };
         };
         let host = self.hosts.get(id);
@@ -143,8 +181,8 @@
             return Step::Enter(Phase::Ended);
         }
         let lost = host.is_none_or(|host| host.lost.is_some());
-        if lost && replica.since + self.cfg.head_wait <= now {
-            return Step::Enter(Phase::Ended);
+        if lost && gives_up {
+            return Step::Enter(Phase::GivenUp);
         }
         if lost || now < not_before || now < replica.ordered + self.cfg.retry {
             return Step::Wait;
@@ -155,6 +193,35 @@
         })
     }
 
+    /// Whether a first host that was given up is heard again and still claims its part.
+    fn is_back(&self, replica: &Replica) -> bool {
+        let Some((id, life)) = &replica.head else {
+            return false;
+        };
+        let host = self.hosts.get(id).filter(|host| host.said.life == *life);
+        let claims = |host: &Host| host.place().is_some_and(|place| place.epoch == replica.epoch);
+        host.is_some_and(|host| host.lost.is_none() && replica.since < host.heard && claims(host))
+    }
+
+    /// Begins the wait for a lost first host anew while no other host of its replica is
+    /// heard either: what is cut off as a whole may go on serving there.
+    fn restart_waits(&mut self, now: Time) {
+        let hosts = &self.hosts;
+        let silent = self.cfg.silent / 2;
+        for replica in self.replicas.values_mut() {
+            let heard = replica.others.iter().any(|(id, life)| {
+                let host = hosts.get(id).filter(|host| host.said.life == *life);
+                host.is_some_and(|host| host.lost.is_none() && now.since(host.heard) < silent)
+            });
+            let head = replica.head.as_ref();
+            let head = head.and_then(|(id, life)| hosts.get(id).filter(|h| h.said.life == *life));
+            let lost = head.is_none_or(|host| host.lost.is_some());
+            if matches!(replica.phase, Phase::Closing(_)) && lost && !heard {
+                replica.since = now;
+            }
+        }
+    }
+
     /// Whether a first host that is heard does not belong to the replica any more.
     fn has_left(&self, replica: &Replica, host: &Host, life: Incarnation) -> bool {
         if host.said.life != life {
--- a/crates/form/src/config.rs
+++ b/crates/form/src/config.rs
@@ -35,7 +35,7 @@
             settle: Duration::from_millis(1_400),
             gather: Duration::from_millis(400),
             silent: Duration::from_millis(4_000),
-            head_wait: Duration::from_millis(5_500),
+            head_wait: Duration::from_millis(4_300),
             drain: Duration::from_millis(1_500),
             effect: Duration::from_millis(1_500),
             retry: Duration::from_millis(300),
--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -221,6 +221,14 @@
         hosts.map(|host| host.said.clone()).collect()
     }
 
+    /// The first host of the replica that a host belongs to.
+    pub fn head_of(&self, host: &UpstreamId) -> Option<&UpstreamId> {
+        let mut of = self.replicas.values().filter(|replica| {
+            replica.counts() && replica.hosts().any(|(id, _)| id == host)
+        });
+        of.next()?.head.as_ref().map(|(id, _)| id)
+    }
+
     /// Hosts of replicas that have been silent for longer than `silent` and are not yet
     /// known to be lost.
     pub fn silent_hosts(&self, silent: std::time::Duration, now: Time) -> Vec<Announcement> {
@@ -283,7 +291,7 @@
         let forget = 10 * self.cfg.head_wait;
         self.hosts.retain(|_, host| now.since(host.heard) < forget);
         self.replicas.retain(|_, replica| {
-            replica.phase != Phase::Ended || now.since(replica.since) < forget
+            replica.holds_hosts() || now.since(replica.since) < forget
         });
     }
 
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -37,7 +37,7 @@
     pub(crate) fn free_hosts(&self, now: Time) -> Vec<UpstreamId> {
         let mut bound = std::collections::BTreeSet::new();
         for replica in self.replicas.values().filter(|r| r.holds_hosts()) {
-            bound.extend(replica.hosts().map(|(id, _)| id));
+            bound.extend(replica.hosts());
         }
         let ended = |host: &Host| {
             let epoch = host.place().map(|place| place.epoch);
@@ -48,7 +48,7 @@
             let can_be_ordered = host.order.is_none() && host.rest_until <= now;
             host.is_well(self.cfg.silent, now)
                 && can_be_ordered
-                && !bound.contains(id)
+                && !bound.contains(&((*id).clone(), host.said.life))
                 && ended(host)
         });
         free.map(|(id, _)| id.clone()).collect()
--- a/crates/form/src/replica.rs
+++ b/crates/form/src/replica.rs
@@ -25,9 +25,13 @@
     /// Its first host is to leave it, not before this time.
     #[display("closing")]
     Closing(Time),
-    /// Its first host has left it, or is gone. Its hosts are free.
+    /// Its first host has left it. Its hosts are free.
     #[display("ended")]
     Ended,
+    /// Its first host was unreachable for so long that it cannot serve any more. Its hosts
+    /// are free, but should it come back, it is told to leave.
+    #[display("given up")]
+    GivenUp,
 }
 
 /// One replica.
@@ -64,7 +68,7 @@
 
     /// Whether its hosts are bound to it.
     pub fn holds_hosts(&self) -> bool {
-        self.phase != Phase::Ended
+        !matches!(self.phase, Phase::Ended | Phase::GivenUp)
     }
 
     /// Whether it serves or soon will.
--- a/crates/forward/src/board.rs
+++ b/crates/forward/src/board.rs
@@ -94,17 +94,18 @@
         }
     }
 
-    /// Takes how many requests the other entry hosts have at each target.
-    pub fn others(&mut self, loads: &BTreeMap<UpstreamId, u32>) {
+    /// Takes how many requests all entry hosts have at each target, this one included.
+    pub fn all_loads(&mut self, loads: &BTreeMap<UpstreamId, u32>) {
         for target in self.targets.values_mut() {
-            target.others = loads.get(&target.id).copied().unwrap_or(0);
+            let all = loads.get(&target.id).copied().unwrap_or(0);
+            target.others = all.saturating_sub(target.own);
         }
     }
 
-    /// Own requests at each target that has any.
-    pub fn own(&self) -> BTreeMap<UpstreamId, u32> {
-        let busy = self.targets.values().filter(|target| 0 < target.own);
-        busy.map(|target| (target.id.clone(), target.own)).collect()
+    /// Targets that have own requests, or gave something lately.
+    pub fn busy(&self, lately: Time) -> impl Iterator<Item = &Target> {
+        let targets = self.targets.values();
+        targets.filter(move |target| 0 < target.own || lately <= target.progress)
     }
 
     /// A target that is known.
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -87,7 +87,7 @@
 fn candidate(control: &Control, turn: usize) -> Option<NodeId> {
     let me = control.settings.node();
     let known = control.known_leader().filter(|leader| *leader != me);
-    if turn % 2 == 0 && known.is_some() {
+    if turn.is_multiple_of(2) && known.is_some() {
         return known;
     }
     let others: Vec<_> = control
@@ -113,6 +113,7 @@
     known.life = news.life;
     known.revision = news.revision;
     control.confirmed.set(Some(asked));
+    control.passed_on.replace(news.unreachable);
     let tell = Tell {
         changes: news.changes,
         ..Tell::default()
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -24,6 +24,7 @@
 use crate::events::emit;
 use crate::message::EntryState;
 use crate::message::Tell;
+use crate::message::Unreachable;
 use crate::peers;
 use crate::platform::Platform;
 use crate::pool::Pool;
@@ -36,6 +37,7 @@
 use fleet::Directions;
 use fleet::Heard;
 use fleet::Roster;
+use form::Action;
 use form::Controller;
 use net::Methods;
 use net::RpcClient;
@@ -47,6 +49,9 @@
 /// An entry host that has not asked for this long does not count.
 const ENTRY_LIFE: Duration = Duration::from_secs(3);
 
+/// A first host that is lost is waited for by this much longer than engines stand still.
+const HEAD_MARGIN: Duration = Duration::from_millis(400);
+
 /// What a control host is told when it starts.
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
@@ -100,6 +105,8 @@
     /// Hosts that are being asked whether they live.
     pub asked: RefCell<BTreeSet<UpstreamId>>,
     pub leader: Cell<Option<NodeId>>,
+    /// First hosts that are to leave, as the leader told.
+    pub passed_on: RefCell<Vec<Unreachable>>,
     pub peers: RpcClient,
     pub pool: Pool,
     /// Something that followers want to know has changed.
@@ -174,7 +181,7 @@
         voters: Voters,
     ) -> Result<Self, cyper::Error> {
         let cfg = form::Config {
-            head_wait: own.still_limit + Duration::from_millis(1_500),
+            head_wait: own.still_limit + HEAD_MARGIN,
             ..form::Config::default()
         };
         Ok(Self {
@@ -190,6 +197,7 @@
             untold: RefCell::default(),
             asked: RefCell::default(),
             leader: Cell::new(None),
+            passed_on: RefCell::default(),
             peers: RpcClient::open(String::new())?,
             pool: Pool::default(),
             news: Bell::default(),
@@ -277,6 +285,35 @@
         self.due.ring();
     }
 
+    /// First hosts that the leader cannot reach and that are to leave.
+    pub fn unreachable(&self) -> Vec<Unreachable> {
+        if !self.leads() {
+            return self.passed_on.borrow().clone();
+        }
+        let orders = self.controller.borrow().unreachable().into_iter();
+        let unreachable = orders.filter_map(|order| match order.action {
+            Action::Leave { replica, epoch } => Some(Unreachable {
+                host: order.host,
+                addr: order.addr,
+                replica,
+                epoch,
+            }),
+            _ => None,
+        });
+        unreachable.collect()
+    }
+
+    /// When a replica last gave something to any entry host.
+    pub fn moved(&self, head: &UpstreamId) -> Option<Time> {
+        let entries = self.entries.borrow();
+        let loads = entries.values().flat_map(|entry| {
+            let loads = entry.state.loads.iter();
+            loads.map(move |load| (entry.heard, load))
+        });
+        let of = loads.filter(|(_, load)| load.id == *head);
+        of.filter_map(|(heard, load)| Some(heard - load.moved_ago?)).max()
+    }
+
     /// Entry hosts that asked lately.
     pub fn fresh_entries(&self) -> BTreeMap<NodeId, Follower> {
         let now = clock::now();
--- a/crates/site/src/control/probe.rs
+++ b/crates/site/src/control/probe.rs
@@ -20,7 +20,14 @@
 const SILENT: Duration = Duration::from_millis(1_900);
 
 /// How long a host may take to answer.
-const ANSWER: Duration = Duration::from_millis(250);
+const ANSWER: Duration = Duration::from_millis(180);
+
+/// A host that lives is not asked again for this long.
+const ASK_AGAIN: Duration = Duration::from_millis(400);
+
+/// A replica that gave something this lately is not lost: what entry hosts tell is as
+/// old as their last question.
+const MOVED: Duration = Duration::from_millis(600);
 
 /// Times that a host is asked before it counts as lost.
 const TRIES: usize = 2;
@@ -69,7 +76,6 @@
     let control = Rc::clone(control);
     compio::runtime::spawn(async move {
         let lives = lives(&control, &host).await;
-        control.asked.borrow_mut().remove(&host.id);
         let now = clock::now();
         let heard = control
             .roster
@@ -77,7 +83,9 @@
             .get(&host.id)
             .map(|entry| entry.heard);
         let silent = heard.map(|heard| now.since(heard)).unwrap_or_default();
-        if lives {
+        if lives || moves(&control, &host) {
+            compio::time::sleep(ASK_AGAIN).await;
+            control.asked.borrow_mut().remove(&host.id);
             return;
         }
         emit(&Event::HostLost {
@@ -94,6 +102,14 @@
     .detach();
 }
 
+/// Whether the replica of a host gave something to entry hosts lately: then all its hosts
+/// live, though some cannot be reached from here.
+fn moves(control: &Control, host: &Announcement) -> bool {
+    let head = control.controller.borrow().head_of(&host.id).cloned();
+    let moved = head.and_then(|head| control.moved(&head));
+    moved.is_some_and(|moved| clock::now().since(moved) < MOVED)
+}
+
 async fn lives(control: &Control, host: &Announcement) -> bool {
     for _ in 0..TRIES {
         if answers(control, host).await {
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -19,6 +19,7 @@
 use crate::message::Watch;
 use crate::message::Watched;
 use crate::message::Watcher;
+use base::Fence;
 use base::NodeId;
 use base::UpstreamId;
 use fleet::Change;
@@ -90,6 +91,7 @@
         changes: roster.changes(since),
         configuration: None,
         directions: None,
+        unreachable: control.unreachable(),
         loads: loads(&entries),
         confirmed_ago: confirmed,
         controls: control.controls().into_iter().collect(),
@@ -115,6 +117,7 @@
     all.map(|(id, requests)| TargetLoad {
         id: id.clone(),
         requests,
+        moved_ago: None,
     })
     .collect()
 }
@@ -160,7 +163,21 @@
         let heard: Heard = control.roster.borrow_mut().hear(said, clock::now());
         control.heard(&beat.id, heard);
     }
+    for epoch in tell.left {
+        left(control, epoch);
+    }
     for head in tell.still {
         probe::still(control, &head);
     }
 }
+
+/// Takes that the first host of a replica has left it.
+fn left(control: &Rc<Control>, epoch: Fence) {
+    if control.leads() {
+        control.controller.borrow_mut().left(epoch, clock::now());
+        control.due.ring();
+        return;
+    }
+    control.untold.borrow_mut().left.push(epoch);
+    control.telling.ring();
+}
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use compio::time::timeout;
+
 use crate::entry::Entry;
 use crate::entry::Phase;
 use crate::events::Event;
@@ -13,6 +15,7 @@
 use crate::message::News;
 use crate::message::TargetLoad;
 use crate::message::Tell;
+use crate::message::Unreachable;
 use crate::message::Watch;
 use crate::message::Watched;
 use crate::message::Watcher;
@@ -24,6 +27,7 @@
 use fleet::Configuration;
 use fleet::Revision;
 use fleet::Serving;
+use form::Action;
 use forward::Health;
 use forward::Target;
 use quorum::clock;
@@ -34,6 +38,15 @@
 /// Time between two tries to find a control host.
 const RETRY: Duration = Duration::from_millis(80);
 
+/// A target that gave something this lately is told of.
+const MOVED_LATELY: Duration = Duration::from_millis(900);
+
+/// How long a connection to a host may take that is to leave.
+const LEAVE_WITHIN: Duration = Duration::from_millis(300);
+
+/// Time between two tries to tell it.
+const LEAVE_AGAIN: Duration = Duration::from_millis(700);
+
 /// The time over which arrivals are counted.
 const WORK_SPAN: Duration = Duration::from_secs(1);
 
@@ -112,7 +125,13 @@
             .collect();
         known.work_at = now;
     }
-    let own = entry.board.borrow().own().into_iter();
+    let board = entry.board.borrow();
+    let lately = now - MOVED_LATELY;
+    let load = |target: &Target| TargetLoad {
+        id: target.id.clone(),
+        requests: target.own,
+        moved_ago: (lately <= target.progress).then(|| now.since(target.progress)),
+    };
     Watch {
         from: entry.settings.node(),
         life: known.life,
@@ -121,9 +140,7 @@
         edition: entry.directions.borrow().edition,
         watcher: Watcher::Entry(EntryState {
             centre: entry.settings.centre.clone(),
-            loads: own
-                .map(|(id, requests)| TargetLoad { id, requests })
-                .collect(),
+            loads: board.busy(lately).map(load).collect(),
             work: known.work.clone(),
         }),
     }
@@ -162,13 +179,44 @@
     }
     let loads = news.loads.into_iter();
     let loads: BTreeMap<UpstreamId, u32> = loads.map(|load| (load.id, load.requests)).collect();
-    let own = entry.board.borrow().own();
-    let others = loads.into_iter().map(|(id, all)| {
-        let mine = own.get(&id).copied().unwrap_or(0);
-        (id, all.saturating_sub(mine))
-    });
-    let others = others.collect();
-    entry.board.borrow_mut().others(&others);
+    entry.board.borrow_mut().all_loads(&loads);
+    for host in news.unreachable {
+        take_leave(entry, host);
+    }
+}
+
+/// Tells a first host to leave that the leader cannot reach, and the leader if it did.
+fn take_leave(entry: &Rc<Entry>, host: Unreachable) {
+    if !entry.leaving.borrow_mut().insert(host.epoch) {
+        return;
+    }
+    let entry = Rc::clone(entry);
+    compio::runtime::spawn(async move {
+        let action = Action::Leave {
+            replica: host.replica.clone(),
+            epoch: host.epoch,
+        };
+        let req = entry.platform.order(&action);
+        let told = async {
+            let mut connection = entry.pool.open(host.addr, LEAVE_WITHIN).await.ok()?;
+            let response = connection.request(req).await.ok()?;
+            Some(response.status().is_success())
+        };
+        let told = timeout(2 * LEAVE_WITHIN, told).await;
+        let left = matches!(told, Ok(Some(true)));
+        emit(&Event::LeaveTold {
+            host: &host.host,
+            replica: &host.replica,
+            left,
+        });
+        if left {
+            entry.left.borrow_mut().push(host.epoch);
+            entry.telling.ring();
+        }
+        compio::time::sleep(LEAVE_AGAIN).await;
+        entry.leaving.borrow_mut().remove(&host.epoch);
+    })
+    .detach();
 }
 
 fn bring_into_force(entry: &Entry, version: base::Version, text: &str) {
@@ -255,14 +303,14 @@
 pub(crate) async fn tell_on(entry: Rc<Entry>) {
     loop {
         entry.telling.wait(Duration::from_secs(1)).await;
-        let still = std::mem::take(&mut *entry.still.borrow_mut());
-        if still.is_empty() {
-            continue;
-        }
         let call = Tell {
-            still,
+            still: std::mem::take(&mut *entry.still.borrow_mut()),
+            left: std::mem::take(&mut *entry.left.borrow_mut()),
             ..Tell::default()
         };
+        if call == Tell::default() {
+            continue;
+        }
         let mut known = Known::default();
         for _ in 0..3 {
             let Some(control) = next(&entry, &mut known) else {
@@ -271,7 +319,7 @@
             let addr = entry.settings.internal(control);
             match entry.peers.call(addr, &call, WITHIN).await {
                 Ok(_) => break,
-                Err(e) => log::debug!("{control} cannot be told of a standstill: {e}"),
+                Err(e) => log::debug!("{control} cannot be told: {e}"),
             }
             known.turn += 1;
         }
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -12,6 +12,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use crate::pool::Pool;
 use crate::settings::RetryTerms;
 use crate::settings::Settings;
+use base::Fence;
 use base::ModelName;
 use base::NodeId;
 use base::Time;
@@ -99,6 +101,10 @@
     pub arrivals: RefCell<BTreeMap<ModelName, u32>>,
     /// First hosts that stand still and of which no control host knows yet.
     pub still: RefCell<Vec<UpstreamId>>,
+    /// Replicas whose first host has left, and of which no control host knows yet.
+    pub left: RefCell<Vec<Fence>>,
+    /// Replicas whose first host is being told to leave.
+    pub leaving: RefCell<BTreeSet<Fence>>,
     pub telling: Bell,
     /// A request has ended, so a place may be free.
     pub freed: Bell,
@@ -204,6 +210,8 @@
             budget: RefCell::new(Budget::open(ratio, slack, window)),
             arrivals: RefCell::default(),
             still: RefCell::default(),
+            left: RefCell::default(),
+            leaving: RefCell::default(),
             telling: Bell::default(),
             freed: Bell::default(),
             in_flight: Cell::new(0),
--- a/crates/site/src/events.rs
+++ b/crates/site/src/events.rs
@@ -5,6 +5,7 @@
 
 use base::CentreName;
 use base::NodeId;
+use base::ReplicaName;
 use base::RouteName;
 use base::ServiceName;
 use base::UpstreamId;
@@ -60,6 +61,8 @@
         "host lost host={host} silent_ms={silent_ms} why={why}";
     2403 Info HostStill { head: &'a UpstreamId, hosts: usize }
         "replica stands still, its hosts are asked head={head} hosts={hosts}";
+    2404 Info LeaveTold { host: &'a UpstreamId, replica: &'a ReplicaName, left: bool }
+        "first host that the leader cannot reach was told to leave host={host} replica={replica} left={left}";
     2500 Info Answered { id: &'a str, route: &'a RouteName, target: &'a UpstreamId, status: u16, attempts: u32, first_ms: u128, total_ms: u128 }
         "answered id={id} route={route} target={target} status={status} attempts={attempts} first_ms={first_ms} total_ms={total_ms}";
     2501 Info Refused { id: &'a str, route: &'a str, status: u16, why: &'a str, waited_ms: u128, attempts: u32, version: Version, age_ms: u128 }
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -1,14 +1,17 @@
 //! What the processes of a deployment tell each other.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use base::CentreName;
+use base::Fence;
 use base::Incarnation;
 use base::ModelName;
 use base::NodeId;
+use base::ReplicaName;
 use base::UpstreamId;
 use base::Version;
 use fleet::Change;
@@ -24,6 +27,21 @@
     pub id: UpstreamId,
     /// How many.
     pub requests: u32,
+    /// How long ago it gave something, where it has lately.
+    pub moved_ago: Option<Duration>,
+}
+
+/// A first host that the leader cannot reach, and that is to leave its replica.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Unreachable {
+    /// The host.
+    pub host: UpstreamId,
+    /// Where it takes orders.
+    pub addr: SocketAddr,
+    /// The replica.
+    pub replica: ReplicaName,
+    /// The number of its join.
+    pub epoch: Fence,
 }
 
 /// How many requests for a model came in lately.
@@ -109,6 +127,8 @@
     pub directions: Option<Directions>,
     /// All entry hosts' requests at targets.
     pub loads: Vec<TargetLoad>,
+    /// First hosts that are to leave, where this entry host reaches them.
+    pub unreachable: Vec<Unreachable>,
     /// How long ago a majority stood behind this configuration, if it ever did.
     pub confirmed_ago: Option<Duration>,
     /// All control hosts that are known.
@@ -154,6 +174,8 @@
     pub beats: Vec<Beat>,
     /// First hosts that stand still, as entry hosts saw.
     pub still: Vec<UpstreamId>,
+    /// Replicas whose first host has left, as entry hosts saw.
+    pub left: Vec<Fence>,
 }
 
 /// It was taken.
