--- a/crates/form/src/advance.rs
+++ b/crates/form/src/advance.rs
@@ -45,7 +45,7 @@
             return;
         };
         match (&order.action, outcome, replica.phase) {
-            (Action::Join { .. }, Outcome::Refused, Phase::Joining) => {
+            (Action::Join { .. }, Outcome::Refused | Outcome::NotSent, Phase::Joining) => {
                 replica.enter(Phase::Closing(now), now);
             }
             // A host that does not know the replica any more refuses to leave it.
@@ -199,7 +199,10 @@
             return false;
         };
         let host = self.hosts.get(id).filter(|host| host.said.life == *life);
-        let claims = |host: &Host| host.place().is_some_and(|place| place.epoch == replica.epoch);
+        let claims = |host: &Host| {
+            host.place()
+                .is_some_and(|place| place.epoch == replica.epoch)
+        };
         host.is_some_and(|host| host.lost.is_none() && replica.since < host.heard && claims(host))
     }
 
--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -223,9 +223,10 @@
 
     /// The first host of the replica that a host belongs to.
     pub fn head_of(&self, host: &UpstreamId) -> Option<&UpstreamId> {
-        let mut of = self.replicas.values().filter(|replica| {
-            replica.counts() && replica.hosts().any(|(id, _)| id == host)
-        });
+        let mut of = self
+            .replicas
+            .values()
+            .filter(|replica| replica.counts() && replica.hosts().any(|(id, _)| id == host));
         of.next()?.head.as_ref().map(|(id, _)| id)
     }
 
@@ -290,9 +291,8 @@
     fn forget(&mut self, now: Time) {
         let forget = 10 * self.cfg.head_wait;
         self.hosts.retain(|_, host| now.since(host.heard) < forget);
-        self.replicas.retain(|_, replica| {
-            replica.holds_hosts() || now.since(replica.since) < forget
-        });
+        self.replicas
+            .retain(|_, replica| replica.holds_hosts() || now.since(replica.since) < forget);
     }
 
     /// Brings what may be sent to up to date.
--- a/crates/form/src/order.rs
+++ b/crates/form/src/order.rs
@@ -75,6 +75,9 @@
     /// It has begun, or was done already.
     #[display("done")]
     Done,
+    /// It never left this process.
+    #[display("not sent")]
+    NotSent,
     /// The host did not take it.
     #[display("refused")]
     Refused,
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -50,9 +50,10 @@
 pub struct Server {
     addr: SocketAddr,
     open: Rc<Cell<usize>>,
-    accepting: Rc<Cell<bool>>,
     /// Closed when connections are to end between their requests.
     ending: (Sender<()>, Receiver<()>),
+    /// Closed when no further connections are to be taken.
+    closing: Sender<()>,
 }
 
 /// Counts a connection for as long as it lives.
@@ -83,16 +84,16 @@
         Answer: Future<Output = Response<Body>> + 'static,
     {
         let listener = TcpListener::bind(addr).await?;
+        let (closing, closed) = async_channel::bounded(1);
         let server = Self {
+            closing,
             addr: listener.local_addr()?,
             open: Rc::default(),
-            accepting: Rc::new(Cell::new(true)),
             ending: async_channel::bounded(1),
         };
         let open = Rc::clone(&server.open);
-        let accepting = Rc::clone(&server.accepting);
         let ending = server.ending.1.clone();
-        compio::runtime::spawn(accept(listener, bounds, open, accepting, ending, handler)).detach();
+        compio::runtime::spawn(accept(listener, bounds, open, closed, ending, handler)).detach();
         Ok(server)
     }
 
@@ -113,7 +114,7 @@
 
     /// Takes no further connections. Open ones go on.
     pub fn close(&self) {
-        self.accepting.set(false);
+        self.closing.close();
     }
 }
 
@@ -121,15 +122,23 @@
     listener: TcpListener,
     bounds: Bounds,
     open: Rc<Cell<usize>>,
-    accepting: Rc<Cell<bool>>,
+    closed: Receiver<()>,
     ending: Receiver<()>,
     handler: Handler,
 ) where
     Handler: Fn(Request<Incoming>) -> Answer + Clone + 'static,
     Answer: Future<Output = Response<Body>> + 'static,
 {
-    while accepting.get() {
-        let Ok((stream, _)) = listener.accept().await else {
+    loop {
+        let accepted = {
+            let accepted = std::pin::pin!(listener.accept());
+            let closed = std::pin::pin!(closed.recv());
+            match select(accepted, closed).await {
+                Either::Left((accepted, _)) => accepted,
+                Either::Right(_) => return,
+            }
+        };
+        let Ok((stream, _)) = accepted else {
             // Out of file descriptors, most likely. Give open connections time to end.
             compio::time::sleep(Duration::from_millis(10)).await;
             continue;
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -311,7 +311,8 @@
             loads.map(move |load| (entry.heard, load))
         });
         let of = loads.filter(|(_, load)| load.id == *head);
-        of.filter_map(|(heard, load)| Some(heard - load.moved_ago?)).max()
+        of.filter_map(|(heard, load)| Some(heard - load.moved_ago?))
+            .max()
     }
 
     /// Entry hosts that asked lately.
--- a/crates/site/src/control/orders.rs
+++ b/crates/site/src/control/orders.rs
@@ -56,11 +56,11 @@
         }
     }
     let Ok(fresh) = control.pool.open(order.addr, CONNECT).await else {
-        return Outcome::Refused;
+        return Outcome::NotSent;
     };
     match send(control, order, fresh).await {
         Ok(outcome) => outcome,
-        Err(RequestError::NotSent) => Outcome::Refused,
+        Err(RequestError::NotSent) => Outcome::NotSent,
         Err(RequestError::Lost) => Outcome::Unknown,
     }
 }
@@ -72,7 +72,7 @@
 ) -> Result<Outcome, RequestError> {
     // Checked after the last wait: a process that was frozen may lead no more.
     if !control.leads() {
-        return Ok(Outcome::Refused);
+        return Ok(Outcome::NotSent);
     }
     let req = control.platform.order(&order.action);
     let Ok(sent) = timeout(ANSWER, connection.request(req)).await else {
--- a/crates/site/src/entry/answer.rs
+++ b/crates/site/src/entry/answer.rs
@@ -14,6 +14,8 @@
 pub(crate) enum Refusal {
     /// No configuration is known yet.
     Starting,
+    /// This process stops and takes nothing more.
+    Stopping,
     /// No route fits.
     NoRoute,
     /// The caller has no key that counts.
@@ -43,6 +45,7 @@
     pub fn text(self) -> &'static str {
         match self {
             Self::Starting => "no configuration is known here yet",
+            Self::Stopping => "this process stops",
             Self::NoRoute => "no route fits this host and path",
             Self::NoKey => "the key is not known",
             Self::KeysUncertain => "it is not known whether the key still counts",
@@ -67,6 +70,7 @@
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::Starting
+            | Self::Stopping
             | Self::KeysUncertain
             | Self::NoTarget
             | Self::Full
@@ -78,7 +82,9 @@
     /// When to come back, where that helps.
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::Starting | Self::KeysUncertain => Some(Duration::from_millis(100)),
+            Self::Starting | Self::Stopping | Self::KeysUncertain => {
+                Some(Duration::from_millis(100))
+            }
             Self::NoTarget | Self::Full => Some(Duration::from_millis(400)),
             Self::NotRun => Some(Duration::from_millis(200)),
             _ => None,
--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -98,7 +98,7 @@
             refusal.response()
         }
     };
-    if entry.phase.get() == Phase::Leaving {
+    if matches!(entry.phase.get(), Phase::Leaving | Phase::Draining) {
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -108,7 +108,7 @@
 fn readiness(entry: &Entry) -> Response<Body> {
     bare(match entry.phase.get() {
         Phase::Serving => StatusCode::OK,
-        Phase::Starting | Phase::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+        Phase::Starting | Phase::Leaving | Phase::Draining => StatusCode::SERVICE_UNAVAILABLE,
     })
 }
 
@@ -141,8 +141,10 @@
     arrived: Time,
     in_flight: InFlight,
 ) -> Result<Job, Refusal> {
-    if entry.phase.get() == Phase::Starting {
-        return Err(Refusal::Starting);
+    match entry.phase.get() {
+        Phase::Starting => return Err(Refusal::Starting),
+        Phase::Draining => return Err(Refusal::Stopping),
+        Phase::Serving | Phase::Leaving => {}
     }
     let host = head
         .headers
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -78,8 +78,10 @@
     Starting,
     /// It takes requests.
     Serving,
-    /// It says that it isn't ready, and finishes what comes.
+    /// It says that it isn't ready, and still takes what comes.
     Leaving,
+    /// It takes nothing more, and finishes what it has.
+    Draining,
 }
 
 /// What all tasks of an entry host share.
@@ -173,13 +175,14 @@
         let until = clock::now() + self.entry.settings.stop_within;
         self.entry.phase.set(Phase::Leaving);
         compio::time::sleep(NOTICE).await;
+        self.entry.phase.set(Phase::Draining);
+        self.callers.close();
         self.callers.end_idle();
         while 0 < self.entry.in_flight.get() && clock::now() + LAST < until {
             compio::time::sleep(Duration::from_millis(20)).await;
         }
         // The last bytes are with the connections: give them a moment to leave.
         compio::time::sleep(Duration::from_millis(60)).await;
-        self.callers.close();
         if let Some(readiness) = &self.readiness {
             readiness.close();
         }
--- a/crates/site/src/entry/outbound.rs
+++ b/crates/site/src/entry/outbound.rs
@@ -58,7 +58,10 @@
                 headers.insert(names.organisation.clone(), value);
             }
         }
-        let uri = head.uri.path_and_query().map(http::uri::PathAndQuery::as_str);
+        let uri = head
+            .uri
+            .path_and_query()
+            .map(http::uri::PathAndQuery::as_str);
         Self {
             method: head.method.clone(),
             uri: uri.and_then(|path| path.parse().ok()).unwrap_or_default(),
