--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -8,6 +8,7 @@
 use crate::OrderId;
 use crate::Outcome;
 use crate::host::Host;
+use crate::layout::Home;
 use crate::order::Action;
 use crate::replica::Phase;
 use crate::replica::Replica;
@@ -21,6 +22,7 @@
 use fleet::Directions;
 use fleet::Edition;
 use fleet::Engine;
+use fleet::PlaceState;
 use fleet::Serving;
 
 /// Orders that one term can number.
@@ -59,6 +61,8 @@
     pub(crate) orders: BTreeMap<OrderId, Outstanding>,
     pub(crate) loads: Loads,
     pub(crate) work: BTreeMap<ModelName, f64>,
+    /// Domains with free hosts that form nothing, and since when.
+    pub(crate) stranded: BTreeMap<(ServiceName, Home), Time>,
     pub(crate) last_order: OrderId,
     /// Traffic has begun, so loads take their time and are counted.
     pub(crate) has_traffic: bool,
@@ -80,6 +84,7 @@
             orders: BTreeMap::new(),
             loads: Loads::default(),
             work: BTreeMap::new(),
+            stranded: BTreeMap::new(),
             last_order: OrderId::default(),
             has_traffic: false,
             term: None,
@@ -100,8 +105,16 @@
         if said.engine.is_none() {
             return;
         }
+        let ready = said
+            .place()
+            .filter(|place| PlaceState::Ready <= place.state);
+        let warm = ready.and_then(|place| self.replicas.get(&place.epoch));
+        let warm = warm.map(|replica| replica.model.clone());
         match self.hosts.get_mut(&said.id) {
-            Some(host) => host.hear(said, now),
+            Some(host) => {
+                host.hear(said, now);
+                host.warm = warm.or_else(|| host.warm.take());
+            }
             None => {
                 let host = Host::new(said.clone(), now);
                 self.hosts.insert(said.id.clone(), host);
--- a/crates/form/src/host.rs
+++ b/crates/form/src/host.rs
@@ -19,6 +19,8 @@
     pub order: Option<OrderId>,
     /// The model it was told to stage, and when.
     pub staging: Option<(ModelName, Time)>,
+    /// The model of its last replica in this life. It joins another one of it sooner.
+    pub warm: Option<ModelName>,
     /// No order before this time.
     pub rest_until: Time,
 }
@@ -31,6 +33,7 @@
             lost: None,
             order: None,
             staging: None,
+            warm: None,
             rest_until: Time::ZERO,
         }
     }
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -29,6 +29,8 @@
             let layout = self.layout(&service, &engine, now);
             orders.extend(self.form_all(&service, &engine, &layout, now));
             orders.extend(self.stage_all(&service, &engine, &layout, now));
+            orders.extend(self.restage(&service, &engine, &layout, now));
+            orders.extend(self.warm_all(&service, now));
         }
         orders
     }
@@ -206,21 +208,135 @@
             let Some(model) = self.to_stage(&id, engine, layout, now) else {
                 continue;
             };
-            let action = Action::Stage {
-                model: model.clone(),
-            };
-            if let Some(order) = self.order(&id, action, now) {
-                self.loads.begin(now);
+            if let Some(order) = self.stage(&id, &model, now) {
                 left -= 1;
-                if let Some(host) = self.hosts.get_mut(&id) {
-                    host.staging = Some((model, now));
-                }
                 orders.push(order);
             }
         }
         orders
     }
 
+    /// Stages models anew where enough hosts are free for a replica, but not of one model.
+    /// The model is the one that lacks most for what it needs staged.
+    fn restage(
+        &mut self,
+        service: &ServiceName,
+        engine: &Engine,
+        layout: &Layout,
+        now: Time,
+    ) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let staged = self.staged_free(service, now);
+        let homes: Vec<Home> = staged.keys().cloned().collect();
+        self.stranded
+            .retain(|(of, home), _| of != service || homes.contains(home));
+        for (home, free) in staged {
+            let key = (service.clone(), home.clone());
+            let Some((model, hosts)) = self.to_restage(service, engine, layout, &home, &free)
+            else {
+                self.stranded.remove(&key);
+                continue;
+            };
+            let since = *self.stranded.entry(key).or_insert(now);
+            if now < since + self.cfg.stranded || self.loads_left(engine, now) < hosts.len() {
+                continue;
+            }
+            for id in hosts {
+                orders.extend(self.stage(&id, &model, now));
+            }
+        }
+        orders
+    }
+
+    /// The model and the hosts that are to stage it in place of another one.
+    fn to_restage(
+        &self,
+        service: &ServiceName,
+        engine: &Engine,
+        layout: &Layout,
+        home: &Home,
+        free: &Free,
+    ) -> Option<(ModelName, Vec<UpstreamId>)> {
+        let all: usize = free.values().map(Vec::len).sum();
+        let coming = self
+            .hosts
+            .values()
+            .filter(|host| domain(host) == *home && host.said.service == *service);
+        let coming: Vec<&ModelName> = coming
+            .filter_map(|host| host.staging.as_ref().map(|(model, _)| model))
+            .collect();
+        let filled = |model: &EngineModel| {
+            let want = layout.replicas.get(&model.model).copied().unwrap_or(0);
+            self.have(service, &model.model) as f64 / want.max(1) as f64
+        };
+        let lacks = |model: &&EngineModel| {
+            let here = free.get(&model.model).map_or(0, Vec::len);
+            let soon = coming.iter().filter(|m| **m == &model.model).count();
+            filled(model) < 1.0 && here + soon < model.width && model.width <= all + soon
+        };
+        let lacking = engine.models.iter().filter(lacks);
+        let model = lacking.min_by(|a, b| filled(a).total_cmp(&filled(b)))?;
+        let here = free.get(&model.model).map_or(0, Vec::len);
+        let soon = coming.iter().filter(|m| **m == &model.model).count();
+        let missing = model.width - here - soon;
+        // The most numerous ones go first: they are the likeliest to be left over.
+        let mut others: Vec<_> = free.iter().filter(|(m, _)| **m != model.model).collect();
+        others.sort_by_key(|(_, hosts)| std::cmp::Reverse(hosts.len()));
+        let hosts = others.into_iter().flat_map(|(_, hosts)| hosts.iter().rev());
+        let hosts: Vec<_> = hosts.take(missing).cloned().collect();
+        (hosts.len() == missing).then(|| (model.model.clone(), hosts))
+    }
+
+    /// Has free hosts join a replica of their own that never opens, so that they join the
+    /// next one of that model sooner.
+    fn warm_all(&mut self, service: &ServiceName, now: Time) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for free in self.staged_free(service, now).into_values() {
+            for (model, hosts) in free {
+                for id in hosts {
+                    let host = self.hosts.get(&id);
+                    let is_warm = host.is_none_or(|host| host.warm.as_ref() == Some(&model));
+                    if !is_warm {
+                        orders.extend(self.warm(service, &model, &id, now));
+                    }
+                }
+            }
+        }
+        orders
+    }
+
+    fn warm(
+        &mut self,
+        service: &ServiceName,
+        model: &ModelName,
+        id: &UpstreamId,
+        now: Time,
+    ) -> Vec<Order> {
+        let orders = self.join(service, model, vec![id.clone()], now);
+        let last = self.replicas.last_entry();
+        if let Some(mut last) = last {
+            last.get_mut().enter(Phase::Ended, now);
+        }
+        if let Some(host) = self.hosts.get_mut(id) {
+            // Taken as warm from now on, so that it isn't told twice.
+            host.warm = Some(model.clone());
+        }
+        orders
+    }
+
+    /// An order to stage a model, counted as a load.
+    fn stage(&mut self, id: &UpstreamId, model: &ModelName, now: Time) -> Option<Order> {
+        let action = Action::Stage {
+            model: model.clone(),
+        };
+        let order = self.order(id, action, now)?;
+        self.loads.begin(now);
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.staging = Some((model.clone(), now));
+        }
+        Some(order)
+    }
+
     /// Loads that may begin now. Before traffic they neither count nor take long.
     fn loads_left(&mut self, engine: &Engine, now: Time) -> usize {
         if !self.has_traffic {
--- a/crates/forward/src/board.rs
+++ b/crates/forward/src/board.rs
@@ -33,7 +33,7 @@
 const FAR_COST: f64 = 0.04;
 
 /// Requests beyond its slots that a target may be given, for each slot.
-const QUEUE_SHARE: f64 = 0.25;
+const QUEUE_SHARE: f64 = 0.0;
 
 /// What a request needs.
 #[derive(Clone, Debug)]
