Both models on each host before traffic; loads only for empty hosts afterwards

Now a free host joins either model: the one it is warm for and the one on its disk; the second is staged before traffic. A replica's name tells its model, for hosts report none: adoption took the staged one for it and closed what served. How many replicas are wanted follows from all hosts, not from domain by domain.

--- a/crates/form/src/adopt.rs
+++ b/crates/form/src/adopt.rs
@@ -6,10 +6,24 @@
 use crate::replica::Phase;
 use crate::replica::Replica;
 use base::Fence;
+use base::ModelName;
+use base::ReplicaName;
 use base::Time;
 use base::UpstreamId;
 use fleet::PlaceState;
 
+/// Stands between a replica's number and its model in its name.
+const MODEL_MARK: char = '.';
+
+/// The name of a replica. It tells the model, which hosts don't report.
+pub(crate) fn name_of(epoch: Fence, model: &ModelName) -> Option<ReplicaName> {
+    format!("r{}{MODEL_MARK}{model}", epoch.0).parse().ok()
+}
+
+fn model_in(name: &ReplicaName) -> Option<ModelName> {
+    name.as_str().split_once(MODEL_MARK)?.1.parse().ok()
+}
+
 impl Controller {
     /// Makes a record of each replica that hosts report and that none is kept of.
     pub(crate) fn adopt(&mut self, now: Time) {
@@ -37,10 +51,8 @@
         let place = first.place()?;
         let engine = self.engines.get(&first.said.service)?;
         let life = |id: &UpstreamId| Some((id.clone(), self.hosts.get(id)?.said.life));
-        let model = engine
-            .models
-            .iter()
-            .find(|model| first.staged().contains(&model.model))?;
+        let model = model_in(&place.replica)?;
+        let model = engine.model(&model)?;
         let is_whole = model.width == hosts.len()
             && hosts.iter().map(rank).eq((0..).map(Some).take(hosts.len()));
         let head = hosts.first().filter(|id| rank(id) == Some(0));
@@ -49,6 +61,8 @@
         let phase = match (is_whole, place.state) {
             (true, PlaceState::Open) => Phase::Serving,
             (true, PlaceState::Joining | PlaceState::Ready) => Phase::Joining,
+            // A first host that doesn't serve needs not leave.
+            (false, PlaceState::Joining | PlaceState::Ready) if head.is_some() => Phase::Ended,
             _ => Phase::Closing(now),
         };
         Some(Replica {
--- a/crates/form/src/advance.rs
+++ b/crates/form/src/advance.rs
@@ -117,8 +117,7 @@
                 None => Step::Wait,
             },
             Phase::Closing(not_before) => self.close_step(replica, not_before, now),
-            Phase::Ended => Step::Wait,
-            Phase::GivenUp => match self.is_back(replica) {
+            Phase::Ended | Phase::GivenUp => match self.is_back(replica) {
                 true => Step::Enter(Phase::Closing(now)),
                 false => Step::Wait,
             },
@@ -193,17 +192,26 @@
         })
     }
 
-    /// Whether a first host that was given up is heard again and still claims its part.
+    /// Whether a first host is heard to serve though its replica has ended, or claims its part
+    /// though it was given up.
     fn is_back(&self, replica: &Replica) -> bool {
         let Some((id, life)) = &replica.head else {
             return false;
         };
-        let host = self.hosts.get(id).filter(|host| host.said.life == *life);
-        let claims = |host: &Host| {
-            host.place()
-                .is_some_and(|place| place.epoch == replica.epoch)
+        let host = self
+            .hosts
+            .get(id)
+            .filter(|host| host.said.life == *life && host.lost.is_none());
+        let Some(host) = host else {
+            return false;
+        };
+        let place = host.place();
+        let Some(place) = place.filter(|place| place.epoch == replica.epoch) else {
+            return false;
         };
-        host.is_some_and(|host| host.lost.is_none() && replica.since < host.heard && claims(host))
+        // What was heard right after it left may have been said before.
+        let is_fresh = replica.since + self.cfg.retry < host.heard;
+        is_fresh && (place.state.may_serve() || replica.phase == Phase::GivenUp)
     }
 
     /// Begins the wait for a lost first host anew while no other host of its replica is
--- a/crates/form/src/config.rs
+++ b/crates/form/src/config.rs
@@ -26,9 +26,6 @@
     /// Spare hosts of a model that a domain keeps before more replicas than planned are
     /// formed.
     pub reserve: usize,
-    /// Free hosts that could form a replica but for their models are staged anew after
-    /// this time.
-    pub stranded: Duration,
     /// Share of the loads that the weight store allows.
     pub load_share: f64,
     /// The window over which loads are counted.
@@ -47,7 +44,6 @@
             retry: Duration::from_millis(300),
             spare_share: 0.2,
             reserve: 2,
-            stranded: Duration::from_millis(800),
             load_share: 0.8,
             load_window: Duration::from_secs(5),
         }
--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -8,7 +8,6 @@
 use crate::OrderId;
 use crate::Outcome;
 use crate::host::Host;
-use crate::layout::Home;
 use crate::order::Action;
 use crate::replica::Phase;
 use crate::replica::Replica;
@@ -61,8 +60,6 @@
     pub(crate) orders: BTreeMap<OrderId, Outstanding>,
     pub(crate) loads: Loads,
     pub(crate) work: BTreeMap<ModelName, f64>,
-    /// Domains with free hosts that form nothing, and since when.
-    pub(crate) stranded: BTreeMap<(ServiceName, Home), Time>,
     pub(crate) last_order: OrderId,
     /// Traffic has begun, so loads take their time and are counted.
     pub(crate) has_traffic: bool,
@@ -84,7 +81,6 @@
             orders: BTreeMap::new(),
             loads: Loads::default(),
             work: BTreeMap::new(),
-            stranded: BTreeMap::new(),
             last_order: OrderId::default(),
             has_traffic: false,
             term: None,
@@ -251,6 +247,30 @@
         silent.map(|host| host.said.clone()).collect()
     }
 
+    /// x
+    pub fn debug(&self, now: Time) -> String {
+        let mut text = String::new();
+        for id in self.free_hosts(now) {
+            let h = &self.hosts[&id];
+            let n =
+                |m: Option<&ModelName>| m.map_or("-".to_string(), |m| m.as_str()[..2].to_string());
+            text += &format!(
+                "{}:{}/{}{} ",
+                h.said
+                    .engine
+                    .as_ref()
+                    .unwrap()
+                    .domain
+                    .as_ref()
+                    .map_or("-", |d| d.as_str()),
+                n(h.warm.as_ref()),
+                n(h.staged().last()),
+                if h.staging.is_some() { "*" } else { "" }
+            );
+        }
+        text
+    }
+
     /// What it holds at present.
     pub fn shape(&self, now: Time) -> Shape {
         let count = |is: fn(&Phase) -> bool| {
--- a/crates/form/src/host.rs
+++ b/crates/form/src/host.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Whether it can join a replica of a model without a load. It waits for a model that
+    /// is being staged before it joins from its disk, but not if it is warm.
+    pub fn can_join(&self, model: &ModelName) -> bool {
+        let is_warm = self.warm.as_ref() == Some(model);
+        is_warm || (self.staging.is_none() && self.staged().contains(model))
+    }
+
     /// Its place in a replica.
     pub fn place(&self) -> Option<&Place> {
         self.said.place()
--- a/crates/form/src/layout.rs
+++ b/crates/form/src/layout.rs
@@ -20,8 +20,10 @@
 /// How many hosts of each domain are to hold which model.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Layout {
-    /// Replicas of each model in all domains together.
+    /// Replicas of each model that all hosts together are to hold.
     pub replicas: BTreeMap<ModelName, usize>,
+    /// Replicas of each model that were placed in domains.
+    placed: BTreeMap<ModelName, usize>,
     /// Hosts of each domain, spare ones included.
     pub hosts: HostsByModel,
 }
@@ -35,7 +37,11 @@
         work: &BTreeMap<ModelName, f64>,
         spare_share: f64,
     ) -> Self {
-        let mut layout = Self::default();
+        let hosts = domains.values().sum::<usize>() as f64 * (1.0 - spare_share);
+        let mut layout = Self {
+            replicas: replicas(models, work, hosts),
+            ..Self::default()
+        };
         for (domain, hosts) in domains {
             layout.add_domain(models, work, domain, *hosts, spare_share);
         }
@@ -54,7 +60,7 @@
         let mut left = hosts.saturating_sub(spare);
         let mut here: BTreeMap<ModelName, usize> = BTreeMap::new();
         while let Some(model) = self.neediest(models, work, left) {
-            *self.replicas.entry(model.model.clone()).or_default() += 1;
+            *self.placed.entry(model.model.clone()).or_default() += 1;
             *here.entry(model.model.clone()).or_default() += model.width;
             left -= model.width;
         }
@@ -74,15 +80,36 @@
     ) -> Option<&'a EngineModel> {
         let fits = models.iter().filter(|m| 0 < m.width && m.width <= room);
         let lack = |model: &EngineModel| {
-            let work = work.get(&model.model).copied();
-            let work = work.unwrap_or(model.share * model.pace).max(0.01);
-            let have = self.replicas.get(&model.model).copied().unwrap_or(0);
+            let work = work_of(model, work);
+            let have = self.placed.get(&model.model).copied().unwrap_or(0);
             (have as f64 + 0.5) / work
         };
         fits.min_by(|a, b| lack(a).total_cmp(&lack(b)))
     }
 }
 
+/// The work of a model.
+fn work_of(model: &EngineModel, work: &BTreeMap<ModelName, f64>) -> f64 {
+    let work = work.get(&model.model).copied();
+    work.unwrap_or(model.share * model.pace).max(0.01)
+}
+
+/// Divides hosts between the models by their work. Rounded up: a replica more than planned
+/// is better than hosts that do nothing.
+fn replicas(
+    models: &[EngineModel],
+    work: &BTreeMap<ModelName, f64>,
+    hosts: f64,
+) -> BTreeMap<ModelName, usize> {
+    let width = |model: &EngineModel| work_of(model, work) * model.width as f64;
+    let total: f64 = models.iter().map(width).sum();
+    let share = |model: &EngineModel| hosts * work_of(model, work) / total.max(0.01);
+    let models = models.iter();
+    models
+        .map(|model| (model.model.clone(), share(model).ceil() as usize))
+        .collect()
+}
+
 /// Shares spare hosts out by the hosts that each model's replicas have.
 fn share_out(hosts: &BTreeMap<ModelName, usize>, spare: usize) -> BTreeMap<ModelName, usize> {
     let mut spares: BTreeMap<ModelName, usize> = BTreeMap::new();
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -5,6 +5,7 @@
 use crate::Controller;
 use crate::Layout;
 use crate::Order;
+use crate::adopt::name_of;
 use crate::host::Host;
 use crate::layout::Home;
 use crate::order::Action;
@@ -17,9 +18,6 @@
 use fleet::Engine;
 use fleet::EngineModel;
 
-/// Free hosts of one domain by the model that they keep staged.
-type Free = BTreeMap<ModelName, Vec<UpstreamId>>;
-
 impl Controller {
     /// Forms what can be formed from staged hosts, and stages models at hosts without one.
     pub(crate) fn place(&mut self, now: Time) -> Vec<Order> {
@@ -28,9 +26,8 @@
         for (service, engine) in services {
             let layout = self.layout(&service, &engine, now);
             orders.extend(self.form_all(&service, &engine, &layout, now));
-            orders.extend(self.stage_all(&service, &engine, &layout, now));
-            orders.extend(self.restage(&service, &engine, &layout, now));
             orders.extend(self.warm_all(&service, now));
+            orders.extend(self.stage_all(&service, &engine, &layout, now));
         }
         orders
     }
@@ -86,62 +83,70 @@
         now: Time,
     ) -> Vec<Order> {
         let mut orders = Vec::new();
-        for mut free in self.staged_free(service, now).into_values() {
-            while let Some(model) = self.to_form(service, engine, layout, &free) {
-                let hosts = free.entry(model.model.clone()).or_default();
-                let hosts: Vec<_> = hosts.drain(..model.width).collect();
-                orders.extend(self.join(service, &model.model, hosts, now));
+        for mut free in self.free_by_home(service, now).into_values() {
+            while let Some((model, hosts)) = self.to_form(service, engine, layout, &free) {
+                free.retain(|id| !hosts.contains(id));
+                orders.extend(self.join(service, &model, hosts, now));
             }
         }
         orders
     }
 
-    /// Free hosts by domain and by the model that they keep, those first that had a part
-    /// in a replica of it, for they join sooner.
-    fn staged_free(&self, service: &ServiceName, now: Time) -> BTreeMap<Home, Free> {
-        let mut all: BTreeMap<Home, Free> = BTreeMap::new();
+    /// Free hosts by domain.
+    fn free_by_home(&self, service: &ServiceName, now: Time) -> BTreeMap<Home, Vec<UpstreamId>> {
+        let mut all: BTreeMap<Home, Vec<UpstreamId>> = BTreeMap::new();
         for id in self.free_hosts(now) {
-            let Some(host) = self.hosts.get(&id).filter(|h| h.said.service == *service) else {
-                continue;
-            };
-            if host.staging.is_some() {
-                continue;
-            }
-            let Some(model) = host.staged().last() else {
-                continue;
-            };
-            let free = all.entry(domain(host)).or_default();
-            let hosts = free.entry(model.clone()).or_default();
-            match host.place() {
-                Some(_) => hosts.insert(0, id),
-                None => hosts.push(id),
+            let host = self.hosts.get(&id).filter(|h| h.said.service == *service);
+            if let Some(host) = host {
+                all.entry(domain(host)).or_default().push(id);
             }
         }
         all
     }
 
-    /// The model that is to get a replica from these hosts, the neediest first.
-    fn to_form<'a>(
+    /// The model that is to get a replica, the neediest first, and its hosts: those that
+    /// are warm for it first, then those that can join nothing else.
+    fn to_form(
         &self,
         service: &ServiceName,
-        engine: &'a Engine,
+        engine: &Engine,
         layout: &Layout,
-        free: &Free,
-    ) -> Option<&'a EngineModel> {
-        let fits = |model: &&EngineModel| {
-            let hosts = free.get(&model.model).map_or(0, Vec::len);
-            0 < model.width && model.width <= hosts
+        free: &[UpstreamId],
+    ) -> Option<(ModelName, Vec<UpstreamId>)> {
+        let able = |model: &EngineModel| {
+            let able = free.iter().filter(|id| {
+                let host = self.hosts.get(*id);
+                host.is_some_and(|host| host.can_join(&model.model))
+            });
+            able.cloned().collect::<Vec<_>>()
         };
-        let filled = |model: &EngineModel| {
-            let want = layout.replicas.get(&model.model).copied().unwrap_or(0);
-            self.have(service, &model.model) as f64 / want.max(1) as f64
+        let filled = |model: &EngineModel| self.filled(service, model, layout);
+        let may = |model: &&EngineModel| {
+            let able = able(model).len();
+            let is_planned = filled(model) < 1.0;
+            // Beyond the plan, hosts form replicas only while some stay in reserve.
+            let needed = model.width + if is_planned { 0 } else { self.cfg.reserve };
+            0 < model.width && needed <= able
         };
-        let wanted = engine
-            .models
-            .iter()
-            .filter(fits)
-            .filter(|m| filled(m) < 1.0);
-        wanted.min_by(|a, b| filled(a).total_cmp(&filled(b)))
+        let fitting = engine.models.iter().filter(may);
+        let model = fitting.min_by(|a, b| filled(a).total_cmp(&filled(b)))?;
+        let mut hosts = able(model);
+        hosts.sort_by_key(|id| {
+            let host = self.hosts.get(id);
+            let is_warm = host.is_some_and(|host| host.warm.as_ref() == Some(&model.model));
+            let others = engine.models.iter().filter(|other| {
+                other.model != model.model && host.is_some_and(|h| h.can_join(&other.model))
+            });
+            (!is_warm, others.count())
+        });
+        hosts.truncate(model.width);
+        Some((model.model.clone(), hosts))
+    }
+
+    /// The replicas that a model has, as a part of those planned.
+    fn filled(&self, service: &ServiceName, model: &EngineModel, layout: &Layout) -> f64 {
+        let want = layout.replicas.get(&model.model).copied().unwrap_or(0);
+        self.have(service, &model.model) as f64 / want.max(1) as f64
     }
 
     fn join(
@@ -152,7 +157,7 @@
         now: Time,
     ) -> Vec<Order> {
         let epoch = self.next_epoch();
-        let Ok(name) = format!("r{}", epoch.0).parse::<base::ReplicaName>() else {
+        let Some(name) = name_of(epoch, model) else {
             return Vec::new();
         };
         let lives = hosts
@@ -184,6 +189,8 @@
             .collect()
     }
 
+    /// Stages a model at hosts without one. Before traffic, warm hosts stage one that they
+    /// are not warm for, so that they can join replicas of either.
     fn stage_all(
         &mut self,
         service: &ServiceName,
@@ -193,19 +200,14 @@
     ) -> Vec<Order> {
         let mut orders = Vec::new();
         let mut left = self.loads_left(engine, now);
-        let empty: Vec<_> = self
-            .free_hosts(now)
-            .into_iter()
-            .filter(|id| {
-                let host = self.hosts.get(id);
-                host.is_some_and(|h| h.said.service == *service && h.model().is_none())
-            })
-            .collect();
-        for id in empty {
+        let mut hosts: Vec<_> = self.hosts.keys().cloned().collect();
+        let has_model = |id: &UpstreamId| self.hosts.get(id).is_some_and(|h| h.model().is_some());
+        hosts.sort_by_key(has_model);
+        for id in hosts {
             if left == 0 {
                 break;
             }
-            let Some(model) = self.to_stage(&id, engine, layout, now) else {
+            let Some(model) = self.to_stage(&id, service, engine, layout, now) else {
                 continue;
             };
             if let Some(order) = self.stage(&id, &model, now) {
@@ -216,90 +218,46 @@
         orders
     }
 
-    /// Stages models anew where enough hosts are free for a replica, but not of one model.
-    /// The model is the one that lacks most for what it needs staged.
-    fn restage(
-        &mut self,
+    /// The model that a host is to stage, if any.
+    fn to_stage(
+        &self,
+        id: &UpstreamId,
         service: &ServiceName,
         engine: &Engine,
         layout: &Layout,
         now: Time,
-    ) -> Vec<Order> {
-        let mut orders = Vec::new();
-        let staged = self.staged_free(service, now);
-        let homes: Vec<Home> = staged.keys().cloned().collect();
-        self.stranded
-            .retain(|(of, home), _| of != service || homes.contains(home));
-        for (home, free) in staged {
-            let key = (service.clone(), home.clone());
-            let Some((model, hosts)) = self.to_restage(service, engine, layout, &home, &free)
-            else {
-                self.stranded.remove(&key);
-                continue;
-            };
-            let since = *self.stranded.entry(key).or_insert(now);
-            if now < since + self.cfg.stranded || self.loads_left(engine, now) < hosts.len() {
-                continue;
-            }
-            for id in hosts {
-                orders.extend(self.stage(&id, &model, now));
+    ) -> Option<ModelName> {
+        let host = self.hosts.get(id)?;
+        let is_ready = host.is_well(self.cfg.silent, now)
+            && host.said.service == *service
+            && host.staging.is_none();
+        if !is_ready {
+            return None;
+        }
+        match (host.staged().last(), &host.warm) {
+            (None, _) => self.lacking(host, engine, layout, now),
+            // Once loads take their time they are left to hosts without a model.
+            (Some(staged), Some(warm)) if staged == warm && !self.has_traffic => {
+                let others = engine.models.iter().filter(|model| model.model != *warm);
+                let filled = |model: &EngineModel| self.filled(service, model, layout);
+                let other = others.min_by(|a, b| filled(a).total_cmp(&filled(b)))?;
+                Some(other.model.clone())
             }
+            _ => None,
         }
-        orders
-    }
-
-    /// The model and the hosts that are to stage it in place of another one.
-    fn to_restage(
-        &self,
-        service: &ServiceName,
-        engine: &Engine,
-        layout: &Layout,
-        home: &Home,
-        free: &Free,
-    ) -> Option<(ModelName, Vec<UpstreamId>)> {
-        let all: usize = free.values().map(Vec::len).sum();
-        let coming = self
-            .hosts
-            .values()
-            .filter(|host| domain(host) == *home && host.said.service == *service);
-        let coming: Vec<&ModelName> = coming
-            .filter_map(|host| host.staging.as_ref().map(|(model, _)| model))
-            .collect();
-        let filled = |model: &EngineModel| {
-            let want = layout.replicas.get(&model.model).copied().unwrap_or(0);
-            self.have(service, &model.model) as f64 / want.max(1) as f64
-        };
-        let lacks = |model: &&EngineModel| {
-            let here = free.get(&model.model).map_or(0, Vec::len);
-            let soon = coming.iter().filter(|m| **m == &model.model).count();
-            filled(model) < 1.0 && here + soon < model.width && model.width <= all + soon
-        };
-        let lacking = engine.models.iter().filter(lacks);
-        let model = lacking.min_by(|a, b| filled(a).total_cmp(&filled(b)))?;
-        let here = free.get(&model.model).map_or(0, Vec::len);
-        let soon = coming.iter().filter(|m| **m == &model.model).count();
-        let missing = model.width - here - soon;
-        // The most numerous ones go first: they are the likeliest to be left over.
-        let mut others: Vec<_> = free.iter().filter(|(m, _)| **m != model.model).collect();
-        others.sort_by_key(|(_, hosts)| std::cmp::Reverse(hosts.len()));
-        let hosts = others.into_iter().flat_map(|(_, hosts)| hosts.iter().rev());
-        let hosts: Vec<_> = hosts.take(missing).cloned().collect();
-        (hosts.len() == missing).then(|| (model.model.clone(), hosts))
     }
 
     /// Has free hosts join a replica of their own that never opens, so that they join the
     /// next one of that model sooner.
     fn warm_all(&mut self, service: &ServiceName, now: Time) -> Vec<Order> {
         let mut orders = Vec::new();
-        for free in self.staged_free(service, now).into_values() {
-            for (model, hosts) in free {
-                for id in hosts {
-                    let host = self.hosts.get(&id);
-                    let is_warm = host.is_none_or(|host| host.warm.as_ref() == Some(&model));
-                    if !is_warm {
-                        orders.extend(self.warm(service, &model, &id, now));
-                    }
-                }
+        for id in self.free_by_home(service, now).into_values().flatten() {
+            let host = self.hosts.get(&id);
+            let Some(host) = host.filter(|h| h.warm.is_none() && h.staging.is_none()) else {
+                continue;
+            };
+            if let Some(model) = host.staged().last().cloned() {
+                orders.extend(self.warm(service, &model, &id, now));
             }
         }
         orders
@@ -337,29 +295,33 @@
         Some(order)
     }
 
-    /// Loads that may begin now. Before traffic they neither count nor take long.
+    /// Loads that may begin now. More at once would only take longer. Before traffic they
+    /// neither count nor take long.
     fn loads_left(&mut self, engine: &Engine, now: Time) -> usize {
         if !self.has_traffic {
             return usize::MAX;
         }
         let window = self.cfg.load_window;
         let most = engine.load_rate * window.as_secs_f64() * self.cfg.load_share;
-        self.loads.left(most as usize, window, now)
+        let left = self.loads.left(most as usize, window, now);
+        let under_way = self.hosts.values().filter(|host| host.staging.is_some());
+        let at_once = engine.loads_at_once.saturating_sub(under_way.count());
+        left.min(at_once)
     }
 
-    /// The model for a host without one: what completes hosts of its domain that are
-    /// left over, else what the domain lacks most.
-    fn to_stage(
+    /// The model for a host without one: what its domain lacks most.
+    fn lacking(
         &self,
-        id: &UpstreamId,
+        host: &Host,
         engine: &Engine,
         layout: &Layout,
         now: Time,
     ) -> Option<ModelName> {
-        let home = domain(self.hosts.get(id)?);
+        let home = domain(host);
         let mut kept: BTreeMap<&ModelName, usize> = BTreeMap::new();
         for host in self.hosts.values().filter(|host| domain(host) == home) {
-            if let Some(model) = host.model().filter(|_| host.is_well(self.cfg.silent, now)) {
+            let main = host.warm.as_ref().or_else(|| host.model());
+            if let Some(model) = main.filter(|_| host.is_well(self.cfg.silent, now)) {
                 *kept.entry(model).or_default() += 1;
             }
         }
--- /dev/null
+++ b/crates/form/tests/repair.rs
@@ -0,0 +1,146 @@
+//! Replicas are formed, lost, repaired and taken over.
+
+use std::time::Duration;
+
+use base::UpstreamId;
+use form::Action;
+use world::Faults;
+use world::World;
+
+mod world;
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+/// A host that serves as the given rank of some replica.
+fn member(world: &World, rank: usize) -> UpstreamId {
+    let directions = world.controller.directions().unwrap();
+    let head = &directions.serving[0].head;
+    let part = world.hosts[head].part.as_ref().unwrap();
+    part.hosts[rank].clone()
+}
+
+fn formed(seed: u64) -> World {
+    let mut world = World::new(seed, 6, 10);
+    world.run(secs(60));
+    world
+}
+
+#[test]
+fn all_planned_replicas_are_formed_and_the_rest_stands_by() {
+    let world = formed(1);
+    assert_eq!((world.serving("wide"), world.serving("slim")), (9, 6));
+    let leaves = world.count_orders(|action| matches!(action, Action::Leave { .. }));
+    assert_eq!(leaves, 0, "nothing was formed in vain");
+}
+
+#[test]
+fn a_lost_host_is_replaced_by_a_spare_within_two_seconds() {
+    let mut world = formed(2);
+    world.begin_traffic();
+    let victim = member(&world, 1);
+    world.kill(&victim);
+    world.run(world.lost_after + secs(2) + Duration::from_millis(1_200));
+    assert_eq!(world.serving("wide") + world.serving("slim"), 15);
+}
+
+#[test]
+fn a_lost_first_host_is_waited_for_and_then_replaced() {
+    let mut world = formed(3);
+    world.begin_traffic();
+    let victim = member(&world, 0);
+    let others = world.hosts[&victim].part.clone().unwrap().hosts;
+    world.kill(&victim);
+    let before = world.orders.len();
+    world.run(secs(3));
+    let to_others = world.orders[before..]
+        .iter()
+        .filter(|(_, _, host)| others[1..].contains(host));
+    assert_eq!(to_others.count(), 0, "the first host may still serve");
+    world.run(secs(6));
+    assert!(15 <= world.serving("wide") + world.serving("slim"));
+}
+
+#[test]
+fn a_first_host_that_was_cut_off_and_serves_on_keeps_its_hosts() {
+    let mut world = formed(4);
+    world.begin_traffic();
+    let head = member(&world, 0);
+    let domain = world.hosts[&head].domain.clone();
+    for host in world
+        .hosts
+        .values_mut()
+        .filter(|host| host.domain == domain)
+    {
+        host.cut = true;
+    }
+    world.run(secs(8));
+    for host in world.hosts.values_mut() {
+        host.cut = false;
+    }
+    // The world panics if a host is taken from a replica that serves.
+    world.run(secs(30));
+    assert!(15 <= world.serving("wide") + world.serving("slim"));
+}
+
+#[test]
+fn a_new_leader_takes_over_what_stands() {
+    let mut world = formed(5);
+    world.begin_traffic();
+    let before = world.orders.len();
+    world.change_leader();
+    world.run(secs(5));
+    assert_eq!((world.serving("wide"), world.serving("slim")), (9, 6));
+    let leaves = world.orders[before..]
+        .iter()
+        .filter(|(_, action, _)| matches!(action, Action::Leave { .. }))
+        .count();
+    assert_eq!(leaves, 0, "{:?}", &world.orders[before..]);
+}
+
+#[test]
+fn loads_stay_under_the_ceiling_in_every_window() {
+    let mut world = formed(6);
+    world.begin_traffic();
+    let before = world.loads.len();
+    for at in 0..40 {
+        world.add(&format!("new-{at}"), &format!("d{}", at % 6));
+    }
+    world.run(secs(60));
+    let loads = &world.loads[before..];
+    assert!(7 <= loads.len());
+    for (at, first) in loads.iter().enumerate() {
+        let within = loads[at..].iter().filter(|t| t.since(*first) < secs(5));
+        assert!(within.count() <= 25);
+    }
+}
+
+#[test]
+fn nothing_is_broken_by_losses_late_orders_and_new_leaders() {
+    for seed in 0..12 {
+        let mut world = formed(100 + seed);
+        world.begin_traffic();
+        world.faults = Faults { late: 0.3 };
+        for round in 0..20 {
+            let up: Vec<_> = world.hosts.values().filter(|host| host.up).collect();
+            let victim = up[world.rng.usize(..up.len())].id.clone();
+            let domain = world.hosts[&victim].domain.clone();
+            match world.rng.u32(0..5) {
+                0 => world.change_leader(),
+                1 => world.hosts.get_mut(&victim).unwrap().cut = true,
+                2 => world.hosts.values_mut().for_each(|host| host.cut = false),
+                _ => {
+                    world.kill(&victim);
+                    world.add(&format!("s{seed}-{round}"), &domain);
+                }
+            }
+            world.run(secs(2));
+        }
+        world.faults = Faults::default();
+        world.hosts.values_mut().for_each(|host| host.cut = false);
+        world.run(secs(90));
+        let serving = world.serving("wide") + world.serving("slim");
+        assert!(13 <= serving, "seed {seed}: {serving} serve");
+    }
+}
