Orders name the count of orders that the host has begun

Cause: a join of an earlier leader, carried out late, reached hosts that the new leader had opened in an older replica (form test nothing_is_broken..., seen failing: h1-8 joins while h1-9 serves). Each order now carries the host's count of begun orders, asked for where it isn't known, and what does not serve at a takeover is left first, which makes late orders void.

--- a/crates/form/src/adopt.rs
+++ b/crates/form/src/adopt.rs
@@ -15,9 +15,25 @@
 /// Stands between a replica's number and its model in its name.
 const MODEL_MARK: char = '.';
 
-/// The name of a replica. It tells the model, which hosts don't report.
-pub(crate) fn name_of(epoch: Fence, model: &ModelName) -> Option<ReplicaName> {
-    format!("r{}{MODEL_MARK}{model}", epoch.0).parse().ok()
+/// Begins the names of replicas of one host that only keep it warm.
+const WARM: char = 'w';
+
+/// What a replica is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// It is to serve.
+    Serve,
+    /// It is one host that keeps warm, and never opens.
+    KeepWarm,
+}
+
+/// The name of a replica. It tells its purpose and its model, which hosts don't report.
+pub(crate) fn name_of(purpose: Purpose, epoch: Fence, model: &ModelName) -> Option<ReplicaName> {
+    let mark = match purpose {
+        Purpose::Serve => 'r',
+        Purpose::KeepWarm => WARM,
+    };
+    format!("{mark}{}{MODEL_MARK}{model}", epoch.0).parse().ok()
 }
 
 fn model_in(name: &ReplicaName) -> Option<ModelName> {
@@ -58,11 +74,13 @@
         let head = hosts.first().filter(|id| rank(id) == Some(0));
         let head = head.and_then(life);
         let others = hosts.iter().skip(usize::from(head.is_some()));
+        let keeps_warm = place.replica.as_str().starts_with(WARM);
         let phase = match (is_whole, place.state) {
+            _ if keeps_warm => Phase::Ended,
             (true, PlaceState::Open) => Phase::Serving,
-            (true, PlaceState::Joining | PlaceState::Ready) => Phase::Joining,
-            // A first host that doesn't serve needs not leave.
-            (false, PlaceState::Joining | PlaceState::Ready) if head.is_some() => Phase::Ended,
+            // One that does not serve yet may still get an earlier leader's orders, and its
+            // hosts such that came before it. Leaving it, and joining again under a higher
+            // number, makes both void.
             _ => Phase::Closing(now),
         };
         Some(Replica {
--- a/crates/form/src/advance.rs
+++ b/crates/form/src/advance.rs
@@ -48,8 +48,7 @@
             (Action::Join { .. }, Outcome::Refused | Outcome::NotSent, Phase::Joining) => {
                 replica.enter(Phase::Closing(now), now);
             }
-            // A host that does not know the replica any more refuses to leave it.
-            (Action::Leave { .. }, Outcome::Done | Outcome::Refused, Phase::Closing(_)) => {
+            (Action::Leave { .. }, Outcome::Begun | Outcome::Done, Phase::Closing(_)) => {
                 replica.enter(Phase::Ended, now);
             }
             _ => {}
@@ -76,6 +75,7 @@
                     replica: replica.name.clone(),
                     epoch: replica.epoch,
                 },
+                begun: None,
             })
         };
         closing.filter_map(leave).collect()
--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -189,6 +189,14 @@
         orders
     }
 
+    /// Takes how many orders a host has begun, as it says itself.
+    pub fn begun(&mut self, id: &UpstreamId, life: Incarnation, begun: u64) {
+        let host = self.hosts.get_mut(id);
+        if let Some(host) = host.filter(|host| host.said.life == life) {
+            host.begun = Some(begun);
+        }
+    }
+
     /// Takes what became of an order.
     pub fn outcome(&mut self, id: OrderId, outcome: Outcome, now: Time) {
         let Some(outstanding) = self.orders.remove(&id) else {
@@ -198,11 +206,16 @@
         let host = host.filter(|host| host.said.life == outstanding.life);
         if let Some(host) = host {
             host.order = None;
-            if outcome != Outcome::Done {
+            match outcome {
+                Outcome::Begun => host.begun = host.begun.map(|begun| begun + 1),
+                Outcome::Done | Outcome::NotSent => {}
+                Outcome::Refused | Outcome::Unknown => host.begun = None,
+            }
+            if !outcome.is_done() {
                 host.rest_until = now + self.cfg.retry;
             }
             let is_stage = matches!(outstanding.action, Action::Stage { .. });
-            if is_stage && outcome != Outcome::Done {
+            if is_stage && !outcome.is_done() {
                 host.staging = None;
             }
         }
@@ -317,6 +330,7 @@
             life: host.said.life,
             addr: host.said.addr,
             action,
+            begun: host.begun,
         })
     }
 
--- a/crates/form/src/host.rs
+++ b/crates/form/src/host.rs
@@ -8,6 +8,9 @@
 use fleet::Announcement;
 use fleet::Place;
 
+/// A host without place and models that has said so few things was never ordered.
+const NEW_UNTIL: u64 = 2;
+
 /// One host.
 #[derive(Clone, Debug)]
 pub(crate) struct Host {
@@ -21,13 +24,22 @@
     pub staging: Option<(ModelName, Time)>,
     /// The model of its last replica in this life. It joins another one of it sooner.
     pub warm: Option<ModelName>,
+    /// Orders that it has begun in this life, if that is known.
+    pub begun: Option<u64>,
     /// No order before this time.
     pub rest_until: Time,
 }
 
 impl Host {
     pub fn new(said: Announcement, now: Time) -> Self {
+        let is_new = said.sequence <= NEW_UNTIL
+            && said.place().is_none()
+            && said
+                .engine
+                .as_ref()
+                .is_some_and(|engine| engine.staged.is_empty());
         Self {
+            begun: is_new.then_some(0),
             said,
             heard: now,
             lost: None,
--- a/crates/form/src/order.rs
+++ b/crates/form/src/order.rs
@@ -67,12 +67,26 @@
     pub addr: SocketAddr,
     /// What to do.
     pub action: Action,
+    /// How many orders the host has begun, as far as is known. It refuses the order if
+    /// that is not so, which stops one that arrives late, after others. None: it has to be
+    /// asked first.
+    pub begun: Option<u64>,
+}
+
+impl Outcome {
+    /// Whether what was ordered is or will be so.
+    pub fn is_done(self) -> bool {
+        matches!(self, Self::Begun | Self::Done)
+    }
 }
 
 /// What became of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 pub enum Outcome {
-    /// It has begun, or was done already.
+    /// It has begun, and the host counts one more.
+    #[display("begun")]
+    Begun,
+    /// It was done already.
     #[display("done")]
     Done,
     /// It never left this process.
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -5,6 +5,7 @@
 use crate::Controller;
 use crate::Layout;
 use crate::Order;
+use crate::adopt::Purpose;
 use crate::adopt::name_of;
 use crate::host::Host;
 use crate::layout::Home;
@@ -86,7 +87,7 @@
         for mut free in self.free_by_home(service, now).into_values() {
             while let Some((model, hosts)) = self.to_form(service, engine, layout, &free) {
                 free.retain(|id| !hosts.contains(id));
-                orders.extend(self.join(service, &model, hosts, now));
+                orders.extend(self.join(Purpose::Serve, service, &model, hosts, now));
             }
         }
         orders
@@ -151,13 +152,14 @@
 
     fn join(
         &mut self,
+        purpose: Purpose,
         service: &ServiceName,
         model: &ModelName,
         hosts: Vec<UpstreamId>,
         now: Time,
     ) -> Vec<Order> {
         let epoch = self.next_epoch();
-        let Some(name) = name_of(epoch, model) else {
+        let Some(name) = name_of(purpose, epoch, model) else {
             return Vec::new();
         };
         let lives = hosts
@@ -172,7 +174,10 @@
             model: model.clone(),
             head,
             others: lives,
-            phase: Phase::Joining,
+            phase: match purpose {
+                Purpose::Serve => Phase::Joining,
+                Purpose::KeepWarm => Phase::Ended,
+            },
             since: now,
             ordered: now,
         };
@@ -270,11 +275,7 @@
         id: &UpstreamId,
         now: Time,
     ) -> Vec<Order> {
-        let orders = self.join(service, model, vec![id.clone()], now);
-        let last = self.replicas.last_entry();
-        if let Some(mut last) = last {
-            last.get_mut().enter(Phase::Ended, now);
-        }
+        let orders = self.join(Purpose::KeepWarm, service, model, vec![id.clone()], now);
         if let Some(host) = self.hosts.get_mut(id) {
             // Taken as warm from now on, so that it isn't told twice.
             host.warm = Some(model.clone());
--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -67,6 +67,8 @@
     pub seen_epoch: Fence,
     pub part: Option<Part>,
     pub model: Option<ModelName>,
+    /// Orders that it has begun.
+    pub begun: u64,
     next_beat: Time,
     changed: bool,
 }
@@ -165,6 +167,7 @@
             seen_epoch: Fence(0),
             part: None,
             model: None,
+            begun: 0,
             next_beat: self.now,
             changed: false,
         };
@@ -319,7 +322,13 @@
         }
     }
 
-    fn give(&mut self, order: Order) {
+    fn give(&mut self, mut order: Order) {
+        let host = &self.hosts[&order.host];
+        if host.up && !host.cut && order.begun.is_none() {
+            let begun = host.begun;
+            order.begun = Some(begun);
+            self.controller.begun(&order.host, order.life, begun);
+        }
         self.orders
             .push((self.now, order.action.clone(), order.host.clone()));
         let host = &self.hosts[&order.host];
@@ -344,6 +353,17 @@
     }
 
     fn carry_out(&mut self, order: &Order) -> Outcome {
+        let host = self.hosts.get_mut(&order.host).unwrap();
+        if order.begun.is_some_and(|begun| begun != host.begun) {
+            return Outcome::Refused;
+        }
+        let outcome = self.obey(order);
+        let host = self.hosts.get_mut(&order.host).unwrap();
+        host.begun += u64::from(outcome == Outcome::Begun);
+        outcome
+    }
+
+    fn obey(&mut self, order: &Order) -> Outcome {
         let now = self.now;
         let under_way = self.hosts.values().filter(|h| h.up && h.loading.is_some());
         let crowd = (under_way.count() + 1) as f64 / self.engine.loads_at_once as f64;
@@ -362,7 +382,7 @@
                 let load = self.engine.model(model).unwrap().load.mul_f64(factor);
                 let host = self.hosts.get_mut(&order.host).unwrap();
                 host.loading = Some((model.clone(), now + load));
-                Outcome::Done
+                Outcome::Begun
             }
             Action::Join {
                 replica,
@@ -397,14 +417,14 @@
                     opening: None,
                 });
                 host.changed = true;
-                Outcome::Done
+                Outcome::Begun
             }
             Action::Open { epoch, .. } => {
                 let host = self.hosts.get_mut(&order.host).unwrap();
                 match &mut host.part {
                     Some(part) if part.epoch == *epoch && part.state == PlaceState::Ready => {
                         part.opening = Some(now + OPEN);
-                        Outcome::Done
+                        Outcome::Begun
                     }
                     _ => Outcome::Refused,
                 }
@@ -412,11 +432,12 @@
             Action::Leave { epoch, .. } => {
                 let host = self.hosts.get_mut(&order.host).unwrap();
                 let is_in = host.part.as_ref().is_some_and(|part| part.epoch == *epoch);
-                if is_in {
-                    host.part = None;
-                    host.changed = true;
+                if !is_in {
+                    return Outcome::Done;
                 }
-                Outcome::Done
+                host.part = None;
+                host.changed = true;
+                Outcome::Begun
             }
         }
     }
--- a/crates/site/src/control/orders.rs
+++ b/crates/site/src/control/orders.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 
 use crate::control::Control;
+use crate::control::probe;
 use crate::events::Event;
 use crate::events::emit;
 use form::Order;
@@ -48,6 +49,17 @@
 
 async fn carry_out(control: &Control, order: &Order) -> Outcome {
     let id = (order.host.clone(), order.life);
+    let mut order = order.clone();
+    if order.begun.is_none() {
+        // Without the count a late order could not be told from one in time.
+        let Some(begun) = probe::begun(control, &id, order.addr).await else {
+            return Outcome::NotSent;
+        };
+        order.begun = Some(begun);
+        let mut controller = control.controller.borrow_mut();
+        controller.begun(&order.host, order.life, begun);
+    }
+    let order = &order;
     if let Some(kept) = control.pool.take(&id) {
         match send(control, order, kept).await {
             Err(RequestError::NotSent) => {}
@@ -74,7 +86,7 @@
     if !control.leads() {
         return Ok(Outcome::NotSent);
     }
-    let req = control.platform.order(&order.action);
+    let req = control.platform.order(&order.action, order.begun);
     let Ok(sent) = timeout(ANSWER, connection.request(req)).await else {
         return Ok(Outcome::Unknown);
     };
@@ -88,7 +100,8 @@
         control.pool.put(&id, connection, None);
     }
     Ok(match status {
-        StatusCode::OK | StatusCode::ACCEPTED => Outcome::Done,
+        StatusCode::ACCEPTED => Outcome::Begun,
+        StatusCode::OK => Outcome::Done,
         _ if status.is_client_error() => Outcome::Refused,
         _ => Outcome::Unknown,
     })
--- a/crates/site/src/control/probe.rs
+++ b/crates/site/src/control/probe.rs
@@ -1,8 +1,10 @@
 //! Asks hosts that are silent, or whose replica stands still, whether they live.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use compio::time::timeout;
 
 use crate::control::Control;
@@ -10,6 +12,7 @@
 use crate::events::emit;
 use base::UpstreamId;
 use fleet::Announcement;
+use forward::TargetId;
 use net::read_body;
 use quorum::clock;
 
@@ -121,17 +124,33 @@
 
 async fn answers(control: &Control, host: &Announcement) -> bool {
     let id = (host.id.clone(), host.life);
+    report(control, &id, host.addr).await.is_some()
+}
+
+/// How many orders a host has begun, as it says itself.
+pub(crate) async fn begun(control: &Control, id: &TargetId, addr: SocketAddr) -> Option<u64> {
+    let report = report(control, id, addr).await?;
+    match control.platform.orders_begun(&report) {
+        Ok(begun) => Some(begun),
+        Err(e) => {
+            log::warn!("the report of {} cannot be read: {e}", id.0);
+            None
+        }
+    }
+}
+
+/// What a host reports, if it answers at once.
+async fn report(control: &Control, id: &TargetId, addr: SocketAddr) -> Option<Bytes> {
     let asked = async {
-        let kept = control.pool.take(&id);
-        let mut connection = match kept {
+        let mut connection = match control.pool.take(id) {
             Some(kept) => kept,
-            None => control.pool.open(host.addr, ANSWER).await.ok()?,
+            None => control.pool.open(addr, ANSWER).await.ok()?,
         };
         let response = connection.request(control.platform.probe()).await.ok()?;
         let read = read_body(response.into_body(), ANSWER_BYTES, ANSWER).await;
-        read.ok()?;
-        control.pool.put(&id, connection, None);
-        Some(())
+        let body = read.ok()?;
+        control.pool.put(id, connection, None);
+        Some(body)
     };
-    matches!(timeout(ANSWER, asked).await, Ok(Some(())))
+    timeout(ANSWER, asked).await.ok().flatten()
 }
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -196,7 +196,7 @@
             replica: host.replica.clone(),
             epoch: host.epoch,
         };
-        let req = entry.platform.order(&action);
+        let req = entry.platform.order(&action, None);
         let told = async {
             let mut connection = entry.pool.open(host.addr, LEAVE_WITHIN).await.ok()?;
             let response = connection.request(req).await.ok()?;
--- a/crates/site/src/platform.rs
+++ b/crates/site/src/platform.rs
@@ -70,8 +70,11 @@
     fn announcement(&self, id: UpstreamId, body: &[u8]) -> Result<Announcement, Unreadable>;
     /// Reads and checks a configuration.
     fn configuration(&self, text: &str) -> Result<Configuration, Findings>;
-    /// The request that gives an order to a host.
-    fn order(&self, action: &Action) -> Request<Full<Bytes>>;
-    /// A request that any living host answers at once.
+    /// The request that gives an order to a host. It is refused by one that has begun
+    /// another number of orders than `begun`.
+    fn order(&self, action: &Action, begun: Option<u64>) -> Request<Full<Bytes>>;
+    /// A request that any living host answers at once, with its report.
     fn probe(&self) -> Request<Full<Bytes>>;
+    /// How many orders a host has begun, by its report.
+    fn orders_begun(&self, report: &[u8]) -> Result<u64, Unreadable>;
 }
