--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -260,30 +260,6 @@
         silent.map(|host| host.said.clone()).collect()
     }
 
-    /// x
-    pub fn debug(&self, now: Time) -> String {
-        let mut text = String::new();
-        for id in self.free_hosts(now) {
-            let h = &self.hosts[&id];
-            let n =
-                |m: Option<&ModelName>| m.map_or("-".to_string(), |m| m.as_str()[..2].to_string());
-            text += &format!(
-                "{}:{}/{}{} ",
-                h.said
-                    .engine
-                    .as_ref()
-                    .unwrap()
-                    .domain
-                    .as_ref()
-                    .map_or("-", |d| d.as_str()),
-                n(h.warm.as_ref()),
-                n(h.staged().last()),
-                if h.staging.is_some() { "*" } else { "" }
-            );
-        }
-        text
-    }
-
     /// What it holds at present.
     pub fn shape(&self, now: Time) -> Shape {
         let count = |is: fn(&Phase) -> bool| {
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -43,7 +43,6 @@
             orders::spawn(&control, order);
         }
         if term.is_some() {
-            log::info!("DEBUG {}", control.controller.borrow().debug(now));
             direct(&control);
         }
         control.roster.borrow_mut().expire(now);
