--- a/crates/form/src/config.rs
+++ b/crates/form/src/config.rs
@@ -42,8 +42,8 @@
             drain: Duration::from_millis(1_500),
             effect: Duration::from_millis(1_500),
             retry: Duration::from_millis(300),
-            spare_share: 0.1,
-            reserve: 1,
+            spare_share: 0.0,
+            reserve: 0,
             load_share: 0.8,
             load_window: Duration::from_secs(5),
         }
--- a/crates/form/tests/repair.rs
+++ b/crates/form/tests/repair.rs
@@ -1,13 +1,15 @@
 //! Replicas are formed, lost, repaired and taken over.
 
+mod world;
+
 use std::time::Duration;
 
-use base::UpstreamId;
-use form::Action;
 use world::Faults;
 use world::World;
 
-mod world;
+use base::UpstreamId;
+use form::Action;
+use form::Config;
 
 fn secs(secs: u64) -> Duration {
     Duration::from_secs(secs)
@@ -21,8 +23,14 @@
     part.hosts[rank].clone()
 }
 
+/// Six domains of ten hosts, of which two each stand by.
 fn formed(seed: u64) -> World {
-    let mut world = World::new(seed, 6, 10);
+    let cfg = Config {
+        spare_share: 0.2,
+        reserve: 2,
+        ..Config::default()
+    };
+    let mut world = World::new(cfg, seed, 6, 10);
     world.run(secs(60));
     world
 }
@@ -35,6 +43,34 @@
     assert_eq!(leaves, 0, "nothing was formed in vain");
 }
 
+#[test]
+fn without_spares_every_host_serves() {
+    let mut world = World::new(Config::default(), 7, 6, 10);
+    world.run(secs(20));
+    let (wide, slim) = (world.serving("wide"), world.serving("slim"));
+    assert_eq!(4 * wide + 2 * slim, 60, "{wide} wide, {slim} slim");
+    assert!(10 <= wide && 6 <= slim, "{wide} wide, {slim} slim");
+}
+
+#[test]
+fn hosts_left_over_by_two_losses_form_a_replica_of_either_model() {
+    let mut world = World::new(Config::default(), 8, 1, 10);
+    world.run(secs(20));
+    world.begin_traffic();
+    let before = world.serving("wide") + world.serving("slim");
+    for rank in [1, 1] {
+        let victim = member(&world, rank);
+        world.kill(&victim);
+        world.run(secs(4));
+    }
+    // Ten hosts less two are four replicas of two, or two of four, or a mix.
+    let hosts = 4 * world.serving("wide") + 2 * world.serving("slim");
+    assert!(
+        6 <= hosts,
+        "{hosts} of 8 hosts serve, {before} replicas before"
+    );
+}
+
 #[test]
 fn a_lost_host_is_replaced_by_a_spare_within_two_seconds() {
     let mut world = formed(2);
--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -8,13 +8,14 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use fastrand::Rng;
+
 use base::Fence;
 use base::Incarnation;
 use base::ModelName;
 use base::ReplicaName;
 use base::Time;
 use base::UpstreamId;
-use fastrand::Rng;
 use fleet::Announcement;
 use fleet::Engine;
 use fleet::EngineModel;
@@ -104,7 +105,7 @@
 }
 
 impl World {
-    pub fn new(seed: u64, domains: usize, each: usize) -> Self {
+    pub fn new(cfg: Config, seed: u64, domains: usize, each: usize) -> Self {
         let engine = Engine {
             slots: 17,
             context_room: 1_860_000,
@@ -122,7 +123,7 @@
             staged_kept: 1,
             open_time: OPEN,
         };
-        let mut controller = Controller::open(Config::default());
+        let mut controller = Controller::open(cfg);
         let engines = [("lm".parse().unwrap(), engine.clone())];
         controller.configure(engines.into());
         let now = Time::from_millis(1_000);
--- a/crates/site/src/pool.rs
+++ b/crates/site/src/pool.rs
@@ -5,13 +5,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use base::Time;
 use forward::TargetId;
 use net::Connection;
 use net::SendError;
 use quorum::clock;
 
-use base::Time;
-
 /// How long a connection is kept idle if its upstream names no time.
 const IDLE: Duration = Duration::from_secs(4);
 
