Hosts are divided by what each model is offered

Now each model's replicas follow from the requests that callers offer it at once (arrivals times duration, averaged), at the start from its share of the hosts; beyond the plan nothing is formed while a model lacks.

--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -24,6 +24,9 @@
 use fleet::PlaceState;
 use fleet::Serving;
 
+/// Weight of one sample of the work, taken each second.
+const WORK_PART: f64 = 0.2;
+
 /// Orders that one term can number.
 const EPOCHS_OF_TERM: u64 = 1_000_000;
 
@@ -137,9 +140,13 @@
         self.has_traffic = true;
     }
 
-    /// Takes how much work each model gets, in any unit.
-    pub fn work(&mut self, work: BTreeMap<ModelName, f64>) {
-        self.work = work;
+    /// Takes how many requests each model is offered at once. It is averaged, so that a
+    /// short swing moves nothing.
+    pub fn work(&mut self, work: &BTreeMap<ModelName, f64>) {
+        for (model, offered) in work {
+            let known = self.work.entry(model.clone()).or_insert(*offered);
+            *known += WORK_PART * (offered - *known);
+        }
     }
 
     /// Takes the term that this process holds now, if any.
--- a/crates/form/src/layout.rs
+++ b/crates/form/src/layout.rs
@@ -1,7 +1,7 @@
 //! How many hosts of each domain are to hold which model.
 //!
-//! The hosts are divided between the models by the work that each is expected to get:
-//! its share times its pace. A part stands by in each domain, staged for the models
+//! The hosts are divided between the models by the requests that each is offered at once.
+//! Before any came, each model's share is taken as its part of the hosts. A part stands by in each domain, staged for the models
 //! whose replicas are there.
 
 use std::collections::BTreeMap;
@@ -88,10 +88,11 @@
     }
 }
 
-/// The work of a model.
+/// The work of a model: what its replicas together have to carry.
 fn work_of(model: &EngineModel, work: &BTreeMap<ModelName, f64>) -> f64 {
     let work = work.get(&model.model).copied();
-    work.unwrap_or(model.share * model.pace).max(0.01)
+    work.unwrap_or(model.share / model.width.max(1) as f64)
+        .max(0.01)
 }
 
 /// Divides hosts between the models by their work. Rounded up: a replica more than planned
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -122,12 +122,14 @@
             able.cloned().collect::<Vec<_>>()
         };
         let filled = |model: &EngineModel| self.filled(service, model, layout);
+        // Hosts that another model lacks are left for it, until enough are free together.
+        let all_planned = engine.models.iter().all(|model| 1.0 <= filled(model));
         let may = |model: &&EngineModel| {
             let able = able(model).len();
             let is_planned = filled(model) < 1.0;
             // Beyond the plan, hosts form replicas only while some stay in reserve.
             let needed = model.width + if is_planned { 0 } else { self.cfg.reserve };
-            0 < model.width && needed <= able
+            0 < model.width && needed <= able && (is_planned || all_planned)
         };
         let fitting = engine.models.iter().filter(may);
         let model = fitting.min_by(|a, b| filled(a).total_cmp(&filled(b)))?;
--- a/crates/forward/src/board.rs
+++ b/crates/forward/src/board.rs
@@ -30,7 +30,7 @@
 const STILL_BAN: Duration = Duration::from_millis(1_500);
 
 /// What a target in another data centre counts as more, in requests for each slot.
-const FAR_COST: f64 = 0.04;
+const FAR_COST: f64 = 0.15;
 
 /// Requests beyond its slots that a target may be given, for each slot.
 const QUEUE_SHARE: f64 = 0.0;
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -1,5 +1,6 @@
 //! What the control host that leads does: it orders, directs, and takes configurations.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use crate::message::ConfigRead;
 use crate::message::ConfigText;
 use crate::message::Offered;
+use base::ModelName;
 use quorum::clock;
 use state::OfferReply;
 use state::Op;
@@ -22,11 +24,15 @@
 /// The longest time between two looks at the replicas.
 const EVERY: Duration = Duration::from_millis(50);
 
+/// Time between two looks at what callers ask for.
+const WORK_EVERY: Duration = Duration::from_secs(1);
+
 /// How long a configuration may take to be agreed on.
 const AGREE_WITHIN: Duration = Duration::from_millis(800);
 
 /// Orders and directs while this control host leads, for as long as the process runs.
 pub(crate) async fn lead_on(control: Rc<Control>) {
+    let mut worked = clock::now();
     loop {
         control.due.wait(EVERY).await;
         let now = clock::now();
@@ -37,6 +43,10 @@
             if term.is_some() && has_traffic(&control) {
                 controller.traffic_began();
             }
+            if WORK_EVERY <= now.since(worked) {
+                worked = now;
+                controller.work(&offered(&control));
+            }
             controller.tick(now)
         };
         for order in due {
@@ -53,7 +63,21 @@
 fn has_traffic(control: &Control) -> bool {
     let entries = control.entries.borrow();
     let mut work = entries.values().flat_map(|entry| &entry.state.work);
-    work.any(|work| 0.0 < work.rate)
+    work.any(|work| 0.0 < work.offered)
+}
+
+/// Requests that all entry hosts together are offered at once for each model.
+fn offered(control: &Control) -> BTreeMap<ModelName, f64> {
+    let mut all: BTreeMap<ModelName, f64> = BTreeMap::new();
+    for work in control
+        .entries
+        .borrow()
+        .values()
+        .flat_map(|e| &e.state.work)
+    {
+        *all.entry(work.model.clone()).or_default() += work.offered;
+    }
+    all
 }
 
 /// Gives out the controller's directions if they are newer.
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -6,6 +6,7 @@
 
 use compio::time::timeout;
 
+use crate::entry::Arrivals;
 use crate::entry::Entry;
 use crate::entry::Phase;
 use crate::events::Event;
@@ -50,6 +51,9 @@
 /// The time over which arrivals are counted.
 const WORK_SPAN: Duration = Duration::from_secs(1);
 
+/// How long an answer takes before one was seen.
+const USUAL_ANSWER: Duration = Duration::from_millis(1_500);
+
 /// What is known of a control host's state.
 #[derive(Debug, Default)]
 struct Known {
@@ -114,15 +118,22 @@
 fn call(entry: &Entry, known: &mut Known, now: Time) -> Watch {
     let span = now.since(known.work_at);
     if WORK_SPAN <= span {
-        let arrivals = std::mem::take(&mut *entry.arrivals.borrow_mut());
-        let rate = |count: u32| f64::from(count) / span.as_secs_f64();
-        let arrivals = arrivals.into_iter();
+        let secs = span.as_secs_f64();
+        let mut arrivals = entry.arrivals.borrow_mut();
+        let offered = |arrivals: &Arrivals| {
+            let takes = arrivals.takes.unwrap_or(USUAL_ANSWER).as_secs_f64();
+            f64::from(arrivals.count) / secs * takes
+        };
         known.work = arrivals
-            .map(|(model, count)| ModelWork {
-                model,
-                rate: rate(count),
+            .iter()
+            .map(|(model, arrivals)| ModelWork {
+                model: model.clone(),
+                offered: offered(arrivals),
             })
             .collect();
+        for arrivals in arrivals.values_mut() {
+            arrivals.count = 0;
+        }
         known.work_at = now;
     }
     let board = entry.board.borrow();
--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -172,11 +172,8 @@
     let model = head.headers.get(&names.model);
     let model: Option<ModelName> = model.and_then(|model| model.to_str().ok()?.parse().ok());
     if let Some(model) = &model {
-        *entry
-            .arrivals
-            .borrow_mut()
-            .entry(model.clone())
-            .or_default() += 1;
+        let mut arrivals = entry.arrivals.borrow_mut();
+        arrivals.entry(model.clone()).or_default().count += 1;
     }
     Ok(Job {
         out: Outbound::of(head, body, names, organisation.as_ref()),
@@ -381,6 +378,10 @@
     pub fn note_answer(&self, target: &Target, status: StatusCode, first: Time) {
         let first = first.since(self.arrived);
         let total = clock::now().since(self.arrived);
+        if let Some(model) = &self.model {
+            let mut arrivals = self.entry.arrivals.borrow_mut();
+            arrivals.entry(model.clone()).or_default().took(total);
+        }
         self.entry.metrics.answered(&self.class, first, total);
         self.entry.metrics.ended(&self.class.route, "answered");
         emit(&Event::Answered {
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -45,6 +45,9 @@
 /// Callers' connections that are open at once.
 const CALLER_CONNECTIONS: usize = 2_500;
 
+/// Weight of one answer in how long answers take.
+const TAKES_PART: f64 = 0.05;
+
 /// How long a caller may take nothing of an answer.
 const CALLER_STALL: Duration = Duration::from_secs(10);
 
@@ -84,6 +87,23 @@
     Draining,
 }
 
+/// What a model was asked for lately.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Arrivals {
+    /// Requests since the last report.
+    pub count: u32,
+    /// How long an answer takes, averaged.
+    pub takes: Option<Duration>,
+}
+
+impl Arrivals {
+    /// Takes how long an answer took.
+    pub fn took(&mut self, span: Duration) {
+        let known = self.takes.unwrap_or(span);
+        self.takes = Some(known.mul_f64(1.0 - TAKES_PART) + span.mul_f64(TAKES_PART));
+    }
+}
+
 /// What all tasks of an entry host share.
 pub(crate) struct Entry {
     pub settings: Settings,
@@ -99,8 +119,8 @@
     pub confirmed: Cell<Option<Time>>,
     pub board: RefCell<Board>,
     pub budget: RefCell<Budget>,
-    /// Requests for each model since the last report.
-    pub arrivals: RefCell<BTreeMap<ModelName, u32>>,
+    /// What each model was asked for lately.
+    pub arrivals: RefCell<BTreeMap<ModelName, Arrivals>>,
     /// First hosts that stand still and of which no control host knows yet.
     pub still: RefCell<Vec<UpstreamId>>,
     /// Replicas whose first host has left, and of which no control host knows yet.
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -44,13 +44,13 @@
     pub epoch: Fence,
 }
 
-/// How many requests for a model came in lately.
+/// How much a model was asked for lately.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelWork {
     /// The model.
     pub model: ModelName,
-    /// Requests a second.
-    pub rate: f64,
+    /// Requests that are offered at once: how many come a second, times how long one takes.
+    pub offered: f64,
 }
 
 /// A configuration as its operator wrote it.
