--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -140,8 +140,8 @@
         self.has_traffic = true;
     }
 
-    /// Takes how many requests each model is offered at once. It is averaged, so that a
-    /// short swing moves nothing.
+    /// Takes how many replicas of each model its requests keep busy. It is averaged, so that
+    /// a short swing moves nothing.
     pub fn work(&mut self, work: &BTreeMap<ModelName, f64>) {
         for (model, offered) in work {
             let known = self.work.entry(model.clone()).or_insert(*offered);
--- a/crates/form/src/layout.rs
+++ b/crates/form/src/layout.rs
@@ -1,6 +1,6 @@
 //! How many hosts of each domain are to hold which model.
 //!
-//! The hosts are divided between the models by the requests that each is offered at once.
+//! The hosts are divided between the models by the replicas that each keeps busy.
 //! Before any came, each model's share is taken as its part of the hosts. A part stands by in each domain, staged for the models
 //! whose replicas are there.
 
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -66,7 +66,7 @@
     work.any(|work| 0.0 < work.offered)
 }
 
-/// Requests that all entry hosts together are offered at once for each model.
+/// Replicas of each model that the requests of all entry hosts keep busy.
 fn offered(control: &Control) -> BTreeMap<ModelName, f64> {
     let mut all: BTreeMap<ModelName, f64> = BTreeMap::new();
     for work in control
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -119,10 +119,14 @@
     let span = now.since(known.work_at);
     if WORK_SPAN <= span {
         let secs = span.as_secs_f64();
+        let configuration = Rc::clone(&entry.configuration.borrow());
+        let slots = configuration.engines().map(|(_, engine)| engine.slots);
+        let slots = slots.max().unwrap_or(1).max(1);
         let mut arrivals = entry.arrivals.borrow_mut();
         let offered = |arrivals: &Arrivals| {
             let takes = arrivals.takes.unwrap_or(USUAL_ANSWER).as_secs_f64();
-            f64::from(arrivals.count) / secs * takes
+            let answers = f64::from(arrivals.count) * takes / f64::from(slots);
+            (arrivals.prompt_secs + answers) / secs
         };
         known.work = arrivals
             .iter()
@@ -133,6 +137,7 @@
             .collect();
         for arrivals in arrivals.values_mut() {
             arrivals.count = 0;
+            arrivals.prompt_secs = 0.0;
         }
         known.work_at = now;
     }
--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -169,11 +169,16 @@
     let drawn = fastrand::u64(0..route.total_weight().max(1));
     let service = route.service(drawn).ok_or(Refusal::NoTarget)?.clone();
     entry.budget.borrow_mut().request(&service, arrived);
+    let prompt = head.headers.get(&names.tokens);
+    let prompt = prompt.and_then(|value| value.to_str().ok()?.split(',').next()?.parse().ok());
+    let prompt: f64 = prompt.unwrap_or(0.0);
     let model = head.headers.get(&names.model);
     let model: Option<ModelName> = model.and_then(|model| model.to_str().ok()?.parse().ok());
     if let Some(model) = &model {
         let mut arrivals = entry.arrivals.borrow_mut();
-        arrivals.entry(model.clone()).or_default().count += 1;
+        let arrivals = arrivals.entry(model.clone()).or_default();
+        arrivals.count += 1;
+        arrivals.prompt_secs += prompt_secs(configuration, &service, model, prompt);
     }
     Ok(Job {
         out: Outbound::of(head, body, names, organisation.as_ref()),
@@ -196,6 +201,19 @@
     })
 }
 
+/// What a prompt takes a replica that does nothing else, in seconds.
+fn prompt_secs(
+    configuration: &Configuration,
+    service: &ServiceName,
+    model: &ModelName,
+    tokens: f64,
+) -> f64 {
+    let service = configuration.services.get(service);
+    let engine = service.and_then(|service| service.engine.as_ref());
+    let known = engine.and_then(|engine| Some((engine.read_rate, engine.model(model)?.pace)));
+    known.map_or(0.0, |(rate, pace)| tokens / rate.max(1.0) * pace)
+}
+
 /// The organisation that a request is made for, if its route needs one.
 fn organisation(
     entry: &Entry,
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -92,6 +92,8 @@
 pub(crate) struct Arrivals {
     /// Requests since the last report.
     pub count: u32,
+    /// What their prompts take a replica that does nothing else, in seconds.
+    pub prompt_secs: f64,
     /// How long an answer takes, averaged.
     pub takes: Option<Duration>,
 }
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -49,7 +49,7 @@
 pub struct ModelWork {
     /// The model.
     pub model: ModelName,
-    /// Requests that are offered at once: how many come a second, times how long one takes.
+    /// Replicas that it keeps busy: reading prompts, and the places that answers hold.
     pub offered: f64,
 }
 
--- a/crates/site/src/platform.rs
+++ b/crates/site/src/platform.rs
@@ -33,6 +33,8 @@
     pub not_run: HeaderName,
     /// The model that a request asks for.
     pub model: HeaderName,
+    /// Tokens of a request's prompt, and behind a comma the most of its answer.
+    pub tokens: HeaderName,
 }
 
 /// What is asked of a control host.
