--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -45,6 +45,10 @@
     pub hosts: usize,
     /// Hosts that belong to no replica.
     pub free: usize,
+    /// Of these, hosts without any model.
+    pub empty: usize,
+    /// Hosts that stage a model.
+    pub staging: usize,
     /// Replicas that are served by.
     pub serving: usize,
     /// Replicas that join or open.
@@ -274,9 +278,17 @@
             phases.filter(|phase| is(phase)).count()
         };
         let well = |host: &&Host| host.is_well(self.cfg.silent, now);
+        let staging = |host: &&Host| well(host) && host.staging.is_some();
+        let free = self.free_hosts(now);
+        let is_empty = |id: &UpstreamId| {
+            let host = self.hosts.get(id);
+            host.is_some_and(|host| host.staged().is_empty() && host.warm.is_none())
+        };
         Shape {
             hosts: self.hosts.values().filter(well).count(),
-            free: self.free_hosts(now).len(),
+            free: free.len(),
+            empty: free.iter().filter(|id| is_empty(id)).count(),
+            staging: self.hosts.values().filter(staging).count(),
             serving: count(|p| *p == Phase::Serving),
             forming: count(|p| matches!(p, Phase::Joining | Phase::Opening)),
             closing: count(|p| matches!(p, Phase::Closing(_))),
