--- /dev/null
+++ b/crates/fleet/tests/roster.rs
@@ -0,0 +1,118 @@
+//! The newest word of each upstream, in whatever order words come.
+
+use std::time::Duration;
+
+use base::Incarnation;
+use base::Time;
+use base::UpstreamId;
+use fleet::Announcement;
+use fleet::Configuration;
+use fleet::Heard;
+use fleet::Kind;
+use fleet::Revision;
+use fleet::Roster;
+use fleet::Route;
+use fleet::Share;
+
+fn said(id: &str, life: u64, sequence: u64, port: u16) -> Announcement {
+    Announcement {
+        id: id.parse().unwrap(),
+        life: Incarnation(life),
+        sequence,
+        service: "orders".parse().unwrap(),
+        addr: ([127, 0, 0, 1], port).into(),
+        centre: "c".parse().unwrap(),
+        slots: 6,
+        leaving: false,
+        cold_left: Duration::ZERO,
+        engine: None,
+    }
+}
+
+fn id(text: &str) -> UpstreamId {
+    text.parse().unwrap()
+}
+
+#[test]
+fn a_late_word_of_an_earlier_life_or_number_changes_nothing() {
+    let mut roster = Roster::default();
+    assert_eq!(roster.hear(said("a", 5, 3, 1), Time::ZERO), Heard::Changed);
+    assert_eq!(roster.hear(said("a", 5, 4, 1), Time::ZERO), Heard::Same);
+    assert_eq!(roster.hear(said("a", 5, 3, 2), Time::ZERO), Heard::Old);
+    assert_eq!(roster.hear(said("a", 4, 9, 2), Time::ZERO), Heard::Old);
+    assert_eq!(roster.hear(said("a", 6, 1, 2), Time::ZERO), Heard::Changed);
+}
+
+#[test]
+fn a_late_word_of_a_process_whose_address_has_another_holder_is_passed_over() {
+    let mut roster = Roster::default();
+    roster.hear(said("new", 9, 1, 1), Time::ZERO);
+    assert_eq!(roster.hear(said("old", 4, 7, 1), Time::ZERO), Heard::Old);
+}
+
+#[test]
+fn a_process_that_is_gone_comes_back_only_in_a_later_life() {
+    let mut roster = Roster::default();
+    roster.hear(said("a", 5, 3, 1), Time::ZERO);
+    assert_eq!(roster.leave(&id("a"), None, Time::ZERO), Heard::Changed);
+    assert_eq!(roster.hear(said("a", 5, 4, 1), Time::ZERO), Heard::Old);
+    assert!(roster.get(&id("a")).is_none());
+    assert_eq!(roster.hear(said("a", 6, 1, 1), Time::ZERO), Heard::Changed);
+}
+
+#[test]
+fn a_follower_that_takes_the_changes_knows_the_same() {
+    let mut roster = Roster::default();
+    let mut follower = Roster::default();
+    let mut known = Revision::default();
+    for round in 1..20 {
+        let name = format!("p{}", round % 4);
+        roster.hear(said(&name, 1, round, 1 + (round % 4) as u16), Time::ZERO);
+        if round % 5 == 0 {
+            roster.leave(&id(&name), None, Time::ZERO);
+        }
+        for change in roster.changes(known) {
+            follower.follow(change, Time::ZERO);
+        }
+        known = roster.revision();
+        let ids = |roster: &Roster| -> Vec<UpstreamId> {
+            roster.present().map(|entry| entry.said.id.clone()).collect()
+        };
+        assert_eq!(ids(&roster), ids(&follower));
+    }
+}
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.parse().unwrap(),
+        host: "Stall.Example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Once,
+        timeout: Duration::from_secs(1),
+        aim: Duration::from_millis(100),
+        pause_aim: None,
+        priority: 1,
+        shares: vec![Share {
+            service: "orders".parse().unwrap(),
+            weight: 3,
+        }],
+        attempts: 1,
+        public: true,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let mut configuration = Configuration::default();
+    for (name, prefix) in [("a", "/x/"), ("b", "/"), ("c", "/x/y/")] {
+        configuration.add_route(route(name, prefix));
+    }
+    let found = |host: &str, path: &str| {
+        let route = configuration.route(host, path)?;
+        Some(route.name.as_str().to_owned())
+    };
+    assert_eq!(found("stall.example:80", "/x/y/1").as_deref(), Some("c"));
+    assert_eq!(found("stall.example", "/x/z").as_deref(), Some("a"));
+    assert_eq!(found("stall.example", "/x").as_deref(), Some("b"));
+    assert_eq!(found("other.example", "/x/"), None);
+}
--- /dev/null
+++ b/crates/forward/tests/again.rs
@@ -0,0 +1,79 @@
+//! What may follow an attempt: nothing that may not be repeated runs twice, and "not run"
+//! is said only if it is true.
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+
+use base::Time;
+use fleet::Kind;
+use forward::Again;
+use forward::Budget;
+use forward::Failure;
+
+const KINDS: [Kind; 4] = [
+    Kind::Idempotent,
+    Kind::Once,
+    Kind::Stream { resumable: true },
+    Kind::Stream { resumable: false },
+];
+
+const FAILURES: [Failure; 3] = [Failure::NotSent, Failure::Refused, Failure::Lost];
+
+#[test]
+fn what_may_have_run_goes_again_only_where_it_may_be_repeated() {
+    for kind in KINDS {
+        for failure in FAILURES {
+            for may_have_run in [false, true] {
+                for allowed in [false, true] {
+                    let again = Again::after(kind, failure, may_have_run, allowed);
+                    let ran = may_have_run || failure == Failure::Lost;
+                    match again {
+                        Again::Elsewhere => assert!(allowed && (!ran || kind.is_repeatable())),
+                        Again::TellNotRun => assert!(!ran),
+                        Again::TellUnknown => assert!(ran),
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn retries_stay_within_the_ratio_and_the_slack() {
+    let window = Duration::from_secs(10);
+    let mut budget = Budget::open(0.2, 100.0, window);
+    budget.senders = 5;
+    let service = "orders".parse().unwrap();
+    for ms in 0..100 {
+        budget.request(&service, Time::from_millis(ms));
+    }
+    let at = Time::from_millis(200);
+    let taken = (0..1_000).filter(|_| budget.take(&service, at)).count();
+    assert!((10..=40).contains(&taken), "{taken} of 0.2 * 100 + 100 / 5");
+    assert!(!budget.take(&service, Time::from_millis(9_000)));
+    assert!(budget.take(&service, Time::from_millis(10_500)));
+}
+
+#[test]
+fn a_budget_of_one_service_is_not_used_by_another() {
+    let mut budget = Budget::open(0.2, 2.0, Duration::from_secs(10));
+    let (a, b) = ("a".parse().unwrap(), "b".parse().unwrap());
+    while budget.take(&a, Time::ZERO) {}
+    assert!(budget.take(&b, Time::ZERO));
+}
+
+quickcheck! {
+    fn senders_together_stay_within_the_slack(senders: u8, tries: u16) -> bool {
+        let senders = usize::from(senders % 20) + 1;
+        let service = "s".parse().unwrap();
+        let mut taken = 0;
+        for _ in 0..senders {
+            let mut budget = Budget::open(0.0, 100.0, Duration::from_secs(10));
+            budget.senders = senders;
+            let tries = 0..u32::from(tries);
+            taken += tries.filter(|_| budget.take(&service, Time::ZERO)).count();
+        }
+        taken <= 100
+    }
+}
--- /dev/null
+++ b/crates/forward/tests/board.rs
@@ -0,0 +1,123 @@
+//! The choice of a target, and how a standstill is seen.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use base::Incarnation;
+use base::Time;
+use base::UpstreamId;
+use forward::Board;
+use forward::Health;
+use forward::Miss;
+use forward::Target;
+use forward::TargetId;
+use forward::Want;
+
+fn target(id: &str, centre: &str, model: Option<&str>) -> Target {
+    Target {
+        id: id.parse().unwrap(),
+        life: Incarnation(1),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        service: "s".parse().unwrap(),
+        model: model.map(|model| model.parse().unwrap()),
+        centre: centre.parse().unwrap(),
+        slots: 4,
+        pace: 1.0,
+        own: 0,
+        others: 0,
+        flowing: 0,
+        health: Health::default(),
+        progress: Time::ZERO,
+        waiting_since: Time::ZERO,
+        usual: Duration::ZERO,
+    }
+}
+
+fn board(targets: Vec<Target>) -> Board {
+    let mut board = Board::open("here".parse().unwrap(), 7);
+    board.replace(targets);
+    board
+}
+
+fn choose(board: &mut Board, model: Option<&str>, at: u64) -> Result<TargetId, Miss> {
+    let service = "s".parse().unwrap();
+    let model = model.map(|model| model.parse().unwrap());
+    let avoid = BTreeSet::new();
+    let want = Want {
+        service: &service,
+        model: model.as_ref(),
+        avoid: &avoid,
+    };
+    let chosen = board.choose(&want, Time::from_millis(at))?;
+    Ok((chosen.id, chosen.life))
+}
+
+#[test]
+fn a_near_target_is_taken_until_it_is_fuller_than_the_link_is_worth() {
+    let mut board = board(vec![target("near", "here", None), target("far", "there", None)]);
+    let mut taken: BTreeMap<UpstreamId, u32> = BTreeMap::new();
+    for _ in 0..6 {
+        let id = choose(&mut board, None, 0).unwrap();
+        board.sent(&id, Time::ZERO);
+        *taken.entry(id.0).or_default() += 1;
+    }
+    let near: UpstreamId = "near".parse().unwrap();
+    assert!((3..=4).contains(&taken[&near]), "{taken:?}");
+}
+
+#[test]
+fn a_replica_of_another_model_is_never_taken_and_a_full_one_is_waited_for() {
+    let mut board = board(vec![
+        target("a", "here", Some("wide")),
+        target("b", "here", Some("slim")),
+    ]);
+    for _ in 0..4 {
+        let id = choose(&mut board, Some("wide"), 0).unwrap();
+        assert_eq!(id.0.as_str(), "a");
+        board.sent(&id, Time::ZERO);
+    }
+    assert_eq!(choose(&mut board, Some("wide"), 0), Err(Miss::Full));
+    assert_eq!(choose(&mut board, Some("other"), 0), Err(Miss::None));
+}
+
+#[test]
+fn a_target_stands_still_once_its_streams_give_nothing() {
+    let mut board = board(vec![target("a", "here", Some("wide"))]);
+    let id = choose(&mut board, Some("wide"), 0).unwrap();
+    board.sent(&id, Time::from_millis(1_000));
+    // A prompt that is being read gives nothing for a while.
+    assert!(!board.stands_still(&id, Time::from_millis(1_900)));
+    board.began(&id);
+    board.good(&id, Time::from_millis(2_000));
+    assert!(!board.stands_still(&id, Time::from_millis(2_300)));
+    assert!(board.stands_still(&id, Time::from_millis(2_400)));
+    // It is left out for a while, until it gives something again.
+    assert_eq!(choose(&mut board, Some("wide"), 2_500), Err(Miss::Full));
+    board.good(&id, Time::from_millis(2_600));
+    assert!(choose(&mut board, Some("wide"), 2_700).is_ok());
+}
+
+#[test]
+fn loads_told_by_others_count_and_own_ones_are_not_counted_twice() {
+    let mut board = board(vec![target("a", "here", None), target("b", "here", None)]);
+    let a: TargetId = ("a".parse().unwrap(), Incarnation(1));
+    board.sent(&a, Time::ZERO);
+    let loads = BTreeMap::from([("a".parse().unwrap(), 1), ("b".parse().unwrap(), 3)]);
+    board.all_loads(&loads);
+    assert_eq!(board.get(&a.0).unwrap().load(), 1);
+    assert_eq!(choose(&mut board, None, 0).unwrap(), a);
+}
+
+#[test]
+fn a_plain_target_that_failed_is_taken_only_if_there_is_no_other() {
+    let mut board = board(vec![target("a", "here", None), target("b", "here", None)]);
+    let a: TargetId = ("a".parse().unwrap(), Incarnation(1));
+    board.bad(&a, Time::ZERO);
+    for _ in 0..20 {
+        assert_ne!(choose(&mut board, None, 10).unwrap(), a);
+    }
+    let b: TargetId = ("b".parse().unwrap(), Incarnation(1));
+    board.bad(&b, Time::ZERO);
+    assert!(choose(&mut board, None, 10).is_ok());
+}
--- /dev/null
+++ b/crates/forward/tests/events.rs
@@ -0,0 +1,52 @@
+//! Whole events in a stream, whatever pieces its bytes come in.
+
+use forward::EventError;
+use forward::Events;
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: {{\"piece\":{id}}}\n\n")
+}
+
+#[test]
+fn events_are_whole_however_the_bytes_are_cut() {
+    let text: String = (1..20).map(event).collect();
+    for size in 1..40 {
+        let mut events = Events::after(None);
+        let mut passed = Vec::new();
+        for piece in text.as_bytes().chunks(size) {
+            passed.extend(events.push(piece).unwrap().bytes);
+        }
+        assert_eq!(passed, text.as_bytes());
+        assert_eq!(events.last(), Some(19));
+        assert!(!events.is_midway());
+    }
+}
+
+#[test]
+fn what_is_cut_within_an_event_is_dropped_when_another_upstream_goes_on() {
+    let mut events = Events::after(Some(4));
+    let whole = events.push(format!("{}id: 6\nda", event(5)).as_bytes());
+    assert_eq!(whole.unwrap().count, 1);
+    assert!(events.is_midway());
+    events.restart();
+    let whole = events.push(event(6).as_bytes()).unwrap();
+    assert_eq!(whole.bytes, event(6).as_bytes());
+}
+
+#[test]
+fn an_event_that_is_not_the_next_one_is_refused() {
+    for wrong in [5, 7, 1] {
+        let mut events = Events::after(Some(5));
+        let error = events.push(event(wrong).as_bytes()).unwrap_err();
+        let expected = EventError::OutOfOrder { got: wrong, due: 6 };
+        assert_eq!(error, expected);
+    }
+}
+
+#[test]
+fn lines_may_end_with_a_carriage_return_and_have_a_version_first() {
+    let mut events = Events::default();
+    let whole = events.push(b"weight-versions: 2\r\nid: 1\r\ndata: x\r\n\r\n");
+    assert_eq!(whole.unwrap().count, 1);
+    assert_eq!(events.last(), Some(1));
+}
