--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -76,7 +76,10 @@
         }
         known = roster.revision();
         let ids = |roster: &Roster| -> Vec<UpstreamId> {
-            roster.present().map(|entry| entry.said.id.clone()).collect()
+            roster
+                .present()
+                .map(|entry| entry.said.id.clone())
+                .collect()
         };
         assert_eq!(ids(&roster), ids(&follower));
     }
--- a/crates/forward/tests/board.rs
+++ b/crates/forward/tests/board.rs
@@ -55,7 +55,10 @@
 
 #[test]
 fn a_near_target_is_taken_until_it_is_fuller_than_the_link_is_worth() {
-    let mut board = board(vec![target("near", "here", None), target("far", "there", None)]);
+    let mut board = board(vec![
+        target("near", "here", None),
+        target("far", "there", None),
+    ]);
     let mut taken: BTreeMap<UpstreamId, u32> = BTreeMap::new();
     for _ in 0..6 {
         let id = choose(&mut board, None, 0).unwrap();
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -14,6 +14,7 @@
 pub use caller::Reply;
 pub use cluster::Cluster;
 pub use cluster::wait_until;
+pub use ports::free_ports;
 pub use process::Process;
 pub use process::program_path;
 pub use rules::rules_text;
--- a/crates/state/tests/offers.rs
+++ b/crates/state/tests/offers.rs
@@ -42,7 +42,10 @@
     let mut state = State::default();
     assert_eq!(offer(&mut state, 1, 4, "first"), OfferReply::InForce);
     let current = Version(4);
-    assert_eq!(offer(&mut state, 2, 4, "second"), OfferReply::Kept { current });
+    assert_eq!(
+        offer(&mut state, 2, 4, "second"),
+        OfferReply::Kept { current }
+    );
     assert_eq!(&**state.register().text(), "first");
 }
 
