An entry host waits for the nearest control host at its start

Cause: on both incidents entry hosts of two data centres followed a control host of another one, for the nearest did not listen yet at their first try.

--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -39,6 +39,9 @@
 /// Time between two tries to find a control host.
 const RETRY: Duration = Duration::from_millis(80);
 
+/// How long after its start an entry host waits for the nearest control host.
+const PATIENCE: Duration = Duration::from_secs(1);
+
 /// A target that gave something this lately is told of.
 const MOVED_LATELY: Duration = Duration::from_millis(900);
 
@@ -70,6 +73,7 @@
 /// Follows one control host after the other, for as long as the process runs.
 pub(crate) async fn follow_on(entry: Rc<Entry>) {
     let mut known = Known::default();
+    let began = clock::now();
     loop {
         let Some(control) = known.control.or_else(|| next(&entry, &mut known)) else {
             compio::time::sleep(RETRY).await;
@@ -96,7 +100,11 @@
                         silent_ms: asked.since(known.heard).as_millis(),
                     });
                 }
-                known.turn += 1;
+                // At the start the nearest one may not listen yet.
+                let begins = known.heard == Time::ZERO && clock::now().since(began) < PATIENCE;
+                if !begins {
+                    known.turn += 1;
+                }
                 compio::time::sleep(RETRY).await;
             }
         }
