--- a/crates/forward/src/board.rs
+++ b/crates/forward/src/board.rs
@@ -32,6 +32,10 @@
 /// What a target in another data centre counts as more, in requests for each slot.
 const FAR_COST: f64 = 0.15;
 
+/// What a second of prompts that are still to be read counts, in requests for each slot:
+/// they are read one after the other, before the first event of the next one.
+const READING_COST: f64 = 2.0;
+
 /// Requests beyond its slots that a target may be given, for each slot.
 const QUEUE_SHARE: f64 = 0.0;
 
@@ -57,6 +61,15 @@
     Full,
 }
 
+/// The load of all entry hosts on a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests.
+    pub requests: u32,
+    /// What the prompts take that have not been read, in seconds.
+    pub reading: f64,
+}
+
 /// The targets that an entry host knows.
 #[derive(Clone, Debug)]
 pub struct Board {
@@ -84,6 +97,8 @@
             if let Some(known) = known {
                 target.own = known.own;
                 target.flowing = known.flowing;
+                target.reading = known.reading;
+                target.reading_others = known.reading_others;
                 target.others = known.others;
                 target.health = known.health;
                 target.progress = known.progress;
@@ -95,10 +110,11 @@
     }
 
     /// Takes how many requests all entry hosts have at each target, this one included.
-    pub fn all_loads(&mut self, loads: &BTreeMap<UpstreamId, u32>) {
+    pub fn all_loads(&mut self, loads: &BTreeMap<UpstreamId, Load>) {
         for target in self.targets.values_mut() {
-            let all = loads.get(&target.id).copied().unwrap_or(0);
-            target.others = all.saturating_sub(target.own);
+            let all = loads.get(&target.id).copied().unwrap_or_default();
+            target.others = all.requests.saturating_sub(target.own);
+            target.reading_others = (all.reading - target.reading).max(0.0);
         }
     }
 
@@ -150,7 +166,8 @@
                 FAR_COST
             };
             let full = f64::from(t.load()) / f64::from(t.slots.max(1));
-            full * t.pace + far + drawn * 0.01
+            let reading = READING_COST * (t.reading + t.reading_others);
+            full * t.pace + reading + far + drawn * 0.01
         };
         let best = among
             .iter()
@@ -166,9 +183,10 @@
         }
     }
 
-    /// Counts a request that goes to a target.
-    pub fn sent(&mut self, id: &TargetId, now: Time) {
+    /// Counts a request that goes to a target, with what its prompt takes in seconds.
+    pub fn sent(&mut self, id: &TargetId, reading: f64, now: Time) {
         if let Some(target) = self.known(id) {
+            target.reading += reading;
             if target.own == 0 {
                 target.waiting_since = now;
             }
@@ -183,6 +201,13 @@
         }
     }
 
+    /// Counts out a prompt that was read, or will not be any more.
+    pub fn read(&mut self, id: &TargetId, reading: f64) {
+        if let Some(target) = self.known(id) {
+            target.reading = (target.reading - reading).max(0.0);
+        }
+    }
+
     /// Counts a stream that has given its first event.
     pub fn began(&mut self, id: &TargetId) {
         if let Some(target) = self.known(id) {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -18,6 +18,7 @@
 pub use again::Again;
 pub use again::Failure;
 pub use board::Board;
+pub use board::Load;
 pub use board::Miss;
 pub use board::Want;
 pub use budget::Budget;
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -39,6 +39,10 @@
     pub others: u32,
     /// How it did lately.
     pub health: Health,
+    /// What the prompts of own requests take that have given nothing yet, in seconds.
+    pub reading: f64,
+    /// The same of other entry hosts' requests, as last told.
+    pub reading_others: f64,
     /// Own streams there that have given events.
     pub flowing: u32,
     /// When it last gave this entry host anything.
--- a/crates/forward/tests/board.rs
+++ b/crates/forward/tests/board.rs
@@ -9,6 +9,7 @@
 use base::UpstreamId;
 use forward::Board;
 use forward::Health;
+use forward::Load;
 use forward::Miss;
 use forward::Target;
 use forward::TargetId;
@@ -26,6 +27,8 @@
         pace: 1.0,
         own: 0,
         others: 0,
+        reading: 0.0,
+        reading_others: 0.0,
         flowing: 0,
         health: Health::default(),
         progress: Time::ZERO,
@@ -62,7 +65,7 @@
     let mut taken: BTreeMap<UpstreamId, u32> = BTreeMap::new();
     for _ in 0..6 {
         let id = choose(&mut board, None, 0).unwrap();
-        board.sent(&id, Time::ZERO);
+        board.sent(&id, 0.0, Time::ZERO);
         *taken.entry(id.0).or_default() += 1;
     }
     let near: UpstreamId = "near".parse().unwrap();
@@ -78,7 +81,7 @@
     for _ in 0..4 {
         let id = choose(&mut board, Some("wide"), 0).unwrap();
         assert_eq!(id.0.as_str(), "a");
-        board.sent(&id, Time::ZERO);
+        board.sent(&id, 0.0, Time::ZERO);
     }
     assert_eq!(choose(&mut board, Some("wide"), 0), Err(Miss::Full));
     assert_eq!(choose(&mut board, Some("other"), 0), Err(Miss::None));
@@ -88,7 +91,7 @@
 fn a_target_stands_still_once_its_streams_give_nothing() {
     let mut board = board(vec![target("a", "here", Some("wide"))]);
     let id = choose(&mut board, Some("wide"), 0).unwrap();
-    board.sent(&id, Time::from_millis(1_000));
+    board.sent(&id, 0.0, Time::from_millis(1_000));
     // A prompt that is being read gives nothing for a while.
     assert!(!board.stands_still(&id, Time::from_millis(1_900)));
     board.began(&id);
@@ -105,8 +108,16 @@
 fn loads_told_by_others_count_and_own_ones_are_not_counted_twice() {
     let mut board = board(vec![target("a", "here", None), target("b", "here", None)]);
     let a: TargetId = ("a".parse().unwrap(), Incarnation(1));
-    board.sent(&a, Time::ZERO);
-    let loads = BTreeMap::from([("a".parse().unwrap(), 1), ("b".parse().unwrap(), 3)]);
+    board.sent(&a, 0.0, Time::ZERO);
+    let load = |requests| Load {
+        requests,
+        reading: 0.0,
+    };
+    let loads = [
+        ("a".parse().unwrap(), load(1)),
+        ("b".parse().unwrap(), load(3)),
+    ];
+    let loads = BTreeMap::from(loads);
     board.all_loads(&loads);
     assert_eq!(board.get(&a.0).unwrap().load(), 1);
     assert_eq!(choose(&mut board, None, 0).unwrap(), a);
@@ -124,3 +135,20 @@
     board.bad(&b, Time::ZERO);
     assert!(choose(&mut board, None, 10).is_ok());
 }
+
+#[test]
+fn a_replica_that_reads_long_prompts_is_passed_over_for_one_that_writes() {
+    let mut board = board(vec![
+        target("reads", "here", Some("wide")),
+        target("writes", "here", Some("wide")),
+    ]);
+    let id = |id: &str| (id.parse().unwrap(), Incarnation(1));
+    let (reads, writes): (TargetId, TargetId) = (id("reads"), id("writes"));
+    board.sent(&reads, 0.4, Time::ZERO);
+    board.sent(&writes, 0.4, Time::ZERO);
+    board.sent(&writes, 0.1, Time::ZERO);
+    board.read(&writes, 0.5);
+    assert_eq!(choose(&mut board, Some("wide"), 10).unwrap(), writes);
+    board.read(&reads, 0.4);
+    assert_eq!(choose(&mut board, Some("wide"), 10).unwrap(), reads);
+}
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -109,14 +109,17 @@
 
 /// All entry hosts' requests at each target.
 fn loads(entries: &BTreeMap<NodeId, Follower>) -> Vec<TargetLoad> {
-    let mut all: BTreeMap<&UpstreamId, u32> = BTreeMap::new();
+    let mut all: BTreeMap<&UpstreamId, (u32, f64)> = BTreeMap::new();
     for load in entries.values().flat_map(|entry| &entry.state.loads) {
-        *all.entry(&load.id).or_default() += load.requests;
+        let sum = all.entry(&load.id).or_default();
+        sum.0 += load.requests;
+        sum.1 += load.reading;
     }
     let all = all.into_iter();
-    all.map(|(id, requests)| TargetLoad {
+    all.map(|(id, (requests, reading))| TargetLoad {
         id: id.clone(),
         requests,
+        reading,
         moved_ago: None,
     })
     .collect()
--- a/crates/site/src/entry/attempt.rs
+++ b/crates/site/src/entry/attempt.rs
@@ -61,7 +61,7 @@
     until: Time,
 ) -> Result<Answered, Failed> {
     let id = (target.id.clone(), target.life);
-    let turn = Turn::open(entry, id.clone());
+    let turn = Turn::open(entry, id.clone(), out.reading);
     let kept = entry.pool.take(&id);
     let sent = match kept {
         Some(kept) => send(entry, out, target, kept, after, until).await,
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -30,6 +30,7 @@
 use fleet::Serving;
 use form::Action;
 use forward::Health;
+use forward::Load;
 use forward::Target;
 use quorum::clock;
 
@@ -154,6 +155,7 @@
     let load = |target: &Target| TargetLoad {
         id: target.id.clone(),
         requests: target.own,
+        reading: target.reading,
         moved_ago: (lately <= target.progress).then(|| now.since(target.progress)),
     };
     Watch {
@@ -202,7 +204,11 @@
         retarget(entry);
     }
     let loads = news.loads.into_iter();
-    let loads: BTreeMap<UpstreamId, u32> = loads.map(|load| (load.id, load.requests)).collect();
+    let loads = loads.map(|load| {
+        let (requests, reading) = (load.requests, load.reading);
+        (load.id, Load { requests, reading })
+    });
+    let loads: BTreeMap<UpstreamId, Load> = loads.collect();
     entry.board.borrow_mut().all_loads(&loads);
     for host in news.unreachable {
         take_leave(entry, host);
@@ -315,6 +321,8 @@
         pace: 1.0,
         own: 0,
         others: 0,
+        reading: 0.0,
+        reading_others: 0.0,
         flowing: 0,
         health: Health::default(),
         progress: Time::ZERO,
--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -174,14 +174,19 @@
     let prompt: f64 = prompt.unwrap_or(0.0);
     let model = head.headers.get(&names.model);
     let model: Option<ModelName> = model.and_then(|model| model.to_str().ok()?.parse().ok());
+    let mut reading = 0.0;
     if let Some(model) = &model {
+        reading = prompt_secs(configuration, &service, model, prompt);
         let mut arrivals = entry.arrivals.borrow_mut();
         let arrivals = arrivals.entry(model.clone()).or_default();
         arrivals.count += 1;
-        arrivals.prompt_secs += prompt_secs(configuration, &service, model, prompt);
+        arrivals.prompt_secs += reading;
     }
     Ok(Job {
-        out: Outbound::of(head, body, names, organisation.as_ref()),
+        out: Outbound {
+            reading,
+            ..Outbound::of(head, body, names, organisation.as_ref())
+        },
         id: attempt_id(entry, head),
         class: Class {
             route: route.name.as_str().to_owned(),
--- a/crates/site/src/entry/outbound.rs
+++ b/crates/site/src/entry/outbound.rs
@@ -35,6 +35,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// What its prompt takes a replica that does nothing else, in seconds.
+    pub reading: f64,
 }
 
 impl Outbound {
@@ -67,6 +69,7 @@
             uri: uri.and_then(|path| path.parse().ok()).unwrap_or_default(),
             headers,
             body,
+            reading: 0.0,
         }
     }
 
--- a/crates/site/src/entry/turn.rs
+++ b/crates/site/src/entry/turn.rs
@@ -11,16 +11,21 @@
     entry: Rc<Entry>,
     /// The target.
     pub id: TargetId,
+    /// What its prompt takes, in seconds, until it was read.
+    reading: f64,
     flows: bool,
 }
 
 impl Turn {
     /// Counts a request in.
-    pub fn open(entry: &Rc<Entry>, id: TargetId) -> Self {
-        entry.board.borrow_mut().sent(&id, clock::now());
+    pub fn open(entry: &Rc<Entry>, id: TargetId, reading: f64) -> Self {
+        let mut board = entry.board.borrow_mut();
+        board.sent(&id, reading, clock::now());
+        drop(board);
         Self {
             entry: Rc::clone(entry),
             id,
+            reading,
             flows: false,
         }
     }
@@ -29,7 +34,9 @@
     pub fn flow(&mut self) {
         if !self.flows {
             self.flows = true;
-            self.entry.board.borrow_mut().began(&self.id);
+            let mut board = self.entry.board.borrow_mut();
+            board.began(&self.id);
+            board.read(&self.id, std::mem::take(&mut self.reading));
         }
     }
 }
@@ -38,6 +45,7 @@
     fn drop(&mut self) {
         let mut board = self.entry.board.borrow_mut();
         board.ended(&self.id);
+        board.read(&self.id, self.reading);
         if self.flows {
             board.dried(&self.id);
         }
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -21,12 +21,14 @@
 use wire::Call;
 
 /// Requests that an entry host has at a target.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetLoad {
     /// The target.
     pub id: UpstreamId,
     /// How many.
     pub requests: u32,
+    /// What the prompts take that have not been read, in seconds.
+    pub reading: f64,
     /// How long ago it gave something, where it has lately.
     pub moved_ago: Option<Duration>,
 }
