--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -1,10 +1,9 @@
-//! The way of one request: route, key, body, target, answer.
+//! What comes in: readiness, route, key and body, before a request is on its way.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -16,13 +15,9 @@
 use crate::entry::Phase;
 use crate::entry::answer::Refusal;
 use crate::entry::answer::bare;
-use crate::entry::attempt::Answered;
-use crate::entry::attempt::Failed;
-use crate::entry::attempt::attempt;
+use crate::entry::job::Job;
 use crate::entry::metrics::Class;
 use crate::entry::outbound::Outbound;
-use crate::entry::outbound::end_to_end;
-use crate::entry::relay;
 use crate::entry::turn::InFlight;
 use crate::events::Event;
 use crate::events::emit;
@@ -30,57 +25,13 @@
 use base::OrgName;
 use base::ServiceName;
 use base::Time;
-use base::UpstreamId;
 use fleet::Configuration;
-use fleet::Kind;
 use fleet::Route;
-use forward::Again;
-use forward::Failure;
-use forward::Miss;
-use forward::Target;
-use forward::Want;
 use net::Body;
 use net::BodyError;
 use net::read_body;
 use quorum::clock;
 
-/// The largest answer that is kept whole before it is passed on, in bytes.
-const ANSWER_BYTES: usize = 16 * 1024 * 1024;
-
-/// Part of a request's aim that it may wait for a target that is full.
-const WAIT_SHARE: u32 = 4;
-
-/// The longest time between two tries to find a target that is not full.
-const LOOK: Duration = Duration::from_millis(25);
-
-/// Attempts that never left this host, beyond which a request is refused.
-const UNSENT: u32 = 4;
-
-/// One request, once it is known where it may go.
-pub(crate) struct Job {
-    pub entry: Rc<Entry>,
-    pub route: Route,
-    pub service: ServiceName,
-    pub out: Outbound,
-    pub model: Option<ModelName>,
-    /// Its id, for the log.
-    pub id: String,
-    pub class: Class,
-    pub arrived: Time,
-    /// The final answer is given by then.
-    pub until: Time,
-    /// Attempts that reached a target.
-    pub attempts: u32,
-    /// Attempts that never left.
-    pub unsent: u32,
-    /// An attempt may have run.
-    pub may_have_run: bool,
-    /// Targets that failed it.
-    pub avoid: BTreeSet<UpstreamId>,
-    /// Counts it for as long as it lives.
-    pub _in_flight: InFlight,
-}
-
 /// Answers one request.
 pub(crate) async fn handle(entry: Rc<Entry>, req: Request<Incoming>) -> Response<Body> {
     if entry.platform.is_readiness(req.uri().path()) {
@@ -238,207 +189,3 @@
     let known = key.and_then(|key| keys.get(key.trim()));
     known.cloned().map(Some).ok_or(Refusal::NoKey)
 }
-
-impl Job {
-    async fn run(mut self) -> Response<Body> {
-        let after = self.last_event();
-        loop {
-            let (target, answered) = match self.next(after).await {
-                Ok(answered) => answered,
-                Err(refusal) => return self.refuse(refusal),
-            };
-            if self.route.kind.is_stream() && answered.response.status() == StatusCode::OK {
-                return relay::begin(self, target, answered, after);
-            }
-            match self.collect(&target, answered).await {
-                Ok(response) => return response,
-                Err(Some(refusal)) => return self.refuse(refusal),
-                Err(None) => {}
-            }
-        }
-    }
-
-    /// Sends the request to one target after the other, until one answers.
-    pub async fn next(&mut self, after: Option<u64>) -> Result<(Target, Answered), Refusal> {
-        loop {
-            let target = self.target().await?;
-            match attempt(&self.entry, &self.out, &target, after, self.until).await {
-                Ok(answered) => {
-                    self.attempts += 1;
-                    return Ok((target, answered));
-                }
-                Err(failed) => self.failed(&target, failed)?,
-            }
-        }
-    }
-
-    /// The target to send to, waiting a little for one that is not full.
-    async fn target(&mut self) -> Result<Target, Refusal> {
-        let patience = clock::now() + self.route.aim / WAIT_SHARE;
-        let patience = patience.min(self.until);
-        loop {
-            let now = clock::now();
-            let want = Want {
-                service: &self.service,
-                model: self.model.as_ref(),
-                avoid: &self.avoid,
-            };
-            let miss = match self.entry.board.borrow_mut().choose(&want, now) {
-                Ok(target) => return Ok(target),
-                Err(miss) => miss,
-            };
-            if patience <= now {
-                return Err(match (self.may_have_run, miss) {
-                    (true, _) => Refusal::Lost,
-                    (false, Miss::None) => Refusal::NoTarget,
-                    (false, Miss::Full) => Refusal::Full,
-                });
-            }
-            let left = patience.since(now);
-            self.entry.freed.wait(LOOK.min(left)).await;
-        }
-    }
-
-    /// Takes an attempt that failed. Gives what the caller is told, unless it goes on.
-    pub fn failed(&mut self, target: &Target, failed: Failed) -> Result<(), Refusal> {
-        let now = clock::now();
-        let id = (target.id.clone(), target.life);
-        match failed.failure {
-            Failure::NotSent => self.unsent += 1,
-            Failure::Refused | Failure::Lost => self.attempts += 1,
-        }
-        if failed.failure != Failure::Refused || target.model.is_none() {
-            self.entry.board.borrow_mut().bad(&id, now);
-        }
-        self.avoid.insert(target.id.clone());
-        let next = self.after(failed.failure, now);
-        self.may_have_run |= failed.failure == Failure::Lost;
-        emit(&Event::AttemptFailed {
-            id: &self.id,
-            target: &target.id,
-            failure: failed.failure.to_string(),
-            why: failed.why.to_owned(),
-            next: next.to_string(),
-            left_ms: self.until.since(now).as_millis(),
-        });
-        let is_over = self.until <= now;
-        match next {
-            Again::Elsewhere => Ok(()),
-            Again::TellNotRun if is_over => Err(Refusal::OutOfTime),
-            Again::TellNotRun => Err(Refusal::NotRun),
-            Again::TellUnknown if is_over => Err(Refusal::Timeout),
-            Again::TellUnknown => Err(Refusal::Lost),
-        }
-    }
-
-    /// What follows an attempt that failed just now.
-    pub fn after(&self, failure: Failure, now: Time) -> Again {
-        let has_time = now < self.until;
-        let has_attempts = match failure {
-            Failure::NotSent => self.unsent < UNSENT,
-            Failure::Refused | Failure::Lost => self.attempts < self.route.attempts,
-        };
-        let ran = self.may_have_run || failure == Failure::Lost;
-        let may_repeat = !ran || self.route.kind.is_repeatable();
-        let allowed = has_time && has_attempts && may_repeat && {
-            let is_first = failure == Failure::NotSent && self.attempts == 0;
-            is_first || self.entry.budget.borrow_mut().take(&self.service, now)
-        };
-        Again::after(self.route.kind, failure, self.may_have_run, allowed)
-    }
-
-    /// Reads an answer whole and passes it on. None means that the request goes again.
-    async fn collect(
-        &mut self,
-        target: &Target,
-        answered: Answered,
-    ) -> Result<Response<Body>, Option<Refusal>> {
-        let Answered {
-            response,
-            connection,
-            turn,
-            keep,
-        } = answered;
-        let first = clock::now();
-        let (head, body) = response.into_parts();
-        let span = self.until.since(first);
-        let read = read_body(body, ANSWER_BYTES, span).await;
-        let id = turn.id.clone();
-        drop(turn);
-        let body: Bytes = match read {
-            Ok(body) => body,
-            Err(_) => {
-                let why = "the answer did not come whole";
-                let failure = Failure::Lost;
-                self.attempts -= 1;
-                return self
-                    .failed(target, Failed { failure, why })
-                    .map_or_else(|refusal| Err(Some(refusal)), |()| Err(None));
-            }
-        };
-        self.entry.pool.put(&id, connection, keep);
-        let is_failure = head.status.is_server_error();
-        if is_failure && self.route.kind == Kind::Idempotent {
-            self.may_have_run = true;
-            let why = "the upstream failed";
-            let failure = Failure::Lost;
-            self.attempts -= 1;
-            if self.failed(target, Failed { failure, why }).is_ok() {
-                return Err(None);
-            }
-        } else if !is_failure {
-            self.entry.board.borrow_mut().good(&id, clock::now());
-        }
-        self.note_answer(target, head.status, first);
-        let mut answer = Response::new(Body::whole(body));
-        *answer.status_mut() = head.status;
-        *answer.headers_mut() = end_to_end(&head.headers);
-        answer.headers_mut().remove(header::CONTENT_LENGTH);
-        Ok(answer)
-    }
-
-    /// Notes an answer that is passed on.
-    pub fn note_answer(&self, target: &Target, status: StatusCode, first: Time) {
-        let first = first.since(self.arrived);
-        let total = clock::now().since(self.arrived);
-        if let Some(model) = &self.model {
-            let mut arrivals = self.entry.arrivals.borrow_mut();
-            arrivals.entry(model.clone()).or_default().took(total);
-        }
-        self.entry.metrics.answered(&self.class, first, total);
-        self.entry.metrics.ended(&self.class.route, "answered");
-        emit(&Event::Answered {
-            id: &self.id,
-            route: &self.route.name,
-            target: &target.id,
-            status: status.as_u16(),
-            attempts: self.attempts,
-            first_ms: first.as_millis(),
-            total_ms: total.as_millis(),
-        });
-    }
-
-    fn refuse(&self, refusal: Refusal) -> Response<Body> {
-        self.entry.metrics.ended(&self.class.route, refusal.text());
-        emit(&Event::Refused {
-            id: &self.id,
-            route: self.route.name.as_str(),
-            status: refusal.status().as_u16(),
-            why: refusal.text(),
-            waited_ms: clock::now().since(self.arrived).as_millis(),
-            attempts: self.attempts,
-            version: self.entry.version.get(),
-            age_ms: self.entry.confirmed_ago().as_millis(),
-        });
-        refusal.response()
-    }
-
-    /// The last event that the caller says it has.
-    fn last_event(&self) -> Option<u64> {
-        let value = self
-            .out
-            .headers
-            .get(&self.entry.platform.headers().last_event)?;
-        value.to_str().ok()?.trim().parse().ok()
-    }
-}
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod follow;
 mod handle;
+mod job;
 mod metrics;
 mod outbound;
 mod relay;
--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -14,7 +14,7 @@
 use crate::entry::answer::Refusal;
 use crate::entry::attempt::Answered;
 use crate::entry::attempt::still;
-use crate::entry::handle::Job;
+use crate::entry::job::Job;
 use crate::entry::outbound::end_to_end;
 use crate::entry::turn::Turn;
 use crate::events::Event;
