--- a/crates/forward/src/board.rs
+++ b/crates/forward/src/board.rs
@@ -103,7 +103,6 @@
                 target.health = known.health;
                 target.progress = known.progress;
                 target.waiting_since = known.waiting_since;
-                target.usual = known.usual;
             }
             self.targets.insert(target.id.clone(), target);
         }
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -1,7 +1,6 @@
 //! One process that requests are sent to.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use crate::Health;
 use base::CentreName;
@@ -49,8 +48,6 @@
     pub progress: Time,
     /// Own requests there that wait for something since then.
     pub waiting_since: Time,
-    /// Mean time of its answers, for plain services.
-    pub usual: Duration,
 }
 
 impl Target {
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -13,7 +13,6 @@
 use crate::message::Watcher;
 use base::NodeId;
 use base::Time;
-use fleet::Edition;
 use fleet::Revision;
 use quorum::clock;
 
@@ -128,7 +127,6 @@
         control.directions.replace(newer);
         control.news.ring();
     }
-    debug_assert!(Edition::default() <= control.directions.borrow().edition);
 }
 
 /// Tells the leader what was heard, for as long as the process runs.
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -327,7 +327,6 @@
         health: Health::default(),
         progress: Time::ZERO,
         waiting_since: Time::ZERO,
-        usual: Duration::ZERO,
     }
 }
 
