Silence alone ends no answer; a control host that is cut off is left

An entry host now leaves a control host that had no word of a majority for 0.8 s. Ruled out: lost pushes; the others had the version 10 ms after it was agreed on.

--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -43,6 +43,13 @@
 /// How long after its start an entry host waits for the nearest control host.
 const PATIENCE: Duration = Duration::from_secs(1);
 
+/// What a control host knows is stale if no majority stood behind it for this long: a part
+/// of the time in which a configuration has to be in force.
+const STALE: Duration = Duration::from_millis(800);
+
+/// Time between two tries to find a control host that is not cut off.
+const STAY: Duration = Duration::from_secs(2);
+
 /// A target that gave something this lately is told of.
 const MOVED_LATELY: Duration = Duration::from_millis(900);
 
@@ -66,6 +73,8 @@
     revision: Revision,
     controls: Vec<NodeId>,
     turn: usize,
+    /// A control host that is cut off from the majority is not left before this time.
+    stay_until: Time,
     heard: Time,
     work: Vec<ModelWork>,
     work_at: Time,
@@ -90,7 +99,14 @@
                     known.control = Some(control);
                 }
                 known.heard = asked;
+                let stale = is_stale(news.confirmed_ago);
                 take(&entry, &mut known, *news, asked);
+                if stale && known.stay_until <= asked {
+                    // It answers, but is cut off from the majority: another one may not be.
+                    known.stay_until = asked + STAY;
+                    known.turn += 1;
+                    known.control = None;
+                }
             }
             Ok(Watched::NotLeading { .. }) => known.control = None,
             Err(e) => {
@@ -112,6 +128,11 @@
     }
 }
 
+/// Whether what a control host knows may be long out of date.
+fn is_stale(confirmed_ago: Option<Duration>) -> bool {
+    confirmed_ago.is_none_or(|ago| STALE < ago)
+}
+
 /// The next control host to try: the seeds and all that were told, those with an address
 /// like this host's first, as they are the nearest.
 fn next(entry: &Entry, known: &mut Known) -> Option<NodeId> {
--- a/crates/site/src/entry/job.rs
+++ b/crates/site/src/entry/job.rs
@@ -166,6 +166,18 @@
         }
     }
 
+    /// Whether another target may be tried, and one is there. Takes nothing of the budget.
+    pub fn can_go_elsewhere(&self) -> bool {
+        let now = clock::now();
+        let may = self.route.kind.is_repeatable() && self.attempts < self.route.attempts;
+        let want = Want {
+            service: &self.service,
+            model: self.model.as_ref(),
+            avoid: &self.avoid,
+        };
+        may && now < self.until && self.entry.board.borrow_mut().choose(&want, now).is_ok()
+    }
+
     /// What follows an attempt that failed just now.
     pub fn after(&self, failure: Failure, now: Time) -> Again {
         let has_time = now < self.until;
--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -32,6 +32,9 @@
 /// Time between two looks whether the target stands still.
 const LOOK: Duration = Duration::from_millis(80);
 
+/// Time between two tries to go on elsewhere while the target stands still.
+const STAY: Duration = Duration::from_millis(500);
+
 /// A stream on its way to its caller.
 struct Relay {
     job: Job,
@@ -41,6 +44,8 @@
     first: Option<Time>,
     /// When the last whole event came.
     last: Time,
+    /// While its target stands still it is not tried elsewhere before this time.
+    stay_until: Time,
     is_over: bool,
 }
 
@@ -57,6 +62,8 @@
     Bytes(Bytes),
     End,
     Broken(&'static str),
+    /// Nothing, and its target gives nothing to anybody.
+    Still,
     Nothing,
 }
 
@@ -75,6 +82,7 @@
         events: Events::after(after),
         first: None,
         last: clock::now(),
+        stay_until: Time::ZERO,
         is_over: false,
     };
     let frames = unfold(relay, |mut relay| async move {
@@ -134,10 +142,11 @@
                         return Some(Err(self.break_off(why)));
                     }
                 }
-                Came::Nothing if self.job.until <= clock::now() => {
+                Came::Nothing | Came::Still if self.job.until <= clock::now() => {
                     return Some(Err(self.break_off("its time is over")));
                 }
-                Came::Nothing => {}
+                Came::Still if self.stay_until <= clock::now() => self.leave_still().await,
+                Came::Still | Came::Nothing => {}
             }
         }
         None
@@ -154,9 +163,7 @@
             },
             Ok(Some(Err(_))) => Came::Broken("the connection broke"),
             Ok(None) => Came::End,
-            Err(_) if still(&self.job.entry, &source.turn.id) => {
-                Came::Broken("the replica stands still")
-            }
+            Err(_) if still(&self.job.entry, &source.turn.id) => Came::Still,
             Err(_) => Came::Nothing,
         }
     }
@@ -173,6 +180,18 @@
         bytes.into()
     }
 
+    /// Goes on elsewhere if that can be. Silence alone is no reason to end an answer, so
+    /// otherwise the stream stays where it is.
+    async fn leave_still(&mut self) {
+        let kept = self.source.take();
+        let can_go = self.job.can_go_elsewhere();
+        if can_go && self.resume("the replica stands still").await {
+            return;
+        }
+        self.source = kept;
+        self.stay_until = clock::now() + STAY;
+    }
+
     /// Goes on at another target, after the last whole event.
     async fn resume(&mut self, why: &'static str) -> bool {
         let failed = crate::entry::attempt::Failed {
@@ -184,8 +203,6 @@
         if self.job.failed(&self.target, failed).is_err() {
             return false;
         }
-        self.source = None;
-        self.events.restart();
         let from = self.target.id.clone();
         let after = self.events.last();
         loop {
@@ -209,6 +226,7 @@
                 to: &target.id,
                 after,
             });
+            self.events.restart();
             self.target = target;
             self.source = Some(split(answered).1);
             return true;
