--- a/crates/harness/tests/orders.rs
+++ b/crates/harness/tests/orders.rs
@@ -26,6 +26,13 @@
     let service = cluster.start_service(spec).unwrap();
     let applied = cluster.apply(NodeId(1), &rules_text(1), UP).unwrap();
     assert!(applied.status.success(), "{applied:?}\n{}", cluster.logs());
+    // A change that was accepted is in force at the other nodes a little later.
+    let in_force = |id: &NodeId| cluster.show(*id, &["rules"])["version"] == 1;
+    assert!(
+        wait_until(UP, || ALL.iter().all(in_force)),
+        "{}",
+        cluster.logs()
+    );
     let known = |id: &NodeId| cluster.show(*id, &["status"])["services"][0].is_object();
     assert!(
         wait_until(UP, || ALL.iter().all(known)),
