--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -62,6 +62,10 @@
 /// Time before the end at which the last requests are given up.
 const LAST: Duration = Duration::from_millis(400);
 
+/// Part of the time in which a revoked key must stop to count that an entry host may be
+/// without news. The rest is for requests that are on their way.
+const KEY_LIFE_SHARE: f64 = 0.85;
+
 /// What an entry host is told when it starts.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -69,8 +73,8 @@
     pub callers: SocketAddr,
     /// Where the balancer asks if it is ready.
     pub readiness: SocketAddr,
-    /// How long keys count after a majority was last known to stand behind them.
-    pub key_life: Duration,
+    /// A key that was taken away must stop to count within this time.
+    pub revoke_within: Duration,
     /// How many retries the whole deployment may make.
     pub retries: RetryTerms,
 }
@@ -260,7 +264,7 @@
 
     /// Whether keys may still be believed.
     pub fn trusts_keys(&self) -> bool {
-        self.confirmed_ago() < self.own.key_life
+        self.confirmed_ago() < self.own.revoke_within.mul_f64(KEY_LIFE_SHARE)
     }
 }
 
