An entry host goes back to the nearest control host

Which one is followed is now decided in forward::Following, tested without a network: left when silent, left when cut off from the majority, gone back to.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -4,7 +4,7 @@
 //! services, with the load that this entry host and the others put on them, and how
 //! they did lately. [`Budget`] holds this entry host's part of the retries that the
 //! whole deployment may make. [`Again`] says what may follow an attempt that failed.
-//! [`Events`] finds the whole events in a stream, so that it can go on elsewhere.
+//! [`Following`] says which control host is followed. [`Events`] finds the whole events in a stream, so that it can go on elsewhere.
 //!
 //! Pure: time and inputs in, decisions out.
 
@@ -12,6 +12,7 @@
 mod board;
 mod budget;
 mod events;
+mod following;
 mod health;
 mod target;
 
@@ -25,6 +26,7 @@
 pub use events::EventError;
 pub use events::Events;
 pub use events::Whole;
+pub use following::Following;
 pub use health::Health;
 pub use target::Target;
 pub use target::TargetId;
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -16,6 +16,7 @@
 use crate::message::News;
 use crate::message::TargetLoad;
 use crate::message::Tell;
+use crate::message::Told;
 use crate::message::Unreachable;
 use crate::message::Watch;
 use crate::message::Watched;
@@ -47,8 +48,8 @@
 /// of the time in which a configuration has to be in force.
 const STALE: Duration = Duration::from_millis(800);
 
-/// Time between two tries to find a control host that is not cut off.
-const STAY: Duration = Duration::from_secs(2);
+/// How often it is looked whether the nearest control host is to be asked again.
+const LOOK_HOME: Duration = Duration::from_millis(500);
 
 /// A target that gave something this lately is told of.
 const MOVED_LATELY: Duration = Duration::from_millis(900);
@@ -71,10 +72,6 @@
     control: Option<NodeId>,
     life: Incarnation,
     revision: Revision,
-    controls: Vec<NodeId>,
-    turn: usize,
-    /// A control host that is cut off from the majority is not left before this time.
-    stay_until: Time,
     heard: Time,
     work: Vec<ModelWork>,
     work_at: Time,
@@ -85,7 +82,7 @@
     let mut known = Known::default();
     let began = clock::now();
     loop {
-        let Some(control) = known.control.or_else(|| next(&entry, &mut known)) else {
+        let Some(control) = entry.followed() else {
             compio::time::sleep(RETRY).await;
             continue;
         };
@@ -101,11 +98,9 @@
                 known.heard = asked;
                 let stale = is_stale(news.confirmed_ago);
                 take(&entry, &mut known, *news, asked);
-                if stale && known.stay_until <= asked {
+                if stale {
                     // It answers, but is cut off from the majority: another one may not be.
-                    known.stay_until = asked + STAY;
-                    known.turn += 1;
-                    known.control = None;
+                    entry.following.borrow_mut().cut_off(asked);
                 }
             }
             Ok(Watched::NotLeading { .. }) => known.control = None,
@@ -120,7 +115,7 @@
                 // At the start the nearest one may not listen yet.
                 let begins = known.heard == Time::ZERO && clock::now().since(began) < PATIENCE;
                 if !begins {
-                    known.turn += 1;
+                    entry.following.borrow_mut().lost(clock::now());
                 }
                 compio::time::sleep(RETRY).await;
             }
@@ -128,23 +123,31 @@
     }
 }
 
+/// Goes back to the nearest control host once it answers, for as long as the process runs.
+pub(crate) async fn go_home_on(entry: Rc<Entry>) {
+    loop {
+        compio::time::sleep(LOOK_HOME).await;
+        let seeds = entry.seeds.borrow().clone();
+        let nearest = entry
+            .following
+            .borrow_mut()
+            .home_to_ask(&seeds, clock::now());
+        let Some(nearest) = nearest else {
+            continue;
+        };
+        let addr = entry.settings.internal(nearest);
+        match entry.peers.call(addr, &Tell::default(), WITHIN).await {
+            Ok(Told {}) => entry.following.borrow_mut().go_home(),
+            Err(e) => log::debug!("the nearest control host does not answer: {e}"),
+        }
+    }
+}
+
 /// Whether what a control host knows may be long out of date.
 fn is_stale(confirmed_ago: Option<Duration>) -> bool {
     confirmed_ago.is_none_or(|ago| STALE < ago)
 }
 
-/// The next control host to try: the seeds and all that were told, those with an address
-/// like this host's first, as they are the nearest.
-fn next(entry: &Entry, known: &mut Known) -> Option<NodeId> {
-    let me = entry.settings.node().0;
-    let mut all: Vec<NodeId> = entry.seeds.borrow().clone();
-    all.extend(&known.controls);
-    all.sort_by_key(|id| (id.0 ^ me, *id));
-    all.dedup();
-    let count = all.len().max(1);
-    all.get(known.turn % count).copied()
-}
-
 fn call(entry: &Entry, known: &mut Known, now: Time) -> Watch {
     let span = now.since(known.work_at);
     if WORK_SPAN <= span {
@@ -196,7 +199,7 @@
 fn take(entry: &Rc<Entry>, known: &mut Known, news: News, asked: Time) {
     known.life = news.life;
     known.revision = news.revision;
-    known.controls = news.controls;
+    entry.following.borrow_mut().learn(news.controls);
     if let Some(ago) = news.confirmed_ago {
         let at = asked - ago;
         let known = entry.confirmed.get();
@@ -363,9 +366,10 @@
         if call == Tell::default() {
             continue;
         }
-        let mut known = Known::default();
+        let seeds = entry.seeds.borrow().clone();
+        let mut following = entry.following.borrow().clone();
         for _ in 0..3 {
-            let Some(control) = next(&entry, &mut known) else {
+            let Some(control) = following.at(&seeds) else {
                 break;
             };
             let addr = entry.settings.internal(control);
@@ -373,7 +377,7 @@
                 Ok(_) => break,
                 Err(e) => log::debug!("{control} cannot be told: {e}"),
             }
-            known.turn += 1;
+            following.lost(clock::now());
         }
     }
 }
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -35,6 +35,7 @@
 use fleet::Roster;
 use forward::Board;
 use forward::Budget;
+use forward::Following;
 use net::Bounds;
 use net::RpcClient;
 use net::Server;
@@ -124,6 +125,8 @@
     pub version: Cell<Version>,
     /// When a majority last stood behind the configuration.
     pub confirmed: Cell<Option<Time>>,
+    /// Which control host is followed.
+    pub following: RefCell<Following>,
     pub board: RefCell<Board>,
     pub budget: RefCell<Budget>,
     /// What each model was asked for lately.
@@ -170,6 +173,7 @@
             false => Some(Self::listen(&entry, entry.own.readiness, Bounds::default()).await?),
         };
         compio::runtime::spawn(follow::follow_on(Rc::clone(&entry))).detach();
+        compio::runtime::spawn(follow::go_home_on(Rc::clone(&entry))).detach();
         compio::runtime::spawn(follow::tell_on(Rc::clone(&entry))).detach();
         compio::runtime::spawn(keep_on(Rc::clone(&entry))).detach();
         Ok(Self {
@@ -236,6 +240,7 @@
             configuration: RefCell::default(),
             version: Cell::default(),
             confirmed: Cell::new(None),
+            following: RefCell::new(Following::open(settings.node())),
             board: RefCell::new(Board::open(settings.centre.clone(), seed)),
             budget: RefCell::new(Budget::open(ratio, slack, window)),
             arrivals: RefCell::default(),
@@ -254,6 +259,11 @@
         })
     }
 
+    /// The control host that is followed.
+    pub fn followed(&self) -> Option<NodeId> {
+        self.following.borrow().at(&self.seeds.borrow())
+    }
+
     /// How long ago a majority was last known to stand behind the configuration.
     pub fn confirmed_ago(&self) -> Duration {
         let now = clock::now();
