Entry hosts learn of all requests and all senders, whichever control host they follow

Cause: a control host that does not lead told its entry hosts only of those that follow it too, and dropped what the leader said of the others. Mend: forward::Crowd holds what was told and what the leader heard elsewhere; control hosts pass on sums. Ruled out: keeping the partial view for its worth: the fleet's retries are a rule.

--- /dev/null
+++ b/crates/forward/src/crowd.rs
@@ -0,0 +1,100 @@
+//! What a control host knows of all entry hosts' requests.
+//!
+//! Entry hosts tell the control host that they follow, control hosts tell the one that
+//! leads, and it tells each of them what it heard from the others. So each entry host
+//! learns of all requests, whichever control host it follows.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::Tally;
+use base::NodeId;
+use base::Time;
+use base::UpstreamId;
+
+/// Requests that were told of count for this long.
+const LOAD_LIFE: Duration = Duration::from_secs(3);
+
+/// An entry host counts for this long after it told anything. Longer than callers' retries
+/// are counted together: a part of what may be retried is still its own.
+const SENDER_LIFE: Duration = Duration::from_secs(11);
+
+/// What a control host knows of all entry hosts' requests.
+#[derive(Clone, Debug, Default)]
+pub struct Crowd {
+    /// What entry hosts, and control hosts for theirs, told this one.
+    told: BTreeMap<NodeId, (Tally, Time)>,
+    /// What the control host that leads heard from others.
+    elsewhere: Tally,
+    elsewhere_at: Time,
+}
+
+impl Crowd {
+    /// Takes what an entry host, or a control host for those that follow it, has under way.
+    pub fn hear(&mut self, from: NodeId, tally: Tally, now: Time) {
+        self.told.insert(from, (tally, now));
+        self.told.retain(|_, (_, at)| now.since(*at) < SENDER_LIFE);
+    }
+
+    /// Takes what the control host that leads heard from others. While it is out of reach,
+    /// as many entry hosts are counted as before: they go on sending.
+    pub fn hear_elsewhere(&mut self, tally: Tally, now: Time) {
+        self.elsewhere = tally;
+        self.elsewhere_at = now;
+    }
+
+    /// Forgets what an earlier leader told, as this control host leads now and is told all.
+    pub fn lead(&mut self, now: Time) {
+        let is_over = SENDER_LIFE <= now.since(self.elsewhere_at);
+        if is_over {
+            self.elsewhere = Tally::default();
+        }
+        self.elsewhere.loads.clear();
+    }
+
+    /// What this control host was told, for the one that leads.
+    pub fn own(&self, now: Time) -> Tally {
+        self.sum(None, now)
+    }
+
+    /// Everything.
+    pub fn all(&self, now: Time) -> Tally {
+        self.all_but(None, now)
+    }
+
+    /// Everything but what this control host told itself.
+    pub fn others(&self, than: NodeId, now: Time) -> Tally {
+        self.all_but(Some(than), now)
+    }
+
+    /// When a target last gave something to any entry host.
+    pub fn moved(&self, target: &UpstreamId) -> Option<Time> {
+        let told = self.told.values().flat_map(|(tally, at)| {
+            let loads = tally.loads.iter();
+            loads.map(move |load| (at, load))
+        });
+        let of = told.filter(|(_, load)| load.id == *target);
+        of.filter_map(|(at, load)| Some(*at - Duration::from_millis(load.moved_ms_ago?)))
+            .max()
+    }
+
+    fn all_but(&self, except: Option<NodeId>, now: Time) -> Tally {
+        let own = self.sum(except, now);
+        let mut elsewhere = self.elsewhere.clone();
+        let ago = now.since(self.elsewhere_at);
+        if LOAD_LIFE <= ago {
+            elsewhere.loads.clear();
+        }
+        Tally::sum([(&own, Duration::ZERO), (&elsewhere, ago)])
+    }
+
+    fn sum(&self, except: Option<NodeId>, now: Time) -> Tally {
+        let told = self.told.iter().filter(|(from, _)| Some(**from) != except);
+        let fresh = told.map(|(_, (tally, at))| (tally, now.since(*at)));
+        let (fresh, late): (Vec<_>, Vec<_>) = fresh.partition(|(_, ago)| *ago < LOAD_LIFE);
+        let mut sum = Tally::sum(fresh);
+        let late = late.into_iter().filter(|(_, ago)| *ago < SENDER_LIFE);
+        sum.entries += late.map(|(tally, _)| tally.entries).sum::<usize>();
+        sum
+    }
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`Board`] knows the targets: first hosts of replicas and processes of plain
 //! services, with the load that this entry host and the others put on them, and how
 //! they did lately. [`Budget`] holds this entry host's part of the retries that the
-//! whole deployment may make. [`Again`] says what may follow an attempt that failed.
+//! whole deployment may make, and [`Crowd`] what all entry hosts have under way. [`Again`] says what may follow an attempt that failed.
 //! [`Following`] says which control host is followed. [`Events`] finds the whole events in a stream, so that it can go on elsewhere.
 //!
 //! Pure: time and inputs in, decisions out.
@@ -11,9 +11,11 @@
 mod again;
 mod board;
 mod budget;
+mod crowd;
 mod events;
 mod following;
 mod health;
+mod tally;
 mod target;
 
 pub use again::Again;
@@ -23,10 +25,14 @@
 pub use board::Miss;
 pub use board::Want;
 pub use budget::Budget;
+pub use crowd::Crowd;
 pub use events::EventError;
 pub use events::Events;
 pub use events::Whole;
 pub use following::Following;
 pub use health::Health;
+pub use tally::ModelWork;
+pub use tally::Tally;
+pub use tally::TargetLoad;
 pub use target::Target;
 pub use target::TargetId;
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -5,7 +5,6 @@
 
 use crate::control::Control;
 use crate::control::watch;
-use crate::message::EntryLoad;
 use crate::message::News;
 use crate::message::Tell;
 use crate::message::Watch;
@@ -42,6 +41,7 @@
     loop {
         if control.leads() {
             control.confirmed.set(Some(clock::now()));
+            control.crowd.borrow_mut().lead(clock::now());
             control.due.wait(RETRY).await;
             continue;
         }
@@ -57,9 +57,8 @@
             revision: known.revision,
             version: control.in_force.borrow().version,
             edition: control.directions.borrow().edition,
-            watcher: Watcher::Control {
-                entries: own_entries(&control),
-            },
+            watcher: Watcher::Control,
+            tally: control.crowd.borrow().own(asked),
         };
         let addr = control.settings.internal(leader);
         match control.peers.call(addr, &call, WITHIN).await {
@@ -97,21 +96,13 @@
     others.get(turn % others.len().max(1)).copied()
 }
 
-fn own_entries(control: &Control) -> Vec<EntryLoad> {
-    let entries = control.fresh_entries().into_iter();
-    entries
-        .filter(|(_, entry)| entry.own)
-        .map(|(node, entry)| EntryLoad {
-            node,
-            state: entry.state,
-        })
-        .collect()
-}
-
 fn take(control: &Rc<Control>, known: &mut Known, news: News, asked: Time) {
     known.life = news.life;
     known.revision = news.revision;
     control.confirmed.set(Some(asked));
+    let mut crowd = control.crowd.borrow_mut();
+    crowd.hear_elsewhere(news.tally, asked);
+    drop(crowd);
     control.passed_on.replace(news.unreachable);
     let tell = Tell {
         changes: news.changes,
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -40,7 +40,7 @@
         let due = {
             let mut controller = control.controller.borrow_mut();
             controller.lead(term, now);
-            if term.is_some() && has_traffic(&control) {
+            if term.is_some() && offered(&control).values().any(|busy| 0.0 < *busy) {
                 controller.traffic_began();
             }
             if WORK_EVERY <= now.since(worked) {
@@ -60,24 +60,11 @@
     }
 }
 
-fn has_traffic(control: &Control) -> bool {
-    let entries = control.entries.borrow();
-    let mut work = entries.values().flat_map(|entry| &entry.state.work);
-    work.any(|work| 0.0 < work.offered)
-}
-
 /// Replicas of each model that the requests of all entry hosts keep busy.
 fn offered(control: &Control) -> BTreeMap<ModelName, f64> {
-    let mut all: BTreeMap<ModelName, f64> = BTreeMap::new();
-    for work in control
-        .entries
-        .borrow()
-        .values()
-        .flat_map(|e| &e.state.work)
-    {
-        *all.entry(work.model.clone()).or_default() += work.offered;
-    }
-    all
+    let all = control.crowd.borrow().all(clock::now());
+    let work = all.work.into_iter();
+    work.map(|work| (work.model, work.offered)).collect()
 }
 
 /// Gives out the controller's directions if they are newer.
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -12,7 +12,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -22,7 +21,6 @@
 use crate::bell::Bell;
 use crate::events::Event;
 use crate::events::emit;
-use crate::message::EntryState;
 use crate::message::Tell;
 use crate::message::Unreachable;
 use crate::peers;
@@ -39,6 +37,7 @@
 use fleet::Roster;
 use form::Action;
 use form::Controller;
+use forward::Crowd;
 use net::Methods;
 use net::RpcClient;
 use net::Server;
@@ -46,9 +45,6 @@
 use quorum::clock;
 use vote::Founding;
 
-/// An entry host that has not asked for this long does not count.
-const ENTRY_LIFE: Duration = Duration::from_secs(3);
-
 /// A first host that is lost is waited for by this much longer than engines stand still.
 const HEAD_MARGIN: Duration = Duration::from_millis(400);
 
@@ -76,15 +72,6 @@
     pub text: Rc<str>,
 }
 
-/// An entry host that follows this control host, or another one.
-#[derive(Clone, Debug)]
-pub(crate) struct Follower {
-    pub state: EntryState,
-    pub heard: Time,
-    /// It asked this control host itself.
-    pub own: bool,
-}
-
 /// What all tasks of a control host share.
 pub(crate) struct Control {
     pub settings: Settings,
@@ -99,7 +86,8 @@
     pub directions: RefCell<Directions>,
     /// When a majority last stood behind the configuration.
     pub confirmed: Cell<Option<Time>>,
-    pub entries: RefCell<BTreeMap<NodeId, Follower>>,
+    /// What entry hosts have under way.
+    pub crowd: RefCell<Crowd>,
     /// What the leader is still to be told.
     pub untold: RefCell<Tell>,
     /// Hosts that are being asked whether they live.
@@ -193,7 +181,7 @@
             in_force: RefCell::default(),
             directions: RefCell::default(),
             confirmed: Cell::new(None),
-            entries: RefCell::default(),
+            crowd: RefCell::default(),
             untold: RefCell::default(),
             asked: RefCell::default(),
             leader: Cell::new(None),
@@ -302,26 +290,6 @@
         });
         unreachable.collect()
     }
-
-    /// When a replica last gave something to any entry host.
-    pub fn moved(&self, head: &UpstreamId) -> Option<Time> {
-        let entries = self.entries.borrow();
-        let loads = entries.values().flat_map(|entry| {
-            let loads = entry.state.loads.iter();
-            loads.map(move |load| (entry.heard, load))
-        });
-        let of = loads.filter(|(_, load)| load.id == *head);
-        of.filter_map(|(heard, load)| Some(heard - load.moved_ago?))
-            .max()
-    }
-
-    /// Entry hosts that asked lately.
-    pub fn fresh_entries(&self) -> BTreeMap<NodeId, Follower> {
-        let now = clock::now();
-        let mut entries = self.entries.borrow_mut();
-        entries.retain(|_, entry| now.since(entry.heard) < ENTRY_LIFE);
-        entries.clone()
-    }
 }
 
 /// What matters of an announcement, for the log.
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -1,19 +1,15 @@
 //! Tells followers what is new, as soon as it is.
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use crate::control::Control;
-use crate::control::Follower;
 use crate::control::lead;
 use crate::control::probe;
 use crate::message::ConfigText;
-use crate::message::EntryState;
 use crate::message::News;
 use crate::message::Offer;
 use crate::message::ReadConfig;
-use crate::message::TargetLoad;
 use crate::message::Tell;
 use crate::message::Told;
 use crate::message::Watch;
@@ -21,10 +17,10 @@
 use crate::message::Watcher;
 use base::Fence;
 use base::NodeId;
-use base::UpstreamId;
 use fleet::Change;
 use fleet::Heard;
 use fleet::Revision;
+use forward::Tally;
 use net::Methods;
 use quorum::clock;
 
@@ -46,12 +42,16 @@
 }
 
 async fn watch(control: Rc<Control>, call: Watch) -> Watched {
-    let needs_leader = matches!(call.watcher, Watcher::Control { .. });
+    let needs_leader = call.watcher == Watcher::Control;
     if needs_leader && !control.leads() {
         let leader = control.known_leader();
         return Watched::NotLeading { leader };
     }
-    take(&control, call.from, call.watcher);
+    let tally = call.tally;
+    control
+        .crowd
+        .borrow_mut()
+        .hear(call.from, tally, clock::now());
     let is_new = |control: &Control| {
         call.life != control.life
             || call.revision < control.roster.borrow().revision()
@@ -70,6 +70,7 @@
         false => Revision::default(),
     };
     let mut news = news(&control, since);
+    news.tally = tally_for(&control, call.from, call.watcher);
     news.configuration = newer_config(&control, call.version);
     let directions = control.directions.borrow();
     let is_newer = call.edition < directions.edition;
@@ -83,7 +84,6 @@
         true => Some(Duration::ZERO),
         false => control.confirmed.get().map(|at| now.since(at)),
     };
-    let entries = control.fresh_entries();
     let roster = control.roster.borrow();
     News {
         life: control.life,
@@ -92,10 +92,9 @@
         configuration: None,
         directions: None,
         unreachable: control.unreachable(),
-        loads: loads(&entries),
         confirmed_ago: confirmed,
         controls: control.controls().into_iter().collect(),
-        entries: entries.len(),
+        tally: Tally::default(),
     }
 }
 
@@ -107,40 +106,15 @@
     })
 }
 
-/// All entry hosts' requests at each target.
-fn loads(entries: &BTreeMap<NodeId, Follower>) -> Vec<TargetLoad> {
-    let mut all: BTreeMap<&UpstreamId, (u32, f64)> = BTreeMap::new();
-    for load in entries.values().flat_map(|entry| &entry.state.loads) {
-        let sum = all.entry(&load.id).or_default();
-        sum.0 += load.requests;
-        sum.1 += load.reading;
-    }
-    let all = all.into_iter();
-    all.map(|(id, (requests, reading))| TargetLoad {
-        id: id.clone(),
-        requests,
-        reading,
-        moved_ago: None,
-    })
-    .collect()
-}
-
-/// Takes what a follower tells of itself.
-fn take(control: &Control, from: NodeId, watcher: Watcher) {
-    match watcher {
-        Watcher::Entry(state) => take_entry(control, from, state, true),
-        Watcher::Control { entries } => {
-            for entry in entries {
-                take_entry(control, entry.node, entry.state, false);
-            }
-        }
-    }
-}
-
-fn take_entry(control: &Control, node: NodeId, state: EntryState, own: bool) {
-    let heard = clock::now();
-    let follower = Follower { state, heard, own };
-    control.entries.borrow_mut().insert(node, follower);
+/// What a follower is told of all entry hosts' requests.
+fn tally_for(control: &Control, follower: NodeId, watcher: Watcher) -> Tally {
+    let now = clock::now();
+    let crowd = control.crowd.borrow();
+    let tally = match watcher {
+        Watcher::Entry => crowd.all(now),
+        Watcher::Control => crowd.others(follower, now),
+    };
+    tally.for_choice()
 }
 
 /// Takes what another process heard.
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -11,10 +11,7 @@
 use crate::entry::Phase;
 use crate::events::Event;
 use crate::events::emit;
-use crate::message::EntryState;
-use crate::message::ModelWork;
 use crate::message::News;
-use crate::message::TargetLoad;
 use crate::message::Tell;
 use crate::message::Told;
 use crate::message::Unreachable;
@@ -32,7 +29,10 @@
 use form::Action;
 use forward::Health;
 use forward::Load;
+use forward::ModelWork;
+use forward::Tally;
 use forward::Target;
+use forward::TargetLoad;
 use quorum::clock;
 
 /// How long a control host may take to answer: longer than it waits for something new.
@@ -180,7 +180,8 @@
         id: target.id.clone(),
         requests: target.own,
         reading: target.reading,
-        moved_ago: (lately <= target.progress).then(|| now.since(target.progress)),
+        moved_ms_ago: (lately <= target.progress)
+            .then(|| now.since(target.progress).as_millis() as u64),
     };
     Watch {
         from: entry.settings.node(),
@@ -188,11 +189,12 @@
         revision: known.revision,
         version: entry.version.get(),
         edition: entry.directions.borrow().edition,
-        watcher: Watcher::Entry(EntryState {
-            centre: entry.settings.centre.clone(),
+        watcher: Watcher::Entry,
+        tally: Tally {
+            entries: 1,
             loads: board.busy(lately).map(load).collect(),
             work: known.work.clone(),
-        }),
+        },
     }
 }
 
@@ -207,7 +209,7 @@
             .confirmed
             .set(Some(known.map_or(at, |known| known.max(at))));
     }
-    entry.budget.borrow_mut().senders = news.entries;
+    entry.budget.borrow_mut().senders = news.tally.entries;
     let mut is_changed = !news.changes.is_empty();
     for change in news.changes {
         entry.roster.borrow_mut().follow(change, asked);
@@ -227,7 +229,7 @@
     if is_changed {
         retarget(entry);
     }
-    let loads = news.loads.into_iter();
+    let loads = news.tally.loads.into_iter();
     let loads = loads.map(|load| {
         let (requests, reading) = (load.requests, load.reading);
         (load.id, Load { requests, reading })
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -6,10 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use base::CentreName;
 use base::Fence;
 use base::Incarnation;
-use base::ModelName;
 use base::NodeId;
 use base::ReplicaName;
 use base::UpstreamId;
@@ -18,21 +16,9 @@
 use fleet::Directions;
 use fleet::Edition;
 use fleet::Revision;
+use forward::Tally;
 use wire::Call;
 
-/// Requests that an entry host has at a target.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct TargetLoad {
-    /// The target.
-    pub id: UpstreamId,
-    /// How many.
-    pub requests: u32,
-    /// What the prompts take that have not been read, in seconds.
-    pub reading: f64,
-    /// How long ago it gave something, where it has lately.
-    pub moved_ago: Option<Duration>,
-}
-
 /// A first host that the leader cannot reach, and that is to leave its replica.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Unreachable {
@@ -46,15 +32,6 @@
     pub epoch: Fence,
 }
 
-/// How much a model was asked for lately.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ModelWork {
-    /// The model.
-    pub model: ModelName,
-    /// Replicas that it keeps busy: reading prompts, and the places that answers hold.
-    pub offered: f64,
-}
-
 /// A configuration as its operator wrote it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigText {
@@ -64,36 +41,13 @@
     pub text: String,
 }
 
-/// What an entry host tells of itself.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct EntryState {
-    /// Its data centre.
-    pub centre: CentreName,
-    /// Its requests at targets.
-    pub loads: Vec<TargetLoad>,
-    /// Requests that came in lately.
-    pub work: Vec<ModelWork>,
-}
-
 /// Who asks for what is new.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Watcher {
     /// An entry host. Any control host answers.
-    Entry(EntryState),
+    Entry,
     /// A control host. Only the one that leads answers.
-    Control {
-        /// The entry hosts that follow it, with what they told.
-        entries: Vec<EntryLoad>,
-    },
-}
-
-/// What an entry host told, as its control host passes it on.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct EntryLoad {
-    /// The entry host.
-    pub node: NodeId,
-    /// What it told.
-    pub state: EntryState,
+    Control,
 }
 
 /// Asks a control host for what is newer than what is known. The answer comes at once
@@ -110,8 +64,10 @@
     pub version: Version,
     /// The directions that are known.
     pub edition: Edition,
-    /// Who asks.
+    /// What it is.
     pub watcher: Watcher,
+    /// What it, or the entry hosts that follow it, have under way.
+    pub tally: Tally,
 }
 
 /// What is new.
@@ -127,16 +83,14 @@
     pub configuration: Option<ConfigText>,
     /// The directions, if they are newer.
     pub directions: Option<Directions>,
-    /// All entry hosts' requests at targets.
-    pub loads: Vec<TargetLoad>,
     /// First hosts that are to leave, where this entry host reaches them.
     pub unreachable: Vec<Unreachable>,
     /// How long ago a majority stood behind this configuration, if it ever did.
     pub confirmed_ago: Option<Duration>,
     /// All control hosts that are known.
     pub controls: Vec<NodeId>,
-    /// How many entry hosts there are.
-    pub entries: usize,
+    /// What entry hosts have under way. For a control host those that it did not tell of.
+    pub tally: Tally,
 }
 
 /// The answer to a [`Watch`].
