--- a/crates/forward/src/board.rs
+++ b/crates/forward/src/board.rs
@@ -36,8 +36,12 @@
 /// they are read one after the other, before the first event of the next one.
 const READING_COST: f64 = 2.0;
 
+/// Loads of other entry hosts are known late, and to all alike. Differences below this, in
+/// requests for each slot, are left to chance, so that not all choose the same target.
+const BLUR: f64 = 0.2;
+
 /// Requests beyond its slots that a target may be given, for each slot.
-const QUEUE_SHARE: f64 = 0.0;
+const QUEUE_SHARE: f64 = 0.25;
 
 /// What a request needs.
 #[derive(Clone, Debug)]
@@ -166,7 +170,7 @@
             };
             let full = f64::from(t.load()) / f64::from(t.slots.max(1));
             let reading = READING_COST * (t.reading + t.reading_others);
-            full * t.pace + reading + far + drawn * 0.01
+            full * t.pace + reading + far + drawn * BLUR
         };
         let best = among
             .iter()
