Tell refused callers when a place, a replica or a new process is probably there

Mend: forward::Shortage draws the time from a span around one answer, one repair or the rest of a start, at most a third of the caller's time left.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -6,11 +6,14 @@
 //! whole deployment may make, and [`Crowd`] what all entry hosts have under way. [`Again`] says what may follow an attempt that failed.
 //! [`Following`] says which control host is followed. [`Events`] finds the whole events in a stream, so that it can go on elsewhere.
 //!
+//! [`Shortage`] says when a caller that was refused should come back.
+//!
 //! Pure: time and inputs in, decisions out.
 
 mod again;
 mod board;
 mod budget;
+mod come_back;
 mod crowd;
 mod events;
 mod following;
@@ -25,6 +28,7 @@
 pub use board::Miss;
 pub use board::Want;
 pub use budget::Budget;
+pub use come_back::Shortage;
 pub use crowd::Crowd;
 pub use events::EventError;
 pub use events::Events;
--- a/crates/site/src/entry/answer.rs
+++ b/crates/site/src/entry/answer.rs
@@ -7,6 +7,8 @@
 use http::StatusCode;
 use http::header;
 
+use crate::entry::Entry;
+use forward::Shortage;
 use net::Body;
 
 /// Why a request got no answer of an upstream.
@@ -79,29 +81,32 @@
         }
     }
 
-    /// When to come back, where that helps.
-    fn retry_after(self) -> Option<Duration> {
+    /// What is short, where it helps to come back.
+    fn shortage(self, entry: &Entry) -> Option<Shortage> {
         match self {
-            Self::Starting | Self::Stopping | Self::KeysUncertain => {
-                Some(Duration::from_millis(100))
-            }
-            Self::NoTarget | Self::Full => Some(Duration::from_millis(400)),
-            Self::NotRun => Some(Duration::from_millis(200)),
+            Self::Starting => Some(Shortage::Starting(entry.age())),
+            Self::Stopping | Self::KeysUncertain => Some(Shortage::Here),
+            // It knows no replicas yet.
+            Self::NoTarget if !entry.is_directed() => Some(Shortage::Starting(entry.age())),
+            Self::NoTarget => Some(Shortage::NoTarget),
+            Self::Full => Some(Shortage::Full),
+            Self::NotRun => Some(Shortage::NotRun),
             _ => None,
         }
     }
 
-    /// The answer.
-    pub fn response(self) -> Response<Body> {
+    /// The answer to a caller that has `left` of its time, if that is known.
+    pub fn response(self, entry: &Entry, left: Option<Duration>) -> Response<Body> {
         let text = serde_json::json!({ "error": self.text() }).to_string();
         let mut response = Response::new(Body::whole(text));
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         let json = HeaderValue::from_static("application/json");
         headers.insert(header::CONTENT_TYPE, json);
-        let after = self
-            .retry_after()
-            .map(|span| span.as_secs_f64().to_string());
+        let shortage = self.shortage(entry);
+        let left = left.unwrap_or(Duration::MAX);
+        let after = shortage.map(|s| s.come_back(left, &mut fastrand::Rng::new()));
+        let after = after.map(|span| format!("{:.3}", span.as_secs_f64()));
         if let Some(Ok(after)) = after.map(|after| HeaderValue::from_str(&after)) {
             headers.insert(header::RETRY_AFTER, after);
         }
--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -46,7 +46,7 @@
         Ok(job) => job.run().await,
         Err(refusal) => {
             refused(&entry, &head, refusal, arrived);
-            refusal.response()
+            refusal.response(&entry, None)
         }
     };
     if matches!(entry.phase.get(), Phase::Leaving | Phase::Draining) {
--- a/crates/site/src/entry/job.rs
+++ b/crates/site/src/entry/job.rs
@@ -277,7 +277,8 @@
             version: self.entry.version.get(),
             age_ms: self.entry.confirmed_ago().as_millis(),
         });
-        refusal.response()
+        let left = self.until.since(clock::now());
+        refusal.response(&self.entry, Some(left))
     }
 
     /// The last event that the caller says it has.
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -32,6 +32,7 @@
 use base::Version;
 use fleet::Configuration;
 use fleet::Directions;
+use fleet::Edition;
 use fleet::Roster;
 use forward::Board;
 use forward::Budget;
@@ -117,6 +118,8 @@
     pub settings: Settings,
     pub own: EntrySettings,
     pub platform: Rc<dyn Platform>,
+    /// When this process started.
+    pub began: Time,
     pub phase: Cell<Phase>,
     pub seeds: RefCell<Vec<NodeId>>,
     pub roster: RefCell<Roster>,
@@ -233,6 +236,7 @@
         } = own.retries;
         let seed = u64::from(settings.node().0);
         Ok(Self {
+            began: clock::now(),
             phase: Cell::new(Phase::Starting),
             seeds: RefCell::new(settings.seeds.clone()),
             roster: RefCell::default(),
@@ -259,6 +263,16 @@
         })
     }
 
+    /// How long ago this process started.
+    pub fn age(&self) -> Duration {
+        clock::now().since(self.began)
+    }
+
+    /// Whether a controller has told where requests for models may go.
+    pub fn is_directed(&self) -> bool {
+        self.directions.borrow().edition != Edition::default()
+    }
+
     /// The control host that is followed.
     pub fn followed(&self) -> Option<NodeId> {
         self.following.borrow().at(&self.seeds.borrow())
