Hosts that cannot join the model that lacks replicas serve another one beyond its plan

Cause: while any model had less than planned, no replica beyond the plan of another was formed. Mend: hosts are left for a model that lacks replicas only if they can join it. Test hosts_that_cannot_join_what_is_lacking_serve_what_they_can failed before (2 of 3 narrow ones).

--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -123,17 +123,28 @@
         };
         let filled = |model: &EngineModel| self.filled(service, model, layout);
         // Hosts that another model lacks are left for it, until enough are free together.
-        let all_planned = engine.models.iter().all(|model| 1.0 <= filled(model));
-        let may = |model: &&EngineModel| {
-            let able = able(model).len();
+        let lacking = engine.models.iter().filter(|model| filled(model) < 1.0);
+        let lacking: Vec<&EngineModel> = lacking.collect();
+        let is_left = |id: &UpstreamId| {
+            let host = self.hosts.get(id);
+            let mut lacking = lacking.iter();
+            lacking.any(|model| host.is_some_and(|host| host.can_join(&model.model)))
+        };
+        let usable = |model: &EngineModel| {
             let is_planned = filled(model) < 1.0;
+            let mut able = able(model);
+            able.retain(|id| is_planned || !is_left(id));
+            able
+        };
+        let may = |model: &&EngineModel| {
             // Beyond the plan, hosts form replicas only while some stay in reserve.
+            let is_planned = filled(model) < 1.0;
             let needed = model.width + if is_planned { 0 } else { self.cfg.reserve };
-            0 < model.width && needed <= able && (is_planned || all_planned)
+            0 < model.width && needed <= usable(model).len()
         };
         let fitting = engine.models.iter().filter(may);
         let model = fitting.min_by(|a, b| filled(a).total_cmp(&filled(b)))?;
-        let mut hosts = able(model);
+        let mut hosts = usable(model);
         hosts.sort_by_key(|id| {
             let host = self.hosts.get(id);
             let is_warm = host.is_some_and(|host| host.warm.as_ref() == Some(&model.model));
--- a/crates/form/tests/repair.rs
+++ b/crates/form/tests/repair.rs
@@ -184,3 +184,27 @@
         assert!(15 <= serving, "seed {seed}: {serving} serve");
     }
 }
+
+#[test]
+fn hosts_that_cannot_join_what_is_lacking_serve_what_they_can() {
+    let mut world = World::new(Config::default(), 11, 1, 8);
+    world.run(secs(20));
+    world.begin_traffic();
+    assert_eq!((world.serving("wide"), world.serving("slim")), (1, 2));
+    // The wide replica is lost, and hosts come that hold the narrow model only.
+    let directions = world.controller.directions().unwrap();
+    let mut serving = directions.serving.iter();
+    let wide = serving.find(|s| s.model.as_str() == "wide").unwrap();
+    let part = world.hosts[&wide.head].part.clone().unwrap();
+    for host in &part.hosts {
+        world.kill(host);
+    }
+    for at in 0..2 {
+        let id = format!("slim-{at}");
+        world.add(&id, "d0");
+        let host = world.hosts.get_mut(&id.parse().unwrap()).unwrap();
+        host.staged = Some("slim".parse().unwrap());
+    }
+    world.run(secs(20));
+    assert_eq!((world.serving("wide"), world.serving("slim")), (0, 3));
+}
