--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -21,6 +21,25 @@
     pub window: Duration,
 }
 
+impl Default for RetryTerms {
+    fn default() -> Self {
+        Self {
+            ratio: 0.2,
+            slack: 100.0,
+            window: Duration::from_secs(10),
+        }
+    }
+}
+
+/// How long a process may take to stop, where nothing is set.
+pub const STOP_WITHIN: Duration = Duration::from_secs(8);
+
+/// A key that was taken away must stop to count within this time, where nothing is set.
+pub const REVOKE_WITHIN: Duration = Duration::from_secs(5);
+
+/// How long engines stand still before they give up a replica, where nothing is set.
+pub const STILL_LIMIT: Duration = Duration::from_secs(4);
+
 /// What a process is told when it starts.
 #[derive(Clone, Debug)]
 pub struct Settings {
