--- a/crates/form/src/adopt.rs
+++ b/crates/form/src/adopt.rs
@@ -36,6 +36,11 @@
     format!("{mark}{}{MODEL_MARK}{model}", epoch.0).parse().ok()
 }
 
+/// Whether a replica is there to serve, by its name.
+pub(crate) fn is_to_serve(name: &ReplicaName) -> bool {
+    !name.as_str().starts_with(WARM)
+}
+
 fn model_in(name: &ReplicaName) -> Option<ModelName> {
     name.as_str().split_once(MODEL_MARK)?.1.parse().ok()
 }
@@ -74,7 +79,7 @@
         let head = hosts.first().filter(|id| rank(id) == Some(0));
         let head = head.and_then(life);
         let others = hosts.iter().skip(usize::from(head.is_some()));
-        let keeps_warm = place.replica.as_str().starts_with(WARM);
+        let keeps_warm = !is_to_serve(&place.replica);
         let phase = match (is_whole, place.state) {
             _ if keeps_warm => Phase::Ended,
             (true, PlaceState::Open) => Phase::Serving,
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -6,6 +6,7 @@
 use crate::Layout;
 use crate::Order;
 use crate::adopt::Purpose;
+use crate::adopt::is_to_serve;
 use crate::adopt::name_of;
 use crate::host::Host;
 use crate::layout::Home;
@@ -32,6 +33,7 @@
             let layout = self.layout(&service, &engine, now);
             orders.extend(self.form_all(&service, &engine, &layout, now));
             orders.extend(self.warm_all(&service, now));
+            orders.extend(self.leave_all(&service, now));
             orders.extend(self.stage_all(&service, &engine, &layout, now));
         }
         orders
@@ -285,6 +287,29 @@
         orders
     }
 
+    /// Has free hosts leave replicas that have ended, so that a later controller, which only
+    /// knows what hosts report, does not wait for the first hosts of those.
+    fn leave_all(&mut self, service: &ServiceName, now: Time) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for id in self.free_by_home(service, now).into_values().flatten() {
+            let place = self.hosts.get(&id).and_then(Host::place).cloned();
+            let Some(place) = place.filter(|place| is_to_serve(&place.replica)) else {
+                continue;
+            };
+            // It may be free only for a moment.
+            let ended = self.replicas.get(&place.epoch).map(|replica| replica.since);
+            if ended.is_none_or(|since| now < since + self.cfg.effect) {
+                continue;
+            }
+            let action = Action::Leave {
+                replica: place.replica,
+                epoch: place.epoch,
+            };
+            orders.extend(self.order(&id, action, now));
+        }
+        orders
+    }
+
     fn warm(
         &mut self,
         service: &ServiceName,
