--- a/crates/form/src/lib.rs
+++ b/crates/form/src/lib.rs
@@ -21,6 +21,7 @@
 mod order;
 mod place;
 mod replica;
+mod stage;
 
 pub use config::Config;
 pub use controller::Controller;
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -1,4 +1,4 @@
-//! Decides which free hosts form a replica, and which model a free host stages.
+//! Decides which free hosts form a replica.
 
 use std::collections::BTreeMap;
 
@@ -20,10 +20,6 @@
 use fleet::Engine;
 use fleet::EngineModel;
 
-/// A model is loaded wherever it fits once it has fewer hosts for its plan than another, by
-/// this part.
-const SCARCE: f64 = 0.1;
-
 impl Controller {
     /// Forms what can be formed from staged hosts, and stages models at hosts without one.
     pub(crate) fn place(&mut self, now: Time) -> Vec<Order> {
@@ -164,7 +160,12 @@
     }
 
     /// The replicas that a model has, as a part of those planned.
-    fn filled(&self, service: &ServiceName, model: &EngineModel, layout: &Layout) -> f64 {
+    pub(crate) fn filled(
+        &self,
+        service: &ServiceName,
+        model: &EngineModel,
+        layout: &Layout,
+    ) -> f64 {
         let want = layout.replicas.get(&model.model).copied().unwrap_or(0);
         self.have(service, &model.model) as f64 / want.max(1) as f64
     }
@@ -213,64 +214,6 @@
             .collect()
     }
 
-    /// Stages a model at hosts without one. Before traffic, warm hosts stage one that they
-    /// are not warm for, so that they can join replicas of either.
-    fn stage_all(
-        &mut self,
-        service: &ServiceName,
-        engine: &Engine,
-        layout: &Layout,
-        now: Time,
-    ) -> Vec<Order> {
-        let mut orders = Vec::new();
-        let mut left = self.loads_left(engine, now);
-        let mut hosts: Vec<_> = self.hosts.keys().cloned().collect();
-        let has_model = |id: &UpstreamId| self.hosts.get(id).is_some_and(|h| h.model().is_some());
-        hosts.sort_by_key(has_model);
-        for id in hosts {
-            if left == 0 {
-                break;
-            }
-            let Some(model) = self.to_stage(&id, service, engine, layout, now) else {
-                continue;
-            };
-            if let Some(order) = self.stage(&id, &model, now) {
-                left -= 1;
-                orders.push(order);
-            }
-        }
-        orders
-    }
-
-    /// The model that a host is to stage, if any.
-    fn to_stage(
-        &self,
-        id: &UpstreamId,
-        service: &ServiceName,
-        engine: &Engine,
-        layout: &Layout,
-        now: Time,
-    ) -> Option<ModelName> {
-        let host = self.hosts.get(id)?;
-        let is_ready = host.is_well(self.cfg.silent, now)
-            && host.said.service == *service
-            && host.staging.is_none();
-        if !is_ready {
-            return None;
-        }
-        match (host.staged().last(), &host.warm) {
-            (None, _) => self.lacking(host, engine, layout, now),
-            // Once loads take their time they are left to hosts without a model.
-            (Some(staged), Some(warm)) if staged == warm && !self.has_traffic => {
-                let others = engine.models.iter().filter(|model| model.model != *warm);
-                let filled = |model: &EngineModel| self.filled(service, model, layout);
-                let other = others.min_by(|a, b| filled(a).total_cmp(&filled(b)))?;
-                Some(other.model.clone())
-            }
-            _ => None,
-        }
-    }
-
     /// Has free hosts join a replica of their own that never opens, so that they join the
     /// next one of that model sooner.
     fn warm_all(&mut self, service: &ServiceName, now: Time) -> Vec<Order> {
@@ -324,83 +267,10 @@
         }
         orders
     }
-
-    /// An order to stage a model, counted as a load.
-    fn stage(&mut self, id: &UpstreamId, model: &ModelName, now: Time) -> Option<Order> {
-        let action = Action::Stage {
-            model: model.clone(),
-        };
-        let order = self.order(id, action, now)?;
-        self.loads.begin(now);
-        if let Some(host) = self.hosts.get_mut(id) {
-            host.staging = Some((model.clone(), now));
-        }
-        Some(order)
-    }
-
-    /// Loads that may begin now. More at once would only take longer. Before traffic they
-    /// neither count nor take long.
-    fn loads_left(&mut self, engine: &Engine, now: Time) -> usize {
-        if !self.has_traffic {
-            return usize::MAX;
-        }
-        let window = self.cfg.load_window;
-        let most = engine.load_rate * window.as_secs_f64() * self.cfg.load_share;
-        let left = self.loads.left(most as usize, window, now);
-        let under_way = self.hosts.values().filter(|host| host.staging.is_some());
-        let at_once = engine.loads_at_once.saturating_sub(under_way.count());
-        left.min(at_once)
-    }
-
-    /// The model for a host without one: what its domain lacks most, among those that have
-    /// the least hosts for their plan.
-    fn lacking(
-        &self,
-        host: &Host,
-        engine: &Engine,
-        layout: &Layout,
-        now: Time,
-    ) -> Option<ModelName> {
-        let home = domain(host);
-        let kept = self.kept(&host.said.service, now);
-        let here = kept.get(&home);
-        let planned = layout.hosts.get(&home);
-        let lack = |model: &EngineModel| {
-            let planned = planned.and_then(|planned| planned.get(&model.model));
-            let planned = planned.copied().unwrap_or(0) as i64;
-            let kept = here.and_then(|here| here.get(&model.model));
-            planned - kept.copied().unwrap_or(0) as i64
-        };
-        let supplied = |model: &EngineModel| {
-            let kept = kept.values().filter_map(|here| here.get(&model.model));
-            let planned = layout.replicas.get(&model.model).copied().unwrap_or(0);
-            let hosts = (planned * model.width).max(1);
-            kept.sum::<usize>() as f64 / hosts as f64
-        };
-        let all = engine.models.iter().map(supplied);
-        let least = all.fold(f64::INFINITY, f64::min);
-        let scarce = engine.models.iter();
-        let scarce = scarce.filter(|model| supplied(model) <= least + SCARCE);
-        let most = scarce.max_by_key(|model| lack(model))?;
-        Some(most.model.clone())
-    }
-
-    /// Hosts of each domain that serve a model, or that keep it and serve none.
-    fn kept(&self, service: &ServiceName, now: Time) -> BTreeMap<Home, BTreeMap<ModelName, usize>> {
-        let mut kept: BTreeMap<Home, BTreeMap<ModelName, usize>> = BTreeMap::new();
-        let of = self.hosts.values().filter(|h| h.said.service == *service);
-        for host in of.filter(|host| host.is_well(self.cfg.silent, now)) {
-            let main = host.warm.as_ref().or_else(|| host.model());
-            if let Some(model) = main {
-                let here = kept.entry(domain(host)).or_default();
-                *here.entry(model.clone()).or_default() += 1;
-            }
-        }
-        kept
-    }
 }
 
-fn domain(host: &Host) -> Home {
+/// The fabric domain of a host.
+pub(crate) fn domain(host: &Host) -> Home {
     let engine = host.said.engine.as_ref();
     let domain = engine.and_then(|engine| engine.domain.clone());
     (host.said.centre.clone(), domain)
