--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -8,6 +8,8 @@
 //!
 //! [`Shortage`] says when a caller that was refused should come back.
 //!
+//! [`KeyLife`] says how long callers' keys may be believed without news.
+//!
 //! Pure: time and inputs in, decisions out.
 
 mod again;
@@ -18,6 +20,7 @@
 mod events;
 mod following;
 mod health;
+mod key_life;
 mod tally;
 mod target;
 
@@ -35,6 +38,7 @@
 pub use events::Whole;
 pub use following::Following;
 pub use health::Health;
+pub use key_life::KeyLife;
 pub use tally::ModelWork;
 pub use tally::Tally;
 pub use tally::TargetLoad;
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -203,11 +203,7 @@
     known.revision = news.revision;
     entry.following.borrow_mut().learn(news.controls);
     if let Some(ago) = news.confirmed_ago {
-        let at = asked - ago;
-        let known = entry.confirmed.get();
-        entry
-            .confirmed
-            .set(Some(known.map_or(at, |known| known.max(at))));
+        entry.keys.borrow_mut().confirm(asked, ago);
     }
     entry.budget.borrow_mut().senders = news.tally.entries;
     let mut is_changed = !news.changes.is_empty();
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -37,6 +37,7 @@
 use forward::Board;
 use forward::Budget;
 use forward::Following;
+use forward::KeyLife;
 use net::Bounds;
 use net::RpcClient;
 use net::Server;
@@ -64,10 +65,6 @@
 /// Time before the end at which the last requests are given up.
 const LAST: Duration = Duration::from_millis(400);
 
-/// Part of the time in which a revoked key must stop to count that an entry host may be
-/// without news. The rest is for requests that are on their way.
-const KEY_LIFE_SHARE: f64 = 0.85;
-
 /// What an entry host is told when it starts.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -126,8 +123,8 @@
     pub directions: RefCell<Directions>,
     pub configuration: RefCell<Rc<Configuration>>,
     pub version: Cell<Version>,
-    /// When a majority last stood behind the configuration.
-    pub confirmed: Cell<Option<Time>>,
+    /// How long keys may be believed without news.
+    pub keys: RefCell<KeyLife>,
     /// Which control host is followed.
     pub following: RefCell<Following>,
     pub board: RefCell<Board>,
@@ -243,7 +240,7 @@
             directions: RefCell::default(),
             configuration: RefCell::default(),
             version: Cell::default(),
-            confirmed: Cell::new(None),
+            keys: RefCell::new(KeyLife::open(own.revoke_within)),
             following: RefCell::new(Following::open(settings.node())),
             board: RefCell::new(Board::open(settings.centre.clone(), seed)),
             budget: RefCell::new(Budget::open(ratio, slack, window)),
@@ -280,15 +277,12 @@
 
     /// How long ago a majority was last known to stand behind the configuration.
     pub fn confirmed_ago(&self) -> Duration {
-        let now = clock::now();
-        self.confirmed
-            .get()
-            .map_or(Duration::MAX, |at| now.since(at))
+        self.keys.borrow().age(clock::now())
     }
 
     /// Whether keys may still be believed.
     pub fn trusts_keys(&self) -> bool {
-        self.confirmed_ago() < self.own.revoke_within.mul_f64(KEY_LIFE_SHARE)
+        self.keys.borrow().holds(clock::now())
     }
 }
 
