A first host that a new leader hears late is told to leave before it joins elsewhere

Cause: a replica was taken over from the hosts heard so far; its first host, heard later, was never added, so the replica was given up after 4.3 s and its serving first host joined another. Mend: hosts heard later are added; whatever is recorded, no host is free while the first host of its replica says that it serves; only the first host's leaving ends a replica. Ruled out: the new order to free hosts to leave: it is not given while a replica holds hosts.

--- a/crates/form/src/adopt.rs
+++ b/crates/form/src/adopt.rs
@@ -48,6 +48,7 @@
 impl Controller {
     /// Makes a record of each replica that hosts report and that none is kept of.
     pub(crate) fn adopt(&mut self, now: Time) {
+        self.complete();
         let mut found: BTreeMap<Fence, Vec<UpstreamId>> = BTreeMap::new();
         for (id, host) in &self.hosts {
             let place = host
@@ -65,6 +66,29 @@
         }
     }
 
+    /// Adds hosts that were heard only after their replica was taken over. A first host among
+    /// them may still serve, so nothing of it is free before that host has left.
+    fn complete(&mut self) {
+        for (id, host) in &self.hosts {
+            let Some(place) = host.place() else {
+                continue;
+            };
+            let Some(replica) = self.replicas.get_mut(&place.epoch) else {
+                continue;
+            };
+            let is_known = replica.hosts().any(|(known, _)| known == id);
+            if is_known || !is_to_serve(&place.replica) {
+                continue;
+            }
+            let who = (id.clone(), host.said.life);
+            match place.rank {
+                0 if replica.head.is_none() => replica.head = Some(who),
+                0 => {}
+                _ => replica.others.push(who),
+            }
+        }
+    }
+
     fn found(&self, epoch: Fence, mut hosts: Vec<UpstreamId>, now: Time) -> Option<Replica> {
         let rank = |id: &UpstreamId| self.hosts.get(id)?.place().map(|place| place.rank);
         hosts.sort_by_key(|id| rank(id));
--- a/crates/form/src/advance.rs
+++ b/crates/form/src/advance.rs
@@ -48,7 +48,12 @@
             (Action::Join { .. }, Outcome::Refused | Outcome::NotSent, Phase::Joining) => {
                 replica.enter(Phase::Closing(now), now);
             }
-            (Action::Leave { .. }, Outcome::Begun | Outcome::Done, Phase::Closing(_)) => {
+            (Action::Leave { .. }, Outcome::Begun | Outcome::Done, Phase::Closing(_))
+                if replica
+                    .head
+                    .as_ref()
+                    .is_some_and(|(id, _)| *id == order.host) =>
+            {
                 replica.enter(Phase::Ended, now);
             }
             _ => {}
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -1,6 +1,7 @@
 //! Decides which free hosts form a replica.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::Controller;
 use crate::Layout;
@@ -13,6 +14,7 @@
 use crate::order::Action;
 use crate::replica::Phase;
 use crate::replica::Replica;
+use base::Fence;
 use base::ModelName;
 use base::ServiceName;
 use base::Time;
@@ -37,10 +39,17 @@
 
     /// Hosts that belong to no replica and can be ordered.
     pub(crate) fn free_hosts(&self, now: Time) -> Vec<UpstreamId> {
-        let mut bound = std::collections::BTreeSet::new();
+        let mut bound = BTreeSet::new();
         for replica in self.replicas.values().filter(|r| r.holds_hosts()) {
             bound.extend(replica.hosts());
         }
+        // Whatever is recorded: where a first host says that it serves, none is free.
+        let says = self.hosts.values().filter(|host| host.lost.is_none());
+        let serving: BTreeSet<Fence> = says
+            .filter_map(Host::place)
+            .filter(|place| place.rank == 0 && place.state.may_serve())
+            .map(|place| place.epoch)
+            .collect();
         let ended = |host: &Host| {
             let epoch = host.place().map(|place| place.epoch);
             let replica = epoch.map(|epoch| self.replicas.get(&epoch));
@@ -52,6 +61,9 @@
                 && can_be_ordered
                 && !bound.contains(&((*id).clone(), host.said.life))
                 && ended(host)
+                && !host
+                    .place()
+                    .is_some_and(|place| serving.contains(&place.epoch))
         });
         free.map(|(id, _)| id.clone()).collect()
     }
--- a/crates/form/tests/repair.rs
+++ b/crates/form/tests/repair.rs
@@ -283,3 +283,19 @@
     world.run(Duration::from_millis(3_500));
     assert_eq!(world.serving("wide"), 1);
 }
+
+#[test]
+fn a_first_host_that_a_new_leader_hears_late_is_told_to_leave_before_it_joins_elsewhere() {
+    let mut world = World::new(Config::default(), 13, 2, 10);
+    world.run(secs(20));
+    world.begin_traffic();
+    let head = member(&world, 0);
+    world.hosts.get_mut(&head).unwrap().cut = true;
+    world.forget_controller();
+    // The new leader has listened for long enough, and takes over what it heard.
+    world.run(secs(3));
+    world.hosts.get_mut(&head).unwrap().cut = false;
+    // The world panics if a host that still serves joins elsewhere.
+    world.run(secs(12));
+    assert!(world.hosts[&head].part.is_some(), "it serves again");
+}
--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -186,6 +186,19 @@
         self.controller.traffic_began();
     }
 
+    /// All control hosts start again: the next leader knows nothing but what it hears.
+    pub fn forget_controller(&mut self) {
+        self.term += 1;
+        self.controller = Controller::open(Config::default());
+        let engines = [("lm".parse().unwrap(), self.engine.clone())];
+        self.controller.configure(engines.into());
+        self.controller.lead(Some(self.term), self.now);
+        if self.traffic {
+            self.controller.traffic_began();
+        }
+        self.outcomes.clear();
+    }
+
     /// Another process leads: it knows what hosts say, and nothing else.
     pub fn change_leader(&mut self) {
         self.term += 1;
