A server takes as many connections at once as it may hold

Cause: the library's listener queues 128 connections; while the loop is not scheduled the 129th's handshake is dropped and sent again after a second, beyond the 500 ms that a connect may take. Ruled out: a stand-in that ended, the retry budget (the refusal named a failed replica).

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -9,6 +9,7 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use compio::net::TcpListener;
+use compio::net::TcpSocket;
 use compio::net::TcpStream;
 use cyper_core::CompioTimer;
 use futures_util::future::Either;
@@ -83,7 +84,7 @@
         Handler: Fn(Request<Incoming>) -> Answer + Clone + 'static,
         Answer: Future<Output = Response<Body>> + 'static,
     {
-        let listener = TcpListener::bind(addr).await?;
+        let listener = listen(addr, bounds).await?;
         let (closing, closed) = async_channel::bounded(1);
         let server = Self {
             closing,
@@ -118,6 +119,19 @@
     }
 }
 
+/// As many connections as are taken may also arrive together: what the queue of the
+/// operating system drops is sent again only after a second.
+async fn listen(addr: SocketAddr, bounds: Bounds) -> io::Result<TcpListener> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4().await?,
+        SocketAddr::V6(_) => TcpSocket::new_v6().await?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr).await?;
+    let queue = i32::try_from(bounds.connections).unwrap_or(i32::MAX);
+    socket.listen(queue).await
+}
+
 async fn accept<Handler, Answer>(
     listener: TcpListener,
     bounds: Bounds,
