Stand-ins of tests take their own ports; nodes that lose one get others

Cause: the harness found a port free and gave it up before the process bound it. A stand-in now binds any free port and its address is read from what it prints; a node's ports must be known to its peers before, so a set of nodes of which one finds its port taken is started again with others.

--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -28,6 +28,15 @@
 const UPSTREAM_SECRET: &str = "upstreams-0123456789abcdef";
 const OPERATOR_SECRET: &str = "operators-0123456789abcdef";
 
+/// Time for a process to listen or to end.
+const START: Duration = Duration::from_secs(20);
+/// What a node logs once it serves.
+const STARTED: &str = "[100]";
+/// What a stand-in prints before its address.
+const LISTENS: &str = " listens on ";
+/// What a process prints that found its port taken.
+const PORT_IN_USE: &str = "Address already in use";
+
 /// Nodes, hosts and services, each a process. All end with it.
 #[derive(Debug)]
 pub struct Cluster {
@@ -47,8 +56,17 @@
 }
 
 impl Cluster {
-    /// Starts the nodes.
+    /// Starts the nodes. Takes other ports if another process was quicker at one.
     pub fn start(specs: &[NodeSpec]) -> io::Result<Self> {
+        loop {
+            let mut cluster = Self::start_once(specs)?;
+            if !cluster.lost_a_port() {
+                return Ok(cluster);
+            }
+        }
+    }
+
+    fn start_once(specs: &[NodeSpec]) -> io::Result<Self> {
         let mut cluster = Self {
             folder: new_folder()?,
             specs: specs.iter().map(|spec| (spec.id, *spec)).collect(),
@@ -79,6 +97,15 @@
         Ok(cluster)
     }
 
+    /// Whether a node ended because its port was in use, once each has started or ended.
+    fn lost_a_port(&mut self) -> bool {
+        let mut started = |node: &mut Process| {
+            wait_until(START, || node.has_ended() || node.log().contains(STARTED));
+            node.has_ended() && node.log().contains(PORT_IN_USE)
+        };
+        self.nodes.values_mut().any(&mut started)
+    }
+
     /// Starts a node that is not running, or starts it again.
     pub fn start_node(&mut self, id: NodeId) -> io::Result<()> {
         let settings = self.settings_file(id).display().to_string();
@@ -91,13 +118,11 @@
 
     /// Starts one host of an engine.
     pub fn start_host(&mut self, spec: HostSpec) -> io::Result<()> {
-        let addr = free_addr();
         let mut args = vec!["engine".to_owned()];
         let mut add = |name: &str, value: String| args.extend([name.to_owned(), value]);
         add("--host", spec.id.to_string());
         add("--centre", spec.centre.to_string());
         add("--domain", spec.domain.to_string());
-        add("--listen", addr.to_string());
         add("--step-ms", spec.step_ms.to_string());
         add("--slots", spec.slots.to_string());
         add("--prefill", spec.prefill.to_string());
@@ -114,6 +139,7 @@
         args.extend(spec.fault.args());
         let log = self.folder.join(format!("{}.log", spec.id));
         let process = Process::spawn("standin", &args, &log)?;
+        let addr = listening_addr(&process)?;
         self.hosts.insert(spec.id, process);
         self.host_addrs.insert(spec.id, addr);
         Ok(())
@@ -121,12 +147,10 @@
 
     /// Starts one process of a service and gives its address.
     pub fn start_service(&mut self, spec: &ServiceSpec) -> io::Result<SocketAddr> {
-        let addr = free_addr();
         let mut args = vec!["service".to_owned()];
         let mut add = |name: &str, value: String| args.extend([name.to_owned(), value]);
         add("--name", spec.name.clone());
         add("--centre", spec.centre.to_string());
-        add("--listen", addr.to_string());
         add("--delay-ms", spec.delay_ms.to_string());
         add("--drop-answers", spec.drop_answers.to_string());
         add(
@@ -136,10 +160,10 @@
         for entry in self.entries_of(spec.centre) {
             add("--entry", entry.to_string());
         }
-        let log = self
-            .folder
-            .join(format!("{}-{}.log", spec.name, addr.port()));
+        let number = self.services.len();
+        let log = self.folder.join(format!("{}-{number}.log", spec.name));
         let process = Process::spawn("standin", &args, &log)?;
+        let addr = listening_addr(&process)?;
         self.services.push((addr, process));
         Ok(addr)
     }
@@ -310,6 +334,18 @@
     done()
 }
 
+/// Where a stand-in says that it listens, on a port that it took itself.
+fn listening_addr(process: &Process) -> io::Result<SocketAddr> {
+    let said = || {
+        let log = process.log();
+        let (_, rest) = log.split_once(LISTENS)?;
+        let (addr, _) = rest.split_once('\n')?;
+        addr.parse().ok()
+    };
+    wait_until(START, || said().is_some());
+    said().ok_or_else(|| io::Error::other(format!("no address in {:?}", process.log())))
+}
+
 fn new_folder() -> io::Result<PathBuf> {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let count = COUNT.fetch_add(1, Ordering::Relaxed);
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -69,6 +69,11 @@
         None
     }
 
+    /// Whether it no longer runs.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// What it wrote so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
