A node that was away grants the holder of the controller's lease again

Cause: after its thaw a node may hear the new controller's fencing number from hosts before the controller's renewal. It then knew that number, and refused it as not larger than one it knew, for as long as the tenure lasted: it named no controller, and one further lost node would have ended the tenure. Ruled out: load (the node logged at once after the thaw, and the wait was 40 s).

--- a/crates/lease/src/candidate.rs
+++ b/crates/lease/src/candidate.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::Claim;
 use crate::Config;
 use crate::Holder;
 use crate::Message;
@@ -243,6 +244,10 @@
             State::Bidding(bid) => Message::Ask {
                 holder,
                 fence: bid.fence,
+                claim: match self.tenure(now) {
+                    Some(_) => Claim::Holds,
+                    None => Claim::Bids,
+                },
                 span: self.cfg.asked_span(),
                 sent: now,
             },
--- a/crates/lease/src/granter.rs
+++ b/crates/lease/src/granter.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Claim;
 use crate::Holder;
 use crate::MAX_FENCE;
 use crate::MAX_SPAN;
@@ -100,12 +101,14 @@
             Message::Ask {
                 holder,
                 fence,
+                claim,
                 span,
                 sent,
             } if span <= MAX_SPAN && fence < MAX_FENCE => Some(self.ask(
                 Ask {
                     holder,
                     fence,
+                    claim,
                     sent,
                 },
                 span,
@@ -134,8 +137,7 @@
         if let Some(why) = self.obstacle(ask.holder, now) {
             return Reply::of(self.refusal(ask.holder, ask.fence, why, now));
         }
-        let renews = self.promise.holder == Some(ask.holder) && ask.fence == self.promise.fence;
-        if !renews && ask.fence <= self.known {
+        if !self.may_grant(ask) {
             return Reply::of(self.refusal(ask.holder, ask.fence, Refusal::Old, now));
         }
         let before = self.promise;
@@ -151,6 +153,14 @@
         }
     }
 
+    /// Whether the number is the asker's own. A number that hosts told of is the holder's:
+    /// two majorities would have had to grant it for another one to hold it.
+    fn may_grant(&self, ask: Ask) -> bool {
+        let renews = self.promise.holder == Some(ask.holder) && ask.fence == self.promise.fence;
+        let is_held = ask.claim == Claim::Holds && ask.fence == self.known;
+        renews || is_held || self.known < ask.fence
+    }
+
     /// What keeps this holder from having the lease, whatever its number.
     fn obstacle(&self, holder: Holder, now: Time) -> Option<Refusal> {
         if now < self.silent_until {
@@ -191,6 +201,7 @@
 struct Ask {
     holder: Holder,
     fence: Fence,
+    claim: Claim,
     sent: Time,
 }
 
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -30,6 +30,7 @@
 pub use granter::Reply;
 pub use lease::Lease;
 pub use lease::Output;
+pub use message::Claim;
 pub use message::Holder;
 pub use message::Message;
 pub use message::Refusal;
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -19,6 +19,16 @@
     pub incarnation: Incarnation,
 }
 
+/// What an asker claims of its fencing number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Claim {
+    /// It has no majority yet. The number must be larger than all that a granter knows.
+    Bids,
+    /// A majority granted it the number and it holds. Hosts may have told the granter of
+    /// the number before.
+    Holds,
+}
+
 /// Why a granter does not grant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Refusal {
@@ -53,6 +63,8 @@
         holder: Holder,
         /// The fencing number of the tenure.
         fence: Fence,
+        /// What is claimed of it.
+        claim: Claim,
         /// The length of the lease.
         span: Duration,
         /// When it was sent, on the sender's clock. Only echoed.
--- a/crates/lease/tests/schedules.rs
+++ b/crates/lease/tests/schedules.rs
@@ -13,12 +13,15 @@
 use base::Incarnation;
 use base::NodeId;
 use base::Time;
+use lease::Claim;
 use lease::Config;
 use lease::Granter;
 use lease::Holder;
 use lease::MAX_SPAN;
 use lease::Memory;
+use lease::Message;
 use lease::Promise;
+use lease::Refusal;
 use lease::WallTime;
 
 /// Longest time without a controller once a majority can talk without loss.
@@ -212,6 +215,54 @@
     assert_eq!(world.holder(), Some(new));
 }
 
+#[test]
+fn a_node_that_hears_the_holders_number_from_hosts_first_grants_it_all_the_same() {
+    let mut world = World::open(3, 11, FAULTS);
+    world.heal();
+    until_held(&mut world, BOUND).unwrap();
+    run(&mut world, Duration::from_secs(3));
+    let old = world.holder().unwrap();
+    world.freeze(old, Duration::from_secs(20), Clock::GoesOn);
+    run(&mut world, Duration::from_secs(19));
+    let new = world.holder().unwrap();
+    assert_ne!(old, new);
+    let fence = world.tenure(new).unwrap().fence;
+    world.nodes[old].lease.saw(fence);
+    run(&mut world, Duration::from_secs(5));
+    let now = world.clock(old);
+    let holder = world.nodes[old].lease.granter.holder(now);
+    assert_eq!(holder.map(|holder| holder.node), Some(world.nodes[new].id));
+    assert_eq!(world.tenure(new).unwrap().fence, fence);
+}
+
+#[test]
+fn a_number_that_hosts_report_is_granted_to_nobody_who_does_not_hold_it() {
+    let mut granter = Granter::open(Memory::Kept(Promise::default()), WallTime(0), Time(0));
+    let now = Time(0) + MAX_SPAN;
+    granter.saw(Fence(9));
+    let holder = Holder {
+        node: NodeId(1),
+        incarnation: Incarnation(1),
+    };
+    let mut ask = |claim| {
+        let ask = Message::Ask {
+            holder,
+            fence: Fence(9),
+            claim,
+            span: Duration::from_secs(2),
+            sent: now,
+        };
+        granter.receive(ask, now).unwrap().message
+    };
+    let first = ask(Claim::Bids);
+    let why = |message| match message {
+        Message::Refused { why, .. } => Some(why),
+        _ => None,
+    };
+    assert_eq!(why(first), Some(Refusal::Old));
+    assert!(matches!(ask(Claim::Holds), Message::Granted { .. }));
+}
+
 #[test]
 fn a_granter_without_memory_knows_the_floor_of_its_wall_clock() {
     let wall = WallTime::since_1970(Duration::from_millis(1_790_000_000_999));
--- a/crates/lease/tests/world/mod.rs
+++ b/crates/lease/tests/world/mod.rs
@@ -19,6 +19,9 @@
 /// True time between two steps.
 pub const STEP: Duration = Duration::from_millis(10);
 
+/// Chance that a host reports its fencing number to a node in a step.
+const REPORT: f64 = 0.05;
+
 /// What a schedule may do.
 #[derive(Clone, Copy, Debug)]
 pub struct Faults {
@@ -157,6 +160,11 @@
             return;
         }
         let now = Time(node.local as u64);
+        if let Some((_, fence)) = self.owner
+            && self.rng.f64() < REPORT
+        {
+            node.lease.saw(fence);
+        }
         let mut outputs = Vec::new();
         for (from, message) in std::mem::take(&mut node.inbox) {
             outputs.extend(node.lease.receive(from, message, now));
@@ -220,6 +228,11 @@
         node.frozen.is_none() && node.doubt.is_none() && self.tenure(at).is_some()
     }
 
+    /// What a node's own clock shows.
+    pub fn clock(&self, at: usize) -> Time {
+        Time(self.nodes[at].local as u64)
+    }
+
     pub fn tenure(&self, at: usize) -> Option<Tenure> {
         let node = &self.nodes[at];
         if node.frozen.is_some() {
