--- a/crates/net/tests/burst.rs
+++ b/crates/net/tests/burst.rs
@@ -6,6 +6,7 @@
 
 use compio::runtime::Runtime;
 use http::Response;
+
 use net::Body;
 use net::Bounds;
 use net::Server;
