--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod directions;
 mod engine;
+mod packed;
 mod roster;
 mod route;
 
@@ -25,6 +26,9 @@
 pub use directions::Serving;
 pub use engine::Engine;
 pub use engine::EngineModel;
+pub use packed::Packed;
+pub use packed::UNPACKED_BYTES;
+pub use packed::Unpackable;
 pub use roster::Change;
 pub use roster::Entry;
 pub use roster::Heard;
--- a/crates/site/src/control/api.rs
+++ b/crates/site/src/control/api.rs
@@ -26,6 +26,7 @@
 use base::UpstreamId;
 use fleet::Change;
 use fleet::Heard;
+use fleet::Packed;
 use net::Body;
 use net::Bounds;
 use net::Server;
@@ -132,7 +133,7 @@
     };
     let configuration = ConfigText {
         version,
-        text: text.to_owned(),
+        text: Packed::of(text),
     };
     let offered = offer(control, configuration).await;
     let (status, outcome) = match offered {
@@ -148,6 +149,21 @@
     }
 }
 
+fn show(newest: &ConfigText) -> Response<Body> {
+    match newest.text.open() {
+        Ok(text) => json(StatusCode::OK, text),
+        Err(e) => {
+            let error = e.to_string();
+            let version = newest.version;
+            emit(&Event::ConfigUnreadable { version, error });
+            say(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the configuration cannot be read",
+            )
+        }
+    }
+}
+
 /// Offers a configuration to whoever leads.
 async fn offer(control: &Rc<Control>, configuration: ConfigText) -> Offered {
     let until = clock::now() + OPERATE_WITHIN;
@@ -204,7 +220,7 @@
             None => ConfigRead::NotLeading { leader: None },
         };
         hint = match read {
-            ConfigRead::Newest(newest) => return json(StatusCode::OK, newest.text),
+            ConfigRead::Newest(newest) => return show(&newest),
             ConfigRead::None => return say(StatusCode::NOT_FOUND, "there is no configuration yet"),
             ConfigRead::NotLeading { leader } => leader,
         };
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -5,6 +5,8 @@
 
 use crate::control::Control;
 use crate::control::watch;
+use crate::events::Event;
+use crate::events::emit;
 use crate::message::News;
 use crate::message::Tell;
 use crate::message::Watch;
@@ -110,7 +112,13 @@
     };
     watch::hear(control, tell);
     if let Some(newer) = news.configuration {
-        control.bring_into_force(newer.version, &newer.text);
+        match newer.text.open() {
+            Ok(text) => control.bring_into_force(newer.version, &text),
+            Err(e) => emit(&Event::ConfigUnreadable {
+                version: newer.version,
+                error: e.to_string(),
+            }),
+        }
     }
     if let Some(newer) = news.directions
         && control.directions.borrow().edition < newer.edition
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -15,6 +15,8 @@
 use crate::message::ConfigText;
 use crate::message::Offered;
 use base::ModelName;
+use fleet::Packed;
+use fleet::Unpackable;
 use quorum::clock;
 use state::OfferReply;
 use state::Op;
@@ -87,9 +89,19 @@
 
 /// Gets a configuration agreed on, if this control host leads.
 pub(crate) async fn offer_here(control: &Rc<Control>, configuration: ConfigText) -> Offered {
+    let version = configuration.version;
+    let text = match configuration.text.open() {
+        Ok(text) => text,
+        Err(Unpackable::TooLong) => return Offered::TooLarge,
+        Err(e @ (Unpackable::Letters | Unpackable::Damaged)) => {
+            let error = e.to_string();
+            emit(&Event::ConfigUnreadable { version, error });
+            return Offered::Unknown;
+        }
+    };
     let op = Op::Offer(state::Offer {
-        version: configuration.version,
-        text: configuration.text.into(),
+        version,
+        text: text.into(),
     });
     let waiting = match control.voters.propose(op) {
         Ok(waiting) => waiting,
@@ -113,11 +125,13 @@
         return ConfigRead::NotLeading { leader };
     }
     let (version, text) = control.voters.configuration();
-    match text.is_empty() {
-        true => ConfigRead::None,
-        false => ConfigRead::Newest(ConfigText {
-            version,
-            text: text.as_ref().to_owned(),
-        }),
+    if text.is_empty() {
+        return ConfigRead::None;
     }
+    let in_force = control.in_force.borrow();
+    let text = match in_force.version == version {
+        true => in_force.text.clone(),
+        false => Packed::of(&text),
+    };
+    ConfigRead::Newest(ConfigText { version, text })
 }
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -34,6 +34,7 @@
 use base::Version;
 use fleet::Directions;
 use fleet::Heard;
+use fleet::Packed;
 use fleet::Roster;
 use form::Action;
 use form::Controller;
@@ -69,7 +70,7 @@
     /// Its version.
     pub version: Version,
     /// As its operator wrote it.
-    pub text: Rc<str>,
+    pub text: Packed,
 }
 
 /// What all tasks of a control host share.
@@ -267,7 +268,7 @@
         self.controller.borrow_mut().configure(engines.collect());
         self.in_force.replace(InForce {
             version,
-            text: text.into(),
+            text: Packed::of(text),
         });
         self.news.ring();
         self.due.ring();
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -102,7 +102,7 @@
     let in_force = control.in_force.borrow();
     (known < in_force.version).then(|| ConfigText {
         version: in_force.version,
-        text: in_force.text.as_ref().to_owned(),
+        text: in_force.text.clone(),
     })
 }
 
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -11,6 +11,7 @@
 use crate::entry::Phase;
 use crate::events::Event;
 use crate::events::emit;
+use crate::message::ConfigText;
 use crate::message::News;
 use crate::message::Tell;
 use crate::message::Told;
@@ -213,7 +214,7 @@
     if let Some(newer) = news.configuration
         && entry.version.get() < newer.version
     {
-        bring_into_force(entry, newer.version, &newer.text);
+        take_configuration(entry, &newer);
         is_changed = true;
     }
     if let Some(newer) = news.directions
@@ -271,6 +272,17 @@
     .detach();
 }
 
+fn take_configuration(entry: &Entry, newer: &ConfigText) {
+    let version = newer.version;
+    match newer.text.open() {
+        Ok(text) => bring_into_force(entry, version, &text),
+        Err(e) => emit(&Event::ConfigUnreadable {
+            version,
+            error: e.to_string(),
+        }),
+    }
+}
+
 fn bring_into_force(entry: &Entry, version: base::Version, text: &str) {
     match entry.platform.configuration(text) {
         Ok(configuration) => {
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -15,6 +15,7 @@
 use fleet::Change;
 use fleet::Directions;
 use fleet::Edition;
+use fleet::Packed;
 use fleet::Revision;
 use forward::Tally;
 use wire::Call;
@@ -38,7 +39,7 @@
     /// Its version.
     pub version: Version,
     /// The whole text.
-    pub text: String,
+    pub text: Packed,
 }
 
 /// Who asks for what is new.
--- a/crates/site/src/peers.rs
+++ b/crates/site/src/peers.rs
@@ -15,7 +15,7 @@
 use net::Server;
 use net::read_body;
 
-/// The largest call in bytes: a configuration with its envelope.
+/// The largest call in bytes: a configuration that does not compress, with its envelope.
 const CALL_BYTES: usize = 12 * 1024 * 1024;
 
 /// How long a call may take to arrive.
