A soak: seeded faults on real processes, checked from what callers and services saw

Nodes, hosts and services run as processes; a loopback proxy between the nodes delays, loses (one way or both) and resets; signals stop, pause and kill; one voter's folder is wiped at most, logs get torn tails; rules change meanwhile. Checked: keyed calls run at most once and as their callers were told, streams hold only their own text, versions never go back in one life and none accepted is lost, all nodes serve within 60 s after the faults.

--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
-use std::process::Command;
 use std::process::Output;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -16,10 +15,10 @@
 use crate::Caller;
 use crate::HostSpec;
 use crate::NodeSpec;
+use crate::Operator;
 use crate::Process;
 use crate::ServiceSpec;
 use crate::ports::free_addr;
-use crate::process::program_path;
 use base::Fencing;
 use base::HostId;
 use base::NodeId;
@@ -41,6 +40,9 @@
 #[derive(Debug)]
 pub struct Cluster {
     folder: PathBuf,
+    /// Where a node reaches another one, if not at its own address.
+    ways: BTreeMap<(NodeId, NodeId), SocketAddr>,
+    keeps_logs: bool,
     specs: BTreeMap<NodeId, NodeSpec>,
     addrs: BTreeMap<NodeId, Addrs>,
     nodes: BTreeMap<NodeId, Process>,
@@ -58,17 +60,31 @@
 impl Cluster {
     /// Starts the nodes. Takes other ports if another process was quicker at one.
     pub fn start(specs: &[NodeSpec]) -> io::Result<Self> {
+        Self::start_between(specs, |_, _, addr| Ok(addr))
+    }
+
+    /// The same with something between the nodes: `way` gives where the first node
+    /// reaches the second one, which listens at the address.
+    pub fn start_between(
+        specs: &[NodeSpec],
+        mut way: impl FnMut(NodeId, NodeId, SocketAddr) -> io::Result<SocketAddr>,
+    ) -> io::Result<Self> {
         loop {
-            let mut cluster = Self::start_once(specs)?;
+            let mut cluster = Self::start_once(specs, &mut way)?;
             if !cluster.lost_a_port() {
                 return Ok(cluster);
             }
         }
     }
 
-    fn start_once(specs: &[NodeSpec]) -> io::Result<Self> {
+    fn start_once(
+        specs: &[NodeSpec],
+        way: &mut impl FnMut(NodeId, NodeId, SocketAddr) -> io::Result<SocketAddr>,
+    ) -> io::Result<Self> {
         let mut cluster = Self {
             folder: new_folder()?,
+            ways: BTreeMap::new(),
+            keeps_logs: std::env::var_os("KEEP_LOGS").is_some(),
             specs: specs.iter().map(|spec| (spec.id, *spec)).collect(),
             addrs: BTreeMap::new(),
             nodes: BTreeMap::new(),
@@ -83,6 +99,10 @@
             };
             cluster.addrs.insert(spec.id, addrs);
         }
+        for (from, to) in pairs(specs) {
+            let addr = way(from, to, cluster.addrs[&to].internal)?;
+            cluster.ways.insert((from, to), addr);
+        }
         for (name, secret) in [
             ("peers", PEER_SECRET),
             ("upstreams", UPSTREAM_SECRET),
@@ -219,23 +239,24 @@
         &self.folder
     }
 
+    /// Leaves settings, state and logs in the folder at the end.
+    pub fn keep_logs(&mut self) {
+        self.keeps_logs = true;
+    }
+
+    /// An operator at one node.
+    pub fn operator(&self, node: NodeId) -> Operator {
+        Operator::new(self.addrs[&node].internal, self.folder.join("operators"))
+    }
+
     /// Runs the operators' tool against one node.
     pub fn tool(&self, node: NodeId, args: &[&str]) -> io::Result<Output> {
-        Command::new(program_path("berylbay"))
-            .arg("--node")
-            .arg(self.addrs[&node].internal.to_string())
-            .arg("--secret-file")
-            .arg(self.folder.join("operators"))
-            .args(args)
-            .output()
+        self.operator(node).tool(args)
     }
 
     /// What the operators' tool shows as JSON.
     pub fn show(&self, node: NodeId, args: &[&str]) -> serde_json::Value {
-        let args: Vec<&str> = ["--json"].into_iter().chain(args.iter().copied()).collect();
-        let output = self.tool(node, &args);
-        let json = output.map(|output| serde_json::from_slice(&output.stdout));
-        json.ok().and_then(Result::ok).unwrap_or_default()
+        self.operator(node).show(args)
     }
 
     /// The node that leads the voters, as another one sees it.
@@ -246,7 +267,7 @@
 
     /// The version of the configuration in force at a node.
     pub fn version(&self, node: NodeId) -> Option<u64> {
-        self.show(node, &["status"])["version"].as_u64()
+        self.operator(node).version()
     }
 
     /// Writes a rules file and puts it in force. Tries again until the voters have a leader.
@@ -303,7 +324,8 @@
         text += "operators = \"operators\"\n\n[limits]\nnotice = \"300ms\"\n";
         text += spec.limits;
         for (id, peer) in &self.specs {
-            let internal = self.addrs[id].internal;
+            let own = self.addrs[id].internal;
+            let internal = self.ways.get(&(spec.id, *id)).unwrap_or(&own);
             text += &format!("\n[peers.{id}]\ncentre = \"{}\"\n", peer.centre);
             text += &format!("internal = \"{internal}\"\nvoter = {}\n", peer.voter);
         }
@@ -316,7 +338,7 @@
         self.services.clear();
         self.hosts.clear();
         self.nodes.clear();
-        if std::env::var_os("KEEP_LOGS").is_none() {
+        if !self.keeps_logs {
             let _ = fs::remove_dir_all(&self.folder);
         }
     }
@@ -346,6 +368,13 @@
     said().ok_or_else(|| io::Error::other(format!("no address in {:?}", process.log())))
 }
 
+/// Each node with each other one.
+fn pairs(specs: &[NodeSpec]) -> Vec<(NodeId, NodeId)> {
+    let ids = || specs.iter().map(|spec| spec.id);
+    let pairs = ids().flat_map(|from| ids().map(move |to| (from, to)));
+    pairs.filter(|(from, to)| from != to).collect()
+}
+
 fn new_folder() -> io::Result<PathBuf> {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let count = COUNT.fetch_add(1, Ordering::Relaxed);
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -5,15 +5,18 @@
 
 mod caller;
 mod cluster;
+mod operator;
 mod ports;
 mod process;
 mod rules;
 mod spec;
+mod text;
 
 pub use caller::Caller;
 pub use caller::Reply;
 pub use cluster::Cluster;
 pub use cluster::wait_until;
+pub use operator::Operator;
 pub use ports::free_ports;
 pub use process::Process;
 pub use process::program_path;
@@ -23,3 +26,4 @@
 pub use spec::HostSpec;
 pub use spec::NodeSpec;
 pub use spec::ServiceSpec;
+pub use text::text_of;
--- /dev/null
+++ b/crates/harness/src/operator.rs
@@ -0,0 +1,47 @@
+//! Runs the operators' tool against one node.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+
+use crate::program_path;
+
+/// An operator with the secret, at one node.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    node: SocketAddr,
+    secret_file: PathBuf,
+}
+
+impl Operator {
+    /// An operator at the node that listens there for the system.
+    pub fn new(node: SocketAddr, secret_file: PathBuf) -> Self {
+        Self { node, secret_file }
+    }
+
+    /// Runs the tool.
+    pub fn tool(&self, args: &[&str]) -> io::Result<Output> {
+        Command::new(program_path("berylbay"))
+            .arg("--node")
+            .arg(self.node.to_string())
+            .arg("--secret-file")
+            .arg(&self.secret_file)
+            .args(args)
+            .output()
+    }
+
+    /// What the tool shows as JSON, null if it fails.
+    pub fn show(&self, args: &[&str]) -> serde_json::Value {
+        let args: Vec<&str> = ["--json"].into_iter().chain(args.iter().copied()).collect();
+        let output = self.tool(&args);
+        let json = output.map(|output| serde_json::from_slice(&output.stdout));
+        json.ok().and_then(Result::ok).unwrap_or_default()
+    }
+
+    /// The version of the configuration in force at the node.
+    pub fn version(&self) -> Option<u64> {
+        self.show(&["status"])["version"].as_u64()
+    }
+}
--- a/crates/harness/tests/streams.rs
+++ b/crates/harness/tests/streams.rs
@@ -17,6 +17,7 @@
 use harness::ServiceSpec;
 use harness::rules_text;
 use harness::secret_of;
+use harness::text_of;
 use harness::wait_until;
 
 const UP: Duration = Duration::from_secs(40);
@@ -56,17 +57,6 @@
     status["replicas"][0]["requests"].as_u64().unwrap_or(99)
 }
 
-/// The text that an answer to a prompt has, token by token.
-fn text_of(prompt: &str, tokens: u32) -> String {
-    let digest = prompt.bytes().fold(17_u32, |sum, byte| {
-        sum.wrapping_mul(31).wrapping_add(u32::from(byte))
-    });
-    let word = |at: u32| digest.wrapping_add(at.wrapping_mul(2_654_435_761)) % 1000;
-    (0..tokens)
-        .map(|at| format!(" w{at}.{}", word(at)))
-        .collect()
-}
-
 /// Sends a chat by hand and gives its connection.
 fn open_chat(cluster: &Cluster, prompt: &str, tokens: u32) -> TcpStream {
     let body = format!(
