A node without a seat is made known to the leader by any member

Cause: a node with an empty disk says hello to the nodes of its settings only. A leader that is none of them never heard of it: a group of three seeds that had grown to five, with two seeds lost, took neither them nor a node that stood by back in, for good. Ruled out: a change that was refused (the leader's list of strangers stayed empty for 30 s).

--- a/crates/vote/src/form.rs
+++ b/crates/vote/src/form.rs
@@ -264,6 +264,7 @@
         };
         if !group.has(node, disk) {
             self.note_stranger(node, disk);
+            self.tell_leader(node, disk);
             self.refuse(node, disk);
         } else if Index::default() < floor {
             self.notify(node, Notice::RolledBack(floor));
@@ -272,6 +273,25 @@
         }
     }
 
+    /// Tells the leader of a node that may know only other members: those in its settings.
+    fn tell_leader(&mut self, node: NodeId, disk: DiskId) {
+        let Some(leader) = self.leader().filter(|leader| *leader != self.cfg.id) else {
+            return;
+        };
+        let message = self.message(Body::Stranger { node, disk });
+        self.outbox.send(leader, message);
+    }
+
+    /// Takes from a member that a node without a seat wants to take part.
+    pub(crate) fn on_stranger(&mut self, from: NodeId, node: NodeId, disk: DiskId) {
+        let Some(group) = self.group() else {
+            return;
+        };
+        if group.seats.contains_key(&from) && !group.has(node, disk) {
+            self.note_stranger(node, disk);
+        }
+    }
+
     fn note_stranger(&mut self, node: NodeId, disk: DiskId) {
         if self.strangers.len() < MAX_STRANGERS || self.strangers.contains_key(&node) {
             let at = self.now;
--- a/crates/vote/src/message.rs
+++ b/crates/vote/src/message.rs
@@ -64,6 +64,13 @@
     Install(Install),
     /// An answer to either.
     Ack(Ack),
+    /// A node without a seat said hello to the sender, a member that does not lead.
+    Stranger {
+        /// The node.
+        node: NodeId,
+        /// Its disk.
+        disk: DiskId,
+    },
 }
 
 /// Why a node cannot take part.
--- a/crates/vote/src/voter.rs
+++ b/crates/vote/src/voter.rs
@@ -132,6 +132,7 @@
             Body::Append(append) => self.on_append(from, append),
             Body::Install(install) => self.on_install(from, install),
             Body::Ack(ack) => self.on_ack(from, disk, ack),
+            Body::Stranger { node, disk } => self.on_stranger(from, node, disk),
         }
     }
 
