--- a/crates/vote/src/lib.rs
+++ b/crates/vote/src/lib.rs
@@ -32,6 +32,7 @@
 mod read;
 mod replicate;
 mod role;
+mod seats;
 mod status;
 mod voter;
 
@@ -79,6 +80,7 @@
 pub use crate::message::Reason;
 pub use crate::read::Lease;
 pub use crate::replicate::ProposeError;
+pub use crate::seats::Seats;
 pub use crate::status::Peer;
 pub use crate::status::Role;
 pub use crate::status::Standing;
--- a/crates/vote/src/status.rs
+++ b/crates/vote/src/status.rs
@@ -77,7 +77,8 @@
     pub duty: Duty,
     /// How far its log equals the leader's.
     pub matched: Index,
-    /// How long ago the leader sent what it last answered.
+    /// How long ago the leader sent what it last answered, or began to lead if it has
+    /// answered nothing since.
     pub silent: Option<Duration>,
     /// Whether its disk is trusted.
     pub trust: Trust,
@@ -191,16 +192,18 @@
         };
         let others = group.seats.iter().filter(|(node, _)| **node != self.cfg.id);
         let peer = |(node, seat): (&NodeId, &crate::Seat)| {
-            let progress = match &self.state {
-                State::Leader(leader) => leader.progress.get(node),
-                _ => None,
+            let leads = match &self.state {
+                State::Leader(leader) => Some(leader),
+                State::Follower { .. } | State::Candidate(_) => None,
             };
+            let progress = leads.and_then(|leader| leader.progress.get(node));
+            let since = leads.map_or(self.now, |leader| leader.since);
             Peer {
                 node: *node,
                 disk: seat.disk,
                 duty: seat.duty,
                 matched: progress.map(|p| p.matched).unwrap_or_default(),
-                silent: progress.map(|p| self.now.since(p.answered.sent)),
+                silent: progress.map(|p| self.now.since(p.answered.sent.max(since))),
                 trust: progress.map_or(Trust::Trusted, |p| p.trust),
             }
         };
--- a/crates/vote/tests/fake/mod.rs
+++ b/crates/vote/tests/fake/mod.rs
@@ -66,6 +66,14 @@
         cluster
     }
 
+    /// Starts a node that knows these others, with an empty disk.
+    pub fn add(&mut self, id: NodeId, seeds: &[NodeId]) {
+        let disk = DiskId(self.rng.u64(1..));
+        let node = Node::new(id, disk, seeds, self.rng.fork());
+        self.nodes.insert(id, node);
+        self.start(id);
+    }
+
     pub fn ids(&self) -> Vec<NodeId> {
         self.nodes.keys().copied().collect()
     }
