--- a/crates/vote/tests/fake/mod.rs
+++ b/crates/vote/tests/fake/mod.rs
@@ -6,6 +6,7 @@
 mod model;
 mod network;
 mod node;
+pub mod seeds;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/vote/tests/schedules.rs
+++ b/crates/vote/tests/schedules.rs
@@ -11,6 +11,7 @@
 use crate::fake::Clock;
 use crate::fake::Cluster;
 use crate::fake::Stored;
+use crate::fake::seeds::for_seeds;
 use base::DiskId;
 use base::NodeId;
 use vote::Change;
@@ -19,24 +20,6 @@
 const SEEDS: u64 = 400;
 const STEPS: usize = 250;
 
-fn seeds() -> Vec<u64> {
-    match std::env::var("SEED") {
-        Ok(seed) => vec![seed.parse().expect("SEED is a number")],
-        Err(_) => (1..=SEEDS).collect(),
-    }
-}
-
-/// Runs every seed and prints the one that fails.
-fn for_seeds(run: impl Fn(u64) + std::panic::RefUnwindSafe) {
-    for seed in seeds() {
-        let result = std::panic::catch_unwind(|| run(seed));
-        if let Err(cause) = result {
-            eprintln!("failed with SEED={seed}");
-            std::panic::resume_unwind(cause);
-        }
-    }
-}
-
 fn cluster(seed: u64) -> Cluster {
     let size = if seed.is_multiple_of(3) { 5 } else { 3 };
     let mut cluster = Cluster::new(size, seed);
@@ -48,7 +31,7 @@
 
 #[test]
 fn crashes_partitions_and_frozen_leaders() {
-    for_seeds(|seed| {
+    for_seeds(SEEDS, |seed| {
         let mut cluster = cluster(seed);
         let mut rng = Rng::with_seed(seed ^ 0x5eed);
         for _ in 0..STEPS {
@@ -63,7 +46,7 @@
 
 #[test]
 fn wiped_and_rolled_back_disks_do_not_count() {
-    for_seeds(|seed| {
+    for_seeds(SEEDS, |seed| {
         let mut cluster = cluster(seed);
         let mut rng = Rng::with_seed(seed ^ 0xd15c);
         cluster.commit_one(Duration::from_secs(5));
@@ -93,7 +76,7 @@
 
 #[test]
 fn members_change_under_faults() {
-    for_seeds(|seed| {
+    for_seeds(SEEDS, |seed| {
         let mut cluster = cluster(seed * 3);
         let mut rng = Rng::with_seed(seed ^ 0xadd);
         cluster.commit_one(Duration::from_secs(5));
--- a/crates/vote/tests/seats.rs
+++ b/crates/vote/tests/seats.rs
@@ -10,6 +10,7 @@
 
 use crate::fake::Cluster;
 use crate::fake::Stored;
+use crate::fake::seeds::for_seeds;
 use base::DiskId;
 use base::NodeId;
 use vote::Change;
@@ -17,6 +18,7 @@
 use vote::Standing;
 use vote::Stranger;
 
+/// Schedules of each kind.
 const SEEDS: u64 = 100;
 
 /// Time between two looks at the seats.
@@ -25,19 +27,6 @@
 /// Time in which a group is whole again after a loss.
 const WHOLE_WITHIN: Duration = Duration::from_secs(30);
 
-fn for_seeds(run: impl Fn(u64) + std::panic::RefUnwindSafe) {
-    let one = std::env::var("SEED")
-        .ok()
-        .and_then(|seed| seed.parse().ok());
-    let seeds = one.map_or(1..=SEEDS, |seed| seed..=seed);
-    for seed in seeds {
-        if let Err(cause) = std::panic::catch_unwind(|| run(seed)) {
-            eprintln!("failed with SEED={seed}");
-            std::panic::resume_unwind(cause);
-        }
-    }
-}
-
 /// Does what the leader of a deployment does, and goes on proposing.
 fn keep(cluster: &mut Cluster, seats: Seats) {
     if let Some(id) = cluster.leader() {
@@ -106,7 +95,7 @@
 
 #[test]
 fn an_emptied_disk_is_taken_back_by_itself_and_nothing_accepted_is_lost() {
-    for_seeds(|seed| {
+    for_seeds(SEEDS, |seed| {
         let losses = 1 + seed as usize % 2;
         let seats = Seats::for_losses(losses);
         let mut cluster = Cluster::new(seats.wanted as u32, seed);
@@ -125,7 +114,7 @@
 
 #[test]
 fn a_successor_at_another_address_is_taken_in_and_the_dead_one_let_go() {
-    for_seeds(|seed| {
+    for_seeds(SEEDS, |seed| {
         let losses = 1 + seed as usize % 2;
         let seats = Seats::for_losses(losses);
         let mut cluster = Cluster::new(seats.wanted as u32, seed);
@@ -151,7 +140,7 @@
 
 #[test]
 fn a_group_of_three_grows_to_five_where_two_disks_may_be_lost() {
-    for_seeds(|seed| {
+    for_seeds(SEEDS, |seed| {
         let seats = Seats::for_losses(2);
         let mut cluster = Cluster::new(3, seed);
         let mut rng = Rng::with_seed(seed ^ 0x9704);
@@ -170,7 +159,7 @@
 
 #[test]
 fn a_new_leader_gives_members_time_to_answer_before_it_replaces_them() {
-    for_seeds(|seed| {
+    for_seeds(SEEDS, |seed| {
         let seats = Seats::for_losses(1);
         let mut cluster = Cluster::new(3, seed);
         let first = cluster.ids();
