Control hosts look for work and for silent upstreams once a second

Cause: each look at the replicas (every 50 ms and after each change) summed what all entry hosts had told, and went through the whole roster for what to forget.

--- a/crates/forward/src/crowd.rs
+++ b/crates/forward/src/crowd.rs
@@ -57,6 +57,13 @@
         self.sum(None, now)
     }
 
+    /// Whether anybody told of work. Cheaper than the sum.
+    pub fn has_work(&self) -> bool {
+        let told = self.told.values().map(|(tally, _)| tally);
+        let mut all = told.chain([&self.elsewhere]);
+        all.any(|tally| tally.work.iter().any(|work| 0.0 < work.offered))
+    }
+
     /// Everything.
     pub fn all(&self, now: Time) -> Tally {
         self.all_but(None, now)
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -29,12 +29,16 @@
 /// Time between two looks at what callers ask for.
 const WORK_EVERY: Duration = Duration::from_secs(1);
 
+/// Time between two looks for what was silent for long.
+const EXPIRE_EVERY: Duration = Duration::from_secs(1);
+
 /// How long a configuration may take to be agreed on.
 const AGREE_WITHIN: Duration = Duration::from_millis(800);
 
 /// Orders and directs while this control host leads, for as long as the process runs.
 pub(crate) async fn lead_on(control: Rc<Control>) {
     let mut worked = clock::now();
+    let mut expired = worked;
     loop {
         control.due.wait(EVERY).await;
         let now = clock::now();
@@ -42,7 +46,7 @@
         let due = {
             let mut controller = control.controller.borrow_mut();
             controller.lead(term, now);
-            if term.is_some() && offered(&control).values().any(|busy| 0.0 < *busy) {
+            if term.is_some() && control.crowd.borrow().has_work() {
                 controller.traffic_began();
             }
             if WORK_EVERY <= now.since(worked) {
@@ -57,8 +61,11 @@
         if term.is_some() {
             direct(&control);
         }
-        control.roster.borrow_mut().expire(now);
-        control.pool.expire();
+        if EXPIRE_EVERY <= now.since(expired) {
+            expired = now;
+            control.roster.borrow_mut().expire(now);
+            control.pool.expire();
+        }
     }
 }
 
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -2,14 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use harness::text_of;
-
 use crate::Chat;
 use crate::Finding;
 use crate::Order;
 use crate::Record;
 use crate::Said;
 use crate::Seen;
+use harness::text_of;
 
 /// The broken promises of a run.
 pub fn check(record: &Record) -> Vec<Finding> {
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -8,14 +8,13 @@
 
 use fastrand::Rng;
 
-use base::NodeId;
-use harness::Caller;
-use harness::Reply;
-
 use crate::Chat;
 use crate::Order;
 use crate::Record;
 use crate::Said;
+use base::NodeId;
+use harness::Caller;
+use harness::Reply;
 
 /// Services whose calls run at most once under a key.
 pub(crate) const ORDERS: [&str; 2] = ["orders", "dispatch"];
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -20,16 +20,6 @@
 
 use rustix::process::Signal;
 
-use base::NodeId;
-use harness::Caller;
-use harness::Cluster;
-use harness::HostSpec;
-use harness::NodeSpec;
-use harness::Operator;
-use harness::ServiceSpec;
-use harness::rules_text;
-use harness::wait_until;
-
 use crate::Finding;
 use crate::Links;
 use crate::Plan;
@@ -41,6 +31,15 @@
 use crate::load;
 use crate::watch;
 use crate::watch::Changes;
+use base::NodeId;
+use harness::Caller;
+use harness::Cluster;
+use harness::HostSpec;
+use harness::NodeSpec;
+use harness::Operator;
+use harness::ServiceSpec;
+use harness::rules_text;
+use harness::wait_until;
 
 /// The organisation's caller that all services and models take.
 const CALLER: &str = "stall-7";
--- a/crates/soak/src/watch.rs
+++ b/crates/soak/src/watch.rs
@@ -10,13 +10,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::Record;
+use crate::Seen;
 use base::NodeId;
 use harness::Operator;
 use harness::rules_text;
 
-use crate::Record;
-use crate::Seen;
-
 /// Time between two looks at one node.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
