--- a/crates/forward/src/crowd.rs
+++ b/crates/forward/src/crowd.rs
@@ -5,6 +5,7 @@
 //! learns of all requests, whichever control host it follows.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use crate::Tally;
@@ -19,6 +20,16 @@
 /// are counted together: a part of what may be retried is still its own.
 const SENDER_LIFE: Duration = Duration::from_secs(11);
 
+/// What entry hosts choose by is summed at most this often.
+const CHOICE_EVERY: Duration = Duration::from_millis(50);
+
+/// Control hosts tell each other of requests at most this often.
+const CONTROL_EVERY: Duration = Duration::from_millis(100);
+
+/// Loads of targets that a control host tells its followers of in a second, all together:
+/// each costs processor time to write and to read.
+const LOADS_A_SECOND: f64 = 30_000.0;
+
 /// What a control host knows of all entry hosts' requests.
 #[derive(Clone, Debug, Default)]
 pub struct Crowd {
@@ -27,6 +38,11 @@
     /// What the control host that leads heard from others.
     elsewhere: Tally,
     elsewhere_at: Time,
+    /// What entry hosts choose by, summed at this time.
+    choice: Rc<Tally>,
+    choice_at: Time,
+    /// When followers were last told of all requests.
+    given: BTreeMap<NodeId, Time>,
 }
 
 impl Crowd {
@@ -85,6 +101,43 @@
             .max()
     }
 
+    /// What an entry host is to be told of all requests, if it is time again: a control
+    /// host with many followers tells each of them less often.
+    pub fn for_entry(&mut self, follower: NodeId, now: Time) -> Option<Rc<Tally>> {
+        if CHOICE_EVERY <= now.since(self.choice_at) {
+            self.choice = Rc::new(self.all(now).for_choice());
+            self.choice_at = now;
+        }
+        let told = self.choice.loads.len() * self.told.len();
+        let pause = Duration::from_secs_f64(told as f64 / LOADS_A_SECOND);
+        self.is_due(follower, pause, now)
+            .then(|| Rc::clone(&self.choice))
+    }
+
+    /// The same for a control host: what it did not tell itself.
+    pub fn for_control(&mut self, follower: NodeId, now: Time) -> Option<Rc<Tally>> {
+        let is_due = self.is_due(follower, CONTROL_EVERY, now);
+        is_due.then(|| Rc::new(self.others(follower, now).for_choice()))
+    }
+
+    /// What this control host was told, if it is time to tell the one that leads again.
+    pub fn for_leader(&mut self, leader: NodeId, now: Time) -> Option<Tally> {
+        let is_due = self.is_due(leader, CONTROL_EVERY, now);
+        is_due.then(|| self.own(now))
+    }
+
+    fn is_due(&mut self, follower: NodeId, pause: Duration, now: Time) -> bool {
+        let is_due = self
+            .given
+            .get(&follower)
+            .is_none_or(|at| pause <= now.since(*at));
+        if is_due {
+            self.given.insert(follower, now);
+            self.given.retain(|_, at| now.since(*at) < SENDER_LIFE);
+        }
+        is_due
+    }
+
     fn all_but(&self, except: Option<NodeId>, now: Time) -> Tally {
         let own = self.sum(except, now);
         let mut elsewhere = self.elsewhere.clone();
--- a/crates/forward/tests/crowd.rs
+++ b/crates/forward/tests/crowd.rs
@@ -213,3 +213,36 @@
     };
     assert_held("moving", worst_window(fault));
 }
+
+#[test]
+fn many_followers_are_told_less_often_so_that_the_work_of_a_control_host_is_bounded() {
+    let told_in_a_second = |followers: u32, targets: u32| {
+        let mut crowd = Crowd::default();
+        let mut told = 0;
+        for step in 0..200 {
+            let now = Time::from_millis(10_000 + 5 * step);
+            for follower in 0..followers {
+                let loads = (0..targets).map(|at| TargetLoad {
+                    id: format!("i-{at}").parse().unwrap(),
+                    requests: 1,
+                    reading: 0.0,
+                    moved_ms_ago: None,
+                });
+                let tally = Tally {
+                    entries: 1,
+                    loads: loads.collect(),
+                    work: Vec::new(),
+                };
+                crowd.hear(NodeId(follower), tally, now);
+                let news = crowd.for_entry(NodeId(follower), now);
+                told += news.map_or(0, |tally| tally.loads.len());
+            }
+        }
+        told
+    };
+    // A few followers are told each time they ask.
+    assert_eq!(told_in_a_second(3, 20), 200 * 3 * 20);
+    // With many the whole second's work stays within 30,000 loads, but for the first round.
+    assert!(told_in_a_second(33, 600) <= 30_000 + 33 * 600);
+    assert!(told_in_a_second(15, 60) <= 30_000 + 15 * 60);
+}
--- a/crates/net/src/methods.rs
+++ b/crates/net/src/methods.rs
@@ -42,7 +42,7 @@
                 let handler = (*handler).clone();
                 SendWrapper::new(async move {
                     let reply = handler(cx, call?).await.map_err(ErrorObjectOwned::from)?;
-                    let reply = serde_json::to_value(reply).map_err(Fault::unknown);
+                    let reply = serde_json::value::to_raw_value(&reply).map_err(Fault::unknown);
                     reply.map_err(ErrorObjectOwned::from)
                 })
             });
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -60,7 +60,7 @@
             version: control.in_force.borrow().version,
             edition: control.directions.borrow().edition,
             watcher: Watcher::Control,
-            tally: control.crowd.borrow().own(asked),
+            tally: control.crowd.borrow_mut().for_leader(leader, asked),
         };
         let addr = control.settings.internal(leader);
         match control.peers.call(addr, &call, WITHIN).await {
@@ -102,9 +102,10 @@
     known.life = news.life;
     known.revision = news.revision;
     control.confirmed.set(Some(asked));
-    let mut crowd = control.crowd.borrow_mut();
-    crowd.hear_elsewhere(news.tally, asked);
-    drop(crowd);
+    if let Some(tally) = news.tally {
+        let mut crowd = control.crowd.borrow_mut();
+        crowd.hear_elsewhere(tally.as_ref().clone(), asked);
+    }
     control.passed_on.replace(news.unreachable);
     let tell = Tell {
         changes: news.changes,
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -47,11 +47,10 @@
         let leader = control.known_leader();
         return Watched::NotLeading { leader };
     }
-    let tally = call.tally;
-    control
-        .crowd
-        .borrow_mut()
-        .hear(call.from, tally, clock::now());
+    if let Some(tally) = call.tally {
+        let mut crowd = control.crowd.borrow_mut();
+        crowd.hear(call.from, tally, clock::now());
+    }
     let is_new = |control: &Control| {
         call.life != control.life
             || call.revision < control.roster.borrow().revision()
@@ -94,7 +93,7 @@
         unreachable: control.unreachable(),
         confirmed_ago: confirmed,
         controls: control.controls().into_iter().collect(),
-        tally: Tally::default(),
+        tally: None,
     }
 }
 
@@ -107,14 +106,13 @@
 }
 
 /// What a follower is told of all entry hosts' requests.
-fn tally_for(control: &Control, follower: NodeId, watcher: Watcher) -> Tally {
+fn tally_for(control: &Control, follower: NodeId, watcher: Watcher) -> Option<Rc<Tally>> {
     let now = clock::now();
-    let crowd = control.crowd.borrow();
-    let tally = match watcher {
-        Watcher::Entry => crowd.all(now),
-        Watcher::Control => crowd.others(follower, now),
-    };
-    tally.for_choice()
+    let mut crowd = control.crowd.borrow_mut();
+    match watcher {
+        Watcher::Entry => crowd.for_entry(follower, now),
+        Watcher::Control => crowd.for_control(follower, now),
+    }
 }
 
 /// Takes what another process heard.
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -191,11 +191,11 @@
         version: entry.version.get(),
         edition: entry.directions.borrow().edition,
         watcher: Watcher::Entry,
-        tally: Tally {
+        tally: Some(Tally {
             entries: 1,
             loads: board.busy(lately).map(load).collect(),
             work: known.work.clone(),
-        },
+        }),
     }
 }
 
@@ -206,7 +206,6 @@
     if let Some(ago) = news.confirmed_ago {
         entry.keys.borrow_mut().confirm(asked, ago);
     }
-    entry.budget.borrow_mut().senders = news.tally.entries;
     let mut is_changed = !news.changes.is_empty();
     for change in news.changes {
         entry.roster.borrow_mut().follow(change, asked);
@@ -226,16 +225,23 @@
     if is_changed {
         retarget(entry);
     }
-    let loads = news.tally.loads.into_iter();
-    let loads = loads.map(|load| {
+    if let Some(tally) = news.tally {
+        take_tally(entry, &tally);
+    }
+    for host in news.unreachable {
+        take_leave(entry, host);
+    }
+}
+
+/// Takes what all entry hosts have under way.
+fn take_tally(entry: &Entry, tally: &Tally) {
+    entry.budget.borrow_mut().senders = tally.entries;
+    let loads = tally.loads.iter().map(|load| {
         let (requests, reading) = (load.requests, load.reading);
-        (load.id, Load { requests, reading })
+        (load.id.clone(), Load { requests, reading })
     });
     let loads: BTreeMap<UpstreamId, Load> = loads.collect();
     entry.board.borrow_mut().all_loads(&loads);
-    for host in news.unreachable {
-        take_leave(entry, host);
-    }
 }
 
 /// Tells a first host to leave that the leader cannot reach, and the leader if it did.
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -1,6 +1,7 @@
 //! What the processes of a deployment tell each other.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -67,8 +68,9 @@
     pub edition: Edition,
     /// What it is.
     pub watcher: Watcher,
-    /// What it, or the entry hosts that follow it, have under way.
-    pub tally: Tally,
+    /// What it, or the entry hosts that follow it, have under way. None if that was told
+    /// just before.
+    pub tally: Option<Tally>,
 }
 
 /// What is new.
@@ -91,7 +93,8 @@
     /// All control hosts that are known.
     pub controls: Vec<NodeId>,
     /// What entry hosts have under way. For a control host those that it did not tell of.
-    pub tally: Tally,
+    /// None if that was told just before.
+    pub tally: Option<Rc<Tally>>,
 }
 
 /// The answer to a [`Watch`].
