At most 48 orders and 48 probes are under way at once

Cause: a first layout gave 990 orders at once; each asks its host first, within 180 ms, and none of the answers was taken in time: 797 of 797 orders 'not sent' after 240 ms, all again 300 ms later (a copy of the site with 100 hosts). Ruled out: hosts that do not answer (two were reached at once with fewer).

Not mended: at 300 hosts nothing is served, and there CONFIG and DENIED break.

--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -27,6 +27,7 @@
 use crate::platform::Platform;
 use crate::pool::Pool;
 use crate::settings::Settings;
+use crate::window::Window;
 use base::Incarnation;
 use base::NodeId;
 use base::Time;
@@ -84,6 +85,10 @@
     pub roster: RefCell<Roster>,
     pub controller: RefCell<Controller>,
     pub in_force: RefCell<InForce>,
+    /// Room for orders that are under way.
+    pub ordering: Window,
+    /// Room for hosts that are asked whether they live.
+    pub probing: Window,
     pub directions: RefCell<Directions>,
     /// When a majority last stood behind the configuration.
     pub confirmed: Cell<Option<Time>>,
@@ -180,6 +185,8 @@
             roster: RefCell::default(),
             controller: RefCell::new(Controller::open(cfg)),
             in_force: RefCell::default(),
+            ordering: Window::open(orders::AT_ONCE),
+            probing: Window::open(probe::AT_ONCE),
             directions: RefCell::default(),
             confirmed: Cell::new(None),
             crowd: RefCell::default(),
--- a/crates/site/src/control/orders.rs
+++ b/crates/site/src/control/orders.rs
@@ -17,6 +17,10 @@
 use net::read_body;
 use quorum::clock;
 
+/// Orders that are under way at once. Hundreds at once would all wait for each other on a
+/// small control host until none is answered in time.
+pub(crate) const AT_ONCE: usize = 48;
+
 /// How long a connection to a host may take.
 const CONNECT: Duration = Duration::from_millis(400);
 
@@ -30,8 +34,10 @@
 pub(crate) fn spawn(control: &Rc<Control>, order: Order) {
     let control = Rc::clone(control);
     compio::runtime::spawn(async move {
+        let place = control.ordering.enter().await;
         let began = clock::now();
         let outcome = carry_out(&control, &order).await;
+        drop(place);
         let now = clock::now();
         emit(&Event::OrderSent {
             host: &order.host,
@@ -48,6 +54,9 @@
 }
 
 async fn carry_out(control: &Control, order: &Order) -> Outcome {
+    if !control.controller.borrow().awaits(order.id) {
+        return Outcome::NotSent;
+    }
     let id = (order.host.clone(), order.life);
     let mut order = order.clone();
     if order.begun.is_none() {
--- a/crates/site/src/control/probe.rs
+++ b/crates/site/src/control/probe.rs
@@ -35,6 +35,10 @@
 /// Times that a host is asked before it counts as lost.
 const TRIES: usize = 2;
 
+/// Hosts that are asked at once: with more the answers would come late for want of
+/// processor time here, and hosts that live would count as lost.
+pub(crate) const AT_ONCE: usize = 48;
+
 /// The largest answer in bytes.
 const ANSWER_BYTES: usize = 256 * 1024;
 
@@ -78,7 +82,9 @@
     }
     let control = Rc::clone(control);
     compio::runtime::spawn(async move {
+        let place = control.probing.enter().await;
         let lives = lives(&control, &host).await;
+        drop(place);
         let now = clock::now();
         let heard = control
             .roster
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -16,6 +16,7 @@
 mod pool;
 mod run;
 mod settings;
+mod window;
 
 pub use control::ControlSettings;
 pub use entry::EntrySettings;
