After a look at the replicas the leader's loop rests twice as long as the look took

Cause: each change that a host announces rang for another look; with 990 hosts that come up that is 4,000 looks in a few seconds, and everything else at the leader waited: a copy of the site with 100 hosts opened 45 replicas in 10 s.

--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -26,6 +26,10 @@
 /// The longest time between two looks at the replicas.
 const EVERY: Duration = Duration::from_millis(50);
 
+/// After a look at the replicas the loop rests so many times as long as the look took: with
+/// a thousand hosts that come up, changes ring for the next look before one has ended.
+const REST: u32 = 2;
+
 /// Time between two looks at what callers ask for.
 const WORK_EVERY: Duration = Duration::from_secs(1);
 
@@ -61,6 +65,7 @@
         if term.is_some() {
             direct(&control);
         }
+        compio::time::sleep(REST * clock::now().since(now)).await;
         if EXPIRE_EVERY <= now.since(expired) {
             expired = now;
             control.roster.borrow_mut().expire(now);
