Changes are gathered for 1 ms for each follower before they are told

Cause: each change of the roster went to each of 33 followers at once (100 hosts, 10 and more a second), and each answer to a follower costs the control host a call. What is told most at 100 hosts are the directions, whole with each change: not mended.

--- a/crates/forward/src/crowd.rs
+++ b/crates/forward/src/crowd.rs
@@ -80,6 +80,11 @@
         all.any(|tally| tally.work.iter().any(|work| 0.0 < work.offered))
     }
 
+    /// How many follow this control host.
+    pub fn followers(&self) -> u32 {
+        u32::try_from(self.told.len()).unwrap_or(u32::MAX)
+    }
+
     /// Everything.
     pub fn all(&self, now: Time) -> Tally {
         self.all_but(None, now)
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -27,6 +27,13 @@
 /// How long an answer waits for something new.
 const WAIT: Duration = Duration::from_millis(200);
 
+/// Changes are gathered for this long for each follower before they are told to entry hosts:
+/// a control host with many of them answers each less often.
+const GATHER_EACH: Duration = Duration::from_millis(1);
+
+/// The longest time for which changes are gathered.
+const GATHER_MOST: Duration = Duration::from_millis(100);
+
 /// What control hosts offer to the others and to entry hosts.
 pub(crate) fn methods(methods: Methods<Control>) -> Methods<Control> {
     methods
@@ -60,6 +67,10 @@
     if !is_new(&control) {
         control.news.wait(WAIT).await;
     }
+    if call.watcher == Watcher::Entry && is_new(&control) {
+        let followers = control.crowd.borrow().followers();
+        compio::time::sleep((GATHER_EACH * followers).min(GATHER_MOST)).await;
+    }
     if needs_leader && !control.leads() {
         let leader = control.known_leader();
         return Watched::NotLeading { leader };
