A server's queue of new connections is never shorter than 1,024

Cause: made as long as the server's bound, it was shorter than before where the bound is small: of 30 connections to a server for 20, nine waited a second for their handshake to be sent again instead of being closed at once.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -119,6 +119,10 @@
     }
 }
 
+/// Connections that may arrive together at least, whatever a server's bound: those that are
+/// too many are taken and closed at once.
+const QUEUE: usize = 1024;
+
 /// As many connections as are taken may also arrive together: what the queue of the
 /// operating system drops is sent again only after a second.
 async fn listen(addr: SocketAddr, bounds: Bounds) -> io::Result<TcpListener> {
@@ -128,7 +132,7 @@
     };
     socket.set_reuseaddr(true)?;
     socket.bind(addr).await?;
-    let queue = i32::try_from(bounds.connections).unwrap_or(i32::MAX);
+    let queue = i32::try_from(bounds.connections.max(QUEUE)).unwrap_or(i32::MAX);
     socket.listen(queue).await
 }
 
--- a/crates/net/tests/burst.rs
+++ b/crates/net/tests/burst.rs
@@ -14,17 +14,29 @@
 /// Shorter than the second after which a dropped handshake is sent again.
 const PATIENCE: Duration = Duration::from_millis(500);
 
-#[test]
-fn a_burst_up_to_the_bound_connects_while_the_loop_is_busy() {
+/// How many of `count` connect at once to a server whose loop does not run.
+fn connected(bounds: Bounds, count: usize) -> usize {
     let runtime = Runtime::new().unwrap();
-    let bounds = Bounds::default();
     let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
     let answer = |_| async { Response::new(Body::whole("")) };
     let server = runtime.block_on(Server::bind(any, bounds, answer)).unwrap();
     let connect = |_| TcpStream::connect_timeout(&server.addr(), PATIENCE);
-    let connected: Vec<_> = (0..bounds.connections)
-        .map(connect)
-        .take_while(Result::is_ok)
-        .collect();
-    assert_eq!(connected.len(), bounds.connections);
+    let connected: Vec<_> = (0..count).map(connect).take_while(Result::is_ok).collect();
+    connected.len()
+}
+
+#[test]
+fn a_burst_up_to_the_bound_connects_while_the_loop_is_busy() {
+    let bounds = Bounds::default();
+    assert_eq!(connected(bounds, bounds.connections), bounds.connections);
+}
+
+#[test]
+fn what_comes_beyond_a_small_bound_is_not_left_waiting() {
+    // The server closes at once what is too many; to do so it has to get it.
+    let bounds = Bounds {
+        connections: 20,
+        ..Bounds::default()
+    };
+    assert_eq!(connected(bounds, 200), 200);
 }
