A first host that says it is gone is told to leave before its hosts join elsewhere

Cause: a host that stops says that it is gone and then finishes what it has. Ruled out: an order of an earlier term (all orders were of term 3), a leader that had not heard it (it had, and was asked about it 42 times). Now it stays known, drains as any host that leaves, and is told to leave; probes find out if it dies. Open: a leader that begins after the host said so does not know of it.

--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -126,9 +126,25 @@
         }
     }
 
-    /// Takes that a host is gone.
+    /// Takes that a host says that it is gone. A first host may still finish what it has:
+    /// it is kept until its replica has ended, so that it can be told to leave.
     pub fn gone(&mut self, id: &UpstreamId) {
-        self.hosts.remove(id);
+        let leads = self.leads_a_replica(id);
+        match self.hosts.get_mut(id).filter(|_| leads) {
+            Some(host) => {
+                host.said.leaving = true;
+                host.is_gone = true;
+            }
+            None => {
+                self.hosts.remove(id);
+            }
+        }
+    }
+
+    /// Whether a host is the first one of a replica that holds its hosts.
+    fn leads_a_replica(&self, id: &UpstreamId) -> bool {
+        let mut holding = self.replicas.values().filter(|r| r.holds_hosts());
+        holding.any(|replica| replica.head.as_ref().is_some_and(|(head, _)| head == id))
     }
 
     /// Takes that a host does not answer, though it was asked.
@@ -337,6 +353,12 @@
     /// Forgets hosts that nobody has heard of for long, and replicas that nobody reports.
     fn forget(&mut self, now: Time) {
         let forget = 10 * self.cfg.head_wait;
+        let gone = self.hosts.iter().filter(|(_, host)| host.is_gone);
+        let over = gone.filter(|(id, _)| !self.leads_a_replica(id));
+        let over: Vec<UpstreamId> = over.map(|(id, _)| id.clone()).collect();
+        for id in over {
+            self.hosts.remove(&id);
+        }
         self.hosts.retain(|_, host| now.since(host.heard) < forget);
         self.replicas
             .retain(|_, replica| replica.holds_hosts() || now.since(replica.since) < forget);
--- a/crates/form/src/host.rs
+++ b/crates/form/src/host.rs
@@ -16,6 +16,8 @@
 pub(crate) struct Host {
     pub said: Announcement,
     pub heard: Time,
+    /// It said that it is gone, and may still finish what it has.
+    pub is_gone: bool,
     /// Since when it does not answer, though it was asked.
     pub lost: Option<Time>,
     /// The order whose outcome is not known yet.
@@ -42,6 +44,7 @@
             begun: is_new.then_some(0),
             said,
             heard: now,
+            is_gone: false,
             lost: None,
             order: None,
             staging: None,
--- a/crates/form/tests/repair.rs
+++ b/crates/form/tests/repair.rs
@@ -299,3 +299,30 @@
     world.run(secs(12));
     assert!(world.hosts[&head].part.is_some(), "it serves again");
 }
+
+#[test]
+fn a_first_host_that_says_it_is_gone_and_serves_on_keeps_its_hosts_until_it_has_left() {
+    for seed in 0..20 {
+        let mut world = formed(seed);
+        world.begin_traffic();
+        let head = member(&world, 0);
+        let epoch = world.hosts[&head].part.as_ref().unwrap().epoch;
+        world.say_gone(&head);
+        world.run(secs(8));
+        let part = world.hosts[&head].part.as_ref();
+        assert!(part.is_none_or(|part| part.epoch != epoch), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_first_host_that_said_it_was_gone_and_died_binds_its_hosts_no_longer_than_another() {
+    let mut world = formed(4);
+    world.begin_traffic();
+    let before = world.serving("wide") + world.serving("slim");
+    let head = member(&world, 0);
+    world.say_gone(&head);
+    world.kill(&head);
+    world.run(secs(9));
+    let after = world.serving("wide") + world.serving("slim");
+    assert!(before <= after + 1, "{before} before, {after} after");
+}
--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -64,6 +64,8 @@
     /// Cut off from the controller, though it lives.
     pub cut: bool,
     pub leaving: bool,
+    /// It said that it is gone, and finishes what it has.
+    pub gone: bool,
     pub staged: Option<ModelName>,
     pub loading: Option<(ModelName, Time)>,
     pub warm: Option<ModelName>,
@@ -167,6 +169,7 @@
             staged: None,
             loading: None,
             warm: None,
+            gone: false,
             seen_epoch: Fence(0),
             part: None,
             model: None,
@@ -183,6 +186,12 @@
         host.up = false;
     }
 
+    /// A host says that it is gone and lives on for a while.
+    pub fn say_gone(&mut self, id: &UpstreamId) {
+        self.hosts.get_mut(id).unwrap().gone = true;
+        self.controller.gone(id);
+    }
+
     pub fn begin_traffic(&mut self) {
         self.traffic = true;
         self.controller.traffic_began();
@@ -313,7 +322,11 @@
     fn announce(&mut self) {
         let now = self.now;
         let mut said = Vec::new();
-        for host in self.hosts.values_mut().filter(|host| host.up && !host.cut) {
+        for host in self
+            .hosts
+            .values_mut()
+            .filter(|host| host.up && !host.cut && !host.gone)
+        {
             if !host.changed && now < host.next_beat {
                 continue;
             }
