--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -5,6 +5,9 @@
 
 #![allow(dead_code)]
 
+mod checks;
+mod host;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -12,17 +15,14 @@
 
 use fastrand::Rng;
 
+use self::host::Host;
+use self::host::Part;
+use self::host::announcement;
 use base::Fence;
-use base::Incarnation;
-use base::ModelName;
-use base::ReplicaName;
 use base::Time;
 use base::UpstreamId;
-use fleet::Announcement;
 use fleet::Engine;
 use fleet::EngineModel;
-use fleet::EngineReport;
-use fleet::Place;
 use fleet::PlaceState;
 use form::Action;
 use form::Config;
@@ -42,42 +42,6 @@
     pub late: f64,
 }
 
-#[derive(Clone, Debug)]
-pub struct Part {
-    pub name: ReplicaName,
-    pub epoch: Fence,
-    pub hosts: Vec<UpstreamId>,
-    pub state: PlaceState,
-    /// When the join ends.
-    pub until: Time,
-    /// When an order to open takes effect.
-    pub opening: Option<Time>,
-}
-
-#[derive(Clone, Debug)]
-pub struct Host {
-    pub id: UpstreamId,
-    pub domain: String,
-    pub life: u64,
-    pub sequence: u64,
-    pub up: bool,
-    /// Cut off from the controller, though it lives.
-    pub cut: bool,
-    pub leaving: bool,
-    /// It said that it is gone, and finishes what it has.
-    pub gone: bool,
-    pub staged: Option<ModelName>,
-    pub loading: Option<(ModelName, Time)>,
-    pub warm: Option<ModelName>,
-    pub seen_epoch: Fence,
-    pub part: Option<Part>,
-    pub model: Option<ModelName>,
-    /// Orders that it has begun.
-    pub begun: u64,
-    next_beat: Time,
-    changed: bool,
-}
-
 pub struct World {
     pub now: Time,
     pub engine: Engine,
@@ -470,58 +434,4 @@
             }
         }
     }
-
-    /// No host joins elsewhere while the first host of its replica serves.
-    fn check_join(&self, host: &Host, epoch: Fence) {
-        let Some(part) = host.part.as_ref().filter(|part| part.epoch != epoch) else {
-            return;
-        };
-        let head = &self.hosts[&part.hosts[0]];
-        let old = head.part.as_ref().filter(|p| p.epoch == part.epoch);
-        let serves =
-            old.is_some_and(|part| part.state == PlaceState::Open || part.opening.is_some());
-        assert!(
-            !(head.up && serves),
-            "{}: {} joins {epoch} while {} serves {}",
-            self.now,
-            host.id,
-            head.id,
-            part.name
-        );
-    }
-
-    /// Nothing is directed to a replica of which a host was never ready.
-    fn check_serving(&self) {
-        let directions = self.controller.directions().unwrap_or_default();
-        for serving in directions.serving {
-            let width = self.engine.model(&serving.model).unwrap().width;
-            let ready = self.ready.get(&serving.epoch).map_or(0, BTreeSet::len);
-            assert!(width <= ready, "{}: {serving:?}, {ready} ready", self.now);
-        }
-    }
-}
-
-fn announcement(host: &Host) -> Announcement {
-    let rank = |part: &Part| part.hosts.iter().position(|id| *id == host.id).unwrap_or(0);
-    Announcement {
-        id: host.id.clone(),
-        life: Incarnation(host.life),
-        sequence: host.sequence,
-        service: "lm".parse().unwrap(),
-        addr: "127.0.0.1:1".parse().unwrap(),
-        centre: "c0".parse().unwrap(),
-        slots: 17,
-        leaving: host.leaving,
-        cold_left: Duration::ZERO,
-        engine: Some(EngineReport {
-            domain: Some(host.domain.parse().unwrap()),
-            staged: host.staged.iter().cloned().collect(),
-            place: host.part.as_ref().map(|part| Place {
-                replica: part.name.clone(),
-                epoch: part.epoch,
-                rank: rank(part) as u32,
-                state: part.state,
-            }),
-        }),
-    }
 }
