Bounds that no process could keep are refused; the product fills in what is not set

Cause: a negative or endless time in the settings' bounds ended the program with a panic at its start (Duration::from_secs_f64), and retry bounds were not checked at all. Ruled out: the other bounds, which are whole numbers and cannot be negative.

--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -19,10 +19,10 @@
 use std::time::Duration;
 
 use crate::bell::Bell;
+use crate::bounds::RetryTerms;
 use crate::entry::metrics::Metrics;
 use crate::platform::Platform;
 use crate::pool::Pool;
-use crate::settings::RetryTerms;
 use crate::settings::Settings;
 use base::Fence;
 use base::ModelName;
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -7,6 +7,7 @@
 //! What a platform calls its fields, headers and paths is behind [`Platform`].
 
 mod bell;
+mod bounds;
 mod control;
 mod entry;
 mod events;
@@ -18,6 +19,10 @@
 mod settings;
 mod window;
 
+pub use bounds::BoundError;
+pub use bounds::RetrySettings;
+pub use bounds::RetryTerms;
+pub use bounds::seconds;
 pub use control::ControlSettings;
 pub use entry::EntrySettings;
 pub use events::catalogue;
@@ -28,7 +33,6 @@
 pub use run::RunError;
 pub use run::run;
 pub use settings::REVOKE_WITHIN;
-pub use settings::RetryTerms;
 pub use settings::STILL_LIMIT;
 pub use settings::STOP_WITHIN;
 pub use settings::Settings;
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -10,27 +10,6 @@
 use base::CentreName;
 use base::NodeId;
 
-/// How many retries the whole deployment may make.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RetryTerms {
-    /// Retries for each request.
-    pub ratio: f64,
-    /// Retries beyond that in a window.
-    pub slack: f64,
-    /// The window.
-    pub window: Duration,
-}
-
-impl Default for RetryTerms {
-    fn default() -> Self {
-        Self {
-            ratio: 0.2,
-            slack: 100.0,
-            window: Duration::from_secs(10),
-        }
-    }
-}
-
 /// How long a process may take to stop, where nothing is set.
 pub const STOP_WITHIN: Duration = Duration::from_secs(8);
 
