Losses: answers are logged with what was late, and a reader counts what became of requests

Cause: the log said when an answer came, but not whether that was on time, nor that a pause between two events was too long. No policy changes.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,4 +1,5 @@
-//! Compares the design with simpler alternatives: `bench <measure> [--seed N] [--json]`.
+//! Compares the design with simpler alternatives: `bench <measure> [--seed N] [--json]`; or reads
+//! the logs of a deployment: `bench --losses FILE`.
 
 mod config;
 mod control;
@@ -6,11 +7,14 @@
 mod downtime;
 mod hol;
 mod load;
+mod losses;
 mod nodes;
 mod order;
 mod path;
 mod report;
 
+use std::path::PathBuf;
+
 use gumdrop::Options;
 
 use crate::report::Report;
@@ -24,6 +28,8 @@
     seed: u64,
     #[options(help = "write JSON instead of text")]
     json: bool,
+    #[options(help = "read a deployment's logs and show where requests are lost")]
+    losses: Option<PathBuf>,
     #[options(
         free,
         help = "config, control, crest, downtime, hol, nodes, order, path or all"
@@ -53,6 +59,15 @@
         eprintln!("unknown measure \"{unknown}\"");
         std::process::exit(2);
     }
+    if let Some(file) = &args.losses {
+        match losses::read(file) {
+            Ok(report) => print_report(&report, args.json),
+            Err(e) => {
+                eprintln!("cannot read {}: {e}", file.display());
+                std::process::exit(1);
+            }
+        }
+    }
     for (name, run) in MEASURES {
         if is_wanted(name) {
             print_report(&run(args.seed), args.json);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -30,6 +30,7 @@
 pub use roster::RosterChange;
 pub use roster::RosterEntry;
 pub use roster::UpdateOutcome;
+pub use route::Punctuality;
 pub use route::RequestKind;
 pub use route::Route;
 pub use route::ServiceShare;
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -35,6 +35,28 @@
     }
 }
 
+/// Whether an answer was within its route's targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Punctuality {
+    /// All targets were met.
+    OnTime,
+    /// The first event, or a whole answer, came too late.
+    LateStart,
+    /// Two events were too far apart.
+    LongGap,
+}
+
+impl Punctuality {
+    /// What was late, for the log.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::OnTime => "no",
+            Self::LateStart => "start",
+            Self::LongGap => "gap",
+        }
+    }
+}
+
 /// A service and its share of a route's requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceShare {
@@ -74,6 +96,18 @@
 }
 
 impl Route {
+    /// Whether an answer was on time, by the time until its first event, or until a whole
+    /// answer, and by the longest time between two events.
+    pub fn punctuality(&self, first: Duration, longest_gap: Duration) -> Punctuality {
+        if self.latency_target < first {
+            return Punctuality::LateStart;
+        }
+        match self.event_gap_target {
+            Some(target) if target < longest_gap => Punctuality::LongGap,
+            _ => Punctuality::OnTime,
+        }
+    }
+
     /// The service for a number that is drawn uniformly from `0..total_weight`.
     pub fn service_for_draw(&self, drawn: u64) -> Option<&ServiceName> {
         let mut left = drawn;
--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -44,6 +44,8 @@
     first_event_at: Option<Time>,
     /// When the last complete event arrived.
     last_event_at: Time,
+    /// The longest time between two events so far.
+    longest_gap: Duration,
     /// While the target is stalled, another one is tried only after this time.
     retry_stalled_at: Time,
     is_over: bool,
@@ -82,6 +84,7 @@
         events: EventSplitter::resume_after(after),
         first_event_at: None,
         last_event_at: clock::now(),
+        longest_gap: Duration::ZERO,
         retry_stalled_at: Time::ZERO,
         is_over: false,
     };
@@ -178,6 +181,9 @@
 
     fn pass_on(&mut self, bytes: Vec<u8>) -> Bytes {
         let now = clock::now();
+        if self.first_event_at.is_some() {
+            self.longest_gap = self.longest_gap.max(now.since(self.last_event_at));
+        }
         self.first_event_at.get_or_insert(now);
         self.last_event_at = now;
         if let Some(source) = &mut self.source {
@@ -249,7 +255,7 @@
         }
         let first = self.first_event_at.unwrap_or(self.last_event_at);
         self.forwarder
-            .record_answer(&self.target, StatusCode::OK, first);
+            .record_answer(&self.target, StatusCode::OK, first, self.longest_gap);
     }
 
     fn break_off(&mut self, why: &str) -> BodyAborted {
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -257,7 +257,7 @@
                 .borrow_mut()
                 .record_success(&id, clock::now());
         }
-        self.record_answer(target, head.status, first);
+        self.record_answer(target, head.status, first, Duration::ZERO);
         let mut answer = Response::new(Body::whole(body));
         *answer.status_mut() = head.status;
         *answer.headers_mut() = end_to_end(&head.headers);
@@ -265,9 +265,17 @@
         Ok(answer)
     }
 
-    /// Records an answer that is passed on in the metrics and the log.
-    pub fn record_answer(&self, target: &Target, status: StatusCode, first: Time) {
+    /// Records an answer that is passed on in the metrics and the log. `longest_gap` is the
+    /// longest time between two of its events.
+    pub fn record_answer(
+        &self,
+        target: &Target,
+        status: StatusCode,
+        first: Time,
+        longest_gap: Duration,
+    ) {
         let first = first.since(self.arrived);
+        let punctuality = self.route.punctuality(first, longest_gap);
         let total = clock::now().since(self.arrived);
         if let Some(model) = &self.model {
             let mut arrivals = self.entry.arrivals.borrow_mut();
@@ -288,6 +296,7 @@
             attempts: self.attempts,
             first_ms: first.as_millis(),
             total_ms: total.as_millis(),
+            late: punctuality.text(),
         });
     }
 
