Entry hosts learn each other's loads sooner, and prefer targets in their data centre more

Cause: with reports every 200 ms from entry host to control host, 100 ms between control hosts and 200 ms back, loads were some 350 ms old, while a prompt takes some 50 ms to read: entry hosts chose the same target, and first events of the wide model waited 200 ms and more at three quarters of its capacity. Change: a watch call waits 8 ms per follower, 30 to 200 ms; reports between control hosts each 25 ms at most; a target in another data centre costs 0.4 of a slot more in place of 0.15, so that fewer entry hosts share a target.

--- a/crates/forward/src/load_aggregator.rs
+++ b/crates/forward/src/load_aggregator.rs
@@ -21,10 +21,10 @@
 const ENTRY_TTL: Duration = Duration::from_secs(11);
 
 /// The shortest time between two sums of the load for entry hosts.
-const SUM_INTERVAL: Duration = Duration::from_millis(50);
+const SUM_INTERVAL: Duration = Duration::from_millis(25);
 
 /// The shortest time between two load reports from one control host to another.
-const CONTROL_INTERVAL: Duration = Duration::from_millis(100);
+const CONTROL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Target loads that a control host sends to all its followers together, per second. Each
 /// costs processor time to encode and decode.
--- a/crates/forward/src/target_table.rs
+++ b/crates/forward/src/target_table.rs
@@ -32,7 +32,7 @@
 const STALL_EXCLUSION: Duration = Duration::from_millis(1_500);
 
 /// Extra cost of a target in another data centre, in requests per slot.
-const REMOTE_COST: f64 = 0.15;
+const REMOTE_COST: f64 = 0.4;
 
 /// Cost of one second of unread prompts, in requests per slot. Prompts are read one after
 /// the other, so a new request waits for all of them before its first event.
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -25,9 +25,18 @@
 use net::RpcMethods;
 use quorum::clock;
 
-/// How long a watch call waits for a change.
+/// The longest time that a watch call waits for a change. With the calls, and so at least this
+/// often, loads are exchanged.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(200);
 
+/// A watch call waits this long per follower, because each call costs processor time on this
+/// host. With few followers loads are exchanged more often: prompts take some 50 ms to read, so
+/// entry hosts that know each other's requests much later choose the same target.
+const WATCH_WAIT_PER_FOLLOWER: Duration = Duration::from_millis(8);
+
+/// The shortest time that a watch call waits for a change.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(30);
+
 /// Changes for entry hosts are batched for this long per follower, so that a control host with
 /// many followers answers each of them less often.
 const BATCH_DELAY_PER_FOLLOWER: Duration = Duration::from_millis(1);
@@ -70,7 +79,7 @@
             || call.edition < control.routing_table.borrow().edition
     };
     if !has_newer(&control) {
-        control.watch_changed.wait(MAX_WATCH_WAIT).await;
+        control.watch_changed.wait(watch_wait(&control)).await;
     }
     if call.watcher == Watcher::Entry && has_newer(&control) {
         let followers = control.loads.borrow().follower_count();
@@ -93,6 +102,12 @@
     WatchReply::Update(Box::new(update))
 }
 
+/// How long a watch call waits for a change.
+fn watch_wait(control: &ControlHost) -> Duration {
+    let followers = control.loads.borrow().follower_count();
+    (WATCH_WAIT_PER_FOLLOWER * followers).clamp(MIN_WATCH_WAIT, MAX_WATCH_WAIT)
+}
+
 fn update_since(control: &ControlHost, since: Revision) -> WatchUpdate {
     let now = clock::now();
     let confirmed_ago = match control.is_leader() {
