Entry hosts expect what others send between two reports

Cause: all entry hosts chose by the same reported backlog, which is as old as several prompts take to read, and sent to the same replica. Change: of the reported backlog of others 0.4 counts, and each own send of the last 100 ms stands for two more of others.

--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::Health;
+use crate::RecentSends;
 use base::CentreName;
 use base::Incarnation;
 use base::ModelName;
@@ -10,6 +11,14 @@
 use base::Time;
 use base::UpstreamId;
 
+/// The part of the reported backlog of other entry hosts that counts. The rest has been read
+/// since, or was sent elsewhere.
+const REPORTED_SHARE: f64 = 0.4;
+
+/// What other entry hosts send to a target that this one sends to, as a multiple, in the time
+/// that reports take. They choose by the same reports.
+const SENDS_OF_OTHERS: f64 = 2.0;
+
 /// A process in one of its incarnations.
 pub type TargetId = (UpstreamId, Incarnation);
 
@@ -45,6 +54,8 @@
     pub own_prompt_secs: f64,
     /// The same for the requests of other entry hosts, as last reported, in seconds.
     pub other_prompt_secs: f64,
+    /// What this entry host sent lately.
+    pub recent_sends: RecentSends,
     /// Streams of this entry host at the target that have produced an event.
     pub streams: u32,
     /// When the target last produced output for this entry host.
@@ -54,6 +65,14 @@
 }
 
 impl Target {
+    /// The prompts that the target has probably not read yet, in seconds of reading: those of
+    /// this entry host, part of the reported ones of others, and what others probably sent
+    /// since their reports.
+    pub fn expected_backlog(&self, now: Time) -> f64 {
+        let others_since = SENDS_OF_OTHERS * self.recent_sends.prompt_secs(now);
+        self.own_prompt_secs + REPORTED_SHARE * self.other_prompt_secs + others_since
+    }
+
     /// Requests of all entry hosts at the target, as far as this one knows.
     pub fn load(&self) -> u32 {
         self.own_requests + self.other_requests
--- a/crates/forward/src/target_table.rs
+++ b/crates/forward/src/target_table.rs
@@ -109,6 +109,7 @@
                 target.own_prompt_secs = known.own_prompt_secs;
                 target.other_prompt_secs = known.other_prompt_secs;
                 target.other_requests = known.other_requests;
+                target.recent_sends = known.recent_sends;
                 target.health = known.health;
                 target.last_output = known.last_output;
                 target.busy_since = known.busy_since;
@@ -174,7 +175,7 @@
                 REMOTE_COST
             };
             let fill = f64::from(t.load()) / f64::from(t.slots.max(1));
-            let reading = PROMPT_COST * (t.own_prompt_secs + t.other_prompt_secs);
+            let reading = PROMPT_COST * t.expected_backlog(now);
             fill * t.time_factor + reading + remote + random * RANDOM_COST
         };
         let best = choices
@@ -196,6 +197,7 @@
     pub fn record_sent(&mut self, id: &TargetId, prompt_secs: f64, now: Time) {
         if let Some(target) = self.known(id) {
             target.own_prompt_secs += prompt_secs;
+            target.recent_sends.record(prompt_secs, now);
             if target.own_requests == 0 {
                 target.busy_since = now;
             }
--- a/crates/forward/tests/target_table.rs
+++ b/crates/forward/tests/target_table.rs
@@ -9,6 +9,7 @@
 use forward::ChooseError;
 use forward::Health;
 use forward::Load;
+use forward::RecentSends;
 use forward::Target;
 use forward::TargetId;
 use forward::TargetQuery;
@@ -28,6 +29,7 @@
         other_requests: 0,
         own_prompt_secs: 0.0,
         other_prompt_secs: 0.0,
+        recent_sends: RecentSends::default(),
         streams: 0,
         health: Health::default(),
         last_output: Time::ZERO,
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -32,6 +32,7 @@
 use forward::Load;
 use forward::LoadReport;
 use forward::ModelWork;
+use forward::RecentSends;
 use forward::Target;
 use forward::TargetLoad;
 use quorum::clock;
@@ -363,6 +364,7 @@
         other_requests: 0,
         own_prompt_secs: 0.0,
         other_prompt_secs: 0.0,
+        recent_sends: RecentSends::default(),
         streams: 0,
         health: Health::default(),
         last_output: Time::ZERO,
