--- a/crates/forward/tests/stale_views.rs
+++ b/crates/forward/tests/stale_views.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use fastrand::Rng;
@@ -54,7 +55,7 @@
 
 #[derive(Default)]
 struct Replica {
-    queue: Vec<Queued>,
+    queue: VecDeque<Queued>,
     reading_until: Option<Time>,
 }
 
@@ -84,90 +85,138 @@
     ms as f64 / 1_000.0
 }
 
-/// The share of the requests that are on time.
-fn share_on_time(choice: Choice, seed: u64) -> f64 {
-    let mut rng = Rng::with_seed(seed);
-    let hosts = CENTRES.len() * HOSTS_PER_CENTRE;
-    let mut tables: Vec<TargetTable> = (0..hosts)
-        .map(|host| {
+/// Entry hosts and replicas in virtual time.
+struct World {
+    now: Time,
+    rng: Rng,
+    choice: Choice,
+    ids: Vec<UpstreamId>,
+    tables: Vec<TargetTable>,
+    replicas: Vec<Replica>,
+    /// The replica that each entry host chose last.
+    turns: Vec<usize>,
+    /// Loads, and when entry hosts learn them.
+    reports: VecDeque<(Time, BTreeMap<UpstreamId, Load>)>,
+    requests: u32,
+    on_time: u32,
+}
+
+impl World {
+    fn new(choice: Choice, seed: u64) -> Self {
+        let mut rng = Rng::with_seed(seed);
+        let hosts = CENTRES.len() * HOSTS_PER_CENTRE;
+        let table = |host: usize| {
             let centre = CENTRES[host / HOSTS_PER_CENTRE].parse().unwrap();
-            let mut table = TargetTable::new(centre, rng.u64(..));
+            let mut table = TargetTable::new(centre, seed + host as u64);
             table.set_targets((0..REPLICAS).map(target).collect());
             table
-        })
-        .collect();
-    let mut replicas: Vec<Replica> = (0..REPLICAS).map(|_| Replica::default()).collect();
-    let ids: Vec<UpstreamId> = (0..REPLICAS).map(|at| target(at).id).collect();
-    let (service, model) = ("s".parse().unwrap(), "wide".parse().unwrap());
-    let nothing_to_avoid = BTreeSet::new();
-    let (mut all, mut on_time) = (0_u32, 0_u32);
-    let mut turns: Vec<usize> = (0..hosts).map(|_| rng.usize(..REPLICAS)).collect();
-    let mut now = Time::from_millis(1_000);
-    let end = now + LENGTH;
-    let mut reports: Vec<(Time, BTreeMap<UpstreamId, Load>)> = Vec::new();
-    while now < end {
-        now = now + STEP;
-        if let Choice::ByLoad(age) = choice {
-            let known = |id: &UpstreamId| Load {
-                requests: tables.iter().map(|t| t.get(id).unwrap().own_requests).sum(),
-                backlog: tables
-                    .iter()
-                    .map(|t| t.get(id).unwrap().own_prompt_secs)
-                    .sum(),
-            };
-            let loads = ids.iter().map(|id| (id.clone(), known(id))).collect();
-            reports.push((now + age, loads));
-            while reports.first().is_some_and(|(at, _)| *at <= now) {
-                let (_, loads) = reports.remove(0);
-                tables.iter_mut().for_each(|t| t.set_total_loads(&loads));
-            }
+        };
+        Self {
+            now: Time::from_millis(1_000),
+            choice,
+            ids: (0..REPLICAS).map(|at| target(at).id).collect(),
+            tables: (0..hosts).map(table).collect(),
+            replicas: (0..REPLICAS).map(|_| Replica::default()).collect(),
+            turns: (0..hosts).map(|_| rng.usize(..REPLICAS)).collect(),
+            reports: VecDeque::new(),
+            requests: 0,
+            on_time: 0,
+            rng,
         }
-        if rng.f64() < ARRIVALS_PER_SEC * STEP.as_secs_f64() {
-            let host = rng.usize(..hosts);
-            let chosen = match choice {
-                Choice::ByLoad(_) => {
-                    let query = TargetQuery {
-                        service: &service,
-                        model: Some(&model),
-                        avoid: &nothing_to_avoid,
-                    };
-                    let chosen = tables[host].choose(&query, now).ok();
-                    chosen.and_then(|target| ids.iter().position(|id| *id == target.id))
-                }
-                Choice::RoundRobin => {
-                    turns[host] = (turns[host] + 1) % REPLICAS;
-                    Some(turns[host])
-                }
-            };
-            all += 1;
-            if let Some(at) = chosen {
-                let id = (ids[at].clone(), Incarnation(1));
-                let reading_ms = rng.u64(0..2 * READING_MS);
-                tables[host].record_sent(&id, secs(reading_ms), now);
-                replicas[at].queue.push(Queued {
-                    entry_host: host,
-                    arrived: now,
-                    reading_ms,
-                });
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        if let Choice::ByLoad(age) = self.choice {
+            self.exchange_loads(age);
+        }
+        if self.rng.f64() < ARRIVALS_PER_SEC * STEP.as_secs_f64() {
+            self.send_request();
+        }
+        for at in 0..REPLICAS {
+            self.advance_replica(at);
+        }
+    }
+
+    fn exchange_loads(&mut self, age: Duration) {
+        let load = |id: &UpstreamId| {
+            let targets = || self.tables.iter().filter_map(|table| table.get(id));
+            Load {
+                requests: targets().map(|target| target.own_requests).sum(),
+                backlog: targets().map(|target| target.own_prompt_secs).sum(),
+            }
+        };
+        let loads = self.ids.iter().map(|id| (id.clone(), load(id))).collect();
+        self.reports.push_back((self.now + age, loads));
+        while self.reports.front().is_some_and(|(at, _)| *at <= self.now) {
+            let (_, loads) = self.reports.pop_front().unwrap();
+            for table in &mut self.tables {
+                table.set_total_loads(&loads);
             }
         }
-        for (at, replica) in replicas.iter_mut().enumerate() {
-            if replica.reading_until.is_some_and(|until| until <= now) {
-                let read = replica.queue.remove(0);
-                let id = (ids[at].clone(), Incarnation(1));
-                tables[read.entry_host].record_prompt_read(&id, secs(read.reading_ms));
-                tables[read.entry_host].record_ended(&id);
-                on_time += u32::from(now.since(read.arrived) <= LATENCY_TARGET);
-                replica.reading_until = None;
+    }
+
+    fn send_request(&mut self) {
+        let host = self.rng.usize(..self.tables.len());
+        self.requests += 1;
+        let Some(at) = self.choose(host) else {
+            return;
+        };
+        let reading_ms = self.rng.u64(0..2 * READING_MS);
+        let id = (self.ids[at].clone(), Incarnation(1));
+        self.tables[host].record_sent(&id, secs(reading_ms), self.now);
+        self.replicas[at].queue.push_back(Queued {
+            entry_host: host,
+            arrived: self.now,
+            reading_ms,
+        });
+    }
+
+    fn choose(&mut self, host: usize) -> Option<usize> {
+        match self.choice {
+            Choice::ByLoad(_) => {
+                let query = TargetQuery {
+                    service: &"s".parse().unwrap(),
+                    model: Some(&"wide".parse().unwrap()),
+                    avoid: &BTreeSet::new(),
+                };
+                let target = self.tables[host].choose(&query, self.now).ok()?;
+                self.ids.iter().position(|id| *id == target.id)
             }
-            if replica.reading_until.is_none()
-                && let Some(next) = replica.queue.first()
-            {
-                replica.reading_until = Some(now + Duration::from_millis(next.reading_ms));
+            Choice::RoundRobin => {
+                self.turns[host] = (self.turns[host] + 1) % REPLICAS;
+                Some(self.turns[host])
             }
         }
     }
-    f64::from(on_time) / f64::from(all)
+
+    /// Ends the prompt that a replica has read, and begins the next one.
+    fn advance_replica(&mut self, at: usize) {
+        let replica = &mut self.replicas[at];
+        if replica.reading_until.is_some_and(|until| until <= self.now) {
+            replica.reading_until = None;
+            let read = replica.queue.pop_front().unwrap();
+            let id = (self.ids[at].clone(), Incarnation(1));
+            let table = &mut self.tables[read.entry_host];
+            table.record_prompt_read(&id, secs(read.reading_ms));
+            table.record_ended(&id);
+            self.on_time += u32::from(self.now.since(read.arrived) <= LATENCY_TARGET);
+        }
+        let next = replica.queue.front().map(|next| next.reading_ms);
+        if replica.reading_until.is_none() {
+            replica.reading_until = next.map(|ms| self.now + Duration::from_millis(ms));
+        }
+    }
+}
+
+/// The share of the requests that are on time.
+fn share_on_time(choice: Choice, seed: u64) -> f64 {
+    let mut world = World::new(choice, seed);
+    let end = world.now + LENGTH;
+    while world.now < end {
+        world.step();
+    }
+    f64::from(world.on_time) / f64::from(world.requests)
 }
 
 fn mean(choice: Choice) -> f64 {
