Exchange replicas of one model for those of another that its requests need more

Cause: survivors of wide replicas lay idle, three in a domain, while the wide model's classes were late and the narrow model had more than it needed; and after a dark domain nothing was exchanged although one model's requests were refused. A draining replica stays in the routing table, takes no new requests, and its head leaves once entry hosts report none. Also: the shape of the log and the entry host's targets are modules of their own.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -35,5 +35,6 @@
 pub use route::Route;
 pub use route::ServiceShare;
 pub use routing_table::Edition;
+pub use routing_table::Intake;
 pub use routing_table::RoutingTable;
 pub use routing_table::ServingReplica;
--- a/crates/fleet/src/routing_table.rs
+++ b/crates/fleet/src/routing_table.rs
@@ -20,7 +20,23 @@
     pub count: u64,
 }
 
-/// A replica that requests may be sent to.
+/// Whether a replica takes new requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Intake {
+    /// New requests may be sent to it.
+    #[default]
+    Open,
+    /// It finishes the requests that it has.
+    Draining,
+}
+
+impl Intake {
+    fn is_open(&self) -> bool {
+        *self == Self::Open
+    }
+}
+
+/// A replica that runs requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServingReplica {
     /// The replica.
@@ -36,9 +52,12 @@
     /// The incarnation of the head host.
     #[serde(rename = "life")]
     pub incarnation: Incarnation,
+    /// Whether it takes new requests.
+    #[serde(default, skip_serializing_if = "Intake::is_open")]
+    pub intake: Intake,
 }
 
-/// All replicas that requests may be sent to.
+/// All replicas that run requests.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoutingTable {
     /// The version of this table.
--- a/crates/form/src/advance.rs
+++ b/crates/form/src/advance.rs
@@ -1,5 +1,7 @@
 //! Moves replicas from phase to phase according to what their hosts report.
 
+use std::time::Duration;
+
 use crate::Controller;
 use crate::Order;
 use crate::OrderId;
@@ -15,6 +17,10 @@
 use base::UpstreamId;
 use fleet::PlaceState;
 
+/// How long a replica drains at least: until all entry hosts know that it takes no new
+/// requests, and have reported those that it still runs.
+const MIN_DRAIN_TIME: Duration = Duration::from_millis(700);
+
 /// What a replica needs next.
 enum NextStep {
     /// Nothing yet.
@@ -122,6 +128,13 @@
                 Some(phase) => NextStep::Enter(phase),
                 None => NextStep::Wait,
             },
+            Phase::Draining(until) => match self.closing_phase(replica, now) {
+                Some(phase) => NextStep::Enter(phase),
+                None if until <= now || self.has_drained(replica, now) => {
+                    NextStep::Enter(Phase::Closing(now))
+                }
+                None => NextStep::Wait,
+            },
             Phase::Closing(not_before) => self.close_step(replica, not_before, now),
             Phase::Ended | Phase::GivenUp => match self.has_head_returned(replica) {
                 true => NextStep::Enter(Phase::Closing(now)),
@@ -130,6 +143,13 @@
         }
     }
 
+    /// Whether a draining replica has finished its requests, as far as entry hosts report.
+    fn has_drained(&self, replica: &Replica, now: Time) -> bool {
+        let head = replica.head.as_ref().map(|(id, _)| id);
+        let is_busy = head.is_some_and(|head| self.busy_heads.contains(head));
+        !is_busy && replica.phase_since + MIN_DRAIN_TIME <= now
+    }
+
     fn join_step(&self, replica: &Replica, now: Time) -> NextStep {
         if let Some(phase) = self.closing_phase(replica, now) {
             return NextStep::Enter(phase);
@@ -278,7 +298,7 @@
             leaving |= host.announcement.leaving;
         }
         let not_before = match replica.phase {
-            Phase::Serving => now + self.cfg.drain_time,
+            Phase::Serving | Phase::Draining(_) => now + self.cfg.drain_time,
             _ => now,
         };
         leaving.then_some(Phase::Closing(not_before))
@@ -291,7 +311,9 @@
             (_, Some(PlaceState::Broken)) => true,
             (Phase::Joining, _) => false,
             (_, None) => true,
-            (Phase::Serving, Some(state)) => rank == 0 && state != PlaceState::Open,
+            (Phase::Serving | Phase::Draining(_), Some(state)) => {
+                rank == 0 && state != PlaceState::Open
+            }
             _ => false,
         }
     }
@@ -302,7 +324,7 @@
     }
 
     /// The longest time that the hosts of a replica may take to become ready.
-    fn join_limit(&self, replica: &Replica) -> std::time::Duration {
+    fn join_limit(&self, replica: &Replica) -> Duration {
         let engine = self.engines.get(&replica.service);
         let model = engine.and_then(|engine| engine.model(&replica.model));
         let load_and_join = model.map(|model| model.load_time + model.join_time);
--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -1,6 +1,7 @@
 //! The controller: sends orders to the engine hosts of a deployment.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::Config;
 use crate::LoadWindow;
@@ -20,6 +21,7 @@
 use fleet::Announcement;
 use fleet::Edition;
 use fleet::EngineConfig;
+use fleet::Intake;
 use fleet::PlaceState;
 use fleet::RoutingTable;
 use fleet::ServingReplica;
@@ -38,25 +40,6 @@
     pub action: Action,
 }
 
-/// Counts of the controller's hosts and replicas. Logs contain its `Debug` text.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Shape {
-    /// Hosts that are available: neither lost, leaving nor silent for too long.
-    pub hosts: usize,
-    /// Available hosts that belong to no replica and have no pending order.
-    pub free: usize,
-    /// Free hosts without a staged or warm model.
-    pub empty: usize,
-    /// Available hosts that are staging a model.
-    pub staging: usize,
-    /// Replicas that serve requests.
-    pub serving: usize,
-    /// Replicas whose hosts are joining or that are being opened.
-    pub forming: usize,
-    /// Replicas whose head host is being ordered to leave.
-    pub closing: usize,
-}
-
 /// Sends orders to the hosts of all engines of a deployment while it holds a term.
 #[derive(Clone, Debug)]
 pub struct Controller {
@@ -67,6 +50,10 @@
     pub(crate) outstanding_orders: BTreeMap<OrderId, OutstandingOrder>,
     pub(crate) load_window: LoadWindow,
     pub(crate) busy_replicas: BTreeMap<ModelName, f64>,
+    /// Head hosts at which requests run, as entry hosts last reported.
+    pub(crate) busy_heads: BTreeSet<UpstreamId>,
+    /// When the last exchange of replicas began.
+    pub(crate) last_exchange_at: Time,
     pub(crate) last_order: OrderId,
     /// Callers' requests have begun. From then on loads take their full time and are counted.
     pub(crate) has_traffic: bool,
@@ -88,6 +75,8 @@
             outstanding_orders: BTreeMap::new(),
             load_window: LoadWindow::default(),
             busy_replicas: BTreeMap::new(),
+            busy_heads: BTreeSet::new(),
+            last_exchange_at: Time::ZERO,
             last_order: OrderId::default(),
             has_traffic: false,
             term: None,
@@ -169,6 +158,19 @@
         }
     }
 
+    /// Whether a replica drains, so that the heads at which requests run are to be recorded.
+    pub fn is_draining(&self) -> bool {
+        let phases = self.replicas.values().map(|replica| replica.phase);
+        phases
+            .into_iter()
+            .any(|phase| matches!(phase, Phase::Draining(_)))
+    }
+
+    /// Records the head hosts at which requests run.
+    pub fn record_busy_heads(&mut self, heads: BTreeSet<UpstreamId>) {
+        self.busy_heads = heads;
+    }
+
     /// Sets the term that this process holds now, if any. A new term starts without replicas
     /// and adopts those that hosts report.
     pub fn set_term(&mut self, term: Option<u64>, now: Time) {
@@ -268,7 +270,7 @@
     pub fn replica_hosts(&self, head: &UpstreamId) -> Vec<Announcement> {
         let is_led = |replica: &&Replica| {
             let is_head = replica.head.as_ref().is_some_and(|(id, _)| id == head);
-            is_head && replica.is_serving_or_forming()
+            is_head && (replica.is_serving_or_forming() || replica.runs_requests())
         };
         let Some(replica) = self.replicas.values().find(is_led) else {
             return Vec::new();
@@ -280,7 +282,8 @@
     /// The head host of the replica that a host belongs to.
     pub fn replica_head(&self, host: &UpstreamId) -> Option<&UpstreamId> {
         let mut replicas = self.replicas.values().filter(|replica| {
-            replica.is_serving_or_forming() && replica.hosts().any(|(id, _)| id == host)
+            let is_bound = replica.is_serving_or_forming() || replica.runs_requests();
+            is_bound && replica.hosts().any(|(id, _)| id == host)
         });
         replicas.next()?.head.as_ref().map(|(id, _)| id)
     }
@@ -293,30 +296,6 @@
         hosts.map(|host| host.announcement.clone()).collect()
     }
 
-    /// Counts the hosts and replicas of the controller.
-    pub fn shape(&self, now: Time) -> Shape {
-        let count = |is: fn(&Phase) -> bool| {
-            let phases = self.replicas.values().map(|r| &r.phase);
-            phases.filter(|phase| is(phase)).count()
-        };
-        let available = |host: &&Host| host.is_available(self.cfg.silence_limit, now);
-        let staging = |host: &&Host| available(host) && host.staging.is_some();
-        let free = self.free_hosts(now);
-        let is_empty = |id: &UpstreamId| {
-            let host = self.hosts.get(id);
-            host.is_some_and(|host| host.staged().is_empty() && host.warm_model.is_none())
-        };
-        Shape {
-            hosts: self.hosts.values().filter(available).count(),
-            free: free.len(),
-            empty: free.iter().filter(|id| is_empty(id)).count(),
-            staging: self.hosts.values().filter(staging).count(),
-            serving: count(|p| *p == Phase::Serving),
-            forming: count(|p| matches!(p, Phase::Joining | Phase::Opening)),
-            closing: count(|p| matches!(p, Phase::Closing(_))),
-        }
-    }
-
     pub(crate) fn next_epoch(&mut self) -> Fence {
         self.last_epoch = self.last_epoch.next();
         self.last_epoch
@@ -374,9 +353,9 @@
         });
     }
 
-    /// Updates the routing table to the replicas that serve now.
+    /// Updates the routing table to the replicas that run requests now.
     fn update_routing_table(&mut self) {
-        let serving = self.replicas.values().filter(|r| r.phase == Phase::Serving);
+        let serving = self.replicas.values().filter(|r| r.runs_requests());
         let serving_replicas: Vec<ServingReplica> = serving
             .filter_map(|replica| {
                 let (head, incarnation) = replica.head.clone()?;
@@ -387,6 +366,10 @@
                     model: replica.model.clone(),
                     head,
                     incarnation,
+                    intake: match replica.phase {
+                        Phase::Draining(_) => Intake::Draining,
+                        _ => Intake::Open,
+                    },
                 })
             })
             .collect();
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -31,6 +31,7 @@
         for (service, engine) in services {
             let layout = self.layout(&service, &engine, now);
             orders.extend(self.form_replicas(&service, &engine, &layout, now));
+            self.exchange_replicas(&service, &engine, now);
             orders.extend(self.warm_free_hosts(&service, now));
             orders.extend(self.leave_ended_replicas(&service, now));
             orders.extend(self.stage_models(&service, &engine, &layout, now));
@@ -96,7 +97,10 @@
     ) -> Vec<Order> {
         let mut orders = Vec::new();
         let mut formed = self.replica_counts(service);
-        for mut free in self.free_hosts_by_domain(service, now).into_values() {
+        let draining = self.draining_domains();
+        let mut free_hosts = self.free_hosts_by_domain(service, now);
+        free_hosts.retain(|domain, _| !draining.contains(domain));
+        for mut free in free_hosts.into_values() {
             while let Some((model, hosts)) = self.next_replica(engine, layout, &free, &formed) {
                 free.retain(|id| !hosts.contains(id));
                 formed.add(&model);
@@ -106,7 +110,7 @@
         orders
     }
 
-    fn free_hosts_by_domain(
+    pub(crate) fn free_hosts_by_domain(
         &self,
         service: &ServiceName,
         now: Time,
--- a/crates/form/src/replica.rs
+++ b/crates/form/src/replica.rs
@@ -22,6 +22,10 @@
     /// Requests are sent to the replica.
     #[display("serving")]
     Serving,
+    /// The replica takes no new requests and finishes those it has, until this time at most.
+    /// Its hosts are to form another one.
+    #[display("draining")]
+    Draining(Time),
     /// The head host is to be ordered to leave, not before this time.
     #[display("closing")]
     Closing(Time),
@@ -69,6 +73,11 @@
         !matches!(self.phase, Phase::Ended | Phase::GivenUp)
     }
 
+    /// Whether requests may run at the replica.
+    pub fn runs_requests(&self) -> bool {
+        matches!(self.phase, Phase::Serving | Phase::Draining(_))
+    }
+
     /// Whether the replica serves or is being formed.
     pub fn is_serving_or_forming(&self) -> bool {
         matches!(self.phase, Phase::Joining | Phase::Opening | Phase::Serving)
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -10,6 +10,7 @@
 use base::ServiceName;
 use base::Time;
 use base::UpstreamId;
+use fleet::Intake;
 
 /// The part of the reported backlog of other entry hosts that counts. The rest has been read
 /// since, or was sent elsewhere.
@@ -36,6 +37,8 @@
     pub service: ServiceName,
     /// The model that the target serves, if it is the first host of a replica.
     pub model: Option<ModelName>,
+    /// Whether the target takes new requests.
+    pub intake: Intake,
     /// The target's data centre.
     pub centre: CentreName,
     /// Requests that the target runs at once.
--- a/crates/forward/src/target_table.rs
+++ b/crates/forward/src/target_table.rs
@@ -18,6 +18,7 @@
 use base::ServiceName;
 use base::Time;
 use base::UpstreamId;
+use fleet::Intake;
 
 /// A target is stalled if it produced no output for this entry host for this long while
 /// streams run there. Events come more often than that, even if the target reads long prompts
@@ -146,7 +147,9 @@
     /// Chooses a target for a request.
     pub fn choose(&mut self, query: &TargetQuery<'_>, now: Time) -> Result<Target, ChooseError> {
         let fitting = self.targets.values().filter(|t| {
-            t.service == *query.service && (t.model.is_none() || t.model.as_ref() == query.model)
+            t.service == *query.service
+                && t.intake == Intake::Open
+                && (t.model.is_none() || t.model.as_ref() == query.model)
         });
         let all: Vec<&Target> = fitting.collect();
         let not_avoided = |t: &&&Target| !query.avoid.contains(&t.id);
--- a/crates/forward/tests/stale_views.rs
+++ b/crates/forward/tests/stale_views.rs
@@ -14,6 +14,7 @@
 use base::Incarnation;
 use base::Time;
 use base::UpstreamId;
+use fleet::Intake;
 use forward::Health;
 use forward::Load;
 use forward::RecentSends;
@@ -66,6 +67,7 @@
         addr: "127.0.0.1:1".parse().unwrap(),
         service: "s".parse().unwrap(),
         model: Some("wide".parse().unwrap()),
+        intake: Intake::Open,
         centre: CENTRES[at % CENTRES.len()].parse().unwrap(),
         slots: 26,
         time_factor: 1.0,
--- a/crates/forward/tests/target_table.rs
+++ b/crates/forward/tests/target_table.rs
@@ -6,6 +6,7 @@
 use base::Incarnation;
 use base::Time;
 use base::UpstreamId;
+use fleet::Intake;
 use forward::ChooseError;
 use forward::Health;
 use forward::Load;
@@ -22,6 +23,7 @@
         addr: "127.0.0.1:1".parse().unwrap(),
         service: "s".parse().unwrap(),
         model: model.map(|model| model.parse().unwrap()),
+        intake: Intake::Open,
         centre: centre.parse().unwrap(),
         slots: 4,
         time_factor: 1.0,
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -1,6 +1,7 @@
 //! The leader's work: it sends orders, publishes the routing table and accepts configurations.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use crate::message::OfferConfigReply;
 use crate::message::ReadConfigReply;
 use base::ModelName;
+use base::UpstreamId;
 use fleet::CompressedText;
 use fleet::DecompressError;
 use quorum::clock;
@@ -58,6 +60,9 @@
                 work_recorded_at = now;
                 controller.record_busy_replicas(&offered_work(&control));
             }
+            if controller.is_draining() {
+                controller.record_busy_heads(busy_heads(&control));
+            }
             controller.tick(now)
         };
         for order in orders {
@@ -82,6 +87,13 @@
     work.map(|work| (work.model, work.offered)).collect()
 }
 
+/// The targets at which requests of any entry host run.
+fn busy_heads(control: &ControlHost) -> BTreeSet<UpstreamId> {
+    let all = control.loads.borrow().total(clock::now());
+    let busy = all.loads.into_iter().filter(|load| 0 < load.requests);
+    busy.map(|load| load.id).collect()
+}
+
 /// Publishes the controller's routing table if it is newer.
 fn publish_routing_table(control: &ControlHost) {
     let Some(newer) = control.controller.borrow().routing_table() else {
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -9,6 +9,7 @@
 use crate::entry::EntryHost;
 use crate::entry::ModelArrivals;
 use crate::entry::Phase;
+use crate::entry::targets::update_targets;
 use crate::events::Event;
 use crate::events::emit;
 use crate::message::ConfigText;
@@ -23,16 +24,11 @@
 use base::NodeId;
 use base::Time;
 use base::UpstreamId;
-use fleet::Announcement;
-use fleet::Configuration;
 use fleet::Revision;
-use fleet::ServingReplica;
 use form::Action;
-use forward::Health;
 use forward::Load;
 use forward::LoadReport;
 use forward::ModelWork;
-use forward::RecentSends;
 use forward::Target;
 use forward::TargetLoad;
 use quorum::clock;
@@ -308,70 +304,6 @@
     }
 }
 
-/// Updates the targets from the roster and the routing table.
-fn update_targets(entry: &EntryHost) {
-    let configuration = Rc::clone(&entry.configuration.borrow());
-    let roster = entry.roster.borrow();
-    let routing_table = entry.routing_table.borrow();
-    let plain = roster.present_entries().filter_map(|known| {
-        let service = configuration.services.get(&known.announcement.service)?;
-        let is_plain = service.engine.is_none() && !known.announcement.leaving;
-        is_plain.then(|| target_from(&known.announcement, known.announcement.slots))
-    });
-    let served = routing_table.serving.iter().filter_map(|serving| {
-        let head = &roster.get(&serving.head)?.announcement;
-        matches_routing_table(head, serving).then_some(())?;
-        engine_target(&configuration, head, serving)
-    });
-    let targets = plain.chain(served).collect();
-    entry.targets.borrow_mut().set_targets(targets);
-    entry.capacity_changed.notify_waiters();
-}
-
-/// Whether a head host's announcement agrees with the routing table.
-fn matches_routing_table(head: &Announcement, serving: &ServingReplica) -> bool {
-    let place = head.place();
-    let fits = place.is_some_and(|place| place.epoch == serving.epoch && place.state.may_serve());
-    head.incarnation == serving.incarnation && !head.leaving && fits
-}
-
-fn engine_target(
-    configuration: &Configuration,
-    head: &Announcement,
-    serving: &ServingReplica,
-) -> Option<Target> {
-    let service = configuration.services.get(&serving.service)?;
-    let engine = service.engine.as_ref()?;
-    let model = engine.model(&serving.model)?;
-    Some(Target {
-        model: Some(serving.model.clone()),
-        time_factor: model.time_factor,
-        ..target_from(head, engine.slots)
-    })
-}
-
-fn target_from(announcement: &Announcement, slots: u32) -> Target {
-    Target {
-        id: announcement.id.clone(),
-        incarnation: announcement.incarnation,
-        addr: announcement.addr,
-        service: announcement.service.clone(),
-        model: None,
-        centre: announcement.centre.clone(),
-        slots,
-        time_factor: 1.0,
-        own_requests: 0,
-        other_requests: 0,
-        own_prompt_secs: 0.0,
-        other_prompt_secs: 0.0,
-        recent_sends: RecentSends::default(),
-        streams: 0,
-        health: Health::default(),
-        last_output: Time::ZERO,
-        busy_since: Time::ZERO,
-    }
-}
-
 /// Reports stalled head hosts and left replicas to a control host while the process runs.
 pub(crate) async fn send_observations(entry: Rc<EntryHost>) {
     loop {
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod outbound;
 mod relay;
 mod request_forwarder;
+mod targets;
 
 use std::cell::Cell;
 use std::cell::RefCell;
