--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -52,7 +52,7 @@
     pub(crate) busy_replicas: BTreeMap<ModelName, f64>,
     /// Head hosts at which requests run, as entry hosts last reported.
     pub(crate) busy_heads: BTreeSet<UpstreamId>,
-    /// When the last exchange of replicas began.
+    /// When an exchange of replicas was last looked for.
     pub(crate) last_exchange_at: Time,
     pub(crate) last_order: OrderId,
     /// Callers' requests have begun. From then on loads take their full time and are counted.
@@ -159,11 +159,9 @@
     }
 
     /// Whether a replica drains, so that the heads at which requests run are to be recorded.
-    pub fn is_draining(&self) -> bool {
-        let phases = self.replicas.values().map(|replica| replica.phase);
-        phases
-            .into_iter()
-            .any(|phase| matches!(phase, Phase::Draining(_)))
+    pub fn has_draining_replicas(&self) -> bool {
+        let mut replicas = self.replicas.values();
+        replicas.any(|replica| matches!(replica.phase, Phase::Draining(_)))
     }
 
     /// Records the head hosts at which requests run.
--- a/crates/form/src/exchange.rs
+++ b/crates/form/src/exchange.rs
@@ -44,19 +44,24 @@
 }
 
 impl Controller {
-    /// Begins the exchange that gains most, if one is worth it.
+    /// Whether it is time to look for an exchange. If so, records that it was done.
+    pub(crate) fn take_exchange_turn(&mut self, now: Time) -> bool {
+        let has_observed = self.has_traffic && !self.busy_replicas.is_empty();
+        let is_due = self.last_exchange_at + INTERVAL <= now;
+        if !has_observed || !is_due || self.has_draining_replicas() {
+            return false;
+        }
+        self.last_exchange_at = now;
+        true
+    }
+
+    /// Begins the exchange of a service's replicas that gains most, if one is worth it.
     pub(crate) fn exchange_replicas(
         &mut self,
         service: &ServiceName,
         engine: &EngineConfig,
         now: Time,
     ) {
-        let is_due = self.last_exchange_at + INTERVAL <= now;
-        let has_observed = self.has_traffic && !self.busy_replicas.is_empty();
-        if !is_due || !has_observed || self.is_draining() {
-            return;
-        }
-        self.last_exchange_at = now;
         let supply = self.supply(service, engine);
         let mut free = self.free_hosts_by_domain(service, now);
         let mut best: Option<Exchange> = None;
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -28,10 +28,13 @@
     pub(crate) fn assign_hosts(&mut self, now: Time) -> Vec<Order> {
         let services: Vec<_> = self.engines.clone().into_iter().collect();
         let mut orders = Vec::new();
+        let is_exchange_due = self.take_exchange_turn(now);
         for (service, engine) in services {
             let layout = self.layout(&service, &engine, now);
             orders.extend(self.form_replicas(&service, &engine, &layout, now));
-            self.exchange_replicas(&service, &engine, now);
+            if is_exchange_due {
+                self.exchange_replicas(&service, &engine, now);
+            }
             orders.extend(self.warm_free_hosts(&service, now));
             orders.extend(self.leave_ended_replicas(&service, now));
             orders.extend(self.stage_models(&service, &engine, &layout, now));
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -60,7 +60,7 @@
                 work_recorded_at = now;
                 controller.record_busy_replicas(&offered_work(&control));
             }
-            if controller.is_draining() {
+            if controller.has_draining_replicas() {
                 controller.record_busy_heads(busy_heads(&control));
             }
             controller.tick(now)
