Entry host: the comment on the assumed answer time says what it is

Cause: it said that a value is used before one was measured, which the house style leaves out. Change: it says when the assumption holds. No code changes.

--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -58,7 +58,7 @@
 
 const ARRIVAL_COUNT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The assumed time of an answer before one was measured.
+/// The assumed time of an answer until one has ended here.
 const DEFAULT_ANSWER: Duration = Duration::from_millis(1_500);
 
 /// What this entry host knows of the control host that it follows, and last reported to it.
