--- a/crates/form/tests/world/host.rs
+++ b/crates/form/tests/world/host.rs
@@ -35,6 +35,9 @@
     pub is_up: bool,
     /// The host runs but cannot reach the controller.
     pub is_cut_off: bool,
+    /// The host's announcements go to a control host that the leader doesn't hear from. Orders
+    /// and probes reach it.
+    pub is_heard_elsewhere: bool,
     pub leaving: bool,
     /// The host announced its departure and still runs.
     pub has_departed: bool,
--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -130,6 +130,7 @@
             sequence: 0,
             is_up: true,
             is_cut_off: false,
+            is_heard_elsewhere: false,
             leaving: false,
             staged: None,
             staging: None,
@@ -303,6 +304,7 @@
             .hosts
             .values_mut()
             .filter(|host| host.is_up && !host.is_cut_off && !host.has_departed)
+            .filter(|host| !host.is_heard_elsewhere)
         {
             if !host.must_announce && now < host.next_announcement {
                 continue;
