state: the replicas that may be open are part of the replicated state

Cause: a new leader knows of an open replica only what its hosts tell it.

Nothing proposes them yet.

--- a/crates/quorum/src/local_voter.rs
+++ b/crates/quorum/src/local_voter.rs
@@ -19,6 +19,7 @@
 use base::Time;
 use base::Version;
 use disk::Log;
+use fleet::ReplicaRecord;
 use state::Command;
 use state::LogClock;
 use state::Reply;
@@ -247,6 +248,11 @@
         (register.version(), register.text().clone())
     }
 
+    /// The recorded replicas, as of the last applied entry.
+    pub fn recorded_replicas(&self) -> Vec<ReplicaRecord> {
+        self.state.borrow().replicas().records().cloned().collect()
+    }
+
     /// Whether this voter has stopped, because its state would otherwise differ from
     /// that of the others.
     pub fn is_halted(&self) -> bool {
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -17,6 +17,7 @@
 use crate::Withdraw;
 use base::Incarnation;
 use base::NodeId;
+use fleet::RecordChanges;
 
 /// A command, the content of an entry of the voters' log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,6 +52,8 @@
     },
     /// Offers a configuration with a version number given by its operator.
     Offer(ConfigOffer),
+    /// Changes the recorded replicas.
+    RecordReplicas(RecordChanges),
 }
 
 /// The reply to a command, once it is applied.
@@ -75,4 +78,6 @@
     },
     /// The reply to a [`ConfigOffer`].
     Offer(ConfigOfferReply),
+    /// The replicas are recorded.
+    ReplicasRecorded,
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,4 +1,4 @@
-//! The replicated state: the configuration and the ledger of orders.
+//! The replicated state: the configuration, the ledger of orders and the recorded replicas.
 //!
 //! [`State::apply`] applies the committed entries of the voters' log in order and
 //! returns the same replies on every voter. Nothing here reads a clock: each command
@@ -19,6 +19,7 @@
 mod log_time;
 mod record_index;
 mod records;
+mod replica_register;
 mod session;
 mod snapshot;
 mod state;
@@ -48,6 +49,7 @@
 pub use limits::Limits;
 pub use log_clock::LogClock;
 pub use log_time::LogTime;
+pub use replica_register::ReplicaRegister;
 pub use session::MAX_OPEN_ATTEMPTS;
 pub use snapshot::CommandError;
 pub use snapshot::SnapshotError;
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -1,13 +1,19 @@
 //! The encoding of states and commands.
 
+use std::borrow::Cow;
+
 use derive_more::Display;
 use derive_more::Error;
 
 use crate::Command;
+use crate::ReplicaRegister;
 use crate::State;
 
 /// The version of the snapshot encoding.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
+
+/// The version before, which ends before the recorded replicas.
+const FORMAT_WITHOUT_REPLICAS: u8 = 1;
 
 /// Why bytes could not be decoded as a command.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
@@ -21,7 +27,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 pub enum SnapshotError {
     /// The snapshot was written by another release, in a format unknown to this one.
-    #[display("the snapshot has format {found}, this release reads format {FORMAT}")]
+    #[display("the snapshot has format {found}, this release reads formats up to {FORMAT}")]
     Format {
         /// The version of the format that was found.
         found: u8,
@@ -67,10 +73,12 @@
     /// Decodes the bytes of [`State::encode`].
     pub fn decode(bytes: &[u8]) -> Result<Self, SnapshotError> {
         let (format, content) = bytes.split_first().ok_or(SnapshotError::Empty)?;
-        if *format != FORMAT {
-            return Err(SnapshotError::Format { found: *format });
-        }
-        let state = postcard::from_bytes::<Self>(content);
+        let content = match *format {
+            FORMAT => Cow::Borrowed(content),
+            FORMAT_WITHOUT_REPLICAS => Cow::Owned(with_no_replicas(content)),
+            found => return Err(SnapshotError::Format { found }),
+        };
+        let state = postcard::from_bytes::<Self>(&content);
         let mut state = state.map_err(|source| SnapshotError::Content { source })?;
         if !state.has_valid_parts() {
             return Err(SnapshotError::WrongPart);
@@ -80,6 +88,12 @@
     }
 }
 
+/// Adds an empty register of replicas to a state encoded without one.
+fn with_no_replicas(content: &[u8]) -> Vec<u8> {
+    postcard::to_extend(&ReplicaRegister::default(), content.to_vec())
+        .expect("the register has no type that cannot be written")
+}
+
 impl Command {
     /// Encodes the command.
     pub fn encode(&self) -> Vec<u8> {
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -9,6 +9,7 @@
 use crate::Limits;
 use crate::LogTime;
 use crate::Op;
+use crate::ReplicaRegister;
 use crate::Reply;
 use crate::StateCopy;
 
@@ -20,6 +21,7 @@
     limits: Limits,
     register: ConfigRegister,
     ledger: Ledger,
+    replicas: ReplicaRegister,
 }
 
 impl State {
@@ -53,6 +55,10 @@
                 Reply::Withdraw(self.ledger.withdraw(withdraw, index, now, limits))
             }
             Op::Offer(offer) => Reply::Offer(self.register.offer(offer, limits)),
+            Op::RecordReplicas(changes) => {
+                self.replicas.apply(changes);
+                Reply::ReplicasRecorded
+            }
             Op::Gone { node, before } => Reply::Gone {
                 orders: self.ledger.end_incarnations(*node, *before, now),
             },
@@ -79,11 +85,17 @@
         &self.ledger
     }
 
+    /// The replicas that may be open.
+    pub fn replicas(&self) -> &ReplicaRegister {
+        &self.replicas
+    }
+
     /// A copy of the state to encode as a snapshot. It is cheap, as it shares the records.
     pub fn copy_for_snapshot(&self) -> StateCopy {
         StateCopy(Self {
             register: self.register.copy_for_snapshot(),
             ledger: self.ledger.copy_for_snapshot(),
+            replicas: self.replicas.clone(),
             ..*self
         })
     }
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -94,7 +94,7 @@
                     .count() as u64;
                 Reply::Gone { orders }
             }
-            Op::Nothing | Op::Change(_) | Op::Offer(_) => Reply::Nothing,
+            Op::Nothing | Op::Change(_) | Op::Offer(_) | Op::RecordReplicas(_) => Reply::Nothing,
         }
     }
 
