A new leader takes over every replica that may be open, heard or not

What callers saw: hosts of a replica that served joined another one; the replica stood still. Cause: a new leader knew only what hosts announced to control hosts in its reach. Where it heard some hosts of a replica but not the head, it had no address to ask, and took the head's silence for its end after 4.4 s. Change: a replica is recorded in the voters' log before its head is ordered to open, and the record is removed once the replica has ended. A new term begins with the recorded replicas and the addresses of their hosts. They serve on until a host says otherwise, restarts, or doesn't answer. Departures are noted by control hosts that don't lead, so that a leader that begins after one knows of it. An announcement of an earlier incarnation no longer counts as a restart. Why it works: no head is told to open without a committed record, and a leader has applied all that is committed, so no open replica is unknown to it; a head that it doesn't hear is probed, or told to leave by entry hosts.

--- a/crates/form/src/advance.rs
+++ b/crates/form/src/advance.rs
@@ -185,7 +185,8 @@
         if replica.phase_since + 3 * self.cfg.effect_timeout < now {
             return NextStep::Enter(Phase::Closing(now));
         }
-        if now < replica.last_order_at + self.cfg.effect_timeout {
+        let is_ordered = now < replica.last_order_at + self.cfg.effect_timeout;
+        if is_ordered || !self.is_recorded(replica.epoch) {
             return NextStep::Wait;
         }
         NextStep::Order(Action::Open {
@@ -252,7 +253,8 @@
                     .get(id)
                     .filter(|host| host.announcement.incarnation == *incarnation);
                 host.is_some_and(|host| {
-                    host.lost_since.is_none() && now.since(host.heard_at) < max_silence
+                    let is_heard = host.has_announced && host.lost_since.is_none();
+                    is_heard && now.since(host.heard_at) < max_silence
                 })
             });
             let head = replica.head.as_ref();
@@ -270,7 +272,7 @@
 
     /// Whether a head host has restarted or reports that it no longer belongs to the replica.
     fn has_left(&self, replica: &Replica, host: &Host, incarnation: Incarnation) -> bool {
-        if host.announcement.incarnation != incarnation {
+        if incarnation < host.announcement.incarnation {
             return true;
         }
         let reports_replica = host
--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -10,6 +10,7 @@
 use crate::Outcome;
 use crate::host::Host;
 use crate::order::Action;
+use crate::record::Records;
 use crate::replica::Phase;
 use crate::replica::Replica;
 use base::Fence;
@@ -23,6 +24,7 @@
 use fleet::EngineConfig;
 use fleet::Intake;
 use fleet::PlaceState;
+use fleet::ReplicaRecord;
 use fleet::RoutingTable;
 use fleet::ServingReplica;
 
@@ -47,6 +49,7 @@
     pub(crate) engines: BTreeMap<ServiceName, EngineConfig>,
     pub(crate) hosts: BTreeMap<UpstreamId, Host>,
     pub(crate) replicas: BTreeMap<Fence, Replica>,
+    pub(crate) records: Records,
     pub(crate) outstanding_orders: BTreeMap<OrderId, OutstandingOrder>,
     pub(crate) load_window: LoadWindow,
     pub(crate) busy_replicas: BTreeMap<ModelName, f64>,
@@ -72,6 +75,7 @@
             engines: BTreeMap::new(),
             hosts: BTreeMap::new(),
             replicas: BTreeMap::new(),
+            records: Records::default(),
             outstanding_orders: BTreeMap::new(),
             load_window: LoadWindow::default(),
             busy_replicas: BTreeMap::new(),
@@ -103,6 +107,7 @@
         let joined = ready.and_then(|place| self.replicas.get(&place.epoch));
         let warm_model = joined.map(|replica| replica.model.clone());
         match self.hosts.get_mut(&announcement.id) {
+            Some(host) if announcement.incarnation < host.announcement.incarnation => {}
             Some(host) => {
                 host.record_announcement(announcement, now);
                 host.warm_model = warm_model.or_else(|| host.warm_model.take());
@@ -116,17 +121,12 @@
     }
 
     /// Records that a host announced its departure. A head host may still finish requests, so
-    /// it is kept until its replica has ended and can still be ordered to leave.
+    /// it is kept until its replica has ended and can still be ordered to leave. Others are
+    /// forgotten when the controller next advances.
     pub fn record_departure(&mut self, id: &UpstreamId) {
-        let is_head = self.is_head_of_held_replica(id);
-        match self.hosts.get_mut(id).filter(|_| is_head) {
-            Some(host) => {
-                host.announcement.leaving = true;
-                host.has_departed = true;
-            }
-            None => {
-                self.hosts.remove(id);
-            }
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.announcement.leaving = true;
+            host.has_departed = true;
         }
     }
 
@@ -169,9 +169,14 @@
         self.busy_heads = heads;
     }
 
-    /// Sets the term that this process holds now, if any. A new term starts without replicas
-    /// and adopts those that hosts report.
-    pub fn set_term(&mut self, term: Option<u64>, now: Time) {
+    /// Sets the term that this process holds now, if any. A new term starts with the recorded
+    /// replicas, and adopts others that hosts report.
+    pub fn set_term(
+        &mut self,
+        term: Option<u64>,
+        now: Time,
+        recorded_replicas: impl FnOnce() -> Vec<ReplicaRecord>,
+    ) {
         if term == self.term {
             return;
         }
@@ -187,6 +192,7 @@
             self.edition = Edition { term, count: 0 };
             self.serving_replicas.clear();
             self.replicas.clear();
+            self.take_over(recorded_replicas(), now);
         }
     }
 
@@ -334,8 +340,8 @@
         })
     }
 
-    /// Forgets hosts that have departed or were silent for long, and replicas that ended long
-    /// ago.
+    /// Forgets hosts of no replica that have departed or were silent for long, and replicas that
+    /// ended long ago.
     fn forget_unneeded(&mut self, now: Time) {
         let forget_after = 10 * self.cfg.lost_head_wait;
         let departed = self.hosts.iter().filter(|(_, host)| host.has_departed);
@@ -344,8 +350,11 @@
         for id in unneeded {
             self.hosts.remove(&id);
         }
+        let held = self.replicas.values().filter(|r| r.holds_hosts());
+        let held = held.flat_map(Replica::hosts).map(|(id, _)| id.clone());
+        let held: BTreeSet<UpstreamId> = held.collect();
         self.hosts
-            .retain(|_, host| now.since(host.heard_at) < forget_after);
+            .retain(|id, host| held.contains(id) || now.since(host.heard_at) < forget_after);
         self.replicas.retain(|_, replica| {
             replica.holds_hosts() || now.since(replica.phase_since) < forget_after
         });
--- a/crates/form/src/host.rs
+++ b/crates/form/src/host.rs
@@ -17,6 +17,8 @@
 pub(crate) struct Host {
     pub announcement: Announcement,
     pub heard_at: Time,
+    /// The host announced itself to this process. Others are known from records only.
+    pub has_announced: bool,
     /// The host announced its departure. It may still finish requests.
     pub has_departed: bool,
     /// Since when the host doesn't answer probes.
@@ -46,6 +48,7 @@
             begun_orders: is_new.then_some(0),
             announcement,
             heard_at: now,
+            has_announced: true,
             has_departed: false,
             lost_since: None,
             pending_order: None,
@@ -55,6 +58,15 @@
         }
     }
 
+    /// A host that is known from a record, with what it would announce. Its silence counts from
+    /// now on.
+    pub fn expected(announcement: Announcement, now: Time) -> Self {
+        Self {
+            has_announced: false,
+            ..Self::new(announcement, now)
+        }
+    }
+
     /// Records an announcement. A new incarnation has lost its place and orders.
     pub fn record_announcement(&mut self, announcement: &Announcement, now: Time) {
         if announcement.incarnation != self.announcement.incarnation {
@@ -63,6 +75,7 @@
         }
         self.announcement = announcement.clone();
         self.heard_at = now;
+        self.has_announced = true;
         self.lost_since = None;
         let staged = |(model, _): &(ModelName, Time)| self.staged().contains(model);
         if self.staging.as_ref().is_some_and(staged) {
@@ -96,9 +109,10 @@
         self.announcement.place()
     }
 
-    /// Whether the host is available: neither lost, leaving nor silent for too long.
+    /// Whether the host is available: heard, and neither lost, leaving nor silent for too long.
     pub fn is_available(&self, silence_limit: Duration, now: Time) -> bool {
-        self.lost_since.is_none()
+        self.has_announced
+            && self.lost_since.is_none()
             && !self.announcement.leaving
             && now.since(self.heard_at) < silence_limit
     }
--- a/crates/form/src/lib.rs
+++ b/crates/form/src/lib.rs
@@ -24,6 +24,7 @@
 mod load_window;
 mod order;
 mod place;
+mod record;
 mod replica;
 mod shape;
 mod stage;
--- a/crates/form/src/shape.rs
+++ b/crates/form/src/shape.rs
@@ -21,7 +21,7 @@
 /// Counts of the controller's hosts and replicas. Logs contain its `Debug` text.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Shape {
-    /// Hosts that are available: neither lost, leaving nor silent for too long.
+    /// Hosts that are available: heard, and neither lost, leaving nor silent for too long.
     pub hosts: usize,
     /// Available hosts that belong to no replica and have no pending order.
     pub free: usize,
--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -24,6 +24,8 @@
 use fleet::EngineConfig;
 use fleet::EngineModel;
 use fleet::PlaceState;
+use fleet::RecordChanges;
+use fleet::ReplicaRecord;
 use form::Action;
 use form::Config;
 use form::Controller;
@@ -33,6 +35,7 @@
 const STEP: Duration = Duration::from_millis(20);
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1_200);
 const WARM_JOIN_TIME: Duration = Duration::from_millis(200);
+const COMMIT_TIME: Duration = Duration::from_millis(20);
 const OPEN_TIME: Duration = Duration::from_millis(300);
 
 /// The faults that a world injects.
@@ -56,6 +59,10 @@
     ready_hosts: BTreeMap<Fence, BTreeSet<UpstreamId>>,
     late_orders: VecDeque<(Time, Order)>,
     pending_outcomes: VecDeque<(Time, form::OrderId, Outcome)>,
+    /// The replicated records, which outlive controllers.
+    records: BTreeMap<Fence, ReplicaRecord>,
+    /// Changes of the records that are being committed, and when they will be.
+    record_changes: Option<(Time, RecordChanges)>,
     pub load_starts: Vec<Time>,
     /// Whether traffic has begun. Before, loads take a tenth of their time.
     pub has_traffic: bool,
@@ -96,7 +103,7 @@
         let engines = [("lm".parse().unwrap(), engine.clone())];
         controller.set_engines(engines.into());
         let now = Time::from_millis(1_000);
-        controller.set_term(Some(2), now);
+        controller.set_term(Some(2), now, Vec::new);
         let mut world = Self {
             now,
             engine,
@@ -109,6 +116,8 @@
             ready_hosts: BTreeMap::new(),
             late_orders: VecDeque::new(),
             pending_outcomes: VecDeque::new(),
+            records: BTreeMap::new(),
+            record_changes: None,
             load_starts: Vec::new(),
             has_traffic: false,
             term: 2,
@@ -163,27 +172,39 @@
         self.controller.mark_traffic_begun();
     }
 
-    /// Restarts all control hosts: the next leader knows only what it hears.
+    /// Restarts all control hosts: the next leader knows the records and what it hears.
     pub fn restart_controllers(&mut self) {
         self.term += 1;
         self.controller = Controller::new(Config::default());
         let engines = [("lm".parse().unwrap(), self.engine.clone())];
         self.controller.set_engines(engines.into());
-        self.controller.set_term(Some(self.term), self.now);
+        self.begin_term();
         if self.has_traffic {
             self.controller.mark_traffic_begun();
         }
         self.pending_outcomes.clear();
     }
 
-    /// Changes the leader. The new one knows the hosts' announcements and nothing else.
+    /// Changes the leader. The new one knows the records and the hosts' announcements.
     pub fn change_leader(&mut self) {
         self.term += 1;
-        self.controller.set_term(None, self.now);
-        self.controller.set_term(Some(self.term), self.now);
+        self.controller.set_term(None, self.now, Vec::new);
+        self.begin_term();
         self.pending_outcomes.clear();
     }
 
+    /// Begins a term of the controller. Changes of the records that are being committed are
+    /// committed or lost.
+    fn begin_term(&mut self) {
+        let in_flight = self.record_changes.take();
+        if let Some((_, changes)) = in_flight.filter(|_| self.rng.bool()) {
+            self.commit(&changes);
+        }
+        let records = self.records.values().cloned().collect();
+        self.controller
+            .set_term(Some(self.term), self.now, || records);
+    }
+
     pub fn run(&mut self, span: Duration) {
         let until = self.now + span;
         while self.now < until {
@@ -210,11 +231,35 @@
             for order in self.controller.tick(self.now) {
                 self.send_order(order);
             }
+            self.commit_record_changes();
             self.leave_via_entry_hosts();
             self.check_serving();
         }
     }
 
+    /// Commits the controller's changes of the records, one set after the other.
+    fn commit_record_changes(&mut self) {
+        let due = self.record_changes.take_if(|(at, _)| *at <= self.now);
+        if let Some((_, changes)) = due {
+            self.commit(&changes);
+            self.controller.confirm_record_changes(&changes);
+        }
+        if self.record_changes.is_none() {
+            let changes = self.controller.take_record_changes();
+            let at = self.now + COMMIT_TIME;
+            self.record_changes = (!changes.is_empty()).then_some((at, changes));
+        }
+    }
+
+    fn commit(&mut self, changes: &RecordChanges) {
+        for record in &changes.opened {
+            self.records.insert(record.epoch, record.clone());
+        }
+        for epoch in &changes.ended {
+            self.records.remove(epoch);
+        }
+    }
+
     /// Has entry hosts order those head hosts to leave that the controller cannot reach.
     fn leave_via_entry_hosts(&mut self) {
         for order in self.controller.leave_orders_for_unreachable_heads() {
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -9,6 +9,7 @@
 
 use crate::control::ControlHost;
 use crate::control::orders;
+use crate::control::records::RecordWriter;
 use crate::control::voter::VoterEnvironment;
 use crate::events::Event;
 use crate::events::emit;
@@ -38,8 +39,8 @@
 /// Time between two removals of silent processes and expired connections.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long the voters may take to commit a configuration.
-const COMMIT_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long the voters may take to commit an entry of the log.
+pub(crate) const COMMIT_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Runs the controller, and carries out its orders while this control host leads, for as long as
 /// the process runs.
@@ -52,7 +53,7 @@
         let term = control.leader_term();
         let orders = {
             let mut controller = control.controller.borrow_mut();
-            controller.set_term(term, now);
+            controller.set_term(term, now, || control.local_voter.recorded_replicas());
             if term.is_some() && control.loads.borrow().has_offered_work() {
                 controller.mark_traffic_begun();
             }
@@ -69,6 +70,7 @@
             orders::spawn_order(&control, order);
         }
         if term.is_some() {
+            RecordWriter::commit_changes(&control);
             publish_routing_table(&control);
         }
         compio::time::sleep(REST_PER_TICK * clock::now().since(now)).await;
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod orders;
 mod probe;
+mod records;
 mod voter;
 mod watch;
 
@@ -19,6 +20,7 @@
 use std::time::Duration;
 
 use crate::connection_pool::ConnectionPool;
+use crate::control::records::RecordWriter;
 use crate::events::Event;
 use crate::events::emit;
 use crate::message::Observations;
@@ -85,6 +87,7 @@
     pub seeds: RefCell<Vec<NodeId>>,
     pub roster: RefCell<Roster>,
     pub controller: RefCell<Controller>,
+    pub record_writer: RecordWriter,
     pub active_config: RefCell<ActiveConfig>,
     /// Limits how many orders are carried out at once.
     pub order_permits: Semaphore,
@@ -190,6 +193,7 @@
             seeds: RefCell::new(settings.seeds.clone()),
             roster: RefCell::default(),
             controller: RefCell::new(Controller::new(cfg)),
+            record_writer: RecordWriter::default(),
             active_config: RefCell::default(),
             order_permits: Semaphore::new(orders::MAX_PARALLEL_ORDERS),
             probe_permits: Semaphore::new(probe::MAX_PARALLEL_PROBES),
