A lost head is given up only once an entry host could not reach it either

What callers saw: hosts of a replica whose head the leader could not reach, and that served, could join another one after 4.3 s; the replica stood still. Cause: the hosts of a closing replica were set free by time alone. Entry hosts are asked to tell the head to leave, but reported success only, so it made no difference whether they could not reach it or were never asked. Change: entry hosts report heads that they could not reach (no connection or no answer, or 421: another process has the address; the order now names its host). An answer that refuses, or a connection that is ended, shows that the head runs: it is no such report. The hosts are free once the wait is over and a report came in its second half, after the head was last lost, so that it is of an attempt made in this closing phase. A head without a known address is waited for as before. Why it works: entry hosts try every 0.7 s and need 0.6 s at most, so the second half of the wait has a report if one of them works; if none does, the hosts stay bound. A dead head binds its hosts for 4.3 s, as before.

--- a/crates/form/src/adopt.rs
+++ b/crates/form/src/adopt.rs
@@ -132,7 +132,9 @@
             other_hosts: others.filter_map(member).collect(),
             head,
             phase,
+            entered_phase_at: now,
             phase_since: now,
+            head_unreached_at: None,
             last_order_at: Time::ZERO,
         })
     }
--- a/crates/form/src/advance.rs
+++ b/crates/form/src/advance.rs
@@ -4,7 +4,6 @@
 
 use crate::Controller;
 use crate::Order;
-use crate::OrderId;
 use crate::Outcome;
 use crate::controller::OutstandingOrder;
 use crate::host::Host;
@@ -67,45 +66,14 @@
         }
     }
 
-    /// Orders to leave for the head hosts of closing replicas that this process cannot reach.
-    /// Other processes may reach them and pass the order on.
-    pub fn leave_orders_for_unreachable_heads(&self) -> Vec<Order> {
-        let closing = self.replicas.values().filter(|replica| {
-            let head = replica.head.as_ref().and_then(|(id, _)| self.hosts.get(id));
-            let is_lost = head.is_some_and(|host| host.lost_since.is_some());
-            matches!(replica.phase, Phase::Closing(_)) && is_lost
-        });
-        let leave = |replica: &Replica| {
-            let (id, incarnation) = replica.head.clone()?;
-            let addr = self.hosts.get(&id)?.announcement.addr;
-            Some(Order {
-                id: OrderId(0),
-                host: id,
-                incarnation,
-                addr,
-                action: Action::Leave {
-                    replica: replica.name.clone(),
-                    epoch: replica.epoch,
-                },
-                begun_orders: None,
-            })
-        };
-        closing.filter_map(leave).collect()
-    }
-
-    /// Records that the head host of a replica has left it, as another process reported.
-    pub fn record_head_left(&mut self, epoch: Fence, now: Time) {
-        let replica = self.replicas.get_mut(&epoch);
-        if let Some(replica) = replica.filter(|r| matches!(r.phase, Phase::Closing(_))) {
-            replica.enter_phase(Phase::Ended, now);
-        }
-    }
-
     fn advance_replica(&mut self, epoch: Fence, now: Time) -> Option<Order> {
         let replica = self.replicas.get(&epoch)?;
         match self.next_step(replica, now) {
             NextStep::Wait => None,
             NextStep::Enter(phase) => {
+                if phase == Phase::GivenUp {
+                    self.record_given_up(epoch, now);
+                }
                 self.replicas.get_mut(&epoch)?.enter_phase(phase, now);
                 // Sends the leave or open order of the new phase in this tick, not the next.
                 self.advance_replica(epoch, now)
@@ -196,9 +164,8 @@
     }
 
     fn close_step(&self, replica: &Replica, not_before: Time, now: Time) -> NextStep {
-        let wait_is_over = replica.phase_since + self.cfg.lost_head_wait <= now;
         let Some((id, incarnation)) = &replica.head else {
-            return match wait_is_over {
+            return match self.may_give_up(replica, now) {
                 true => NextStep::Enter(Phase::GivenUp),
                 false => NextStep::Wait,
             };
@@ -209,7 +176,7 @@
             return NextStep::Enter(Phase::Ended);
         }
         let is_lost = host.is_none_or(|host| host.lost_since.is_some());
-        if is_lost && wait_is_over {
+        if is_lost && self.may_give_up(replica, now) {
             return NextStep::Enter(Phase::GivenUp);
         }
         if is_lost || now < not_before || now < replica.last_order_at + self.cfg.retry_interval {
@@ -242,34 +209,6 @@
         is_fresh && (place.state.may_serve() || replica.phase == Phase::GivenUp)
     }
 
-    /// Restarts the wait for a lost head host while no other host of its replica is heard
-    /// either: a replica that is partitioned off as a whole may go on serving.
-    fn restart_lost_head_waits(&mut self, now: Time) {
-        let hosts = &self.hosts;
-        let max_silence = self.cfg.silence_limit / 2;
-        for replica in self.replicas.values_mut() {
-            let others_heard = replica.other_hosts.iter().any(|(id, incarnation)| {
-                let host = hosts
-                    .get(id)
-                    .filter(|host| host.announcement.incarnation == *incarnation);
-                host.is_some_and(|host| {
-                    let is_heard = host.has_announced && host.lost_since.is_none();
-                    is_heard && now.since(host.heard_at) < max_silence
-                })
-            });
-            let head = replica.head.as_ref();
-            let head = head.and_then(|(id, incarnation)| {
-                hosts
-                    .get(id)
-                    .filter(|h| h.announcement.incarnation == *incarnation)
-            });
-            let is_lost = head.is_none_or(|host| host.lost_since.is_some());
-            if matches!(replica.phase, Phase::Closing(_)) && is_lost && !others_heard {
-                replica.phase_since = now;
-            }
-        }
-    }
-
     /// Whether a head host has restarted or reports that it no longer belongs to the replica.
     fn has_left(&self, replica: &Replica, host: &Host, incarnation: Incarnation) -> bool {
         if incarnation < host.announcement.incarnation {
--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use crate::Config;
+use crate::GivenUpReplica;
 use crate::LoadWindow;
 use crate::Order;
 use crate::OrderId;
@@ -50,6 +51,7 @@
     pub(crate) hosts: BTreeMap<UpstreamId, Host>,
     pub(crate) replicas: BTreeMap<Fence, Replica>,
     pub(crate) records: Records,
+    pub(crate) given_up: Vec<GivenUpReplica>,
     pub(crate) outstanding_orders: BTreeMap<OrderId, OutstandingOrder>,
     pub(crate) load_window: LoadWindow,
     pub(crate) busy_replicas: BTreeMap<ModelName, f64>,
@@ -76,6 +78,7 @@
             hosts: BTreeMap::new(),
             replicas: BTreeMap::new(),
             records: Records::default(),
+            given_up: Vec::new(),
             outstanding_orders: BTreeMap::new(),
             load_window: LoadWindow::default(),
             busy_replicas: BTreeMap::new(),
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -218,7 +218,9 @@
                 Purpose::Serve => Phase::Joining,
                 Purpose::KeepWarm => Phase::Ended,
             },
+            entered_phase_at: now,
             phase_since: now,
+            head_unreached_at: None,
             last_order_at: now,
         };
         self.replicas.insert(epoch, replica);
--- a/crates/form/src/record.rs
+++ b/crates/form/src/record.rs
@@ -128,7 +128,9 @@
         head: hosts.next().map(member),
         other_hosts: hosts.map(member).collect(),
         phase: Phase::Serving,
+        entered_phase_at: now,
         phase_since: now,
+        head_unreached_at: None,
         last_order_at: Time::ZERO,
     }
 }
--- a/crates/form/src/replica.rs
+++ b/crates/form/src/replica.rs
@@ -32,8 +32,8 @@
     /// The head host has left the replica, so its hosts are free.
     #[display("ended")]
     Ended,
-    /// The head host was unreachable for so long that it cannot serve any more. The hosts
-    /// are free, but if the head host comes back, it is ordered to leave.
+    /// The head host was unreachable, also for an entry host, for so long that it cannot serve
+    /// any more. The hosts are free, but if the head host comes back, it is ordered to leave.
     #[display("given up")]
     GivenUp,
 }
@@ -51,7 +51,11 @@
     pub other_hosts: Vec<(UpstreamId, Incarnation)>,
     pub phase: Phase,
     /// When the replica entered its phase.
+    pub entered_phase_at: Time,
+    /// When the replica entered its phase, or the wait for its lost head host last restarted.
     pub phase_since: Time,
+    /// When an entry host last reported in this phase that it could not reach the head host.
+    pub head_unreached_at: Option<Time>,
     /// When the last order of this phase was issued.
     pub last_order_at: Time,
 }
@@ -64,7 +68,9 @@
 
     pub fn enter_phase(&mut self, phase: Phase, now: Time) {
         self.phase = phase;
+        self.entered_phase_at = now;
         self.phase_since = now;
+        self.head_unreached_at = None;
         self.last_order_at = Time::ZERO;
     }
 
--- /dev/null
+++ b/crates/form/tests/lost_head.rs
@@ -0,0 +1,128 @@
+//! A head host that the leader cannot reach is given up only once entry hosts cannot reach it.
+
+mod world;
+
+use std::time::Duration;
+
+use world::World;
+
+use base::Fence;
+use base::UpstreamId;
+use form::Config;
+use form::GivenUpReplica;
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+/// A world of two domains with traffic, and the head hosts of all replicas of the first domain.
+fn world_with_heads(seed: u64) -> (World, Vec<UpstreamId>) {
+    let mut world = World::new(Config::default(), seed, 2, 10);
+    world.run(secs(20));
+    world.begin_traffic();
+    let routing_table = world.controller.routing_table().unwrap();
+    let heads = routing_table
+        .serving
+        .into_iter()
+        .map(|replica| replica.head);
+    let heads = heads
+        .filter(|head| world.hosts[head].domain == "d0")
+        .collect();
+    (world, heads)
+}
+
+fn cut_off(world: &mut World, hosts: &[UpstreamId]) {
+    for host in hosts {
+        world.hosts.get_mut(host).unwrap().is_cut_off = true;
+    }
+}
+
+fn epochs_of(world: &World, heads: &[UpstreamId]) -> Vec<Fence> {
+    let epoch = |head: &UpstreamId| world.hosts[head].membership.as_ref().unwrap().epoch;
+    heads.iter().map(epoch).collect()
+}
+
+fn report_unreached(world: &mut World, epochs: &[Fence]) {
+    for epoch in epochs {
+        world.controller.record_head_unreached(*epoch, world.now);
+    }
+}
+
+// The world panics if a host joins another replica while the head host of its own one serves.
+
+#[test]
+fn hosts_do_not_join_elsewhere_while_a_cut_off_head_serves_that_no_entry_host_tried() {
+    for seed in 0..10 {
+        let (mut world, heads) = world_with_heads(seed);
+        cut_off(&mut world, &heads);
+        world.are_entry_hosts_silent = true;
+        world.run(secs(8));
+        world.are_entry_hosts_silent = false;
+        world.run(secs(8));
+        let serving_on = heads
+            .iter()
+            .filter(|head| world.hosts[head].membership.is_some());
+        assert_eq!(serving_on.count(), 0, "seed {seed}: told to leave");
+    }
+}
+
+#[test]
+fn reports_of_attempts_made_before_a_replica_was_closing_do_not_set_its_hosts_free() {
+    for seed in 0..10 {
+        let (mut world, heads) = world_with_heads(seed);
+        let epochs = epochs_of(&world, &heads);
+        cut_off(&mut world, &heads);
+        world.are_entry_hosts_silent = true;
+        // The head hosts are found to be lost after 0.9 s to 2.1 s.
+        for _ in 0..4 {
+            report_unreached(&mut world, &epochs);
+            world.run(Duration::from_millis(500));
+        }
+        world.run(secs(8));
+        assert_eq!(world.controller.take_given_up(), [], "seed {seed}");
+    }
+}
+
+#[test]
+fn a_report_made_before_a_head_was_heard_again_does_not_set_its_hosts_free() {
+    for seed in 0..10 {
+        let (mut world, heads) = world_with_heads(seed);
+        let epochs = epochs_of(&world, &heads);
+        cut_off(&mut world, &heads);
+        world.are_entry_hosts_silent = true;
+        world.run(Duration::from_millis(4_500));
+        report_unreached(&mut world, &epochs);
+        // The head hosts are heard, but orders to leave reach them late.
+        world.faults.late_order_share = 1.0;
+        for head in &heads {
+            world.hosts.get_mut(head).unwrap().is_cut_off = false;
+        }
+        world.run(Duration::from_millis(1_300));
+        cut_off(&mut world, &heads);
+        world.run(secs(8));
+        assert_eq!(world.controller.take_given_up(), [], "seed {seed}");
+    }
+}
+
+#[test]
+fn a_dead_head_that_entry_hosts_try_binds_its_hosts_no_longer_than_the_wait() {
+    let wait = Config::default().lost_head_wait;
+    for seed in 0..10 {
+        let (mut world, heads) = world_with_heads(seed);
+        for head in &heads {
+            world.kill(head);
+        }
+        world.run(secs(7));
+        let given_up = world.controller.take_given_up();
+        let in_time = |replica: &GivenUpReplica| {
+            let is_in_time = wait <= replica.waited && replica.waited < wait + secs(1) / 20;
+            replica
+                .head
+                .as_ref()
+                .is_some_and(|head| heads.contains(head))
+                && is_in_time
+        };
+        assert_eq!(given_up.len(), heads.len(), "seed {seed}: {given_up:?}");
+        assert!(given_up.iter().all(in_time), "seed {seed}: {given_up:?}");
+    }
+}
--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -37,6 +37,9 @@
 const WARM_JOIN_TIME: Duration = Duration::from_millis(200);
 const COMMIT_TIME: Duration = Duration::from_millis(20);
 const OPEN_TIME: Duration = Duration::from_millis(300);
+/// How long an entry host takes to find that it cannot reach a head host.
+const ENTRY_ATTEMPT_TIME: Duration = Duration::from_millis(600);
+const ENTRY_RETRY_INTERVAL: Duration = Duration::from_millis(700);
 
 /// The faults that a world injects.
 #[derive(Clone, Copy, Debug, Default)]
@@ -55,6 +58,10 @@
     pub orders: Vec<(Time, Action, UpstreamId)>,
     /// A host that has been silent this long is lost if it does not answer.
     pub lost_after: Duration,
+    /// Entry hosts neither pass orders to leave on nor report anything.
+    pub are_entry_hosts_silent: bool,
+    /// When entry hosts next report that they cannot reach the head host of a replica.
+    unreached_reports: BTreeMap<Fence, Time>,
     /// The hosts that were ever ready in a replica, by its epoch.
     ready_hosts: BTreeMap<Fence, BTreeSet<UpstreamId>>,
     late_orders: VecDeque<(Time, Order)>,
@@ -113,6 +120,8 @@
             rng: Rng::with_seed(seed),
             orders: Vec::new(),
             lost_after: Duration::from_millis(900),
+            are_entry_hosts_silent: false,
+            unreached_reports: BTreeMap::new(),
             ready_hosts: BTreeMap::new(),
             late_orders: VecDeque::new(),
             pending_outcomes: VecDeque::new(),
@@ -260,19 +269,34 @@
         }
     }
 
-    /// Has entry hosts order those head hosts to leave that the controller cannot reach.
+    /// Has entry hosts order those head hosts to leave that the controller cannot reach, and
+    /// report those that are down.
     fn leave_via_entry_hosts(&mut self) {
+        if self.are_entry_hosts_silent {
+            return;
+        }
         for order in self.controller.leave_orders_for_unreachable_heads() {
+            let Action::Leave { epoch, .. } = order.action else {
+                continue;
+            };
             if self.hosts[&order.host].is_up {
                 self.carry_out(&order);
-                let Action::Leave { epoch, .. } = order.action else {
-                    continue;
-                };
                 self.controller.record_head_left(epoch, self.now);
+            } else {
+                self.report_unreached(epoch);
             }
         }
     }
 
+    fn report_unreached(&mut self, epoch: Fence) {
+        let first = self.now + ENTRY_ATTEMPT_TIME;
+        let due = self.unreached_reports.entry(epoch).or_insert(first);
+        if *due <= self.now {
+            *due = self.now + ENTRY_RETRY_INTERVAL + ENTRY_ATTEMPT_TIME;
+            self.controller.record_head_unreached(epoch, self.now);
+        }
+    }
+
     /// How many replicas of a model serve and may be sent requests.
     pub fn count_serving(&self, model: &str) -> usize {
         let routing_table = self.controller.routing_table().unwrap_or_default();
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -4,18 +4,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use compio::time::timeout;
-
 use crate::entry::EntryHost;
 use crate::entry::ModelArrivals;
 use crate::entry::Phase;
+use crate::entry::leave_orders::send_leave_order;
 use crate::entry::targets::update_targets;
 use crate::events::Event;
 use crate::events::emit;
 use crate::message::ConfigText;
 use crate::message::Observations;
 use crate::message::ObservationsReply;
-use crate::message::UnreachableHead;
 use crate::message::Watch;
 use crate::message::WatchReply;
 use crate::message::WatchUpdate;
@@ -25,7 +23,6 @@
 use base::Time;
 use base::UpstreamId;
 use fleet::Revision;
-use form::Action;
 use forward::Load;
 use forward::LoadReport;
 use forward::ModelWork;
@@ -51,11 +48,6 @@
 /// Targets with output this recent are reported even if they have no requests.
 const RECENT_OUTPUT: Duration = Duration::from_millis(900);
 
-/// How long connecting to a host that is to leave may take; the whole exchange, twice as long.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
-
-const LEAVE_RETRY_INTERVAL: Duration = Duration::from_millis(700);
-
 const ARRIVAL_COUNT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The assumed time of an answer until one has ended here.
@@ -225,8 +217,8 @@
     if let Some(load_report) = update.load_report {
         apply_load_report(entry, &load_report);
     }
-    for host in update.unreachable {
-        send_leave_order(entry, host);
+    for head in update.unreachable {
+        send_leave_order(entry, head);
     }
 }
 
@@ -241,40 +233,6 @@
     entry.targets.borrow_mut().set_total_loads(&loads);
 }
 
-/// Orders a head host that the leader cannot reach to leave, and reports if it did.
-fn send_leave_order(entry: &Rc<EntryHost>, host: UnreachableHead) {
-    if !entry.leave_orders.borrow_mut().insert(host.epoch) {
-        return;
-    }
-    let entry = Rc::clone(entry);
-    compio::runtime::spawn(async move {
-        let action = Action::Leave {
-            replica: host.replica.clone(),
-            epoch: host.epoch,
-        };
-        let request = entry.platform.order_request(&action, None);
-        let exchange = async {
-            let mut connection = entry.pool.connect(host.addr, LEAVE_TIMEOUT).await.ok()?;
-            let response = connection.request(request).await.ok()?;
-            Some(response.status().is_success())
-        };
-        let accepted = timeout(2 * LEAVE_TIMEOUT, exchange).await;
-        let left = matches!(accepted, Ok(Some(true)));
-        emit(&Event::LeaveSent {
-            host: &host.host,
-            replica: &host.replica,
-            left,
-        });
-        if left {
-            entry.left_replicas.borrow_mut().push(host.epoch);
-            entry.observations_added.notify_waiters();
-        }
-        compio::time::sleep(LEAVE_RETRY_INTERVAL).await;
-        entry.leave_orders.borrow_mut().remove(&host.epoch);
-    })
-    .detach();
-}
-
 fn apply_configuration(entry: &EntryHost, newer: &ConfigText) {
     let version = newer.version;
     match newer.text.decompress() {
@@ -304,13 +262,15 @@
     }
 }
 
-/// Reports stalled head hosts and left replicas to a control host while the process runs.
+/// Reports stalled and unreached head hosts and left replicas to a control host while the process
+/// runs.
 pub(crate) async fn send_observations(entry: Rc<EntryHost>) {
     loop {
         entry.observations_added.wait(Duration::from_secs(1)).await;
         let call = Observations {
             stalled_heads: std::mem::take(&mut *entry.stalled_heads.borrow_mut()),
             left_replicas: std::mem::take(&mut *entry.left_replicas.borrow_mut()),
+            unreached_replicas: std::mem::take(&mut *entry.unreached_replicas.borrow_mut()),
             ..Observations::default()
         };
         if call == Observations::default() {
--- /dev/null
+++ b/crates/site/src/entry/leave_orders.rs
@@ -0,0 +1,99 @@
+//! Orders head hosts that the leader cannot reach to leave their replicas.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::time::timeout;
+use derive_more::Display;
+use http::HeaderValue;
+use http::StatusCode;
+
+use crate::entry::EntryHost;
+use crate::events::Event;
+use crate::events::emit;
+use crate::message::UnreachableHead;
+use form::Action;
+
+/// How long connecting to a host that is to leave may take; the whole exchange, twice as long.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
+
+const LEAVE_RETRY_INTERVAL: Duration = Duration::from_millis(700);
+
+/// What came of an order to leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+enum LeaveOutcome {
+    /// The head host has left.
+    #[display("left")]
+    Left,
+    /// The head host runs, and may still serve.
+    #[display("refused")]
+    Refused,
+    /// The head host could not be reached, or another process has its address by now.
+    #[display("unreached")]
+    Unreached,
+}
+
+impl LeaveOutcome {
+    fn of_answer(status: StatusCode) -> Self {
+        match status {
+            // The order names the host that it is for.
+            StatusCode::MISDIRECTED_REQUEST => Self::Unreached,
+            _ if status.is_success() => Self::Left,
+            _ => Self::Refused,
+        }
+    }
+}
+
+/// Orders a head host to leave, and reports what came of it. While an order to leave the same
+/// replica is under way, nothing is done.
+pub(crate) fn send_leave_order(entry: &Rc<EntryHost>, head: UnreachableHead) {
+    if !entry.leave_orders.borrow_mut().insert(head.epoch) {
+        return;
+    }
+    let entry = Rc::clone(entry);
+    compio::runtime::spawn(async move {
+        let outcome = order_to_leave(&entry, &head).await;
+        emit(&Event::LeaveSent {
+            host: &head.host,
+            replica: &head.replica,
+            outcome: outcome.to_string(),
+        });
+        record_outcome(&entry, &head, outcome);
+        compio::time::sleep(LEAVE_RETRY_INTERVAL).await;
+        entry.leave_orders.borrow_mut().remove(&head.epoch);
+    })
+    .detach();
+}
+
+async fn order_to_leave(entry: &EntryHost, head: &UnreachableHead) -> LeaveOutcome {
+    let action = Action::Leave {
+        replica: head.replica.clone(),
+        epoch: head.epoch,
+    };
+    let mut request = entry.platform.order_request(&action, None);
+    if let Ok(id) = HeaderValue::from_str(head.host.as_str()) {
+        let target = entry.platform.headers().target.clone();
+        request.headers_mut().insert(target, id);
+    }
+    let exchange = async {
+        let Ok(mut connection) = entry.pool.connect(head.addr, LEAVE_TIMEOUT).await else {
+            return LeaveOutcome::Unreached;
+        };
+        match connection.request(request).await {
+            Ok(response) => LeaveOutcome::of_answer(response.status()),
+            // A running host with too many connections accepts new ones and ends them.
+            Err(_) => LeaveOutcome::Refused,
+        }
+    };
+    let outcome = timeout(2 * LEAVE_TIMEOUT, exchange).await;
+    outcome.unwrap_or(LeaveOutcome::Unreached)
+}
+
+fn record_outcome(entry: &EntryHost, head: &UnreachableHead, outcome: LeaveOutcome) {
+    match outcome {
+        LeaveOutcome::Left => entry.left_replicas.borrow_mut().push(head.epoch),
+        LeaveOutcome::Unreached => entry.unreached_replicas.borrow_mut().push(head.epoch),
+        LeaveOutcome::Refused => return,
+    }
+    entry.observations_added.notify_waiters();
+}
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod attempt_guard;
 mod follow;
 mod handle;
+mod leave_orders;
 mod metrics;
 mod outbound;
 mod relay;
@@ -137,6 +138,8 @@
     pub stalled_heads: RefCell<Vec<UpstreamId>>,
     /// Replicas whose head host has left, not yet reported to a control host.
     pub left_replicas: RefCell<Vec<Fence>>,
+    /// Replicas whose head host could not be reached, not yet reported to a control host.
+    pub unreached_replicas: RefCell<Vec<Fence>>,
     /// Replicas whose head host is being told to leave.
     pub leave_orders: RefCell<BTreeSet<Fence>>,
     pub observations_added: Notify,
@@ -256,6 +259,7 @@
             arrivals: RefCell::default(),
             stalled_heads: RefCell::default(),
             left_replicas: RefCell::default(),
+            unreached_replicas: RefCell::default(),
             leave_orders: RefCell::default(),
             observations_added: Notify::default(),
             capacity_changed: Notify::default(),
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -144,6 +144,9 @@
     /// Replicas whose head host has left, as seen by entry hosts.
     #[serde(rename = "left")]
     pub left_replicas: Vec<Fence>,
+    /// Replicas whose head host entry hosts tried to reach and could not.
+    #[serde(rename = "unreached", default)]
+    pub unreached_replicas: Vec<Fence>,
 }
 
 /// The reply to [`Observations`].
