Events for replicas given up and for the records that a term begins with

Cause: logs did not show that a replica was given up, nor how many recorded replicas a term began with. Change: 2405 names the replica, its head and how long it was to be closed; 2406 the term and the count of records. The controller hands out what it gave up, the leader logs it.

--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -20,6 +20,8 @@
 use base::UpstreamId;
 use fleet::CompressedText;
 use fleet::DecompressError;
+use fleet::ReplicaRecord;
+use form::Controller;
 use quorum::clock;
 use state::ConfigOfferReply;
 use state::Op;
@@ -53,7 +55,7 @@
         let term = control.leader_term();
         let orders = {
             let mut controller = control.controller.borrow_mut();
-            controller.set_term(term, now, || control.local_voter.recorded_replicas());
+            controller.set_term(term, now, || recorded_replicas(&control, term));
             if term.is_some() && control.loads.borrow().has_offered_work() {
                 controller.mark_traffic_begun();
             }
@@ -64,7 +66,9 @@
             if controller.has_draining_replicas() {
                 controller.record_busy_heads(busy_heads(&control));
             }
-            controller.tick(now)
+            let orders = controller.tick(now);
+            log_given_up(&mut controller);
+            orders
         };
         for order in orders {
             orders::spawn_order(&control, order);
@@ -82,6 +86,26 @@
     }
 }
 
+/// The replicas that a term begins with.
+fn recorded_replicas(control: &ControlHost, term: Option<u64>) -> Vec<ReplicaRecord> {
+    let replicas = control.local_voter.recorded_replicas();
+    if let Some(term) = term {
+        let records = replicas.len();
+        emit(&Event::ReplicasTakenOver { term, records });
+    }
+    replicas
+}
+
+fn log_given_up(controller: &mut Controller) {
+    for given_up in controller.take_given_up() {
+        emit(&Event::ReplicaGivenUp {
+            replica: &given_up.replica,
+            head: given_up.head.as_ref().map_or("-", UpstreamId::as_str),
+            waited_ms: given_up.waited.as_millis(),
+        });
+    }
+}
+
 /// How many replicas of each model the requests of all entry hosts keep busy.
 fn offered_work(control: &ControlHost) -> BTreeMap<ModelName, f64> {
     let all = control.loads.borrow().total(clock::now());
--- a/crates/site/src/events.rs
+++ b/crates/site/src/events.rs
@@ -63,6 +63,10 @@
         "replica stalled, probing its hosts head={head} hosts={hosts}";
     2404 Info LeaveSent { host: &'a UpstreamId, replica: &'a ReplicaName, outcome: String }
         "head host that the leader cannot reach was told to leave host={host} replica={replica} outcome={outcome}";
+    2405 Warn ReplicaGivenUp { replica: &'a ReplicaName, head: &'a str, waited_ms: u128 }
+        "replica given up, its hosts are free though its head host could not be told to leave replica={replica} head={head} waited_ms={waited_ms}";
+    2406 Info ReplicasTakenOver { term: u64, records: usize }
+        "the term begins with the recorded replicas term={term} records={records}";
     2500 Info Answered { id: &'a str, route: &'a RouteName, target: &'a UpstreamId, status: u16, attempts: u32, first_ms: u128, total_ms: u128, late: &'a str }
         "answered id={id} route={route} target={target} status={status} attempts={attempts} first_ms={first_ms} total_ms={total_ms} late={late}";
     2501 Info Refused { id: &'a str, route: &'a str, status: u16, why: &'a str, waited_ms: u128, attempts: u32, version: Version, age_ms: u128 }
