A join is sent only if the host's report agrees with the announcement behind it

Cause: when the controller doesn't know how many orders a host has begun, the count is taken from a report that is fetched right before the order is sent. The report is of now, the announcement that the order rests on may be seconds old. So the guard of the order was renewed while its reason was not, and a host that had joined another replica since accepted the order.

Change: the report is decoded once, with the host's incarnation and its place (fleet::HostStatus). Controller::confirm_order compares it with the incarnation and the place that were announced when the order was issued. A join that the report contradicts is not sent. The count is kept for later orders only if the report agrees with the announcement: otherwise it confirms the next join without another look. Orders to open and to leave name the replica that they are about and are sent as before; a load needs the same incarnation only. A report that names no replica contradicts nothing, as not every engine reports places; one that names it in a way that cannot be read lets no join pass.

Before the change, with the order of the world unchanged: "h0-1 joins while h0-0 serves r2000001.slim" (at 24.3 s). With the check taken out, the world's test and two others fail; with the count always kept, the world's test fails at 24.64 s and the test of the count fails.

The test of the count in reports moves from `orders_carry_the_count_that_guards_them` to `a_report_tells_the_count_and_the_place_of_its_host`, with the same checks.

Not covered: if only the head host's announcement is old and the head host cannot be reached, its replica counts as ended (has_left), and the reports of the other hosts agree with what they announced. A trial with this fails as before.

--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -39,6 +39,8 @@
 pub(crate) struct OutstandingOrder {
     pub host: UpstreamId,
     pub incarnation: Incarnation,
+    /// The epoch of the host's place that was last announced when the order was issued.
+    pub announced_epoch: Option<Fence>,
     pub action: Action,
 }
 
@@ -224,14 +226,6 @@
         orders
     }
 
-    /// Records how many orders a host says that it has begun.
-    pub fn record_begun_orders(&mut self, id: &UpstreamId, incarnation: Incarnation, begun: u64) {
-        let host = self.hosts.get_mut(id);
-        if let Some(host) = host.filter(|host| host.announcement.incarnation == incarnation) {
-            host.begun_orders = Some(begun);
-        }
-    }
-
     /// Whether an order is still to be carried out. Orders of earlier terms are not.
     pub fn is_outstanding(&self, id: OrderId) -> bool {
         self.outstanding_orders.contains_key(&id)
@@ -327,6 +321,7 @@
         let outstanding = OutstandingOrder {
             host: id.clone(),
             incarnation: host.announcement.incarnation,
+            announced_epoch: host.place().map(|place| place.epoch),
             action: action.clone(),
         };
         self.outstanding_orders.insert(self.last_order, outstanding);
--- a/crates/form/src/lib.rs
+++ b/crates/form/src/lib.rs
@@ -16,6 +16,7 @@
 mod adopt;
 mod advance;
 mod config;
+mod confirm;
 mod controller;
 mod exchange;
 mod host;
--- a/crates/form/tests/world/host.rs
+++ b/crates/form/tests/world/host.rs
@@ -10,8 +10,10 @@
 use base::UpstreamId;
 use fleet::Announcement;
 use fleet::EngineReport;
+use fleet::HostStatus;
 use fleet::Place;
 use fleet::PlaceState;
+use fleet::ReportedPlace;
 
 /// A host's membership in a replica.
 #[derive(Clone, Debug)]
@@ -38,6 +40,14 @@
     /// The host's announcements go to a control host that the leader doesn't hear from. Orders
     /// and probes reach it.
     pub is_heard_elsewhere: bool,
+    /// Orders and probes of the leader don't reach the host, but its announcements come.
+    pub is_out_of_reach: bool,
+    /// What the leader hears instead of the host's present state: the control host that takes
+    /// the announcements missed a change, and passes on that nothing has changed since.
+    pub repeated_announcement: Option<Announcement>,
+    pub last_announcement: Option<Announcement>,
+    /// The last announcement before the host joined its replica.
+    pub announced_before_join: Option<Announcement>,
     pub leaving: bool,
     /// The host announced its departure and still runs.
     pub has_departed: bool,
@@ -53,8 +63,31 @@
     pub must_announce: bool,
 }
 
+/// The announcement of a host that the leader hears now.
+pub fn heard_announcement(host: &Host) -> Announcement {
+    match &host.repeated_announcement {
+        Some(repeated) => Announcement {
+            sequence: host.sequence,
+            ..repeated.clone()
+        },
+        None => announcement(host),
+    }
+}
+
+/// What a host reports when it is asked.
+pub fn status(host: &Host) -> HostStatus {
+    HostStatus {
+        incarnation: Some(Incarnation(host.incarnation)),
+        begun_orders: host.begun_orders,
+        place: match &host.membership {
+            Some(membership) => ReportedPlace::In(membership.epoch),
+            None => ReportedPlace::Unnamed,
+        },
+    }
+}
+
 /// The announcement that a host sends now.
-pub fn announcement(host: &Host) -> Announcement {
+fn announcement(host: &Host) -> Announcement {
     let rank = |membership: &Membership| {
         membership
             .hosts
--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -17,7 +17,8 @@
 
 use self::host::Host;
 use self::host::Membership;
-use self::host::announcement;
+use self::host::heard_announcement;
+use self::host::status;
 use base::Fence;
 use base::Time;
 use base::UpstreamId;
@@ -30,6 +31,7 @@
 use form::Config;
 use form::Controller;
 use form::Order;
+use form::OrderId;
 use form::Outcome;
 
 const STEP: Duration = Duration::from_millis(20);
@@ -58,7 +60,7 @@
     /// The hosts that were ever ready in a replica, by its epoch.
     ready_hosts: BTreeMap<Fence, BTreeSet<UpstreamId>>,
     late_orders: VecDeque<(Time, Order)>,
-    pending_outcomes: VecDeque<(Time, form::OrderId, Outcome)>,
+    pending_outcomes: VecDeque<(Time, OrderId, Outcome)>,
     /// The replicated records, which outlive controllers.
     records: BTreeMap<Fence, ReplicaRecord>,
     /// Changes of the records that are being committed, and when they will be.
@@ -140,6 +142,10 @@
             is_up: true,
             is_cut_off: false,
             is_heard_elsewhere: false,
+            is_out_of_reach: false,
+            repeated_announcement: None,
+            last_announcement: None,
+            announced_before_join: None,
             leaving: false,
             staged: None,
             staging: None,
@@ -357,7 +363,9 @@
             host.must_announce = false;
             host.next_announcement = now + ANNOUNCE_INTERVAL;
             host.sequence += 1;
-            announcements.push(announcement(host));
+            let heard = heard_announcement(host);
+            host.last_announcement = Some(heard.clone());
+            announcements.push(heard);
         }
         for announcement in announcements {
             self.controller.record_announcement(&announcement, now);
@@ -378,16 +386,17 @@
 
     fn send_order(&mut self, mut order: Order) {
         let host = &self.hosts[&order.host];
-        if host.is_up && !host.is_cut_off && order.begun_orders.is_none() {
-            let begun = host.begun_orders;
-            order.begun_orders = Some(begun);
-            self.controller
-                .record_begun_orders(&order.host, order.incarnation, begun);
-        }
+        let is_reached = host.is_up && !host.is_cut_off && !host.is_out_of_reach;
         self.orders
             .push((self.now, order.action.clone(), order.host.clone()));
-        let host = &self.hosts[&order.host];
-        if !host.is_up || host.is_cut_off {
+        if is_reached && order.begun_orders.is_none() {
+            let Some(confirmed) = self.controller.confirm_order(&order, &status(host)) else {
+                self.add_outcome(order.id, Outcome::NotSent);
+                return;
+            };
+            order = confirmed;
+        }
+        if !is_reached {
             let at = self.now + Duration::from_millis(400);
             self.pending_outcomes
                 .push_back((at, order.id, Outcome::NotSent));
@@ -403,8 +412,13 @@
             return;
         }
         let outcome = self.carry_out(&order);
+        self.add_outcome(order.id, outcome);
+    }
+
+    /// Has the controller learn the outcome of an order shortly.
+    fn add_outcome(&mut self, id: OrderId, outcome: Outcome) {
         let at = self.now + Duration::from_millis(20);
-        self.pending_outcomes.push_back((at, order.id, outcome));
+        self.pending_outcomes.push_back((at, id, outcome));
         self.pending_outcomes
             .make_contiguous()
             .sort_by_key(|(at, ..)| *at);
@@ -472,6 +486,8 @@
                 let host = self.hosts.get_mut(&order.host).unwrap();
                 host.highest_epoch = *epoch;
                 host.joined_model = Some(model.clone());
+                host.announced_before_join
+                    .clone_from(&host.last_announcement);
                 host.membership = Some(Membership {
                     replica: replica.clone(),
                     epoch: *epoch,
--- a/crates/site/src/control/orders.rs
+++ b/crates/site/src/control/orders.rs
@@ -61,12 +61,19 @@
     let mut order = order.clone();
     if order.begun_orders.is_none() {
         // Without the count, the host could not reject an order that arrives late.
-        let Some(begun_orders) = probe::fetch_begun_orders(control, &id, order.addr).await else {
+        let Some(status) = probe::fetch_status(control, &id, order.addr).await else {
             return Outcome::NotSent;
         };
-        order.begun_orders = Some(begun_orders);
         let mut controller = control.controller.borrow_mut();
-        controller.record_begun_orders(&order.host, order.incarnation, begun_orders);
+        let Some(confirmed) = controller.confirm_order(&order, &status) else {
+            log::debug!(
+                "{}: {} rests on what {status:?} contradicts",
+                id.0,
+                order.action
+            );
+            return Outcome::NotSent;
+        };
+        order = confirmed;
     }
     let order = &order;
     if let Some(kept) = control.pool.take_idle(&id) {
--- a/crates/site/src/control/probe.rs
+++ b/crates/site/src/control/probe.rs
@@ -12,6 +12,7 @@
 use crate::events::emit;
 use base::UpstreamId;
 use fleet::Announcement;
+use fleet::HostStatus;
 use forward::TargetId;
 use net::read_body;
 use quorum::clock;
@@ -137,15 +138,15 @@
     fetch_report(control, &id, host.addr).await.is_some()
 }
 
-/// Asks a host how many orders it has begun.
-pub(crate) async fn fetch_begun_orders(
+/// Asks a host for its present state.
+pub(crate) async fn fetch_status(
     control: &ControlHost,
     id: &TargetId,
     addr: SocketAddr,
-) -> Option<u64> {
+) -> Option<HostStatus> {
     let report = fetch_report(control, id, addr).await?;
-    match control.platform.parse_begun_orders(&report) {
-        Ok(begun) => Some(begun),
+    match control.platform.parse_report(&report) {
+        Ok(status) => Some(status),
         Err(e) => {
             log::warn!("the report of {} cannot be read: {e}", id.0);
             None
--- a/crates/site/src/platform.rs
+++ b/crates/site/src/platform.rs
@@ -12,6 +12,7 @@
 use base::UpstreamId;
 use fleet::Announcement;
 use fleet::Configuration;
+use fleet::HostStatus;
 use form::Action;
 
 /// The header names of a platform.
@@ -78,6 +79,6 @@
     fn order_request(&self, action: &Action, begun_orders: Option<u64>) -> Request<Full<Bytes>>;
     /// Builds a request that any running host answers at once with its report.
     fn probe_request(&self) -> Request<Full<Bytes>>;
-    /// Reads from a host's report how many orders it has begun.
-    fn parse_begun_orders(&self, report: &[u8]) -> Result<u64, MessageError>;
+    /// Parses a host's report.
+    fn parse_report(&self, report: &[u8]) -> Result<HostStatus, MessageError>;
 }
