Records say what becomes of a replica, and stay until its head has left

Cause, found by review: the record went when a replica was given up, though its head may come back and serve; a leader that begins then doesn't know of it. A record didn't say that a replica was to end, so the next leader took it for one that serves. A term that came back forgot what it had proposed, so a record that was committed late stayed for good. A host that an earlier term had lost, or that was heard before its join, closed a replica that serves. Of two records that name a host, the earlier one counted. Change: a record has a phase (serving, closing, given up) and is removed when the replica has ended or is forgotten; proposals are remembered over terms; the latest record of a host counts, and what was heard before its join doesn't.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,6 +31,7 @@
 pub use host_status::ReportedPlace;
 pub use replica_record::RecordChanges;
 pub use replica_record::RecordedHost;
+pub use replica_record::RecordedPhase;
 pub use replica_record::ReplicaRecord;
 pub use roster::Revision;
 pub use roster::Roster;
--- a/crates/fleet/src/replica_record.rs
+++ b/crates/fleet/src/replica_record.rs
@@ -29,6 +29,17 @@
     pub addr: SocketAddr,
 }
 
+/// What a controller meant to do with a recorded replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RecordedPhase {
+    /// It is to serve requests.
+    Serving,
+    /// Its head host is to leave it.
+    Closing,
+    /// Its hosts are free. If the head host comes back, it is to leave.
+    GivenUp,
+}
+
 /// A replica that may be open. Each of its hosts was ready in it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaRecord {
@@ -44,6 +55,8 @@
     pub centre: CentreName,
     /// The fabric domain of the hosts, if they report one.
     pub domain: Option<DomainName>,
+    /// What is to become of it.
+    pub phase: RecordedPhase,
     /// The hosts by rank, the head host first.
     pub hosts: Vec<RecordedHost>,
 }
@@ -51,8 +64,8 @@
 /// Changes of the recorded replicas.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordChanges {
-    /// Replicas that may open from now on.
-    pub opened: Vec<ReplicaRecord>,
+    /// Replicas that may open from now on, or whose record has changed.
+    pub recorded: Vec<ReplicaRecord>,
     /// Replicas that have ended.
     pub ended: Vec<Fence>,
 }
@@ -60,6 +73,6 @@
 impl RecordChanges {
     /// Whether nothing changes.
     pub fn is_empty(&self) -> bool {
-        self.opened.is_empty() && self.ended.is_empty()
+        self.recorded.is_empty() && self.ended.is_empty()
     }
 }
--- a/crates/form/src/record.rs
+++ b/crates/form/src/record.rs
@@ -4,7 +4,9 @@
 //! once the replica has ended. A controller that begins takes over all recorded replicas, also
 //! those whose hosts it has not heard: silence doesn't show that a replica has ended.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::Controller;
 use crate::host::Host;
@@ -20,14 +22,15 @@
 use fleet::PlaceState;
 use fleet::RecordChanges;
 use fleet::RecordedHost;
+use fleet::RecordedPhase;
 use fleet::ReplicaRecord;
 
 /// What the controller knows of the recorded replicas.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Records {
-    /// Replicas whose record is committed.
-    committed: BTreeSet<Fence>,
-    /// Replicas whose record was proposed in this term, and may be committed or not.
+    /// The committed records.
+    committed: BTreeMap<Fence, ReplicaRecord>,
+    /// Replicas that this process proposed to record. Their records may be committed or not.
     proposed: BTreeSet<Fence>,
 }
 
@@ -35,27 +38,26 @@
     /// The changes of the records that are to be committed now. Those whose fate is unknown are
     /// repeated.
     pub fn take_record_changes(&mut self) -> RecordChanges {
-        let may_open = |replica: &&Replica| {
-            let is_recorded = self.records.committed.contains(&replica.epoch);
-            !is_recorded && (replica.phase == Phase::Opening || replica.runs_requests())
-        };
-        let to_open = self.replicas.values().filter(may_open);
-        let opened: Vec<ReplicaRecord> = to_open.filter_map(|r| self.record_of(r)).collect();
-        let recorded = self.records.committed.union(&self.records.proposed);
+        let changed = self.replicas.values();
+        let recorded: Vec<ReplicaRecord> = changed.filter_map(|r| self.changed_record(r)).collect();
+        let committed = self.records.committed.keys();
+        let maybe_recorded: BTreeSet<&Fence> = committed.chain(&self.records.proposed).collect();
         let has_ended = |epoch: &&Fence| {
             let replica = self.replicas.get(epoch);
-            replica.is_none_or(|replica| !replica.holds_hosts())
+            replica.is_none_or(|replica| replica.phase == Phase::Ended)
         };
-        let ended = recorded.filter(has_ended).copied().collect();
-        let proposed = opened.iter().map(|record| record.epoch);
+        let ended = maybe_recorded.into_iter().filter(has_ended);
+        let ended = ended.copied().collect();
+        let proposed = recorded.iter().map(|record| record.epoch);
         self.records.proposed.extend(proposed);
-        RecordChanges { opened, ended }
+        RecordChanges { recorded, ended }
     }
 
-    /// Records that changes of this term are committed.
+    /// Records that changes that this process proposed are committed.
     pub fn confirm_record_changes(&mut self, changes: &RecordChanges) {
-        let opened = changes.opened.iter().map(|record| record.epoch);
-        self.records.committed.extend(opened);
+        for record in &changes.recorded {
+            self.records.committed.insert(record.epoch, record.clone());
+        }
         for epoch in &changes.ended {
             self.records.committed.remove(epoch);
             self.records.proposed.remove(epoch);
@@ -64,36 +66,81 @@
 
     /// Whether a later controller is certain to know of a replica.
     pub(crate) fn is_recorded(&self, epoch: Fence) -> bool {
-        self.records.committed.contains(&epoch)
+        self.records.committed.contains_key(&epoch)
     }
 
     /// Takes over the recorded replicas at the start of a term.
     pub(crate) fn take_over(&mut self, records: Vec<ReplicaRecord>, now: Time) {
-        self.records = Records::default();
-        for record in records {
+        self.records.committed = records.iter().map(|r| (r.epoch, r.clone())).collect();
+        // A host that two records name joined the replica of the later epoch last.
+        for record in self.records.committed.clone().into_values().rev() {
             self.observe_epoch(record.epoch);
-            self.records.committed.insert(record.epoch);
-            for (rank, host) in (0..).zip(&record.hosts) {
-                self.expect_host(&record, host, rank, now);
+            if record.phase != RecordedPhase::GivenUp {
+                self.expect_hosts(&record, now);
             }
             let replica = replica_of(record, now);
             self.replicas.insert(replica.epoch, replica);
         }
     }
 
-    /// Adds a recorded host that this controller has not heard in the recorded incarnation. Its
-    /// silence counts from now on.
-    fn expect_host(&mut self, record: &ReplicaRecord, host: &RecordedHost, rank: u32, now: Time) {
-        let known = self.hosts.get(&host.id);
-        if known.is_some_and(|known| host.incarnation <= known.announcement.incarnation) {
-            return;
+    fn expect_hosts(&mut self, record: &ReplicaRecord, now: Time) {
+        for (rank, host) in (0..).zip(&record.hosts) {
+            self.expect_host(record, host, rank, now);
         }
+    }
+
+    /// Expects a recorded host in its replica, until the host itself says otherwise. What was
+    /// heard of it before its join no longer counts, nor that it was lost in an earlier term.
+    fn expect_host(&mut self, record: &ReplicaRecord, host: &RecordedHost, rank: u32, now: Time) {
         let expected = expected_announcement(record, host, rank);
-        let expected = Host::expected(expected, now);
-        self.hosts.insert(host.id.clone(), expected);
+        match self.hosts.get_mut(&host.id) {
+            Some(known) if host.incarnation < known.announcement.incarnation => {}
+            Some(known) if host.incarnation == known.announcement.incarnation => {
+                known.lost_since = None;
+                let is_outdated = known.place().is_none_or(|p| p.epoch < record.epoch);
+                if let Some(engine) = known.announcement.engine.as_mut().filter(|_| is_outdated) {
+                    engine.place = expected.place().cloned();
+                }
+            }
+            Some(_) | None => {
+                let expected = Host::expected(expected, now);
+                self.hosts.insert(host.id.clone(), expected);
+            }
+        }
+    }
+
+    /// The record of a replica, if it isn't committed as it should be.
+    fn changed_record(&self, replica: &Replica) -> Option<ReplicaRecord> {
+        let committed = self.records.committed.get(&replica.epoch);
+        let phase = match replica.phase {
+            Phase::Joining | Phase::Ended => return None,
+            Phase::Opening | Phase::Serving | Phase::Draining(_) => RecordedPhase::Serving,
+            Phase::Closing(_) => RecordedPhase::Closing,
+            Phase::GivenUp => RecordedPhase::GivenUp,
+        };
+        match committed {
+            Some(record) if record.phase == phase => None,
+            Some(record) => Some(ReplicaRecord {
+                phase,
+                ..record.clone()
+            }),
+            None => self
+                .record_of(replica, phase)
+                .filter(|_| self.may_open(replica)),
+        }
+    }
+
+    /// Whether a replica without a committed record may be open, now or later.
+    fn may_open(&self, replica: &Replica) -> bool {
+        let is_proposed = self.records.proposed.contains(&replica.epoch);
+        let head = replica.head.as_ref().and_then(|(id, _)| self.hosts.get(id));
+        let place = head.and_then(Host::place);
+        let is_reported_open =
+            place.is_some_and(|place| place.epoch == replica.epoch && place.state.may_serve());
+        is_proposed || is_reported_open || replica.is_serving_or_forming()
     }
 
-    fn record_of(&self, replica: &Replica) -> Option<ReplicaRecord> {
+    fn record_of(&self, replica: &Replica, phase: RecordedPhase) -> Option<ReplicaRecord> {
         let head = &replica.head.as_ref()?.0;
         let head = &self.hosts.get(head)?.announcement;
         let recorded = |(id, incarnation): &(UpstreamId, Incarnation)| {
@@ -111,12 +158,14 @@
             model: replica.model.clone(),
             centre: head.centre.clone(),
             domain: head.engine.as_ref().and_then(|e| e.domain.clone()),
+            phase,
             hosts: hosts?,
         })
     }
 }
 
-/// The replica of a record. It counts as serving until a host says otherwise or is lost.
+/// The replica of a record. One that is to serve counts as serving until a host says otherwise
+/// or is lost.
 fn replica_of(record: ReplicaRecord, now: Time) -> Replica {
     let mut hosts = record.hosts.into_iter();
     let member = |host: RecordedHost| (host.id, host.incarnation);
@@ -127,7 +176,11 @@
         model: record.model,
         head: hosts.next().map(member),
         other_hosts: hosts.map(member).collect(),
-        phase: Phase::Serving,
+        phase: match record.phase {
+            RecordedPhase::Serving => Phase::Serving,
+            RecordedPhase::Closing => Phase::Closing(now),
+            RecordedPhase::GivenUp => Phase::GivenUp,
+        },
         entered_phase_at: now,
         phase_since: now,
         head_unreached_at: None,
@@ -155,7 +208,7 @@
         centre: record.centre.clone(),
         slots: 0,
         leaving: false,
-        cold_left: std::time::Duration::ZERO,
+        cold_left: Duration::ZERO,
         engine: Some(EngineReport {
             domain: record.domain.clone(),
             staged: Vec::new(),
--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -267,7 +267,7 @@
     }
 
     fn commit(&mut self, changes: &RecordChanges) {
-        for record in &changes.opened {
+        for record in &changes.recorded {
             self.records.insert(record.epoch, record.clone());
         }
         for epoch in &changes.ended {
--- a/crates/state/src/replica_register.rs
+++ b/crates/state/src/replica_register.rs
@@ -28,7 +28,7 @@
     /// Applies changes. Applied again, they change nothing.
     pub(crate) fn apply(&mut self, changes: &RecordChanges) {
         let records = Arc::make_mut(&mut self.records);
-        for record in &changes.opened {
+        for record in &changes.recorded {
             records.insert(record.epoch, record.clone());
         }
         for epoch in &changes.ended {
--- a/crates/state/tests/replicas.rs
+++ b/crates/state/tests/replicas.rs
@@ -5,6 +5,7 @@
 use base::Version;
 use fleet::RecordChanges;
 use fleet::RecordedHost;
+use fleet::RecordedPhase;
 use fleet::ReplicaRecord;
 use state::Command;
 use state::LogTime;
@@ -25,13 +26,14 @@
         model: "wide".parse().unwrap(),
         centre: "c0".parse().unwrap(),
         domain: Some("d0".parse().unwrap()),
+        phase: RecordedPhase::Serving,
         hosts: vec![host(0), host(1)],
     }
 }
 
 fn apply(state: &mut State, index: u64, opened: &[u64], ended: &[u64]) {
     let changes = RecordChanges {
-        opened: opened.iter().copied().map(record).collect(),
+        recorded: opened.iter().copied().map(record).collect(),
         ended: ended.iter().copied().map(Fence).collect(),
     };
     let op = Op::RecordReplicas(changes);
