form: tests of terms that begin with what earlier ones left

Change: the simulated world checks that every head that serves or opens is recorded, and can lose commits; four tests of takeovers. The record check leaves out heads whose present state the leader is told falsely, as heartbeats no longer do so.

--- a/crates/form/src/record.rs
+++ b/crates/form/src/record.rs
@@ -72,8 +72,7 @@
     /// Takes over the recorded replicas at the start of a term.
     pub(crate) fn take_over(&mut self, records: Vec<ReplicaRecord>, now: Time) {
         self.records.committed = records.iter().map(|r| (r.epoch, r.clone())).collect();
-        // A host that two records name joined the replica of the later epoch last.
-        for record in self.records.committed.clone().into_values().rev() {
+        for record in records {
             self.observe_epoch(record.epoch);
             if record.phase != RecordedPhase::GivenUp {
                 self.expect_hosts(&record, now);
--- a/crates/form/tests/repair.rs
+++ b/crates/form/tests/repair.rs
@@ -172,6 +172,7 @@
         world.begin_traffic();
         world.faults = Faults {
             late_order_share: 0.3,
+            ..Faults::default()
         };
         for round in 0..20 {
             let up: Vec<_> = world.hosts.values().filter(|host| host.is_up).collect();
--- a/crates/form/tests/takeover.rs
+++ b/crates/form/tests/takeover.rs
@@ -2,11 +2,16 @@
 
 mod world;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use world::Faults;
 use world::World;
 
+use base::Fence;
+use base::Incarnation;
 use base::UpstreamId;
+use fleet::ReplicaRecord;
 use form::Config;
 
 fn secs(secs: u64) -> Duration {
@@ -92,6 +97,10 @@
 fn nothing_is_broken_by_new_leaders_that_hear_only_some_hosts() {
     for seed in 0..20 {
         let (mut world, _) = world_with_heads(200 + seed);
+        world.faults = Faults {
+            late_order_share: 0.1,
+            lost_commit_share: 0.3,
+        };
         for round in 0..20 {
             let up: Vec<_> = world.hosts.values().filter(|host| host.is_up).collect();
             let chosen = up[world.rng.usize(..up.len())].id.clone();
@@ -118,6 +127,7 @@
             host.is_heard_elsewhere = false;
             host.is_cut_off = false;
         }
+        world.faults = Faults::default();
         world.run(secs(60));
         let hosts = 4 * world.count_serving("wide") + 2 * world.count_serving("slim");
         let up = world.hosts.values().filter(|host| host.is_up).count();
@@ -128,3 +138,79 @@
         );
     }
 }
+
+#[test]
+fn a_loss_seen_in_an_earlier_term_does_not_close_a_replica() {
+    let (mut world, heads) = world_with_heads(1);
+    world.controller.set_term(None, world.now, Vec::new);
+    for head in &heads {
+        let host = world.hosts.get_mut(head).unwrap();
+        host.is_heard_elsewhere = true;
+        let incarnation = Incarnation(host.incarnation);
+        world.controller.mark_lost(head, incarnation, world.now);
+    }
+    world.change_leader();
+    world.run(secs(8));
+    let table = world.controller.routing_table().unwrap();
+    let serving: BTreeSet<_> = table.serving.into_iter().map(|r| r.head).collect();
+    assert!(
+        heads.iter().all(|head| serving.contains(head)),
+        "{serving:?}"
+    );
+}
+
+#[test]
+fn a_record_left_over_from_before_a_host_joined_its_replica_does_not_close_it() {
+    let (mut world, _) = world_with_heads(1);
+    let before = (world.count_serving("wide"), world.count_serving("slim"));
+    let newest = world.records.values().next_back().unwrap();
+    let left_over = ReplicaRecord {
+        replica: "r1000001.slim".parse().unwrap(),
+        epoch: Fence(1_000_001),
+        ..newest.clone()
+    };
+    world.records.insert(left_over.epoch, left_over);
+    for host in world.hosts.values_mut() {
+        host.is_heard_elsewhere = true;
+    }
+    world.restart_controllers();
+    world.run(secs(8));
+    let serving = (world.count_serving("wide"), world.count_serving("slim"));
+    assert_eq!(serving, before);
+}
+
+#[test]
+fn replicas_that_were_closing_or_given_up_do_not_serve_under_the_next_leader() {
+    for given_up in [false, true] {
+        let (mut world, heads) = world_with_heads(1);
+        for head in &heads {
+            world.kill(head);
+        }
+        // Longer than a new leader settles.
+        world.lost_after = Duration::from_millis(2_200);
+        world.run(secs(if given_up { 9 } else { 4 }));
+        assert_eq!(world.controller.take_given_up().is_empty(), !given_up);
+        world.restart_controllers();
+        for _ in 0..40 {
+            world.run(Duration::from_millis(100));
+            let table = world.controller.routing_table().unwrap_or_default();
+            let mut serving = table.serving.iter();
+            assert!(!serving.any(|replica| heads.contains(&replica.head)));
+        }
+    }
+}
+
+#[test]
+fn a_term_that_comes_back_publishes_later_editions() {
+    let (mut world, heads) = world_with_heads(1);
+    let before = world.controller.routing_table().unwrap().edition;
+    world.controller.set_term(None, world.now, Vec::new);
+    let records: Vec<_> = world.records.values().cloned().collect();
+    let (term, now) = (Some(before.term), world.now);
+    world.controller.set_term(term, now, || records);
+    world.kill(&heads[0]);
+    world.run(secs(5));
+    let after = world.controller.routing_table().unwrap();
+    assert!(before < after.edition, "{before:?}, {:?}", after.edition);
+    assert!(!after.serving.iter().any(|replica| replica.head == heads[0]));
+}
--- a/crates/form/tests/world/checks.rs
+++ b/crates/form/tests/world/checks.rs
@@ -35,6 +35,25 @@
         );
     }
 
+    /// Checks that every replica that serves or is being opened is recorded, unless its head host
+    /// itself seems to say that it has left.
+    pub(super) fn check_records(&self) {
+        let truthful = |host: &&Host| host.is_up && host.repeated_announcement.is_none();
+        for host in self.hosts.values().filter(truthful) {
+            let opens = host.membership.as_ref().filter(|membership| {
+                membership.state == PlaceState::Open || membership.opens_at.is_some()
+            });
+            if let Some(membership) = opens {
+                assert!(
+                    self.records.contains_key(&membership.epoch),
+                    "{}: {} serves without a record",
+                    self.now,
+                    membership.replica
+                );
+            }
+        }
+    }
+
     /// Checks that requests may be sent only to replicas whose hosts were all ready.
     pub(super) fn check_serving(&self) {
         let routing_table = self.controller.routing_table().unwrap_or_default();
--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -48,6 +48,9 @@
 pub struct Faults {
     /// Share of the orders whose answer is lost and that are carried out late.
     pub late_order_share: f64,
+    /// Share of the changes of the records of which the controller doesn't learn whether they
+    /// are committed. Half of them are.
+    pub lost_commit_share: f64,
 }
 
 pub struct World {
@@ -69,7 +72,7 @@
     late_orders: VecDeque<(Time, Order)>,
     pending_outcomes: VecDeque<(Time, OrderId, Outcome)>,
     /// The replicated records, which outlive controllers.
-    records: BTreeMap<Fence, ReplicaRecord>,
+    pub records: BTreeMap<Fence, ReplicaRecord>,
     /// Changes of the records that are being committed, and when they will be.
     record_changes: Option<(Time, RecordChanges)>,
     pub load_starts: Vec<Time>,
@@ -249,6 +252,7 @@
             self.commit_record_changes();
             self.leave_via_entry_hosts();
             self.check_serving();
+            self.check_records();
         }
     }
 
@@ -256,8 +260,13 @@
     fn commit_record_changes(&mut self) {
         let due = self.record_changes.take_if(|(at, _)| *at <= self.now);
         if let Some((_, changes)) = due {
-            self.commit(&changes);
-            self.controller.confirm_record_changes(&changes);
+            let is_lost = self.rng.f64() < self.faults.lost_commit_share;
+            if !is_lost || self.rng.bool() {
+                self.commit(&changes);
+            }
+            if !is_lost {
+                self.controller.confirm_record_changes(&changes);
+            }
         }
         if self.record_changes.is_none() {
             let changes = self.controller.take_record_changes();
