fleet: what a control host reports to the leader, moved out of the I/O

Moved without a change of what is sent or applied, so that it can be tested without a network: the queue of announcements and heartbeats for the leader (LeaderReports) and the effect of a heartbeat on a roster (Roster::record_heartbeat).

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -13,6 +13,8 @@
 use serde::Serialize;
 
 use crate::Announcement;
+use crate::Heartbeat;
+use crate::HeartbeatOutcome;
 use base::Incarnation;
 use base::Time;
 use base::UpstreamId;
@@ -112,6 +114,21 @@
         UpdateOutcome::Changed
     }
 
+    /// Records a heartbeat of a process.
+    pub fn record_heartbeat(&mut self, heartbeat: &Heartbeat, now: Time) -> HeartbeatOutcome {
+        let known = self.get(&heartbeat.id).map(|e| e.announcement.clone());
+        let Some(mut announcement) =
+            known.filter(|announcement| announcement.incarnation == heartbeat.incarnation)
+        else {
+            return HeartbeatOutcome::Ignored;
+        };
+        announcement.sequence = heartbeat.sequence;
+        match self.record_announcement(announcement, now) {
+            UpdateOutcome::Changed | UpdateOutcome::Refreshed => HeartbeatOutcome::Refreshed,
+            UpdateOutcome::Ignored => HeartbeatOutcome::Ignored,
+        }
+    }
+
     /// Records that a process has departed. If an incarnation is given and it is not the known
     /// one, the departure is ignored.
     pub fn record_departure(
--- a/crates/site/src/control/api.rs
+++ b/crates/site/src/control/api.rs
@@ -15,7 +15,6 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::message::ConfigText;
-use crate::message::Heartbeat;
 use crate::message::OfferConfig;
 use crate::message::OfferConfigReply;
 use crate::message::ReadConfig;
@@ -25,7 +24,6 @@
 use base::Time;
 use base::UpstreamId;
 use fleet::CompressedText;
-use fleet::RosterChange;
 use fleet::UpdateOutcome;
 use net::Body;
 use net::Server;
@@ -84,49 +82,36 @@
             return error_response(StatusCode::BAD_REQUEST, &e.to_string());
         }
     };
-    let heartbeat = Heartbeat {
-        id: id.clone(),
-        incarnation: announcement.incarnation,
-        sequence: announcement.sequence,
-    };
+    let now = clock::now();
     let outcome = control
         .roster
         .borrow_mut()
-        .record_announcement(announcement.clone(), clock::now());
+        .record_announcement(announcement.clone(), now);
     control.record_update(&id, outcome);
-    let mut unsent_observations = control.unsent_observations.borrow_mut();
-    match outcome {
-        UpdateOutcome::Changed => {
-            unsent_observations
-                .changes
-                .push(RosterChange::Announced(announcement));
-            control.observations_added.notify_waiters();
-        }
-        UpdateOutcome::Refreshed => unsent_observations.heartbeats.push(heartbeat),
-        UpdateOutcome::Ignored => {}
+    control
+        .leader_reports
+        .borrow_mut()
+        .record_announcement(&announcement, outcome, now);
+    if outcome == UpdateOutcome::Changed {
+        control.observations_added.notify_waiters();
     }
     json_response(StatusCode::OK, "{}")
 }
 
 fn leave(control: &ControlHost, id: &UpstreamId) -> Response<Body> {
+    let now = clock::now();
     let incarnation = control
         .roster
         .borrow()
         .get(id)
         .map(|entry| entry.announcement.incarnation);
-    let outcome = control
-        .roster
-        .borrow_mut()
-        .record_departure(id, None, clock::now());
+    let outcome = control.roster.borrow_mut().record_departure(id, None, now);
     control.record_update(id, outcome);
     if let Some(incarnation) = incarnation {
-        let id = id.clone();
-        let change = RosterChange::Gone { id, incarnation };
         control
-            .unsent_observations
+            .leader_reports
             .borrow_mut()
-            .changes
-            .push(change);
+            .record_departure(id, incarnation, now);
         control.observations_added.notify_waiters();
     }
     json_response(StatusCode::OK, "{}")
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -8,6 +8,7 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::message::Observations;
+use crate::message::ObservationsReply;
 use crate::message::Watch;
 use crate::message::WatchReply;
 use crate::message::WatchUpdate;
@@ -146,35 +147,38 @@
     loop {
         control.observations_added.wait(HEARTBEAT_INTERVAL).await;
         compio::time::sleep(BATCH_DELAY).await;
-        let observations = std::mem::take(&mut *control.unsent_observations.borrow_mut());
-        if control.is_leader() || observations == Observations::default() {
+        let others = std::mem::take(&mut *control.unsent_observations.borrow_mut());
+        if control.is_leader() {
+            control.leader_reports.borrow_mut().record_own_lead();
             continue;
         }
         let Some(leader) = control.known_leader() else {
-            put_back(&control, observations);
+            control.leader_reports.borrow_mut().drop_heartbeats();
             compio::time::sleep(RETRY_INTERVAL).await;
             continue;
         };
+        let now = clock::now();
+        let batch = control.leader_reports.borrow_mut().next_batch(leader, now);
+        let observations = Observations {
+            changes: batch.changes.clone(),
+            heartbeats: batch.heartbeats.clone(),
+            ..others
+        };
+        if observations == Observations::default() {
+            continue;
+        }
         let addr = control.settings.internal_addr(leader);
         let reply = control.rpc.call(addr, &observations, CALL_TIMEOUT).await;
-        if let Err(e) = reply {
-            log::debug!("the leader {leader} did not take the observations: {e}");
-            put_back(&control, observations);
-            compio::time::sleep(RETRY_INTERVAL).await;
+        match reply {
+            Ok(ObservationsReply {}) => {
+                let mut reports = control.leader_reports.borrow_mut();
+                reports.record_taken(&batch, &[]);
+            }
+            Err(e) => {
+                log::debug!("the leader {leader} did not take the observations: {e}");
+                control.leader_reports.borrow_mut().record_failure(batch);
+                compio::time::sleep(RETRY_INTERVAL).await;
+            }
         }
     }
 }
-
-/// Puts back roster changes that could not be sent. Heartbeats are repeated anyway.
-fn put_back(control: &ControlHost, observations: Observations) {
-    let mut unsent_observations = control.unsent_observations.borrow_mut();
-    let mut changes = observations.changes;
-    changes.append(&mut unsent_observations.changes);
-    unsent_observations.changes = changes;
-    const MAX_UNSENT_CHANGES: usize = 1_000;
-    let excess = unsent_observations
-        .changes
-        .len()
-        .saturating_sub(MAX_UNSENT_CHANGES);
-    unsent_observations.changes.drain(..excess);
-}
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -36,6 +36,7 @@
 use base::UpstreamId;
 use base::Version;
 use fleet::CompressedText;
+use fleet::LeaderReports;
 use fleet::Roster;
 use fleet::RoutingTable;
 use fleet::UpdateOutcome;
@@ -98,7 +99,9 @@
     pub confirmed_at: Cell<Option<Time>>,
     /// The load of the entry hosts.
     pub loads: RefCell<LoadAggregator>,
-    /// Observations that have not been sent to the leader yet.
+    /// What is to be reported to the leader of the upstreams that announce themselves here.
+    pub leader_reports: RefCell<LeaderReports>,
+    /// Other observations that have not been sent to the leader yet.
     pub unsent_observations: RefCell<Observations>,
     /// Hosts that are being probed, and hosts that were lost: `probe_host` never removes these.
     pub being_probed: RefCell<BTreeSet<UpstreamId>>,
@@ -200,6 +203,7 @@
             routing_table: RefCell::default(),
             confirmed_at: Cell::new(None),
             loads: RefCell::default(),
+            leader_reports: RefCell::default(),
             unsent_observations: RefCell::default(),
             being_probed: RefCell::default(),
             reported_leader: Cell::new(None),
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -18,6 +18,7 @@
 use crate::message::Watcher;
 use base::Fence;
 use base::NodeId;
+use fleet::HeartbeatOutcome;
 use fleet::Revision;
 use fleet::RosterChange;
 use fleet::UpdateOutcome;
@@ -164,22 +165,13 @@
         control.record_update(&id, outcome);
     }
     for heartbeat in observations.heartbeats {
-        let known = control
-            .roster
-            .borrow()
-            .get(&heartbeat.id)
-            .map(|e| e.announcement.clone());
-        let Some(mut announcement) =
-            known.filter(|announcement| announcement.incarnation == heartbeat.incarnation)
-        else {
-            continue;
-        };
-        announcement.sequence = heartbeat.sequence;
-        let outcome: UpdateOutcome = control
+        let outcome = control
             .roster
             .borrow_mut()
-            .record_announcement(announcement, clock::now());
-        control.record_update(&heartbeat.id, outcome);
+            .record_heartbeat(&heartbeat, clock::now());
+        if outcome == HeartbeatOutcome::Refreshed {
+            control.record_update(&heartbeat.id, UpdateOutcome::Refreshed);
+        }
     }
     for epoch in observations.left_replicas {
         record_head_left(control, epoch);
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -15,6 +15,7 @@
 use base::Version;
 use fleet::CompressedText;
 use fleet::Edition;
+use fleet::Heartbeat;
 use fleet::Revision;
 use fleet::RosterChange;
 use fleet::RoutingTable;
@@ -118,18 +119,6 @@
     type Reply = WatchReply;
 }
 
-/// An announcement that only repeats the last one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// The process that announced itself.
-    pub id: UpstreamId,
-    /// The process's incarnation.
-    #[serde(rename = "life")]
-    pub incarnation: Incarnation,
-    /// The sequence number of the announcement.
-    pub sequence: u64,
-}
-
 /// Reports what the sender observed to a control host, which passes it on to the leader.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Observations {
