A heartbeat counts only for the announcement that it repeats

Cause: a control host that does not lead sends a changed announcement to the leader once, and heartbeats afterwards. The receiver applied a heartbeat to whatever announcement it held. A leader that had missed the change held an older state, and the heartbeats made that state look freshly heard; a leader that did not know the process dropped them, and never heard its state until it changed.

Change: a heartbeat names the whole announcement that it repeats (sequence number in the same incarnation). It counts only where exactly that one is held; otherwise the reply names the process as lacking, and the sender sends its announcement whole. LeaderReports keeps the last thing heard of each upstream and what the leader has taken of it, in place of a queue, so that nothing is lost with a call, a refused call or a lead of its own. A heartbeat of an older release names none: it keeps the process from being forgotten, and counts for no state.

--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -6,7 +6,7 @@
 use base::Incarnation;
 use base::UpstreamId;
 
-/// An announcement that only repeats the last one.
+/// An announcement that only repeats an earlier one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The process that announced itself.
@@ -16,6 +16,10 @@
     pub incarnation: Incarnation,
     /// The sequence number of the announcement.
     pub sequence: u64,
+    /// The sequence number of the whole announcement that it repeats, of the same incarnation.
+    /// Without it, the heartbeat says nothing of the state.
+    #[serde(default)]
+    pub repeats: Option<u64>,
 }
 
 /// The effect that a heartbeat has on a roster.
@@ -23,7 +27,7 @@
 pub enum HeartbeatOutcome {
     /// The process still reports the state that the roster holds.
     Refreshed,
-    /// The roster doesn't hold the state that the heartbeat repeats.
+    /// The roster doesn't hold the announcement that the heartbeat repeats.
     Lacking,
     /// The roster holds something as new, or the process has departed.
     Ignored,
--- a/crates/fleet/src/leader_reports.rs
+++ b/crates/fleet/src/leader_reports.rs
@@ -1,4 +1,10 @@
 //! What a control host reports to the leader of the upstreams that announce themselves to it.
+//!
+//! The leader gets a state whole. Once it has taken it, heartbeats that name this announcement
+//! repeat it. If the leader doesn't hold the announcement that a heartbeat names, it says so and
+//! gets the state whole again.
+
+use std::collections::BTreeMap;
 
 use base::Incarnation;
 use base::NodeId;
@@ -9,9 +15,10 @@
 use crate::Heartbeat;
 use crate::RosterChange;
 use crate::UpdateOutcome;
+use crate::roster::FORGET_AFTER;
 
-/// Largest number of changes that are kept until they can be sent.
-const MAX_UNSENT_CHANGES: usize = 1_000;
+/// Largest number of changes that one call carries.
+const MAX_CHANGES_PER_BATCH: usize = 500;
 
 /// What is sent to the leader in one call.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -22,10 +29,32 @@
     pub heartbeats: Vec<Heartbeat>,
 }
 
-/// What is still to be reported to the leader.
+/// What the leader holds of an upstream's present state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Told {
+    /// Nothing, as far as is known here.
+    Nothing,
+    /// The whole announcement with this sequence number.
+    Whole(u64),
+    /// The departure.
+    Departure,
+}
+
+/// The last thing that an upstream told this control host.
+#[derive(Clone, Debug)]
+struct Heard {
+    latest: RosterChange,
+    heard_at: Time,
+    told: Told,
+    /// Whether the leader has not taken the latest announcement yet.
+    is_due: bool,
+}
+
+/// What the leader holds, and is still to be told, of the upstreams that announce themselves to
+/// this control host.
 #[derive(Clone, Debug, Default)]
 pub struct LeaderReports {
-    unsent: ReportBatch,
+    heard: BTreeMap<UpstreamId, Heard>,
 }
 
 impl LeaderReports {
@@ -35,54 +64,125 @@
         &mut self,
         announcement: &Announcement,
         outcome: UpdateOutcome,
-        _now: Time,
+        now: Time,
     ) {
-        match outcome {
-            UpdateOutcome::Changed => self
-                .unsent
-                .changes
-                .push(RosterChange::Announced(announcement.clone())),
-            UpdateOutcome::Refreshed => self.unsent.heartbeats.push(Heartbeat {
-                id: announcement.id.clone(),
-                incarnation: announcement.incarnation,
-                sequence: announcement.sequence,
-            }),
-            UpdateOutcome::Ignored => {}
+        if outcome == UpdateOutcome::Ignored {
+            return;
         }
+        let known = self.heard.get(&announcement.id);
+        let known = known.filter(|known| known.has_state_of(announcement));
+        let heard = Heard {
+            latest: RosterChange::Announced(announcement.clone()),
+            heard_at: now,
+            told: known.map_or(Told::Nothing, |known| known.told),
+            is_due: true,
+        };
+        self.heard.insert(announcement.id.clone(), heard);
     }
 
     /// Records that an upstream told this control host that it departs.
-    pub fn record_departure(&mut self, id: &UpstreamId, incarnation: Incarnation, _now: Time) {
-        let id = id.clone();
-        self.unsent
-            .changes
-            .push(RosterChange::Gone { id, incarnation });
-    }
-
-    /// Records that this control host leads.
-    pub fn record_own_lead(&mut self) {
-        self.unsent = ReportBatch::default();
+    pub fn record_departure(&mut self, id: &UpstreamId, incarnation: Incarnation, now: Time) {
+        let heard = Heard {
+            latest: RosterChange::Gone {
+                id: id.clone(),
+                incarnation,
+            },
+            heard_at: now,
+            told: Told::Nothing,
+            is_due: true,
+        };
+        self.heard.insert(id.clone(), heard);
     }
 
-    /// Drops heartbeats that cannot be sent. They are repeated anyway.
-    pub fn drop_heartbeats(&mut self) {
-        self.unsent.heartbeats.clear();
+    /// Forgets the upstreams that have been silent here for long.
+    pub fn remove_silent(&mut self, now: Time) {
+        self.heard
+            .retain(|_, heard| now.since(heard.heard_at) < FORGET_AFTER);
     }
 
     /// What to send to a leader now.
-    pub fn next_batch(&mut self, _leader: NodeId, _now: Time) -> ReportBatch {
-        std::mem::take(&mut self.unsent)
+    pub fn next_batch(&mut self, _leader: NodeId, now: Time) -> ReportBatch {
+        self.remove_silent(now);
+        let mut batch = ReportBatch::default();
+        for heard in self.heard.values().filter(|heard| heard.is_due) {
+            match heard.heartbeat() {
+                Some(heartbeat) => batch.heartbeats.push(heartbeat),
+                None if batch.changes.len() < MAX_CHANGES_PER_BATCH => {
+                    batch.changes.push(heard.latest.clone());
+                }
+                None => {}
+            }
+        }
+        batch
     }
 
     /// Records that the leader took a batch, and of which processes it lacks the state.
-    pub fn record_taken(&mut self, _batch: &ReportBatch, _lacking: &[UpstreamId]) {}
-
-    /// Records that the leader may not have taken a batch. Heartbeats are repeated anyway.
-    pub fn record_failure(&mut self, batch: ReportBatch) {
-        let mut changes = batch.changes;
-        changes.append(&mut self.unsent.changes);
-        let excess = changes.len().saturating_sub(MAX_UNSENT_CHANGES);
-        changes.drain(..excess);
-        self.unsent.changes = changes;
+    pub fn record_taken(&mut self, batch: &ReportBatch, lacking: &[UpstreamId]) {
+        for change in &batch.changes {
+            if let Some(heard) = self.heard.get_mut(change.id()) {
+                heard.record_change_taken(change);
+            }
+        }
+        for heartbeat in &batch.heartbeats {
+            if let Some(heard) = self.heard.get_mut(&heartbeat.id) {
+                heard.is_due &= heard.heartbeat().as_ref() != Some(heartbeat);
+            }
+        }
+        for id in lacking {
+            if let Some(heard) = self.heard.get_mut(id) {
+                heard.forget_told();
+            }
+        }
+    }
+
+    /// Whether changes wait to be sent.
+    pub fn has_unsent_changes(&self) -> bool {
+        let mut heard = self.heard.values();
+        heard.any(|heard| heard.is_due && heard.told == Told::Nothing)
+    }
+}
+
+impl Heard {
+    /// The heartbeat that suffices for a leader that holds the present state.
+    fn heartbeat(&self) -> Option<Heartbeat> {
+        match (&self.latest, self.told) {
+            (RosterChange::Announced(latest), Told::Whole(repeats)) => Some(Heartbeat {
+                id: latest.id.clone(),
+                incarnation: latest.incarnation,
+                sequence: latest.sequence,
+                repeats: Some(repeats),
+            }),
+            _ => None,
+        }
+    }
+
+    fn has_state_of(&self, announcement: &Announcement) -> bool {
+        match &self.latest {
+            RosterChange::Announced(latest) => latest.has_same_state(announcement),
+            RosterChange::Gone { .. } => false,
+        }
+    }
+
+    /// Records that the leader took a change, which may no longer be the latest.
+    fn record_change_taken(&mut self, taken: &RosterChange) {
+        match (taken, &self.latest) {
+            (RosterChange::Announced(taken), RosterChange::Announced(latest))
+                if latest.has_same_state(taken) =>
+            {
+                self.told = Told::Whole(taken.sequence);
+                self.is_due = latest.sequence != taken.sequence;
+            }
+            (RosterChange::Gone { .. }, latest) if latest == taken => {
+                self.told = Told::Departure;
+                self.is_due = false;
+            }
+            _ => {}
+        }
+    }
+
+    /// The leader doesn't hold the present state.
+    fn forget_told(&mut self) {
+        self.told = Told::Nothing;
+        self.is_due = true;
     }
 }
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -20,7 +20,7 @@
 use base::UpstreamId;
 
 /// A process is forgotten after it has been silent this long.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
+pub(crate) const FORGET_AFTER: Duration = Duration::from_secs(60);
 
 /// Largest number of processes in a roster. Announcements of further ones are ignored.
 const MAX_ENTRIES: usize = 20_000;
@@ -47,8 +47,12 @@
 pub struct RosterEntry {
     /// The latest announcement.
     pub announcement: Announcement,
+    /// The sequence number of the last announcement of this state that arrived whole.
+    pub whole_sequence: u64,
     /// When the last update from the process arrived.
     pub heard_at: Time,
+    /// When the last sign of the process arrived, which may say nothing of its state.
+    pub alive_at: Time,
     /// Whether the process has departed.
     pub has_departed: bool,
     /// The roster's revision at the last change of this entry.
@@ -79,6 +83,16 @@
     revision: Revision,
 }
 
+impl RosterChange {
+    /// The process that the change is about.
+    pub fn id(&self) -> &UpstreamId {
+        match self {
+            Self::Announced(announcement) => &announcement.id,
+            Self::Gone { id, .. } => id,
+        }
+    }
+}
+
 impl Roster {
     /// Records an announcement, unless a newer one is known.
     pub fn record_announcement(&mut self, announcement: Announcement, now: Time) -> UpdateOutcome {
@@ -97,15 +111,19 @@
         });
         if is_same_state {
             if let Some(entry) = self.entries.get_mut(&announcement.id) {
+                entry.whole_sequence = announcement.sequence;
                 entry.announcement = announcement;
                 entry.heard_at = now;
+                entry.alive_at = now;
             }
             return UpdateOutcome::Refreshed;
         }
         self.by_addr
             .insert(announcement.addr, announcement.id.clone());
         let entry = RosterEntry {
+            whole_sequence: announcement.sequence,
             heard_at: now,
+            alive_at: now,
             has_departed: false,
             revision: self.next_revision(),
             announcement,
@@ -114,19 +132,26 @@
         UpdateOutcome::Changed
     }
 
-    /// Records a heartbeat of a process.
+    /// Records a heartbeat, which counts only for the state that it repeats.
     pub fn record_heartbeat(&mut self, heartbeat: &Heartbeat, now: Time) -> HeartbeatOutcome {
-        let known = self.get(&heartbeat.id).map(|e| e.announcement.clone());
-        let Some(mut announcement) =
-            known.filter(|announcement| announcement.incarnation == heartbeat.incarnation)
-        else {
-            return HeartbeatOutcome::Ignored;
+        let Some(entry) = self.entries.get_mut(&heartbeat.id) else {
+            return HeartbeatOutcome::Lacking;
         };
-        announcement.sequence = heartbeat.sequence;
-        match self.record_announcement(announcement, now) {
-            UpdateOutcome::Changed | UpdateOutcome::Refreshed => HeartbeatOutcome::Refreshed,
-            UpdateOutcome::Ignored => HeartbeatOutcome::Ignored,
+        let known = &mut entry.announcement;
+        let is_same_incarnation = known.incarnation == heartbeat.incarnation;
+        let known_order = (known.incarnation, known.sequence);
+        if (heartbeat.incarnation, heartbeat.sequence) <= known_order
+            || (is_same_incarnation && entry.has_departed)
+        {
+            return HeartbeatOutcome::Ignored;
         }
+        entry.alive_at = now;
+        if !is_same_incarnation || heartbeat.repeats != Some(entry.whole_sequence) {
+            return HeartbeatOutcome::Lacking;
+        }
+        known.sequence = heartbeat.sequence;
+        entry.heard_at = now;
+        HeartbeatOutcome::Refreshed
     }
 
     /// Records that a process has departed. If an incarnation is given and it is not the known
@@ -148,6 +173,7 @@
         }
         entry.has_departed = true;
         entry.heard_at = now;
+        entry.alive_at = now;
         entry.revision = Revision(revision);
         self.revision = Revision(revision);
         UpdateOutcome::Changed
@@ -156,7 +182,7 @@
     /// Forgets the processes that have been silent for long.
     pub fn remove_silent(&mut self, now: Time) {
         self.entries
-            .retain(|_, entry| now.since(entry.heard_at) < FORGET_AFTER);
+            .retain(|_, entry| now.since(entry.alive_at) < FORGET_AFTER);
         let entries = &self.entries;
         self.by_addr.retain(|_, id| entries.contains_key(id));
     }
--- /dev/null
+++ b/crates/fleet/tests/leader_reports.rs
@@ -0,0 +1,224 @@
+//! What a control host reports of the upstreams that announce themselves to it reaches every
+//! leader, and an old state never passes for a new one.
+
+use std::time::Duration;
+
+use base::Fence;
+use base::Incarnation;
+use base::NodeId;
+use base::Time;
+use base::UpstreamId;
+use fleet::Announcement;
+use fleet::EngineReport;
+use fleet::Heartbeat;
+use fleet::HeartbeatOutcome;
+use fleet::LeaderReports;
+use fleet::Place;
+use fleet::PlaceState;
+use fleet::ReportBatch;
+use fleet::Roster;
+use fleet::RosterChange;
+
+const FIRST: NodeId = NodeId(1);
+
+/// The announcement of a host that is in no replica (epoch 0) or serves one.
+fn announcement(sequence: u64, epoch: u64) -> Announcement {
+    let place = Place {
+        replica: format!("r{epoch}").parse().unwrap(),
+        epoch: Fence(epoch),
+        rank: 0,
+        state: PlaceState::Open,
+    };
+    Announcement {
+        id: id(),
+        incarnation: Incarnation(1),
+        sequence,
+        service: "chat".parse().unwrap(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        centre: "c".parse().unwrap(),
+        slots: 6,
+        leaving: false,
+        cold_left: Duration::ZERO,
+        engine: Some(EngineReport {
+            domain: None,
+            staged: Vec::new(),
+            place: (0 < epoch).then_some(place),
+        }),
+    }
+}
+
+fn id() -> UpstreamId {
+    "h".parse().unwrap()
+}
+
+fn ms(millis: u64) -> Time {
+    Time::ZERO + Duration::from_millis(millis)
+}
+
+fn epoch_of(roster: &Roster) -> Option<u64> {
+    let entry = roster.get(&id())?;
+    Some(entry.announcement.place().map_or(0, |place| place.epoch.0))
+}
+
+/// A control host that doesn't lead.
+#[derive(Default)]
+struct Sender {
+    roster: Roster,
+    reports: LeaderReports,
+}
+
+impl Sender {
+    fn hear(&mut self, announcement: &Announcement, now: Time) {
+        let outcome = self.roster.record_announcement(announcement.clone(), now);
+        self.reports.record_announcement(announcement, outcome, now);
+    }
+
+    fn hear_departure(&mut self, now: Time) {
+        self.roster.record_departure(&id(), None, now);
+        self.reports.record_departure(&id(), Incarnation(1), now);
+    }
+
+    /// Sends what is due, and returns what it was.
+    fn send(&mut self, leader: NodeId, roster: &mut Roster, now: Time) -> ReportBatch {
+        let batch = self.reports.next_batch(leader, now);
+        let lacking = apply(&batch, roster, now);
+        self.reports.record_taken(&batch, &lacking);
+        batch
+    }
+}
+
+/// Applies a batch as a leader does, and returns the processes whose state it lacks.
+fn apply(batch: &ReportBatch, roster: &mut Roster, now: Time) -> Vec<UpstreamId> {
+    for change in &batch.changes {
+        roster.apply_change(change.clone(), now);
+    }
+    let lacking = |heartbeat: &&Heartbeat| {
+        roster.record_heartbeat(heartbeat, now) == HeartbeatOutcome::Lacking
+    };
+    let lacking = batch.heartbeats.iter().filter(lacking);
+    lacking.map(|heartbeat| heartbeat.id.clone()).collect()
+}
+
+#[test]
+fn a_heartbeat_does_not_make_an_older_state_look_fresh() {
+    let mut sender = Sender::default();
+    let mut leader = Roster::default();
+    sender.hear(&announcement(1, 0), ms(0));
+    sender.send(FIRST, &mut leader, ms(0));
+    let older = leader.clone();
+    sender.hear(&announcement(2, 7), ms(1_000));
+    sender.send(FIRST, &mut leader, ms(1_000));
+    leader = older;
+    sender.hear(&announcement(3, 7), ms(2_000));
+    sender.send(FIRST, &mut leader, ms(2_000));
+    let entry = leader.get(&id()).unwrap();
+    assert_eq!((entry.heard_at, epoch_of(&leader)), (ms(0), Some(0)));
+    sender.send(FIRST, &mut leader, ms(2_010));
+    assert_eq!(epoch_of(&leader), Some(7));
+}
+
+#[test]
+fn a_leader_that_started_again_need_not_wait_for_a_change() {
+    let mut sender = Sender::default();
+    sender.hear(&announcement(1, 7), ms(0));
+    sender.send(FIRST, &mut Roster::default(), ms(0));
+    let mut restarted = Roster::default();
+    sender.hear(&announcement(2, 7), ms(1_000));
+    sender.send(FIRST, &mut restarted, ms(1_000));
+    sender.send(FIRST, &mut restarted, ms(1_010));
+    assert_eq!(epoch_of(&restarted), Some(7));
+}
+
+#[test]
+fn a_heartbeat_of_an_older_release_counts_for_no_state() {
+    let mut roster = Roster::default();
+    roster.record_announcement(announcement(1, 0), ms(0));
+    let text = r#"{"id":"h","life":1,"sequence":2}"#;
+    let heartbeat: Heartbeat = serde_json::from_str(text).unwrap();
+    roster.record_heartbeat(&heartbeat, ms(1_000));
+    let entry = roster.get(&id()).unwrap();
+    assert_eq!((entry.heard_at, entry.announcement.sequence), (ms(0), 1));
+}
+
+#[test]
+fn a_process_whose_state_is_lacking_is_not_forgotten_while_it_is_alive() {
+    let mut roster = Roster::default();
+    roster.record_announcement(announcement(1, 0), ms(0));
+    let text = r#"{"id":"h","life":1,"sequence":2}"#;
+    let heartbeat: Heartbeat = serde_json::from_str(text).unwrap();
+    roster.record_heartbeat(&heartbeat, ms(59_000));
+    roster.remove_silent(ms(61_000));
+    assert!(roster.get(&id()).is_some());
+}
+
+#[test]
+fn a_state_heard_during_a_call_is_sent_after_it() {
+    let mut sender = Sender::default();
+    let mut leader = Roster::default();
+    sender.hear(&announcement(1, 0), ms(0));
+    let batch = sender.reports.next_batch(FIRST, ms(0));
+    sender.hear(&announcement(2, 7), ms(10));
+    let lacking = apply(&batch, &mut leader, ms(20));
+    sender.reports.record_taken(&batch, &lacking);
+    sender.send(FIRST, &mut leader, ms(30));
+    assert_eq!(epoch_of(&leader), Some(7));
+}
+
+#[test]
+fn a_departure_of_an_earlier_life_does_not_hide_the_later_one() {
+    let mut sender = Sender::default();
+    let mut leader = Roster::default();
+    sender.hear(&announcement(1, 7), ms(0));
+    sender.hear_departure(ms(1_000));
+    let mut returned = announcement(1, 8);
+    returned.incarnation = Incarnation(2);
+    sender.hear(&returned, ms(2_000));
+    sender.send(FIRST, &mut leader, ms(2_000));
+    assert_eq!(epoch_of(&leader), Some(8));
+}
+
+#[test]
+fn an_unchanged_state_costs_heartbeats_only() {
+    let mut sender = Sender::default();
+    let mut leader = Roster::default();
+    let mut changes = 0;
+    for round in 1..100 {
+        sender.hear(&announcement(round, 7), ms(round * 1_000));
+        changes += sender
+            .send(FIRST, &mut leader, ms(round * 1_000))
+            .changes
+            .len();
+        changes += sender
+            .send(FIRST, &mut leader, ms(round * 1_000 + 250))
+            .changes
+            .len();
+    }
+    assert_eq!(changes, 1);
+    assert_eq!(leader.get(&id()).unwrap().heard_at, ms(99_000));
+}
+
+#[test]
+fn more_changes_than_one_call_carries_are_all_sent() {
+    let mut sender = Sender::default();
+    let mut leader = Roster::default();
+    for index in 0..1_200_u16 {
+        let mut announcement = announcement(1, 7);
+        announcement.id = format!("h{index}").parse().unwrap();
+        announcement.addr.set_port(1 + index);
+        sender.hear(&announcement, ms(0));
+    }
+    let mut calls = 0;
+    while sender.reports.has_unsent_changes() {
+        sender.send(FIRST, &mut leader, ms(0));
+        calls += 1;
+    }
+    assert_eq!((calls, leader.present_entries().count()), (3, 1_200));
+    let gone = |change: &RosterChange| matches!(change, RosterChange::Gone { .. });
+    assert!(
+        !sender
+            .send(FIRST, &mut leader, ms(0))
+            .changes
+            .iter()
+            .any(gone)
+    );
+}
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -8,7 +8,6 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::message::Observations;
-use crate::message::ObservationsReply;
 use crate::message::Watch;
 use crate::message::WatchReply;
 use crate::message::WatchUpdate;
@@ -124,7 +123,8 @@
         changes: update.changes,
         ..Observations::default()
     };
-    watch::record_observations(control, observations);
+    // There are no heartbeats among them, so nothing is lacking.
+    let _ = watch::record_observations(control, observations);
     if let Some(newer) = update.configuration {
         match newer.text.decompress() {
             Ok(text) => control.activate_config(newer.version, &text),
@@ -144,16 +144,18 @@
 
 /// Sends observations to the leader, for as long as the process runs.
 pub(crate) async fn send_observations(control: Rc<ControlHost>) {
+    let mut has_more = false;
     loop {
-        control.observations_added.wait(HEARTBEAT_INTERVAL).await;
-        compio::time::sleep(BATCH_DELAY).await;
+        if !has_more {
+            control.observations_added.wait(HEARTBEAT_INTERVAL).await;
+            compio::time::sleep(BATCH_DELAY).await;
+        }
+        has_more = false;
         let others = std::mem::take(&mut *control.unsent_observations.borrow_mut());
         if control.is_leader() {
-            control.leader_reports.borrow_mut().record_own_lead();
             continue;
         }
         let Some(leader) = control.known_leader() else {
-            control.leader_reports.borrow_mut().drop_heartbeats();
             compio::time::sleep(RETRY_INTERVAL).await;
             continue;
         };
@@ -168,15 +170,14 @@
             continue;
         }
         let addr = control.settings.internal_addr(leader);
-        let reply = control.rpc.call(addr, &observations, CALL_TIMEOUT).await;
-        match reply {
-            Ok(ObservationsReply {}) => {
+        match control.rpc.call(addr, &observations, CALL_TIMEOUT).await {
+            Ok(reply) => {
                 let mut reports = control.leader_reports.borrow_mut();
-                reports.record_taken(&batch, &[]);
+                reports.record_taken(&batch, &reply.lacking);
+                has_more = reports.has_unsent_changes();
             }
             Err(e) => {
                 log::debug!("the leader {leader} did not take the observations: {e}");
-                control.leader_reports.borrow_mut().record_failure(batch);
                 compio::time::sleep(RETRY_INTERVAL).await;
             }
         }
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -77,6 +77,7 @@
         if EXPIRY_INTERVAL <= now.since(last_expiry_at) {
             last_expiry_at = now;
             control.roster.borrow_mut().remove_silent(now);
+            control.leader_reports.borrow_mut().remove_silent(now);
             control.pool.close_expired();
         }
     }
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -18,9 +18,9 @@
 use crate::message::Watcher;
 use base::Fence;
 use base::NodeId;
+use base::UpstreamId;
 use fleet::HeartbeatOutcome;
 use fleet::Revision;
-use fleet::RosterChange;
 use fleet::UpdateOutcome;
 use forward::LoadReport;
 use net::RpcMethods;
@@ -52,8 +52,8 @@
             |control: Rc<ControlHost>, call: Watch| async move { Ok(watch(control, call).await) },
         )
         .register(|control: Rc<ControlHost>, call: Observations| async move {
-            record_observations(&control, call);
-            Ok(ObservationsReply {})
+            let lacking = record_observations(&control, call);
+            Ok(ObservationsReply { lacking })
         })
         .register(|control: Rc<ControlHost>, call: OfferConfig| async move {
             Ok(lead::propose_config(&control, call.configuration).await)
@@ -151,13 +151,15 @@
     }
 }
 
-/// Records what another process observed.
-pub(crate) fn record_observations(control: &Rc<ControlHost>, observations: Observations) {
+/// Records what another process observed, and returns the processes whose heartbeats repeat
+/// announcements that are not held here.
+pub(crate) fn record_observations(
+    control: &Rc<ControlHost>,
+    observations: Observations,
+) -> Vec<UpstreamId> {
+    let mut lacking = Vec::new();
     for change in observations.changes {
-        let id = match &change {
-            RosterChange::Announced(announcement) => announcement.id.clone(),
-            RosterChange::Gone { id, .. } => id.clone(),
-        };
+        let id = change.id().clone();
         let outcome = control
             .roster
             .borrow_mut()
@@ -169,8 +171,12 @@
             .roster
             .borrow_mut()
             .record_heartbeat(&heartbeat, clock::now());
-        if outcome == HeartbeatOutcome::Refreshed {
-            control.record_update(&heartbeat.id, UpdateOutcome::Refreshed);
+        match outcome {
+            HeartbeatOutcome::Refreshed => {
+                control.record_update(&heartbeat.id, UpdateOutcome::Refreshed);
+            }
+            HeartbeatOutcome::Lacking => lacking.push(heartbeat.id),
+            HeartbeatOutcome::Ignored => {}
         }
     }
     for epoch in observations.left_replicas {
@@ -179,6 +185,7 @@
     for head in observations.stalled_heads {
         probe::record_stalled_replica(control, &head);
     }
+    lacking
 }
 
 /// Records that the head host of a replica has left it.
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -136,7 +136,7 @@
             .call(addr, &Observations::default(), CALL_TIMEOUT)
             .await
         {
-            Ok(ObservationsReply {}) => entry.selector.borrow_mut().return_to_nearest(),
+            Ok(ObservationsReply { .. }) => entry.selector.borrow_mut().return_to_nearest(),
             Err(e) => log::debug!("the nearest control host does not answer: {e}"),
         }
     }
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -124,7 +124,7 @@
 pub struct Observations {
     /// New announcements and departures of upstream processes.
     pub changes: Vec<RosterChange>,
-    /// Processes whose announcements only repeated the last one.
+    /// Announcements that only repeated an earlier one.
     #[serde(rename = "beats")]
     pub heartbeats: Vec<Heartbeat>,
     /// Head hosts that stalled, as seen by entry hosts.
@@ -136,8 +136,13 @@
 }
 
 /// The reply to [`Observations`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ObservationsReply {}
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObservationsReply {
+    /// Processes of which the receiver doesn't hold the announcement that a heartbeat repeats.
+    /// The sender sends them whole.
+    #[serde(default)]
+    pub lacking: Vec<UpstreamId>,
+}
 
 impl Call for Observations {
     const METHOD: &'static str = "tell";
