What is reported late counts from when it was heard

Cause: the leader took every reported announcement as heard when the report arrived. A report that waited for a leader, or was repeated after lost calls, made an old state look fresh, although the host may have announced a later one elsewhere.

Change: a control host says with each change and each heartbeat how long ago it heard it, rounded up. Roster and controller count from then. An older release says nothing, which counts as heard on arrival, as before.

--- a/crates/fleet/src/heartbeat.rs
+++ b/crates/fleet/src/heartbeat.rs
@@ -20,6 +20,9 @@
     /// Without it, the heartbeat says nothing of the state.
     #[serde(default)]
     pub repeats: Option<u64>,
+    /// How long ago the sender heard it, in milliseconds.
+    #[serde(default)]
+    pub heard_ms_ago: u64,
 }
 
 /// The effect that a heartbeat has on a roster.
--- a/crates/fleet/src/leader_reports.rs
+++ b/crates/fleet/src/leader_reports.rs
@@ -5,6 +5,7 @@
 //! gets the state whole again.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use base::Incarnation;
 use base::NodeId;
@@ -25,10 +26,34 @@
 pub struct ReportBatch {
     /// New announcements and departures.
     pub changes: Vec<RosterChange>,
+    /// How long ago each change was heard, in milliseconds.
+    pub heard_ms_ago: Vec<u64>,
     /// Announcements that only repeat an earlier one.
     pub heartbeats: Vec<Heartbeat>,
 }
 
+impl ReportBatch {
+    /// The changes, with the time at which the sender heard each.
+    pub fn changes_heard(&self, now: Time) -> impl Iterator<Item = (&RosterChange, Time)> {
+        let heard_at = heard_times(&self.heard_ms_ago, now);
+        self.changes.iter().zip(heard_at)
+    }
+}
+
+/// The times at which a sender heard changes, from how many milliseconds ago it did. Changes
+/// beyond those of which this is given were heard now.
+pub fn heard_times(ms_ago: &[u64], now: Time) -> impl Iterator<Item = Time> {
+    let given = ms_ago.iter().copied();
+    let ms_ago = given.chain(std::iter::repeat(0));
+    ms_ago.map(move |ms_ago| now - Duration::from_millis(ms_ago))
+}
+
+/// The milliseconds since `heard_at`, rounded up: nothing counts as heard later than it was.
+fn ms_since(heard_at: Time, now: Time) -> u64 {
+    let micros = now.since(heard_at).as_micros().div_ceil(1_000);
+    u64::try_from(micros).unwrap_or(u64::MAX)
+}
+
 /// What the leader holds of an upstream's present state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Told {
@@ -105,10 +130,11 @@
         self.remove_silent(now);
         let mut batch = ReportBatch::default();
         for heard in self.heard.values().filter(|heard| heard.is_due) {
-            match heard.heartbeat() {
+            match heard.heartbeat(now) {
                 Some(heartbeat) => batch.heartbeats.push(heartbeat),
                 None if batch.changes.len() < MAX_CHANGES_PER_BATCH => {
                     batch.changes.push(heard.latest.clone());
+                    batch.heard_ms_ago.push(ms_since(heard.heard_at, now));
                 }
                 None => {}
             }
@@ -125,7 +151,7 @@
         }
         for heartbeat in &batch.heartbeats {
             if let Some(heard) = self.heard.get_mut(&heartbeat.id) {
-                heard.is_due &= heard.heartbeat().as_ref() != Some(heartbeat);
+                heard.is_due &= !heard.is_in(heartbeat);
             }
         }
         for id in lacking {
@@ -144,18 +170,30 @@
 
 impl Heard {
     /// The heartbeat that suffices for a leader that holds the present state.
-    fn heartbeat(&self) -> Option<Heartbeat> {
+    fn heartbeat(&self, now: Time) -> Option<Heartbeat> {
         match (&self.latest, self.told) {
             (RosterChange::Announced(latest), Told::Whole(repeats)) => Some(Heartbeat {
                 id: latest.id.clone(),
                 incarnation: latest.incarnation,
                 sequence: latest.sequence,
                 repeats: Some(repeats),
+                heard_ms_ago: ms_since(self.heard_at, now),
             }),
             _ => None,
         }
     }
 
+    /// Whether a heartbeat stands for the latest announcement.
+    fn is_in(&self, heartbeat: &Heartbeat) -> bool {
+        match &self.latest {
+            RosterChange::Announced(latest) => {
+                let sent = (heartbeat.incarnation, heartbeat.sequence);
+                sent == (latest.incarnation, latest.sequence)
+            }
+            RosterChange::Gone { .. } => false,
+        }
+    }
+
     fn has_state_of(&self, announcement: &Announcement) -> bool {
         match &self.latest {
             RosterChange::Announced(latest) => latest.has_same_state(announcement),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,6 +32,7 @@
 pub use heartbeat::HeartbeatOutcome;
 pub use leader_reports::LeaderReports;
 pub use leader_reports::ReportBatch;
+pub use leader_reports::heard_times;
 pub use replica_record::RecordChanges;
 pub use replica_record::RecordedHost;
 pub use replica_record::ReplicaRecord;
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -49,7 +49,7 @@
     pub announcement: Announcement,
     /// The sequence number of the last announcement of this state that arrived whole.
     pub whole_sequence: u64,
-    /// When the last update from the process arrived.
+    /// When the process was last heard in this state.
     pub heard_at: Time,
     /// When the last sign of the process arrived, which may say nothing of its state.
     pub alive_at: Time,
@@ -94,8 +94,12 @@
 }
 
 impl Roster {
-    /// Records an announcement, unless a newer one is known.
-    pub fn record_announcement(&mut self, announcement: Announcement, now: Time) -> UpdateOutcome {
+    /// Records an announcement that was heard at `heard_at`, unless a newer one is known.
+    pub fn record_announcement(
+        &mut self,
+        announcement: Announcement,
+        heard_at: Time,
+    ) -> UpdateOutcome {
         let known = self.entries.get(&announcement.id);
         if known.is_some_and(|known| !is_newer(known, &announcement)) {
             return UpdateOutcome::Ignored;
@@ -113,8 +117,8 @@
             if let Some(entry) = self.entries.get_mut(&announcement.id) {
                 entry.whole_sequence = announcement.sequence;
                 entry.announcement = announcement;
-                entry.heard_at = now;
-                entry.alive_at = now;
+                entry.heard_at = heard_at;
+                entry.alive_at = heard_at;
             }
             return UpdateOutcome::Refreshed;
         }
@@ -122,8 +126,8 @@
             .insert(announcement.addr, announcement.id.clone());
         let entry = RosterEntry {
             whole_sequence: announcement.sequence,
-            heard_at: now,
-            alive_at: now,
+            heard_at,
+            alive_at: heard_at,
             has_departed: false,
             revision: self.next_revision(),
             announcement,
@@ -145,12 +149,13 @@
         {
             return HeartbeatOutcome::Ignored;
         }
-        entry.alive_at = now;
+        let heard_at = now - Duration::from_millis(heartbeat.heard_ms_ago);
+        entry.alive_at = entry.alive_at.max(heard_at);
         if !is_same_incarnation || heartbeat.repeats != Some(entry.whole_sequence) {
             return HeartbeatOutcome::Lacking;
         }
         known.sequence = heartbeat.sequence;
-        entry.heard_at = now;
+        entry.heard_at = heard_at;
         HeartbeatOutcome::Refreshed
     }
 
@@ -160,7 +165,7 @@
         &mut self,
         id: &UpstreamId,
         incarnation: Option<Incarnation>,
-        now: Time,
+        heard_at: Time,
     ) -> UpdateOutcome {
         let revision = self.revision.0 + 1;
         let Some(entry) = self.entries.get_mut(id) else {
@@ -172,8 +177,8 @@
             return UpdateOutcome::Ignored;
         }
         entry.has_departed = true;
-        entry.heard_at = now;
-        entry.alive_at = now;
+        entry.heard_at = heard_at;
+        entry.alive_at = heard_at;
         entry.revision = Revision(revision);
         self.revision = Revision(revision);
         UpdateOutcome::Changed
@@ -216,12 +221,14 @@
             .collect()
     }
 
-    /// Applies a change of another roster to this one.
-    pub fn apply_change(&mut self, change: RosterChange, now: Time) -> UpdateOutcome {
+    /// Applies a change of another roster to this one, heard at `heard_at`.
+    pub fn apply_change(&mut self, change: RosterChange, heard_at: Time) -> UpdateOutcome {
         match change {
-            RosterChange::Announced(announcement) => self.record_announcement(announcement, now),
+            RosterChange::Announced(announcement) => {
+                self.record_announcement(announcement, heard_at)
+            }
             RosterChange::Gone { id, incarnation } => {
-                self.record_departure(&id, Some(incarnation), now)
+                self.record_departure(&id, Some(incarnation), heard_at)
             }
         }
     }
--- a/crates/fleet/tests/leader_reports.rs
+++ b/crates/fleet/tests/leader_reports.rs
@@ -1,6 +1,7 @@
 //! What a control host reports of the upstreams that announce themselves to it reaches every
 //! leader, and an old state never passes for a new one.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use base::Fence;
@@ -18,8 +19,10 @@
 use fleet::ReportBatch;
 use fleet::Roster;
 use fleet::RosterChange;
+use quickcheck::QuickCheck;
 
 const FIRST: NodeId = NodeId(1);
+const SECOND: NodeId = NodeId(2);
 
 /// The announcement of a host that is in no replica (epoch 0) or serves one.
 fn announcement(sequence: u64, epoch: u64) -> Announcement {
@@ -89,8 +92,8 @@
 
 /// Applies a batch as a leader does, and returns the processes whose state it lacks.
 fn apply(batch: &ReportBatch, roster: &mut Roster, now: Time) -> Vec<UpstreamId> {
-    for change in &batch.changes {
-        roster.apply_change(change.clone(), now);
+    for (change, heard_at) in batch.changes_heard(now) {
+        roster.apply_change(change.clone(), heard_at);
     }
     let lacking = |heartbeat: &&Heartbeat| {
         roster.record_heartbeat(heartbeat, now) == HeartbeatOutcome::Lacking
@@ -177,6 +180,15 @@
     assert_eq!(epoch_of(&leader), Some(8));
 }
 
+#[test]
+fn an_announcement_that_is_sent_late_counts_from_when_it_was_heard() {
+    let mut sender = Sender::default();
+    let mut leader = Roster::default();
+    sender.hear(&announcement(1, 0), ms(0));
+    sender.send(FIRST, &mut leader, ms(5_000));
+    assert_eq!(leader.get(&id()).unwrap().heard_at, ms(0));
+}
+
 #[test]
 fn an_unchanged_state_costs_heartbeats_only() {
     let mut sender = Sender::default();
@@ -197,6 +209,82 @@
     assert_eq!(leader.get(&id()).unwrap().heard_at, ms(99_000));
 }
 
+/// A host that announces itself to one of two control hosts, which report it to one of two
+/// others, through lost calls, lost replies and restarts.
+#[derive(Default)]
+struct World {
+    senders: [Sender; 2],
+    leaders: [Roster; 2],
+    sequence: u64,
+    epoch: u64,
+    /// The epoch and the time of each announcement.
+    announced: BTreeMap<u64, (u64, Time)>,
+    now: Time,
+}
+
+impl World {
+    fn announce(&mut self, sender: usize) {
+        self.sequence += 1;
+        self.announced.insert(self.sequence, (self.epoch, self.now));
+        let announcement = announcement(self.sequence, self.epoch);
+        self.senders[sender].hear(&announcement, self.now);
+    }
+
+    fn step(&mut self, choice: u8) {
+        self.now += Duration::from_millis(100);
+        let sender = &mut self.senders[usize::from(choice / 16 % 2)];
+        let index = usize::from(choice / 32 % 2);
+        let leader = &mut self.leaders[index];
+        let node = [FIRST, SECOND][index];
+        match choice % 16 {
+            0 => self.leaders[index] = Roster::default(),
+            1 => self.senders[usize::from(choice / 16 % 2)] = Sender::default(),
+            2 => drop(sender.reports.next_batch(node, self.now)),
+            3 => drop(apply(
+                &sender.reports.next_batch(node, self.now),
+                leader,
+                self.now,
+            )),
+            4 | 5 => self.epoch = u64::from(choice / 64),
+            6..=10 => self.announce(usize::from(choice / 16 % 2)),
+            _ => drop(sender.send(node, leader, self.now)),
+        }
+    }
+
+    /// Whether a leader holds a state that the host did not have, or one as heard too late.
+    fn is_deceived(&self, leader: &Roster) -> bool {
+        let Some(entry) = leader.get(&id()) else {
+            return false;
+        };
+        let (epoch, announced_at) = self.announced[&entry.announcement.sequence];
+        epoch_of(leader) != Some(epoch) || announced_at < entry.heard_at
+    }
+
+    /// Whether the leader holds the present state after the host announced it and it was sent.
+    fn learns(&mut self) -> bool {
+        self.announce(0);
+        for _ in 0..3 {
+            self.senders[0].send(FIRST, &mut self.leaders[0], self.now);
+        }
+        epoch_of(&self.leaders[0]) == Some(self.epoch)
+    }
+}
+
+#[test]
+fn no_schedule_of_losses_and_restarts_deceives_a_leader() {
+    fn holds(choices: Vec<u8>) -> bool {
+        let mut world = World::default();
+        let is_deceived = choices.into_iter().any(|choice| {
+            world.step(choice);
+            world.leaders.iter().any(|leader| world.is_deceived(leader))
+        });
+        !is_deceived && world.learns()
+    }
+    QuickCheck::new()
+        .tests(3_000)
+        .quickcheck(holds as fn(Vec<u8>) -> bool);
+}
+
 #[test]
 fn more_changes_than_one_call_carries_are_all_sent() {
     let mut sender = Sender::default();
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -163,6 +163,7 @@
         let batch = control.leader_reports.borrow_mut().next_batch(leader, now);
         let observations = Observations {
             changes: batch.changes.clone(),
+            heard_ms_ago: batch.heard_ms_ago.clone(),
             heartbeats: batch.heartbeats.clone(),
             ..others
         };
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -251,12 +251,10 @@
         let roster = self.roster.borrow();
         match (outcome, roster.get(id)) {
             (UpdateOutcome::Ignored, _) => return,
-            (_, Some(entry)) => {
-                let now = clock::now();
-                self.controller
-                    .borrow_mut()
-                    .record_announcement(&entry.announcement, now);
-            }
+            (_, Some(entry)) => self
+                .controller
+                .borrow_mut()
+                .record_announcement(&entry.announcement, entry.heard_at),
             (_, None) => self.controller.borrow_mut().record_departure(id),
         }
         if outcome == UpdateOutcome::Changed {
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -22,6 +22,7 @@
 use fleet::HeartbeatOutcome;
 use fleet::Revision;
 use fleet::UpdateOutcome;
+use fleet::heard_times;
 use forward::LoadReport;
 use net::RpcMethods;
 use quorum::clock;
@@ -157,20 +158,19 @@
     control: &Rc<ControlHost>,
     observations: Observations,
 ) -> Vec<UpstreamId> {
+    let now = clock::now();
     let mut lacking = Vec::new();
-    for change in observations.changes {
+    let heard_at = heard_times(&observations.heard_ms_ago, now);
+    for (change, heard_at) in observations.changes.into_iter().zip(heard_at) {
         let id = change.id().clone();
-        let outcome = control
-            .roster
-            .borrow_mut()
-            .apply_change(change, clock::now());
+        let outcome = control.roster.borrow_mut().apply_change(change, heard_at);
         control.record_update(&id, outcome);
     }
     for heartbeat in observations.heartbeats {
         let outcome = control
             .roster
             .borrow_mut()
-            .record_heartbeat(&heartbeat, clock::now());
+            .record_heartbeat(&heartbeat, now);
         match outcome {
             HeartbeatOutcome::Refreshed => {
                 control.record_update(&heartbeat.id, UpdateOutcome::Refreshed);
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -124,6 +124,9 @@
 pub struct Observations {
     /// New announcements and departures of upstream processes.
     pub changes: Vec<RosterChange>,
+    /// How long ago the sender heard each of the changes, in milliseconds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub heard_ms_ago: Vec<u64>,
     /// Announcements that only repeated an earlier one.
     #[serde(rename = "beats")]
     pub heartbeats: Vec<Heartbeat>,
