fleet: which hosts are being probed or lost, moved out of the I/O

Moved without a change of what is probed, so that it can be tested without a network. record_heard is not called yet, as nothing looked at it.

--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -37,6 +37,7 @@
 use base::Version;
 use fleet::CompressedText;
 use fleet::LeaderReports;
+use fleet::Probes;
 use fleet::Roster;
 use fleet::RoutingTable;
 use fleet::UpdateOutcome;
@@ -103,8 +104,8 @@
     pub leader_reports: RefCell<LeaderReports>,
     /// Other observations that have not been sent to the leader yet.
     pub unsent_observations: RefCell<Observations>,
-    /// Hosts that are being probed, and hosts that were lost: `probe_host` never removes these.
-    pub being_probed: RefCell<BTreeSet<UpstreamId>>,
+    /// Hosts that are being probed or were lost.
+    pub probes: RefCell<Probes>,
     /// The leading control host, as the last reply to this control host's watch calls showed.
     pub reported_leader: Cell<Option<NodeId>>,
     /// Head hosts that are to leave, as the leader reported.
@@ -205,7 +206,7 @@
             loads: RefCell::default(),
             leader_reports: RefCell::default(),
             unsent_observations: RefCell::default(),
-            being_probed: RefCell::default(),
+            probes: RefCell::default(),
             reported_leader: Cell::new(None),
             reported_unreachable: RefCell::default(),
             rpc: RpcClient::new(String::new())?,
--- a/crates/site/src/control/probe.rs
+++ b/crates/site/src/control/probe.rs
@@ -12,6 +12,7 @@
 use crate::events::emit;
 use base::UpstreamId;
 use fleet::Announcement;
+use fleet::ProbeOutcome;
 use forward::TargetId;
 use net::read_body;
 use quorum::clock;
@@ -81,7 +82,12 @@
 }
 
 fn probe_host(control: &Rc<ControlHost>, host: Announcement, why: &'static str) {
-    if !control.being_probed.borrow_mut().insert(host.id.clone()) {
+    let begun_at = clock::now();
+    let is_due = control
+        .probes
+        .borrow_mut()
+        .begin(&host.id, host.incarnation, begun_at);
+    if !is_due {
         return;
     }
     let control = Rc::clone(control);
@@ -98,9 +104,10 @@
         let silence = heard_at.map(|at| now.since(at)).unwrap_or_default();
         if is_alive || has_recent_output(&control, &host) {
             compio::time::sleep(MIN_PROBE_INTERVAL).await;
-            control.being_probed.borrow_mut().remove(&host.id);
+            end_probe(&control, &host, ProbeOutcome::Alive);
             return;
         }
+        end_probe(&control, &host, ProbeOutcome::Lost);
         emit(&Event::HostLost {
             host: &host.id,
             silent_ms: silence.as_millis(),
@@ -115,6 +122,13 @@
     .detach();
 }
 
+fn end_probe(control: &ControlHost, host: &Announcement, outcome: ProbeOutcome) {
+    control
+        .probes
+        .borrow_mut()
+        .end(&host.id, host.incarnation, outcome);
+}
+
 /// Whether entry hosts got output from the host's replica recently. If so, all its hosts are
 /// running, even if some cannot be reached from here.
 fn has_recent_output(control: &ControlHost, host: &Announcement) -> bool {
