A host that was lost and heard again can be lost once more

Cause: a control host kept each host that it had found lost among those being probed, for as long as it ran. The controller takes a host that is heard again for present; when it then died, it was never probed and so never lost, and its replica stayed.

Change: a host counts as lost here until it is heard, and can then be probed again.

Seen failing before, passing now (crates/fleet/tests/probes.rs): a_host_that_was_lost_and_is_heard_again_can_be_lost_once_more, a_host_that_started_again_after_it_was_lost_can_be_lost_once_more.

--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -78,6 +78,7 @@
             last_expiry_at = now;
             control.roster.borrow_mut().remove_silent(now);
             control.leader_reports.borrow_mut().remove_silent(now);
+            control.probes.borrow_mut().remove_silent(now);
             control.pool.close_expired();
         }
     }
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -39,6 +39,7 @@
 use fleet::LeaderReports;
 use fleet::Probes;
 use fleet::Roster;
+use fleet::RosterEntry;
 use fleet::RoutingTable;
 use fleet::UpdateOutcome;
 use form::Action;
@@ -252,10 +253,7 @@
         let roster = self.roster.borrow();
         match (outcome, roster.get(id)) {
             (UpdateOutcome::Ignored, _) => return,
-            (_, Some(entry)) => self
-                .controller
-                .borrow_mut()
-                .record_announcement(&entry.announcement, entry.heard_at),
+            (_, Some(entry)) => self.record_heard(entry),
             (_, None) => self.controller.borrow_mut().record_departure(id),
         }
         if outcome == UpdateOutcome::Changed {
@@ -272,6 +270,18 @@
         }
     }
 
+    fn record_heard(&self, entry: &RosterEntry) {
+        let announcement = &entry.announcement;
+        let (incarnation, heard_at) = (announcement.incarnation, entry.heard_at);
+        let mut probes = self.probes.borrow_mut();
+        let stays_lost = probes.record_heard(&announcement.id, incarnation, heard_at);
+        let mut controller = self.controller.borrow_mut();
+        controller.record_announcement(announcement, heard_at);
+        if stays_lost {
+            controller.mark_lost(&announcement.id, incarnation, clock::now());
+        }
+    }
+
     /// Puts a committed configuration into force, if it is newer.
     pub fn activate_config(&self, version: Version, text: &str) {
         if version <= self.active_config.borrow().version {
