A late report does not return a lost host

Cause: an announcement that another control host heard before a probe, and reported after it, made the controller take the lost host for present.

Change: what was heard before the probe began is recorded, and the host stays lost.

Seen failing before, passing now (crates/fleet/tests/probes.rs): an_announcement_that_was_heard_before_the_probe_does_not_return_a_lost_host.

--- a/crates/fleet/src/probes.rs
+++ b/crates/fleet/src/probes.rs
@@ -63,11 +63,16 @@
     pub fn record_heard(
         &mut self,
         id: &UpstreamId,
-        _incarnation: Incarnation,
-        _heard_at: Time,
+        incarnation: Incarnation,
+        heard_at: Time,
     ) -> bool {
-        self.lost.remove(id);
-        false
+        let was_lost_after =
+            |loss: &Loss| incarnation <= loss.incarnation && heard_at <= loss.probe_begun_at;
+        let stays_lost = self.lost.get(id).is_some_and(was_lost_after);
+        if !stays_lost {
+            self.lost.remove(id);
+        }
+        stays_lost
     }
 
     /// Forgets the hosts that were lost long ago.
--- a/crates/fleet/tests/probes.rs
+++ b/crates/fleet/tests/probes.rs
@@ -55,3 +55,10 @@
     assert!(!probes.record_heard(&id(), NEXT_LIFE, ms(900)));
     assert!(probes.begin(&id(), NEXT_LIFE, ms(5_000)));
 }
+
+#[test]
+fn an_announcement_that_was_heard_before_the_probe_does_not_return_a_lost_host() {
+    let mut probes = with_lost_host();
+    assert!(probes.record_heard(&id(), LIFE, ms(900)));
+    assert!(!probes.begin(&id(), LIFE, ms(2_000)));
+}
