Another leader is told all states whole at once

Cause: a control host sent a changed announcement to the leader of that moment only, and nothing if it led itself or no longer knew the leader. The next leader held the state before, or none, until the upstream changed again.

Change: a control host remembers what it heard directly, and sends all of it whole, with when it was heard, to a leader that is not the one it told before; at most 500 in one call, the rest right after it. It forgets an upstream that was silent here for 60 s, or whose later state another control host reported, so that what departed elsewhere does not come back.

Seen failing before, passing now (crates/fleet/tests/leader_reports.rs): a_state_that_only_the_former_leader_took_reaches_the_next_one, a_departure_that_only_the_former_leader_took_reaches_the_next_one. Guards, not seen failing: an_upstream_that_was_silent_for_long_is_not_reported_to_a_new_leader, an_upstream_that_departed_elsewhere_does_not_come_back_with_a_new_leader.

--- a/crates/fleet/src/leader_reports.rs
+++ b/crates/fleet/src/leader_reports.rs
@@ -2,21 +2,20 @@
 //!
 //! The leader gets a state whole. Once it has taken it, heartbeats that name this announcement
 //! repeat it. If the leader doesn't hold the announcement that a heartbeat names, it says so and
-//! gets the state whole again.
+//! gets the state whole again. Another leader gets all states whole at once.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use base::Incarnation;
-use base::NodeId;
-use base::Time;
-use base::UpstreamId;
-
 use crate::Announcement;
 use crate::Heartbeat;
 use crate::RosterChange;
 use crate::UpdateOutcome;
 use crate::roster::FORGET_AFTER;
+use base::Incarnation;
+use base::NodeId;
+use base::Time;
+use base::UpstreamId;
 
 /// Largest number of changes that one call carries.
 const MAX_CHANGES_PER_BATCH: usize = 500;
@@ -80,6 +79,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LeaderReports {
     heard: BTreeMap<UpstreamId, Heard>,
+    /// The leader that `heard` tells of.
+    leader: Option<NodeId>,
 }
 
 impl LeaderReports {
@@ -119,6 +120,11 @@
         self.heard.insert(id.clone(), heard);
     }
 
+    /// Records that another control host heard a later state of an upstream, and so reports it.
+    pub fn record_heard_elsewhere(&mut self, id: &UpstreamId) {
+        self.heard.remove(id);
+    }
+
     /// Forgets the upstreams that have been silent here for long.
     pub fn remove_silent(&mut self, now: Time) {
         self.heard
@@ -126,8 +132,9 @@
     }
 
     /// What to send to a leader now.
-    pub fn next_batch(&mut self, _leader: NodeId, now: Time) -> ReportBatch {
+    pub fn next_batch(&mut self, leader: NodeId, now: Time) -> ReportBatch {
         self.remove_silent(now);
+        self.set_leader(leader);
         let mut batch = ReportBatch::default();
         for heard in self.heard.values().filter(|heard| heard.is_due) {
             match heard.heartbeat(now) {
@@ -161,6 +168,17 @@
         }
     }
 
+    /// Sets the leader that is told. Another one than before is told everything again.
+    fn set_leader(&mut self, leader: NodeId) {
+        if self.leader == Some(leader) {
+            return;
+        }
+        self.leader = Some(leader);
+        for heard in self.heard.values_mut() {
+            heard.forget_told();
+        }
+    }
+
     /// Whether changes wait to be sent.
     pub fn has_unsent_changes(&self) -> bool {
         let mut heard = self.heard.values();
--- a/crates/fleet/src/probes.rs
+++ b/crates/fleet/src/probes.rs
@@ -2,12 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use crate::roster::FORGET_AFTER;
 use base::Incarnation;
 use base::Time;
 use base::UpstreamId;
 
-use crate::roster::FORGET_AFTER;
-
 /// The outcome of a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeOutcome {
--- a/crates/fleet/tests/leader_reports.rs
+++ b/crates/fleet/tests/leader_reports.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use quickcheck::QuickCheck;
+
 use base::Fence;
 use base::Incarnation;
 use base::NodeId;
@@ -19,7 +21,6 @@
 use fleet::ReportBatch;
 use fleet::Roster;
 use fleet::RosterChange;
-use quickcheck::QuickCheck;
 
 const FIRST: NodeId = NodeId(1);
 const SECOND: NodeId = NodeId(2);
@@ -154,6 +155,29 @@
     assert!(roster.get(&id()).is_some());
 }
 
+#[test]
+fn a_state_that_only_the_former_leader_took_reaches_the_next_one() {
+    let mut sender = Sender::default();
+    let mut next = Roster::default();
+    next.record_announcement(announcement(1, 0), ms(0));
+    sender.hear(&announcement(2, 7), ms(1_000));
+    sender.send(FIRST, &mut Roster::default(), ms(1_000));
+    sender.send(SECOND, &mut next, ms(1_500));
+    assert_eq!(epoch_of(&next), Some(7));
+}
+
+#[test]
+fn a_departure_that_only_the_former_leader_took_reaches_the_next_one() {
+    let mut sender = Sender::default();
+    let mut next = Roster::default();
+    next.record_announcement(announcement(1, 7), ms(0));
+    sender.hear(&announcement(1, 7), ms(0));
+    sender.hear_departure(ms(1_000));
+    sender.send(FIRST, &mut Roster::default(), ms(1_000));
+    sender.send(SECOND, &mut next, ms(1_500));
+    assert!(next.get(&id()).is_none());
+}
+
 #[test]
 fn a_state_heard_during_a_call_is_sent_after_it() {
     let mut sender = Sender::default();
@@ -209,6 +233,27 @@
     assert_eq!(leader.get(&id()).unwrap().heard_at, ms(99_000));
 }
 
+#[test]
+fn an_upstream_that_departed_elsewhere_does_not_come_back_with_a_new_leader() {
+    let mut sender = Sender::default();
+    sender.hear(&announcement(1, 7), ms(0));
+    sender.send(FIRST, &mut Roster::default(), ms(0));
+    sender.reports.record_heard_elsewhere(&id());
+    let mut next = Roster::default();
+    sender.send(SECOND, &mut next, ms(2_000));
+    assert_eq!(epoch_of(&next), None);
+}
+
+#[test]
+fn an_upstream_that_was_silent_for_long_is_not_reported_to_a_new_leader() {
+    let mut sender = Sender::default();
+    sender.hear(&announcement(1, 7), ms(0));
+    sender.send(FIRST, &mut Roster::default(), ms(0));
+    let mut next = Roster::default();
+    sender.send(SECOND, &mut next, ms(61_000));
+    assert_eq!(epoch_of(&next), None);
+}
+
 /// A host that announces itself to one of two control hosts, which report it to one of two
 /// others, through lost calls, lost replies and restarts.
 #[derive(Default)]
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -164,6 +164,10 @@
     for (change, heard_at) in observations.changes.into_iter().zip(heard_at) {
         let id = change.id().clone();
         let outcome = control.roster.borrow_mut().apply_change(change, heard_at);
+        if outcome == UpdateOutcome::Changed {
+            let mut reports = control.leader_reports.borrow_mut();
+            reports.record_heard_elsewhere(&id);
+        }
         control.record_update(&id, outcome);
     }
     for heartbeat in observations.heartbeats {
