--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -13,12 +13,14 @@
 use serde::Serialize;
 
 use crate::Announcement;
+use crate::Heartbeat;
+use crate::HeartbeatOutcome;
 use base::Incarnation;
 use base::Time;
 use base::UpstreamId;
 
 /// A process is forgotten after it has been silent this long.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
+pub(crate) const FORGET_AFTER: Duration = Duration::from_secs(60);
 
 /// Largest number of processes in a roster. Announcements of further ones are ignored.
 const MAX_ENTRIES: usize = 20_000;
@@ -45,8 +47,12 @@
 pub struct RosterEntry {
     /// The latest announcement.
     pub announcement: Announcement,
-    /// When the last update from the process arrived.
+    /// The sequence number of the last announcement of this state that arrived whole.
+    pub whole_sequence: u64,
+    /// When the process was last heard in this state.
     pub heard_at: Time,
+    /// When the last sign of the process arrived, which may say nothing of its state.
+    pub alive_at: Time,
     /// Whether the process has departed.
     pub has_departed: bool,
     /// The roster's revision at the last change of this entry.
@@ -77,9 +83,23 @@
     revision: Revision,
 }
 
+impl RosterChange {
+    /// The process that the change is about.
+    pub fn id(&self) -> &UpstreamId {
+        match self {
+            Self::Announced(announcement) => &announcement.id,
+            Self::Gone { id, .. } => id,
+        }
+    }
+}
+
 impl Roster {
-    /// Records an announcement, unless a newer one is known.
-    pub fn record_announcement(&mut self, announcement: Announcement, now: Time) -> UpdateOutcome {
+    /// Records an announcement that was heard at `heard_at`, unless a newer one is known.
+    pub fn record_announcement(
+        &mut self,
+        announcement: Announcement,
+        heard_at: Time,
+    ) -> UpdateOutcome {
         let known = self.entries.get(&announcement.id);
         if known.is_some_and(|known| !is_newer(known, &announcement)) {
             return UpdateOutcome::Ignored;
@@ -95,15 +115,19 @@
         });
         if is_same_state {
             if let Some(entry) = self.entries.get_mut(&announcement.id) {
+                entry.whole_sequence = announcement.sequence;
                 entry.announcement = announcement;
-                entry.heard_at = now;
+                entry.heard_at = heard_at;
+                entry.alive_at = heard_at;
             }
             return UpdateOutcome::Refreshed;
         }
         self.by_addr
             .insert(announcement.addr, announcement.id.clone());
         let entry = RosterEntry {
-            heard_at: now,
+            whole_sequence: announcement.sequence,
+            heard_at,
+            alive_at: heard_at,
             has_departed: false,
             revision: self.next_revision(),
             announcement,
@@ -112,13 +136,36 @@
         UpdateOutcome::Changed
     }
 
+    /// Records a heartbeat, which counts only for the state that it repeats.
+    pub fn record_heartbeat(&mut self, heartbeat: &Heartbeat, now: Time) -> HeartbeatOutcome {
+        let Some(entry) = self.entries.get_mut(&heartbeat.id) else {
+            return HeartbeatOutcome::Lacking;
+        };
+        let known = &mut entry.announcement;
+        let is_same_incarnation = known.incarnation == heartbeat.incarnation;
+        let known_order = (known.incarnation, known.sequence);
+        if (heartbeat.incarnation, heartbeat.sequence) <= known_order
+            || (is_same_incarnation && entry.has_departed)
+        {
+            return HeartbeatOutcome::Ignored;
+        }
+        let heard_at = now - Duration::from_millis(heartbeat.heard_ms_ago);
+        entry.alive_at = entry.alive_at.max(heard_at);
+        if !is_same_incarnation || heartbeat.repeats != Some(entry.whole_sequence) {
+            return HeartbeatOutcome::Lacking;
+        }
+        known.sequence = heartbeat.sequence;
+        entry.heard_at = heard_at;
+        HeartbeatOutcome::Refreshed
+    }
+
     /// Records that a process has departed. If an incarnation is given and it is not the known
     /// one, the departure is ignored.
     pub fn record_departure(
         &mut self,
         id: &UpstreamId,
         incarnation: Option<Incarnation>,
-        now: Time,
+        heard_at: Time,
     ) -> UpdateOutcome {
         let revision = self.revision.0 + 1;
         let Some(entry) = self.entries.get_mut(id) else {
@@ -130,7 +177,8 @@
             return UpdateOutcome::Ignored;
         }
         entry.has_departed = true;
-        entry.heard_at = now;
+        entry.heard_at = heard_at;
+        entry.alive_at = heard_at;
         entry.revision = Revision(revision);
         self.revision = Revision(revision);
         UpdateOutcome::Changed
@@ -139,7 +187,7 @@
     /// Forgets the processes that have been silent for long.
     pub fn remove_silent(&mut self, now: Time) {
         self.entries
-            .retain(|_, entry| now.since(entry.heard_at) < FORGET_AFTER);
+            .retain(|_, entry| now.since(entry.alive_at) < FORGET_AFTER);
         let entries = &self.entries;
         self.by_addr.retain(|_, id| entries.contains_key(id));
     }
@@ -173,12 +221,14 @@
             .collect()
     }
 
-    /// Applies a change of another roster to this one.
-    pub fn apply_change(&mut self, change: RosterChange, now: Time) -> UpdateOutcome {
+    /// Applies a change of another roster to this one, heard at `heard_at`.
+    pub fn apply_change(&mut self, change: RosterChange, heard_at: Time) -> UpdateOutcome {
         match change {
-            RosterChange::Announced(announcement) => self.record_announcement(announcement, now),
+            RosterChange::Announced(announcement) => {
+                self.record_announcement(announcement, heard_at)
+            }
             RosterChange::Gone { id, incarnation } => {
-                self.record_departure(&id, Some(incarnation), now)
+                self.record_departure(&id, Some(incarnation), heard_at)
             }
         }
     }
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -123,7 +123,8 @@
         changes: update.changes,
         ..Observations::default()
     };
-    watch::record_observations(control, observations);
+    // There are no heartbeats among them, so nothing is lacking.
+    let _ = watch::record_observations(control, observations);
     if let Some(newer) = update.configuration {
         match newer.text.decompress() {
             Ok(text) => control.activate_config(newer.version, &text),
@@ -143,38 +144,43 @@
 
 /// Sends observations to the leader, for as long as the process runs.
 pub(crate) async fn send_observations(control: Rc<ControlHost>) {
+    let mut has_more = false;
     loop {
-        control.observations_added.wait(HEARTBEAT_INTERVAL).await;
-        compio::time::sleep(BATCH_DELAY).await;
-        let observations = std::mem::take(&mut *control.unsent_observations.borrow_mut());
-        if control.is_leader() || observations == Observations::default() {
+        if !has_more {
+            control.observations_added.wait(HEARTBEAT_INTERVAL).await;
+            compio::time::sleep(BATCH_DELAY).await;
+        }
+        has_more = false;
+        let others = std::mem::take(&mut *control.unsent_observations.borrow_mut());
+        if control.is_leader() {
             continue;
         }
         let Some(leader) = control.known_leader() else {
-            put_back(&control, observations);
             compio::time::sleep(RETRY_INTERVAL).await;
             continue;
         };
+        let now = clock::now();
+        let batch = control.leader_reports.borrow_mut().next_batch(leader, now);
+        let observations = Observations {
+            changes: batch.changes.clone(),
+            heard_ms_ago: batch.heard_ms_ago.clone(),
+            heartbeats: batch.heartbeats.clone(),
+            ..others
+        };
+        if observations == Observations::default() {
+            continue;
+        }
         let addr = control.settings.internal_addr(leader);
-        let reply = control.rpc.call(addr, &observations, CALL_TIMEOUT).await;
-        if let Err(e) = reply {
-            log::debug!("the leader {leader} did not take the observations: {e}");
-            put_back(&control, observations);
-            compio::time::sleep(RETRY_INTERVAL).await;
+        match control.rpc.call(addr, &observations, CALL_TIMEOUT).await {
+            Ok(reply) => {
+                let mut reports = control.leader_reports.borrow_mut();
+                reports.record_taken(&batch, &reply.lacking);
+                has_more = reports.has_unsent_changes();
+            }
+            Err(e) => {
+                log::debug!("the leader {leader} did not take the observations: {e}");
+                compio::time::sleep(RETRY_INTERVAL).await;
+            }
         }
     }
 }
-
-/// Puts back roster changes that could not be sent. Heartbeats are repeated anyway.
-fn put_back(control: &ControlHost, observations: Observations) {
-    let mut unsent_observations = control.unsent_observations.borrow_mut();
-    let mut changes = observations.changes;
-    changes.append(&mut unsent_observations.changes);
-    unsent_observations.changes = changes;
-    const MAX_UNSENT_CHANGES: usize = 1_000;
-    let excess = unsent_observations
-        .changes
-        .len()
-        .saturating_sub(MAX_UNSENT_CHANGES);
-    unsent_observations.changes.drain(..excess);
-}
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -36,7 +36,10 @@
 use base::UpstreamId;
 use base::Version;
 use fleet::CompressedText;
+use fleet::LeaderReports;
+use fleet::Probes;
 use fleet::Roster;
+use fleet::RosterEntry;
 use fleet::RoutingTable;
 use fleet::UpdateOutcome;
 use form::Action;
@@ -98,10 +101,12 @@
     pub confirmed_at: Cell<Option<Time>>,
     /// The load of the entry hosts.
     pub loads: RefCell<LoadAggregator>,
-    /// Observations that have not been sent to the leader yet.
+    /// What is to be reported to the leader of the upstreams that announce themselves here.
+    pub leader_reports: RefCell<LeaderReports>,
+    /// Other observations that have not been sent to the leader yet.
     pub unsent_observations: RefCell<Observations>,
-    /// Hosts that are being probed, and hosts that were lost: `probe_host` never removes these.
-    pub being_probed: RefCell<BTreeSet<UpstreamId>>,
+    /// Hosts that are being probed or were lost.
+    pub probes: RefCell<Probes>,
     /// The leading control host, as the last reply to this control host's watch calls showed.
     pub reported_leader: Cell<Option<NodeId>>,
     /// Head hosts that are to leave, as the leader reported.
@@ -200,8 +205,9 @@
             routing_table: RefCell::default(),
             confirmed_at: Cell::new(None),
             loads: RefCell::default(),
+            leader_reports: RefCell::default(),
             unsent_observations: RefCell::default(),
-            being_probed: RefCell::default(),
+            probes: RefCell::default(),
             reported_leader: Cell::new(None),
             reported_unreachable: RefCell::default(),
             rpc: RpcClient::new(String::new())?,
@@ -247,12 +253,7 @@
         let roster = self.roster.borrow();
         match (outcome, roster.get(id)) {
             (UpdateOutcome::Ignored, _) => return,
-            (_, Some(entry)) => {
-                let now = clock::now();
-                self.controller
-                    .borrow_mut()
-                    .record_announcement(&entry.announcement, now);
-            }
+            (_, Some(entry)) => self.record_heard(entry),
             (_, None) => self.controller.borrow_mut().record_departure(id),
         }
         if outcome == UpdateOutcome::Changed {
@@ -269,6 +270,18 @@
         }
     }
 
+    fn record_heard(&self, entry: &RosterEntry) {
+        let announcement = &entry.announcement;
+        let (incarnation, heard_at) = (announcement.incarnation, entry.heard_at);
+        let mut probes = self.probes.borrow_mut();
+        let stays_lost = probes.record_heard(&announcement.id, incarnation, heard_at);
+        let mut controller = self.controller.borrow_mut();
+        controller.record_announcement(announcement, heard_at);
+        if stays_lost {
+            controller.mark_lost(&announcement.id, incarnation, clock::now());
+        }
+    }
+
     /// Puts a committed configuration into force, if it is newer.
     pub fn activate_config(&self, version: Version, text: &str) {
         if version <= self.active_config.borrow().version {
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -18,9 +18,11 @@
 use crate::message::Watcher;
 use base::Fence;
 use base::NodeId;
+use base::UpstreamId;
+use fleet::HeartbeatOutcome;
 use fleet::Revision;
-use fleet::RosterChange;
 use fleet::UpdateOutcome;
+use fleet::heard_times;
 use forward::LoadReport;
 use net::RpcMethods;
 use quorum::clock;
@@ -51,8 +53,8 @@
             |control: Rc<ControlHost>, call: Watch| async move { Ok(watch(control, call).await) },
         )
         .register(|control: Rc<ControlHost>, call: Observations| async move {
-            record_observations(&control, call);
-            Ok(ObservationsReply {})
+            let lacking = record_observations(&control, call);
+            Ok(ObservationsReply { lacking })
         })
         .register(|control: Rc<ControlHost>, call: OfferConfig| async move {
             Ok(lead::propose_config(&control, call.configuration).await)
@@ -150,36 +152,36 @@
     }
 }
 
-/// Records what another process observed.
-pub(crate) fn record_observations(control: &Rc<ControlHost>, observations: Observations) {
-    for change in observations.changes {
-        let id = match &change {
-            RosterChange::Announced(announcement) => announcement.id.clone(),
-            RosterChange::Gone { id, .. } => id.clone(),
-        };
-        let outcome = control
-            .roster
-            .borrow_mut()
-            .apply_change(change, clock::now());
+/// Records what another process observed, and returns the processes whose heartbeats repeat
+/// announcements that are not held here.
+pub(crate) fn record_observations(
+    control: &Rc<ControlHost>,
+    observations: Observations,
+) -> Vec<UpstreamId> {
+    let now = clock::now();
+    let mut lacking = Vec::new();
+    let heard_at = heard_times(&observations.heard_ms_ago, now);
+    for (change, heard_at) in observations.changes.into_iter().zip(heard_at) {
+        let id = change.id().clone();
+        let outcome = control.roster.borrow_mut().apply_change(change, heard_at);
+        if outcome == UpdateOutcome::Changed {
+            let mut reports = control.leader_reports.borrow_mut();
+            reports.record_heard_elsewhere(&id);
+        }
         control.record_update(&id, outcome);
     }
     for heartbeat in observations.heartbeats {
-        let known = control
-            .roster
-            .borrow()
-            .get(&heartbeat.id)
-            .map(|e| e.announcement.clone());
-        let Some(mut announcement) =
-            known.filter(|announcement| announcement.incarnation == heartbeat.incarnation)
-        else {
-            continue;
-        };
-        announcement.sequence = heartbeat.sequence;
-        let outcome: UpdateOutcome = control
+        let outcome = control
             .roster
             .borrow_mut()
-            .record_announcement(announcement, clock::now());
-        control.record_update(&heartbeat.id, outcome);
+            .record_heartbeat(&heartbeat, now);
+        match outcome {
+            HeartbeatOutcome::Refreshed => {
+                control.record_update(&heartbeat.id, UpdateOutcome::Refreshed);
+            }
+            HeartbeatOutcome::Lacking => lacking.push(heartbeat.id),
+            HeartbeatOutcome::Ignored => {}
+        }
     }
     for epoch in observations.left_replicas {
         record_head_left(control, epoch);
@@ -190,6 +192,7 @@
     for head in observations.stalled_heads {
         probe::record_stalled_replica(control, &head);
     }
+    lacking
 }
 
 /// Records that the head host of a replica has left it.
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -15,6 +15,7 @@
 use base::Version;
 use fleet::CompressedText;
 use fleet::Edition;
+use fleet::Heartbeat;
 use fleet::Revision;
 use fleet::RosterChange;
 use fleet::RoutingTable;
@@ -118,24 +119,15 @@
     type Reply = WatchReply;
 }
 
-/// An announcement that only repeats the last one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// The process that announced itself.
-    pub id: UpstreamId,
-    /// The process's incarnation.
-    #[serde(rename = "life")]
-    pub incarnation: Incarnation,
-    /// The sequence number of the announcement.
-    pub sequence: u64,
-}
-
 /// Reports what the sender observed to a control host, which passes it on to the leader.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Observations {
     /// New announcements and departures of upstream processes.
     pub changes: Vec<RosterChange>,
-    /// Processes whose announcements only repeated the last one.
+    /// How long ago the sender heard each of the changes, in milliseconds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub heard_ms_ago: Vec<u64>,
+    /// Announcements that only repeated an earlier one.
     #[serde(rename = "beats")]
     pub heartbeats: Vec<Heartbeat>,
     /// Head hosts that stalled, as seen by entry hosts.
@@ -150,8 +142,13 @@
 }
 
 /// The reply to [`Observations`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ObservationsReply {}
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObservationsReply {
+    /// Processes of which the receiver doesn't hold the announcement that a heartbeat repeats.
+    /// The sender sends them whole.
+    #[serde(default)]
+    pub lacking: Vec<UpstreamId>,
+}
 
 impl Call for Observations {
     const METHOD: &'static str = "tell";
