A new term of the leader probes hosts that an earlier one had lost

Cause, found by review: a host once lost was not probed again until it was heard, and a new term takes its loss back; if it is dead, its replica counted as serving for good. Change: the probes forget losses as a term begins.

--- a/crates/fleet/src/probes.rs
+++ b/crates/fleet/src/probes.rs
@@ -74,6 +74,11 @@
         stays_lost
     }
 
+    /// Forgets which hosts were lost: a new term of the leader learns it again.
+    pub fn forget_losses(&mut self) {
+        self.lost.clear();
+    }
+
     /// Forgets the hosts that were lost long ago.
     pub fn remove_silent(&mut self, now: Time) {
         self.lost
--- a/crates/fleet/tests/probes.rs
+++ b/crates/fleet/tests/probes.rs
@@ -62,3 +62,11 @@
     assert!(probes.record_heard(&id(), LIFE, ms(900)));
     assert!(!probes.begin(&id(), LIFE, ms(2_000)));
 }
+
+#[test]
+fn a_host_that_an_earlier_term_lost_is_probed_in_the_next() {
+    let mut probes = with_lost_host();
+    assert!(!probes.begin(&id(), LIFE, ms(2_000)));
+    probes.forget_losses();
+    assert!(probes.begin(&id(), LIFE, ms(2_100)));
+}
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -55,7 +55,7 @@
         let term = control.leader_term();
         let orders = {
             let mut controller = control.controller.borrow_mut();
-            controller.set_term(term, now, || recorded_replicas(&control, term));
+            controller.set_term(term, now, || begin_term(&control, term));
             if term.is_some() && control.loads.borrow().has_offered_work() {
                 controller.mark_traffic_begun();
             }
@@ -88,8 +88,9 @@
     }
 }
 
-/// The replicas that a term begins with.
-fn recorded_replicas(control: &ControlHost, term: Option<u64>) -> Vec<ReplicaRecord> {
+/// Begins a term. Returns the replicas that it begins with.
+fn begin_term(control: &ControlHost, term: Option<u64>) -> Vec<ReplicaRecord> {
+    control.probes.borrow_mut().forget_losses();
     let replicas = control.local_voter.recorded_replicas();
     if let Some(term) = term {
         let records = replicas.len();
