Orders are not sent in a later term than they were issued in

Cause, found by review: right before an order is sent, only the lead was checked, which may have been lost and won back while the connection was opened. Change: the order must still be outstanding; a new term clears those. Result: cargo clippy and the platform's tests green; no test forces this moment.

--- a/crates/site/src/control/orders.rs
+++ b/crates/site/src/control/orders.rs
@@ -98,8 +98,10 @@
     order: &Order,
     mut connection: Connection,
 ) -> Result<Outcome, RequestError> {
-    // Checked after the last await before the order is sent: if the process was suspended, it may no longer lead.
-    if !control.is_leader() {
+    // Checked after the last await before the order is sent: if the process was suspended, it may
+    // no longer lead, or lead in a later term.
+    let is_outstanding = control.controller.borrow().is_outstanding(order.id);
+    if !control.is_leader() || !is_outstanding {
         return Ok(Outcome::NotSent);
     }
     let req = control
