Records don't stay for good, and a host's count includes orders to leave

Two causes, found by review; their changes touch the same lines. A replica none of whose hosts is heard again stayed recorded for good, control hosts that don't lead never forgot silent hosts, and a replica whose record was committed late was closed before it opened. Now such a replica ends after two hours, longer than data centres lose each other; all control hosts forget; the time to open counts from the first order to open. What callers saw of the other: after each order to leave, the host refused the next order, and the replica that it was to join formed a third of a second later: the controller didn't count an order to leave that the host answered as done, though the host counts it. Now it counts if the host was in that replica.

--- a/crates/form/src/advance.rs
+++ b/crates/form/src/advance.rs
@@ -150,7 +150,8 @@
         if state == Some(PlaceState::Open) {
             return NextStep::Enter(Phase::Serving);
         }
-        if replica.phase_since + 3 * self.cfg.effect_timeout < now {
+        let was_ordered = replica.last_order_at != Time::ZERO;
+        if was_ordered && replica.phase_since + 3 * self.cfg.effect_timeout < now {
             return NextStep::Enter(Phase::Closing(now));
         }
         let is_ordered = now < replica.last_order_at + self.cfg.effect_timeout;
--- a/crates/form/src/config.rs
+++ b/crates/form/src/config.rs
@@ -15,6 +15,9 @@
     /// How long the hosts of a replica stay bound after its head host is lost, as the head
     /// may still serve. Longer than the stall after which an engine gives up its replica.
     pub lost_head_wait: Duration,
+    /// A replica none of whose hosts was heard for this long has ended. Longer than data centres
+    /// lose each other, as a replica that is cut off as a whole may serve on.
+    pub silent_replica_limit: Duration,
     /// How long a replica may finish its requests once one of its hosts is leaving.
     pub drain_time: Duration,
     /// An order has failed if its effect isn't reported within this time.
@@ -38,6 +41,7 @@
             gather_time: Duration::from_millis(400),
             silence_limit: Duration::from_millis(4_000),
             lost_head_wait: Duration::from_millis(4_300),
+            silent_replica_limit: Duration::from_secs(2 * 60 * 60),
             drain_time: Duration::from_millis(1_500),
             effect_timeout: Duration::from_millis(1_500),
             retry_interval: Duration::from_millis(300),
--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -45,6 +45,16 @@
     pub action: Action,
 }
 
+impl OutstandingOrder {
+    /// Whether the host was ordered to leave the replica that it announced.
+    fn ends_place(&self) -> bool {
+        match &self.action {
+            Action::Leave { epoch, .. } => self.announced_epoch == Some(*epoch),
+            Action::Stage { .. } | Action::Join { .. } | Action::Open { .. } => false,
+        }
+    }
+}
+
 /// Sends orders to the hosts of all engines of a deployment while it holds a term.
 #[derive(Clone, Debug)]
 pub struct Controller {
@@ -135,12 +145,6 @@
         }
     }
 
-    /// Whether a host is the head of a replica whose hosts are bound to it.
-    fn is_head_of_held_replica(&self, id: &UpstreamId) -> bool {
-        let mut holding = self.replicas.values().filter(|r| r.holds_hosts());
-        holding.any(|replica| replica.head.as_ref().is_some_and(|(head, _)| head == id))
-    }
-
     /// Records that a host did not answer a probe.
     pub fn mark_lost(&mut self, id: &UpstreamId, incarnation: Incarnation, now: Time) {
         let host = self.hosts.get_mut(id);
@@ -221,6 +225,7 @@
     /// times a second.
     pub fn tick(&mut self, now: Time) -> Vec<Order> {
         if !self.is_settled(now) {
+            self.forget_silent_hosts(now);
             return Vec::new();
         }
         self.forget_unneeded(now);
@@ -247,6 +252,10 @@
             host.pending_order = None;
             match outcome {
                 Outcome::Begun => host.begun_orders = host.begun_orders.map(|begun| begun + 1),
+                // A host counts an order to leave, which is done at once.
+                Outcome::Done if outstanding.ends_place() => {
+                    host.begun_orders = host.begun_orders.map(|begun| begun + 1);
+                }
                 Outcome::Done | Outcome::NotSent => {}
                 Outcome::Refused | Outcome::Unknown => host.begun_orders = None,
             }
@@ -340,26 +349,6 @@
         })
     }
 
-    /// Forgets hosts of no replica that have departed or were silent for long, and replicas that
-    /// ended long ago.
-    fn forget_unneeded(&mut self, now: Time) {
-        let forget_after = 10 * self.cfg.lost_head_wait;
-        let departed = self.hosts.iter().filter(|(_, host)| host.has_departed);
-        let unneeded = departed.filter(|(id, _)| !self.is_head_of_held_replica(id));
-        let unneeded: Vec<UpstreamId> = unneeded.map(|(id, _)| id.clone()).collect();
-        for id in unneeded {
-            self.hosts.remove(&id);
-        }
-        let held = self.replicas.values().filter(|r| r.holds_hosts());
-        let held = held.flat_map(Replica::hosts).map(|(id, _)| id.clone());
-        let held: BTreeSet<UpstreamId> = held.collect();
-        self.hosts
-            .retain(|id, host| held.contains(id) || now.since(host.heard_at) < forget_after);
-        self.replicas.retain(|_, replica| {
-            replica.holds_hosts() || now.since(replica.phase_since) < forget_after
-        });
-    }
-
     /// Updates the routing table to the replicas that run requests now.
     fn update_routing_table(&mut self) {
         let serving = self.replicas.values().filter(|r| r.runs_requests());
--- a/crates/form/src/lib.rs
+++ b/crates/form/src/lib.rs
@@ -19,6 +19,7 @@
 mod confirm;
 mod controller;
 mod exchange;
+mod forget;
 mod host;
 mod host_counts;
 mod layout;
--- a/crates/form/tests/repair.rs
+++ b/crates/form/tests/repair.rs
@@ -353,3 +353,17 @@
     let after = world.count_serving("wide") + world.count_serving("slim");
     assert!(before <= after + 1, "{before} before, {after} after");
 }
+
+#[test]
+fn a_host_does_not_refuse_the_order_that_follows_its_leaving() {
+    let mut world = world_with_spares(2);
+    world.begin_traffic();
+    for _ in 0..6 {
+        let lost_host = member_of_first_replica(&world, 1);
+        world.kill(&lost_host);
+        world.run(secs(4));
+    }
+    let leaves = world.count_orders(|action| matches!(action, Action::Leave { .. }));
+    assert!(6 <= leaves, "{leaves}");
+    assert_eq!(world.refused_orders, 0);
+}
--- a/crates/form/tests/takeover.rs
+++ b/crates/form/tests/takeover.rs
@@ -12,6 +12,7 @@
 use base::Incarnation;
 use base::UpstreamId;
 use fleet::ReplicaRecord;
+use form::Action;
 use form::Config;
 
 fn secs(secs: u64) -> Duration {
@@ -214,3 +215,41 @@
     assert!(before < after.edition, "{before:?}, {:?}", after.edition);
     assert!(!after.serving.iter().any(|replica| replica.head == heads[0]));
 }
+
+#[test]
+fn a_replica_none_of_whose_hosts_is_heard_again_is_not_recorded_for_good() {
+    let cfg = Config {
+        silent_replica_limit: secs(30),
+        ..Config::default()
+    };
+    let mut world = World::new(cfg, 1, 2, 10);
+    world.run(secs(20));
+    let dead: Vec<_> = world.records.values().take(2).cloned().collect();
+    for host in dead.iter().flat_map(|record| &record.hosts) {
+        world.kill(&host.id);
+    }
+    let count_dead = |world: &World| {
+        let epochs = dead.iter().map(|record| record.epoch);
+        epochs.filter(|e| world.records.contains_key(e)).count()
+    };
+    world.run(secs(20));
+    assert_eq!(count_dead(&world), 2, "as a whole it may serve elsewhere");
+    world.run(secs(20));
+    assert_eq!(count_dead(&world), 0);
+}
+
+#[test]
+fn a_replica_waits_to_open_until_its_record_is_committed() {
+    let mut world = World::new(Config::default(), 1, 2, 10);
+    world.faults.lost_commit_share = 1.0;
+    world.run(secs(12));
+    let opens = world.count_orders(|action| matches!(action, Action::Open { .. }));
+    assert_eq!(opens, 0);
+    world.faults = Faults::default();
+    world.run(secs(2));
+    let hosts = 4 * world.count_serving("wide") + 2 * world.count_serving("slim");
+    // In each of the two domains, fewer hosts than a wide replica has may be left over.
+    assert!(20 - 2 * 3 <= hosts, "{hosts} of 20 hosts serve");
+    let leaves = world.count_orders(|action| matches!(action, Action::Leave { .. }));
+    assert_eq!(leaves, 0, "a replica was formed and left again");
+}
--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -61,6 +61,8 @@
     pub faults: Faults,
     pub rng: Rng,
     pub orders: Vec<(Time, Action, UpstreamId)>,
+    /// How many orders hosts refused because they had begun another number of orders.
+    pub refused_orders: usize,
     /// A host that has been silent this long is lost if it does not answer.
     pub lost_after: Duration,
     /// Entry hosts neither pass orders to leave on nor report anything.
@@ -124,6 +126,7 @@
             faults: Faults::default(),
             rng: Rng::with_seed(seed),
             orders: Vec::new(),
+            refused_orders: 0,
             lost_after: Duration::from_millis(900),
             are_entry_hosts_silent: false,
             unreached_reports: BTreeMap::new(),
@@ -463,11 +466,14 @@
             .begun_orders
             .is_some_and(|begun| begun != host.begun_orders)
         {
+            self.refused_orders += 1;
             return Outcome::Refused;
         }
+        let was_member = host.membership.is_some();
         let outcome = self.apply_order(order);
         let host = self.hosts.get_mut(&order.host).unwrap();
-        host.begun_orders += u64::from(outcome == Outcome::Begun);
+        let has_left = was_member && host.membership.is_none();
+        host.begun_orders += u64::from(outcome == Outcome::Begun || has_left);
         outcome
     }
 
@@ -555,7 +561,7 @@
                 }
                 host.membership = None;
                 host.must_announce = true;
-                Outcome::Begun
+                Outcome::Done
             }
         }
     }
