form: the time to open counts from the first order to open

Change: the phase is timed anew when the first order to open is sent. Result: cargo test -p form green; without it, a_replica_waits_to_open_until_its _record_is_committed has 7 orders to leave.

--- a/crates/form/src/advance.rs
+++ b/crates/form/src/advance.rs
@@ -82,6 +82,10 @@
                 let (head, _) = replica.head.clone()?;
                 let order = self.issue_order(&head, action, now)?;
                 let replica = self.replicas.get_mut(&epoch)?;
+                if replica.phase == Phase::Opening && replica.last_order_at == Time::ZERO {
+                    // The time that it waited for its record doesn't count.
+                    replica.phase_since = now;
+                }
                 replica.last_order_at = now;
                 Some(order)
             }
