vote: proposals, replication and the commit index in files of their own

Cause: replicate.rs held three concepts of the leader in 390 lines. Change: propose.rs takes commands, commit.rs computes what a majority holds, replicate.rs sends entries and handles acknowledgements. Functions are moved, not changed.

--- a/crates/vote/src/lib.rs
+++ b/crates/vote/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod blob;
 mod change;
+mod commit;
 mod config;
 mod effects;
 mod election;
@@ -29,6 +30,7 @@
 mod message;
 mod outbox;
 mod progress;
+mod propose;
 mod read;
 mod replicate;
 mod role;
@@ -78,8 +80,8 @@
 pub use crate::message::SendStamp;
 pub use crate::message::VoteAnswer;
 pub use crate::message::VoteReply;
+pub use crate::propose::ProposeError;
 pub use crate::read::Lease;
-pub use crate::replicate::ProposeError;
 pub use crate::status::NonMember;
 pub use crate::status::Peer;
 pub use crate::status::Role;
--- a/crates/vote/src/replicate.rs
+++ b/crates/vote/src/replicate.rs
@@ -1,58 +1,28 @@
-//! The leader: it takes commands and copies entries to the members.
+//! Replication: the leader copies entries to the members and handles their acknowledgements.
 
 use std::time::Duration;
 
-use derive_more::Display;
-use derive_more::Error;
-
 use crate::Ack;
 use crate::AckOutcome;
 use crate::AckedIndex;
 use crate::AppendEntries;
-use crate::Blob;
 use crate::Body;
 use crate::Entry;
 use crate::Group;
 use crate::Index;
-use crate::Payload;
 use crate::Position;
-use crate::ProposalId;
 use crate::SendStamp;
 use crate::Trust;
 use crate::Voter;
 use crate::progress::InFlight;
 use crate::progress::Progress;
-use crate::role::Leader;
 use crate::role::RoleState;
 use base::DiskId;
 use base::NodeId;
-use base::Time;
 
 /// After this time all members are told again what each disk acknowledged.
 const ACKED_BROADCAST_INTERVAL: Duration = Duration::from_millis(1_200);
 
-/// Why a command was refused. A refused command is never committed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
-pub enum ProposeError {
-    /// This voter does not lead.
-    #[display("this voter does not lead")]
-    NotLeader {
-        /// The leader, if it is known.
-        leader: Option<NodeId>,
-    },
-    /// Too many bytes wait to be committed.
-    #[display("too many commands are waiting")]
-    Busy,
-    /// The command exceeds the size limit.
-    #[display("a command of {bytes} bytes exceeds the limit of {limit}")]
-    TooLarge {
-        /// The size of the command in bytes.
-        bytes: usize,
-        /// The limit in bytes.
-        limit: usize,
-    },
-}
-
 /// The purpose of a message to a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AppendPurpose {
@@ -72,44 +42,6 @@
 }
 
 impl Voter {
-    /// Takes a command if this voter leads. The command is committed once an entry
-    /// with the returned term is committed at the returned index.
-    pub fn propose(
-        &mut self,
-        command: impl Into<Blob>,
-        now: Time,
-    ) -> Result<ProposalId, ProposeError> {
-        self.advance_clock(now);
-        let command = command.into();
-        let leader = self.leader();
-        let RoleState::Leader(state) = &self.state else {
-            return Err(ProposeError::NotLeader { leader });
-        };
-        let (bytes, limit) = (command.len(), self.cfg.limits.command_bytes);
-        if limit < bytes {
-            return Err(ProposeError::TooLarge { bytes, limit });
-        }
-        if self.cfg.limits.uncommitted_bytes < state.uncommitted_bytes {
-            return Err(ProposeError::Busy);
-        }
-        Ok(self.append_as_leader(Payload::Command(command)))
-    }
-
-    pub(crate) fn append_as_leader(&mut self, payload: Payload) -> ProposalId {
-        let term = self.term;
-        let index = self.log.last_position().index.next();
-        let entry = Entry {
-            term,
-            index,
-            payload,
-        };
-        if let RoleState::Leader(leader) = &mut self.state {
-            leader.uncommitted_bytes += entry.bytes();
-        }
-        self.append_entry(entry);
-        ProposalId { term, index }
-    }
-
     pub(crate) fn leader_tick(&mut self) {
         let RoleState::Leader(leader) = &self.state else {
             return;
@@ -214,50 +146,6 @@
         self.advance_commit_index();
     }
 
-    /// Commits what a majority has on disk. Entries of earlier terms are committed
-    /// along with the first entry of this term.
-    pub(crate) fn advance_commit_index(&mut self) {
-        let RoleState::Leader(leader) = &self.state else {
-            return;
-        };
-        let Some(group) = self.group() else {
-            return;
-        };
-        let synced_index = self.synced_index;
-        let reached = group.majority_value(|node| match leader.progress.get(&node) {
-            Some(progress) => progress.matched,
-            None => synced_index,
-        });
-        if self.commit < reached && self.log.term_at(reached) == Some(self.term) {
-            self.commit = reached;
-            self.recount_uncommitted_bytes();
-        }
-        self.raise_acked_indexes();
-        self.confirm_reads();
-        self.advance_membership();
-    }
-
-    /// The latest time for which a majority has answered messages sent then or later.
-    pub(crate) fn majority_answered_at(&self) -> Time {
-        self.majority_acked(|last_answered| last_answered.sent, self.now)
-    }
-
-    /// The largest value that the answers of a majority have reached.
-    pub(crate) fn majority_acked<Value: Ord + Copy + Default>(
-        &self,
-        of: impl Fn(SendStamp) -> Value,
-        own: Value,
-    ) -> Value {
-        let (RoleState::Leader(leader), Some(group)) = (&self.state, self.group()) else {
-            return Value::default();
-        };
-        group.majority_value(|node| match leader.progress.get(&node) {
-            Some(progress) if progress.trust == Trust::Trusted => of(progress.last_answered),
-            Some(_) => Value::default(),
-            None => own,
-        })
-    }
-
     pub(crate) fn next_stamp(&mut self) -> SendStamp {
         let sent = self.now;
         let RoleState::Leader(leader) = &mut self.state else {
@@ -286,29 +174,6 @@
         }
     }
 
-    fn recount_uncommitted_bytes(&mut self) {
-        let bytes = self.log.entries_after(self.commit).map(Entry::bytes).sum();
-        if let RoleState::Leader(leader) = &mut self.state {
-            leader.uncommitted_bytes = bytes;
-        }
-    }
-
-    fn raise_acked_indexes(&mut self) {
-        let RoleState::Leader(leader) = &self.state else {
-            return;
-        };
-        let commit = self.commit;
-        let own = (self.cfg.id, self.cfg.disk, self.synced_index.min(commit));
-        let others = leader
-            .progress
-            .iter()
-            .map(|(node, p)| (*node, p.disk, p.matched.min(commit)));
-        let acked: Vec<_> = others.chain([own]).collect();
-        for (node, disk, index) in acked {
-            self.raise_acked_index(node, disk, index);
-        }
-    }
-
     fn replicate_to(&mut self, to: NodeId, purpose: AppendPurpose) {
         let last = self.log.last_position().index;
         let base = self.log.base();
@@ -380,11 +245,3 @@
         acked.collect()
     }
 }
-
-impl Leader {
-    /// Whether an entry of the leader's own term is committed. Only then does the
-    /// leader know everything that was committed before.
-    pub(crate) fn has_committed_own_term(&self, commit: Index) -> bool {
-        self.first_index <= commit
-    }
-}
