route: the search for a replica apart from the pool

Change: Search in search.rs scores replicas and collects those that fit; Pool says which positions are searched. The order of random draws and the scores stay.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,6 +17,7 @@
 mod replica;
 mod router;
 mod sample;
+mod search;
 
 pub use candidate::Candidate;
 pub use candidate::Choice;
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -7,7 +7,6 @@
 use crate::Candidate;
 use crate::Choice;
 use crate::Config;
-use crate::Forecast;
 use crate::Length;
 use crate::NoChoice;
 use crate::ReplicaSlice;
@@ -18,10 +17,8 @@
 use crate::outlier_detector::PoolAverages;
 use crate::prefix::PrefixMap;
 use crate::replica::Replica;
-use crate::sample::ScoredReplica;
-use crate::sample::has_idle_replica;
-use crate::sample::pick_best;
 use crate::sample::sample_positions;
+use crate::search::Search;
 use base::ReplicaId;
 use base::Time;
 use base::TokenCount;
@@ -30,10 +27,6 @@
 const NEAR_LINK_MARGIN: Duration = Duration::from_millis(1);
 /// Time constant of the averaged growth of the load.
 const GROWTH_AVERAGING_TIME: Duration = Duration::from_millis(300);
-/// Share of the prefill that a cached prefix is assumed to save.
-const CACHED_PREFILL_SHARE: f64 = 0.6;
-/// Weight of a replica's fill in its score: the seconds added when all slots are taken.
-const FILL_WEIGHT_S: f64 = 0.05;
 /// Weight of one sample in the running mean of the residence time.
 const RESIDENCE_SAMPLE_WEIGHT: f64 = 0.02;
 
@@ -217,41 +210,51 @@
         }
         self.decay_growth_rate(now);
         let learned = self.learned_values(cfg, (request.standing, request.length));
-        let mut reason = NoChoice::Late;
-        let mut scored = Vec::with_capacity(cfg.near_sample + cfg.far_sample);
+        let mut search = Search::new(&self.replicas, cfg, request, learned, now);
         match request.replica_slice {
-            Some(slice) => {
-                for index in sample_positions(self.slice_indices(slice), cfg.near_sample, rng) {
-                    self.consider(
-                        self.by_hash[index],
-                        request,
-                        &learned,
-                        now,
-                        &mut reason,
-                        &mut scored,
-                    );
-                }
-            }
+            Some(slice) => self.search_slice(&mut search, slice, rng),
             None => {
-                for position in sample_positions(0..self.near_count, cfg.near_sample, rng) {
-                    self.consider(position, request, &learned, now, &mut reason, &mut scored);
-                }
-                let far = self.near_count..self.replicas.len();
-                if !far.is_empty() && !has_idle_replica(&scored) {
-                    for position in sample_positions(far, cfg.far_sample, rng) {
-                        self.consider(position, request, &learned, now, &mut reason, &mut scored);
-                    }
-                }
+                self.search_near_and_far(&mut search, rng);
+                self.search_cached(&mut search);
             }
         }
-        self.consider_cached(cfg, request, &learned, now, &mut scored);
-        let chosen = pick_best(&scored, cfg, rng).ok_or(reason)?;
+        let chosen = search.pick_best(rng)?;
         Ok(Choice {
             replica: self.replicas[chosen.position].id,
             forecast: chosen.forecast,
         })
     }
 
+    fn search_slice(&self, search: &mut Search<'_>, slice: ReplicaSlice, rng: &mut fastrand::Rng) {
+        let indices = self.slice_indices(slice);
+        for index in sample_positions(indices, search.cfg.near_sample, rng) {
+            search.consider(self.by_hash[index]);
+        }
+    }
+
+    /// Searches the near replicas, and the far ones if no near one is idle.
+    fn search_near_and_far(&self, search: &mut Search<'_>, rng: &mut fastrand::Rng) {
+        for position in sample_positions(0..self.near_count, search.cfg.near_sample, rng) {
+            search.consider(position);
+        }
+        let far = self.near_count..self.replicas.len();
+        if far.is_empty() || search.has_idle_replica() {
+            return;
+        }
+        for position in sample_positions(far, search.cfg.far_sample, rng) {
+            search.consider(position);
+        }
+    }
+
+    /// Searches the replica that may have the request's prefix cached.
+    fn search_cached(&self, search: &mut Search<'_>) {
+        let prefix = search.request.prefix_hash;
+        let replica = prefix.and_then(|prefix| self.prefixes.get(prefix));
+        if let Some(position) = replica.and_then(|replica| self.positions.get(&replica)) {
+            search.consider_cached(*position);
+        }
+    }
+
     /// The range of indices of a slice's replicas in `by_hash`.
     fn slice_indices(&self, slice: ReplicaSlice) -> Range<usize> {
         let before = |hash: f64| {
@@ -274,78 +277,6 @@
         }
     }
 
-    /// Adds a replica to `scored` if it can take the request. Sets `reason` to full if it
-    /// lacks capacity.
-    fn consider(
-        &self,
-        position: usize,
-        request: &RouteRequest,
-        learned: &LearnedValues,
-        now: Time,
-        reason: &mut NoChoice,
-        scored: &mut Vec<ScoredReplica>,
-    ) {
-        let replica = &self.replicas[position];
-        if now < replica.outlier.ejected_until || request.failed_replica == Some(replica.id) {
-            return;
-        }
-        if request.length == Length::Long && !may_add_long(replica, request.long_quota) {
-            *reason = NoChoice::Full;
-            return;
-        }
-        let forecast = Forecast::predict(replica, learned, request, now);
-        if request.max_fill < forecast.fill || request.max_backlog < forecast.backlog {
-            *reason = NoChoice::Full;
-            return;
-        }
-        let is_late = request.first_token_budget < forecast.first_token;
-        let is_slow = forecast.token_rate.0 < request.min_token_rate.0;
-        if is_late || is_slow {
-            return;
-        }
-        let score = forecast.first_token.as_secs_f64() + FILL_WEIGHT_S * forecast.fill;
-        scored.push(ScoredReplica {
-            position,
-            score,
-            forecast,
-        });
-    }
-
-    /// Considers the replica that may have the prefix cached, with its score lowered by the
-    /// prefill time that this saves.
-    fn consider_cached(
-        &self,
-        cfg: &Config,
-        request: &RouteRequest,
-        learned: &LearnedValues,
-        now: Time,
-        scored: &mut Vec<ScoredReplica>,
-    ) {
-        let replica = request
-            .prefix_hash
-            .and_then(|prefix| self.prefixes.get(prefix));
-        let Some(position) = replica.and_then(|replica| self.positions.get(&replica)) else {
-            return;
-        };
-        if request.replica_slice.is_some() {
-            return;
-        }
-        let count_before = scored.len();
-        self.consider(
-            *position,
-            request,
-            learned,
-            now,
-            &mut NoChoice::Full,
-            scored,
-        );
-        if let Some(cached) = scored.get_mut(count_before) {
-            let rate = self.replicas[*position].load.prefill_rate.0.max(1.0);
-            let saved = CACHED_PREFILL_SHARE * f64::from(request.prompt_tokens.0) / rate;
-            cached.score -= saved + cfg.score_tolerance.as_secs_f64();
-        }
-    }
-
     /// Ejects a replica that became slow, unless too many are ejected already.
     pub fn eject_if_slow(&mut self, cfg: &Config, replica: ReplicaId, now: Time) {
         let averages = self.averages;
@@ -382,10 +313,3 @@
         ejected.map(|r| r.id).collect()
     }
 }
-
-/// True if this node may send one more long request to the replica.
-fn may_add_long(replica: &Replica, quota: f64) -> bool {
-    // With the hash added, the fractional part of the quota applies to that share of the
-    // replicas.
-    f64::from(replica.long_count) + 1.0 <= (quota + replica.id_hash()).floor()
-}
