forward: the choice of a target in steps

Change: TargetQuery::fits, candidates and cost are functions with names. Order of targets, random draws and sums stay.

--- a/crates/forward/src/target_table.rs
+++ b/crates/forward/src/target_table.rs
@@ -57,6 +57,15 @@
     pub avoid: &'a BTreeSet<UpstreamId>,
 }
 
+impl TargetQuery<'_> {
+    /// Whether a target serves what the request asks for and takes new requests.
+    fn fits(&self, target: &Target) -> bool {
+        target.service == *self.service
+            && target.intake == Intake::Open
+            && (target.model.is_none() || target.model.as_ref() == self.model)
+    }
+}
+
 /// Why no target could be chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 pub enum ChooseError {
@@ -146,51 +155,16 @@
 
     /// Chooses a target for a request.
     pub fn choose(&mut self, query: &TargetQuery<'_>, now: Time) -> Result<Target, ChooseError> {
-        let fitting = self.targets.values().filter(|t| {
-            t.service == *query.service
-                && t.intake == Intake::Open
-                && (t.model.is_none() || t.model.as_ref() == query.model)
+        let candidates = candidates(&self.targets, query, now)?;
+        let costs = candidates.into_iter().map(|target| {
+            let random = self.rng.f64() * RANDOM_COST;
+            (cost(target, &self.centre, now) + random, target)
         });
-        let all: Vec<&Target> = fitting.collect();
-        let not_avoided = |t: &&&Target| !query.avoid.contains(&t.id);
-        let healthy: Vec<&&Target> = all
-            .iter()
-            .filter(not_avoided)
-            .filter(|t| !t.health.is_excluded(now))
-            .collect();
-        let allowed: Vec<&&Target> = all.iter().filter(not_avoided).collect();
-        let choices = match (healthy.is_empty(), allowed.is_empty()) {
-            (false, _) => healthy,
-            (true, false) if all.iter().all(|t| t.model.is_none()) => allowed,
-            _ => {
-                return Err(if all.is_empty() {
-                    ChooseError::NoneKnown
-                } else {
-                    ChooseError::AllFull
-                });
-            }
-        };
-        let rng = &mut self.rng;
-        let cost = |t: &Target, random: f64| {
-            let remote = if t.centre == self.centre {
-                0.0
-            } else {
-                REMOTE_COST
-            };
-            let fill = f64::from(t.load()) / f64::from(t.slots.max(1));
-            let reading = PROMPT_COST * t.expected_backlog(now);
-            fill * t.time_factor + reading + remote + random * RANDOM_COST
-        };
-        let best = choices
-            .iter()
-            .map(|t| (cost(t, rng.f64()), t))
-            .min_by(|a, b| a.0.total_cmp(&b.0));
-        let Some((_, best)) = best else {
-            return Err(ChooseError::NoneKnown);
-        };
+        let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        let (_, best) = best.ok_or(ChooseError::NoneKnown)?;
         let max_load = f64::from(best.slots) * (1.0 + MAX_QUEUED_PER_SLOT);
         match f64::from(best.load()) < max_load {
-            true => Ok((***best).clone()),
+            true => Ok(best.clone()),
             false => Err(ChooseError::AllFull),
         }
     }
@@ -285,3 +259,39 @@
             .filter(|t| t.incarnation == *incarnation)
     }
 }
+
+/// The targets among which a request's target is chosen: the healthy ones, or those of a plain
+/// service if none is healthy.
+fn candidates<'a>(
+    targets: &'a BTreeMap<UpstreamId, Target>,
+    query: &TargetQuery<'_>,
+    now: Time,
+) -> Result<Vec<&'a Target>, ChooseError> {
+    let fitting: Vec<&Target> = targets.values().filter(|t| query.fits(t)).collect();
+    if fitting.is_empty() {
+        return Err(ChooseError::NoneKnown);
+    }
+    let mut allowed = fitting.clone();
+    allowed.retain(|t| !query.avoid.contains(&t.id));
+    let mut healthy = allowed.clone();
+    healthy.retain(|t| !t.health.is_excluded(now));
+    if !healthy.is_empty() {
+        return Ok(healthy);
+    }
+    let is_plain_service = fitting.iter().all(|t| t.model.is_none());
+    match is_plain_service && !allowed.is_empty() {
+        true => Ok(allowed),
+        false => Err(ChooseError::AllFull),
+    }
+}
+
+/// The cost of sending a request from a data centre to a target, in requests per slot.
+fn cost(target: &Target, centre: &CentreName, now: Time) -> f64 {
+    let remote = match target.centre == *centre {
+        true => 0.0,
+        false => REMOTE_COST,
+    };
+    let fill = f64::from(target.load()) / f64::from(target.slots.max(1));
+    let reading = PROMPT_COST * target.expected_backlog(now);
+    fill * target.time_factor + reading + remote
+}
