members: one function learns a newer generation of a member

Cause: the same lines stood in the handling of headers and of answers. Change: both call learn_generation. Result: cargo test -p members green.

--- a/crates/members/src/receive.rs
+++ b/crates/members/src/receive.rs
@@ -1,5 +1,6 @@
 //! Handles the datagrams of other members.
 
+use crate::Generation;
 use crate::ItemKind;
 use crate::ItemUpdate;
 use crate::Members;
@@ -55,14 +56,7 @@
         if is_earlier_incarnation || !generation.is_plausible() {
             return false;
         }
-        if known.generation < generation {
-            let record = Record {
-                generation,
-                standing: Standing::Alive,
-                ..known
-            };
-            self.learn(record, LearnedFrom::ThisNode, now);
-        }
+        self.learn_generation(known, generation, now);
         self.roster.note_heard_from(known.peer.centre, now);
         if let Some(member) = self.roster.get_mut(from) {
             member.version = member.version.max(header.version);
@@ -113,6 +107,18 @@
         }
     }
 
+    /// Applies what a member itself shows: that it lives, in this generation.
+    pub(crate) fn learn_generation(&mut self, known: Record, generation: Generation, now: Time) {
+        if known.generation < generation {
+            let record = Record {
+                generation,
+                standing: Standing::Alive,
+                ..known
+            };
+            self.learn(record, LearnedFrom::ThisNode, now);
+        }
+    }
+
     /// Applies a claim about a member and forwards it if it is new.
     pub(crate) fn learn(&mut self, record: Record, learned: LearnedFrom, now: Time) {
         let node = record.peer.node;
--- a/crates/members/src/watch.rs
+++ b/crates/members/src/watch.rs
@@ -126,14 +126,7 @@
         };
         member.last_answer = Some(now);
         let known = member.record;
-        if known.generation < generation {
-            let record = Record {
-                generation,
-                standing: Standing::Alive,
-                ..known
-            };
-            self.learn(record, LearnedFrom::ThisNode, now);
-        }
+        self.learn_generation(known, generation, now);
     }
 
     /// Refutes a claim about this node that contradicts its own record.
