standin: the answer to a chat apart from the host, responses in one place

Cause: engine.rs held the host and the streaming of answers in 399 lines; both kinds of stand-ins built plain responses by functions of their own. Change: completion.rs answers one chat, response.rs builds responses, and service.rs starts in steps. Numbers without names got one. Nothing else changes. Result: cargo test -p standin and -p harness green.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,4 +1,5 @@
 //! A simulated host of a model engine.
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -8,7 +9,6 @@
 use std::time::Duration;
 
 use async_channel::Sender;
-use bytes::Bytes;
 use gumdrop::Options;
 use http::HeaderMap;
 use http::Request;
@@ -22,13 +22,13 @@
 use crate::batch::Batch;
 use crate::batch::BatchConfig;
 use crate::batch::RequestKey;
+use crate::completion::start_completion;
 use crate::fault::Faults;
 use crate::fault::ForeignFrameCounter;
 use crate::group::Group;
 use crate::head::has_secret;
 use crate::head::parse_header;
-use crate::prompt::ChatRequest;
-use crate::prompt::Chunk;
+use crate::response::text_response;
 use base::Assignment;
 use base::CentreId;
 use base::DomainId;
@@ -39,10 +39,8 @@
 use base::HostReport;
 use base::Incarnation;
 use base::Load;
-use base::Priority;
 use base::TokenRate;
 use net::Body;
-use net::BodySender;
 use net::RpcClient;
 use net::RpcMethods;
 use net::Server;
@@ -51,15 +49,11 @@
 use wire::engine::AskDuty;
 use wire::engine::EngineOrder;
 use wire::engine::FENCE_HEADER;
-use wire::engine::PRIORITY_HEADER;
 use wire::engine::REPLICA_HEADER;
-use wire::engine::REQUEST_ID_HEADER;
-use wire::engine::RESUME_HEADER;
 use wire::upstream::ANNOUNCE_INTERVAL;
 
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-const READER_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Options of a simulated host of a model engine.
 #[derive(Debug, Options)]
@@ -117,18 +111,18 @@
 
 /// The state of a simulated host of a model engine.
 #[derive(Debug)]
-struct Engine {
+pub(crate) struct Engine {
     group: Rc<RefCell<Group>>,
     client: RpcClient,
-    batch: RefCell<Batch>,
+    pub(crate) batch: RefCell<Batch>,
     /// For each request in the batch, the channel that gets a message per generated token.
-    token_senders: RefCell<BTreeMap<RequestKey, Sender<()>>>,
+    pub(crate) token_senders: RefCell<BTreeMap<RequestKey, Sender<()>>>,
     reported_load: RefCell<Load>,
     leaving: Cell<bool>,
     incarnation: Incarnation,
     secret: String,
-    faults: Faults,
-    foreign_frames: ForeignFrameCounter,
+    pub(crate) faults: Faults,
+    pub(crate) foreign_frames: ForeignFrameCounter,
 }
 
 pub(crate) async fn run(args: EngineArgs) -> io::Result<()> {
@@ -245,7 +239,7 @@
     }
 
     /// The assignment that a request names, if this is the first host of its ready replica.
-    fn requested_assignment(&self, headers: &HeaderMap) -> Option<Assignment> {
+    pub(crate) fn requested_assignment(&self, headers: &HeaderMap) -> Option<Assignment> {
         let group = self.group.borrow();
         let Duty::Ready(assignment) = &group.duty else {
             return None;
@@ -257,7 +251,8 @@
         (is_first && matches && group.is_complete).then(|| assignment.clone())
     }
 
-    fn still_serves(&self, assignment: &Assignment) -> bool {
+    /// Whether the host still belongs to the replica of an assignment.
+    pub(crate) fn still_serves(&self, assignment: &Assignment) -> bool {
         let group = self.group.borrow();
         group.is_complete && group.is_assigned(assignment)
     }
@@ -281,119 +276,3 @@
         _ => text_response(StatusCode::NOT_FOUND, "no such path"),
     }
 }
-
-fn start_completion(engine: Rc<Engine>, headers: &HeaderMap, body: &[u8]) -> Response<Body> {
-    let Some(assignment) = engine.requested_assignment(headers) else {
-        return text_response(
-            StatusCode::CONFLICT,
-            "this host does not serve that replica",
-        );
-    };
-    let Ok(chat) = serde_json::from_slice::<ChatRequest>(body) else {
-        return text_response(StatusCode::BAD_REQUEST, "not a chat request");
-    };
-    let id: String = parse_header(headers, REQUEST_ID_HEADER).unwrap_or_default();
-    let priority = parse_header(headers, PRIORITY_HEADER).unwrap_or(Priority(5));
-    let first_token: u32 = parse_header(headers, RESUME_HEADER).unwrap_or(0);
-    let drop_after = engine.faults.cut_after;
-    let drop_after = drop_after.filter(|after| first_token == 0 && *after < chat.max_tokens);
-    let (tx, body) = Body::stream();
-    let job = CompletionJob {
-        assignment: assignment.clone(),
-        chat,
-        id,
-        priority,
-        first_token,
-        drop_after,
-    };
-    compio::runtime::spawn(stream_completion(engine, job, tx)).detach();
-    let mut builder = Response::builder();
-    if drop_after.is_some() {
-        // A body that ends before its content length breaks the connection.
-        builder = builder.header("content-length", u32::MAX);
-    }
-    builder
-        .header("content-type", "text/event-stream")
-        .header(REPLICA_HEADER, assignment.replica.to_string())
-        .header(FENCE_HEADER, assignment.fence.to_string())
-        .body(body)
-        .unwrap_or_default()
-}
-
-/// A request's slot in the batch, which is freed however the completion ends.
-struct BatchSlot {
-    engine: Rc<Engine>,
-    key: RequestKey,
-}
-
-impl Drop for BatchSlot {
-    fn drop(&mut self) {
-        self.engine.batch.borrow_mut().remove_request(self.key);
-        self.engine.token_senders.borrow_mut().remove(&self.key);
-    }
-}
-
-struct CompletionJob {
-    assignment: Assignment,
-    chat: ChatRequest,
-    id: String,
-    priority: Priority,
-    /// The index of the first token to send.
-    first_token: u32,
-    /// The number of tokens after which the connection is dropped.
-    drop_after: Option<u32>,
-}
-
-async fn stream_completion(engine: Rc<Engine>, job: CompletionJob, tx: BodySender) {
-    let (token_sender, tokens) = async_channel::bounded(1024);
-    let chat = &job.chat;
-    let key = engine.batch.borrow_mut().add_request(
-        job.priority,
-        chat.prompt_tokens(),
-        chat.prompt_digest(),
-    );
-    engine.token_senders.borrow_mut().insert(key, token_sender);
-    let _slot = BatchSlot {
-        engine: Rc::clone(&engine),
-        key,
-    };
-    for index in job.first_token..chat.max_tokens {
-        let may_continue = !tx.is_closed() && engine.still_serves(&job.assignment);
-        if job.drop_after == Some(index) || tokens.recv().await.is_err() || !may_continue {
-            return;
-        }
-        for frame in token_frames(&engine, &job, index) {
-            if tx.send(Bytes::from(frame), READER_TIMEOUT).await.is_err() {
-                return;
-            }
-        }
-    }
-    let mut end = Chunk::end(&job.id, job.assignment.model.as_str(), chat.max_tokens).to_event();
-    if !engine.faults.no_end {
-        end += "data: [DONE]\n\n";
-    }
-    let _ = tx.send(Bytes::from(end), READER_TIMEOUT).await;
-}
-
-/// The frames that are sent for one token, including those of simulated faults.
-fn token_frames(engine: &Engine, job: &CompletionJob, index: u32) -> Vec<String> {
-    let model = job.assignment.model.as_str();
-    let token_text = || job.chat.token_text(index);
-    let own_frame = Chunk::token(&job.id, model, index, token_text()).to_event();
-    let mut frames = Vec::new();
-    if engine.faults.foreign_frames && engine.foreign_frames.is_due() {
-        let foreign_text = " foreign".to_owned();
-        frames.push(Chunk::token("another-request", model, index, foreign_text).to_event());
-    }
-    if engine.faults.repeat_frames {
-        frames.push(own_frame.clone());
-    }
-    frames.push(own_frame);
-    frames
-}
-
-fn text_response(status: StatusCode, text: &'static str) -> Response<Body> {
-    let mut response = Response::new(Body::whole(text));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -5,11 +5,13 @@
 
 mod announce;
 mod batch;
+mod completion;
 mod engine;
 mod fault;
 mod group;
 mod head;
 mod prompt;
+mod response;
 mod service;
 
 use std::fs;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -22,7 +22,10 @@
 use crate::announce::announce;
 use crate::announce::new_incarnation;
 use crate::head::has_secret;
+use crate::response::response_with;
+use crate::response::text_response;
 use base::CentreId;
+use base::Incarnation;
 use base::ServiceName;
 use base::ServiceReport;
 use net::Body;
@@ -34,6 +37,8 @@
 
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a service that leaves goes on announcing it.
+const LEAVE_TIME: Duration = Duration::from_secs(1);
 
 /// Options of a plain service.
 #[derive(Debug, Options)]
@@ -83,44 +88,25 @@
 
 pub(crate) async fn run(args: ServiceArgs) -> io::Result<()> {
     let config = Config::read(args.listen, &args.entry, &args.secret_file)?;
-    let name = args
-        .name
-        .ok_or_else(|| io::Error::other("--name is missing"))?;
-    let service = Rc::new(Service {
-        name: name.clone(),
-        delay: Duration::from_millis(args.delay_ms),
-        answers_to_drop: Cell::new(args.drop_answers),
-        runs: RefCell::default(),
-        leaving: Cell::new(false),
-        secret: config.secret.clone(),
-    });
+    let name = args.name.clone();
+    let name = name.ok_or_else(|| io::Error::other("--name is missing"))?;
+    let service = Rc::new(Service::new(name.clone(), &args, &config));
     let handler_service = Rc::clone(&service);
     let server = Server::bind(config.listen, ServerLimits::default(), move |req| {
         handle(Rc::clone(&handler_service), req)
     })
     .await?;
     println!("service {name} listens on {}", server.addr());
-    let incarnation = new_incarnation();
-    let addr = server.addr();
     let client = RpcClient::new(config.secret.clone()).map_err(io::Error::other)?;
+    let (addr, incarnation) = (server.addr(), new_incarnation());
     let reporter = Rc::clone(&service);
     let announcing = announce(client, config.entries.clone(), move |sequence| {
         AnnounceService {
-            report: ServiceReport {
-                service: reporter.name.clone(),
-                incarnation,
-                sequence,
-                centre: args.centre,
-                addr,
-                leaving: reporter.leaving.get(),
-            },
+            report: reporter.report(args.centre, addr, incarnation, sequence),
         }
     });
     compio::runtime::spawn(announcing).detach();
-    const SIGTERM: i32 = 15;
-    let _ = compio::signal::unix::signal(SIGTERM).await;
-    service.leaving.set(true);
-    compio::time::sleep(Duration::from_secs(1)).await;
+    service.leave_on_sigterm().await;
     Ok(())
 }
 
@@ -140,10 +126,7 @@
         .unwrap_or("-")
         .to_owned();
     if read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await.is_err() {
-        return response_with(
-            StatusCode::BAD_REQUEST,
-            Body::whole("the body cannot be read"),
-        );
+        return text_response(StatusCode::BAD_REQUEST, "the body cannot be read");
     }
     match path {
         "/outcome" => service.outcome(&key),
@@ -152,6 +135,42 @@
 }
 
 impl Service {
+    fn new(name: ServiceName, args: &ServiceArgs, config: &Config) -> Self {
+        Self {
+            name,
+            delay: Duration::from_millis(args.delay_ms),
+            answers_to_drop: Cell::new(args.drop_answers),
+            runs: RefCell::default(),
+            leaving: Cell::new(false),
+            secret: config.secret.clone(),
+        }
+    }
+
+    fn report(
+        &self,
+        centre: CentreId,
+        addr: SocketAddr,
+        incarnation: Incarnation,
+        sequence: u64,
+    ) -> ServiceReport {
+        ServiceReport {
+            service: self.name.clone(),
+            incarnation,
+            sequence,
+            centre,
+            addr,
+            leaving: self.leaving.get(),
+        }
+    }
+
+    /// On SIGTERM announces that the service leaves, and returns after [`LEAVE_TIME`].
+    async fn leave_on_sigterm(&self) {
+        const SIGTERM: i32 = 15;
+        let _ = compio::signal::unix::signal(SIGTERM).await;
+        self.leaving.set(true);
+        compio::time::sleep(LEAVE_TIME).await;
+    }
+
     /// Runs a call to its end, even if its caller disconnects.
     async fn run(self: Rc<Self>, key: String) -> Response<Body> {
         let service = Rc::clone(&self);
@@ -180,7 +199,7 @@
     fn outcome(&self, key: &str) -> Response<Body> {
         match self.runs.borrow().get(key) {
             Some(runs) => self.outcome_response(key.to_owned(), *runs),
-            None => response_with(StatusCode::NOT_FOUND, Body::whole("never seen")),
+            None => text_response(StatusCode::NOT_FOUND, "never seen"),
         }
     }
 
@@ -212,14 +231,8 @@
 /// Refuses a request without the upstreams' secret, and says that nothing ran.
 fn unauthorized_response() -> Response<Body> {
     let text = "the upstreams' secret is missing";
-    let mut response = response_with(StatusCode::UNAUTHORIZED, Body::whole(text));
+    let mut response = text_response(StatusCode::UNAUTHORIZED, text);
     let not_run = http::HeaderValue::from_static("not-run");
     response.headers_mut().insert("x-ran", not_run);
     response
 }
-
-fn response_with(status: StatusCode, body: Body) -> Response<Body> {
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    response
-}
