soak: the processes of a run, its faults and its result in files of their own

Change: testbed.rs holds the processes and clients, faults.rs injects the faults, run.rs runs a plan and reports.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,12 +6,14 @@
 //! violated guarantee is a [`Finding`].
 
 mod check;
+mod faults;
 mod finding;
 mod links;
 mod load;
 mod plan;
 mod record;
 mod run;
+mod testbed;
 mod watch;
 
 pub use check::check;
