--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -19,7 +19,7 @@
 use crate::Process;
 use crate::ServiceSpec;
 use crate::ports::free_addr;
-use base::Fencing;
+use base::CentreId;
 use base::HostId;
 use base::NodeId;
 
@@ -140,28 +140,8 @@
 
     /// Starts a host of an engine.
     pub fn start_host(&mut self, spec: HostSpec) -> io::Result<()> {
-        let mut args = vec!["engine".to_owned()];
-        let mut add = |name: &str, value: String| args.extend([name.to_owned(), value]);
-        add("--host", spec.id.to_string());
-        add("--centre", spec.centre.to_string());
-        add("--domain", spec.domain.to_string());
-        add("--step-ms", spec.step_ms.to_string());
-        add("--slots", spec.slots.to_string());
-        add("--prefill", spec.prefill.to_string());
-        add(
-            "--secret-file",
-            self.folder.join("upstreams").display().to_string(),
-        );
-        for addr in self.entry_addrs(spec.centre) {
-            add("--entry", addr.to_string());
-        }
-        if spec.fencing == Fencing::Checked {
-            args.push("--check-fences".to_owned());
-        }
-        args.extend(spec.fault.args());
-        let log = self.folder.join(format!("{}.log", spec.id));
-        let process = Process::spawn("standin", &args, &log)?;
-        let addr = listening_addr(&process)?;
+        let log_name = spec.id.to_string();
+        let (addr, process) = self.spawn_standin(spec.args(), spec.centre, &log_name)?;
         self.hosts.insert(spec.id, process);
         self.host_addrs.insert(spec.id, addr);
         Ok(())
@@ -169,25 +149,28 @@
 
     /// Starts a process of a service and returns its address.
     pub fn start_service(&mut self, spec: &ServiceSpec) -> io::Result<SocketAddr> {
-        let mut args = vec!["service".to_owned()];
-        let mut add = |name: &str, value: String| args.extend([name.to_owned(), value]);
-        add("--name", spec.name.clone());
-        add("--centre", spec.centre.to_string());
-        add("--delay-ms", spec.delay_ms.to_string());
-        add("--drop-answers", spec.drop_answers.to_string());
-        add(
-            "--secret-file",
-            self.folder.join("upstreams").display().to_string(),
-        );
-        for entry in self.entry_addrs(spec.centre) {
-            add("--entry", entry.to_string());
+        let log_name = format!("{}-{}", spec.name, self.services.len());
+        let (addr, process) = self.spawn_standin(spec.args(), spec.centre, &log_name)?;
+        self.services.push((addr, process));
+        Ok(addr)
+    }
+
+    /// Starts a stand-in that announces itself to the entry nodes of its data centre.
+    fn spawn_standin(
+        &self,
+        mut args: Vec<String>,
+        centre: CentreId,
+        log_name: &str,
+    ) -> io::Result<(SocketAddr, Process)> {
+        let secret_file = self.folder.join("upstreams").display().to_string();
+        args.extend(["--secret-file".to_owned(), secret_file]);
+        for addr in self.entry_addrs(centre) {
+            args.extend(["--entry".to_owned(), addr.to_string()]);
         }
-        let number = self.services.len();
-        let log = self.folder.join(format!("{}-{number}.log", spec.name));
+        let log = self.folder.join(format!("{log_name}.log"));
         let process = Process::spawn("standin", &args, &log)?;
         let addr = listening_addr(&process)?;
-        self.services.push((addr, process));
-        Ok(addr)
+        Ok((addr, process))
     }
 
     /// The process of a node.
@@ -308,7 +291,7 @@
         text
     }
 
-    fn entry_addrs(&self, centre: base::CentreId) -> Vec<SocketAddr> {
+    fn entry_addrs(&self, centre: CentreId) -> Vec<SocketAddr> {
         let here = self.specs.values().filter(|spec| spec.centre == centre);
         here.map(|spec| self.node_addrs[&spec.id].internal)
             .collect()
--- a/crates/harness/src/spec.rs
+++ b/crates/harness/src/spec.rs
@@ -141,6 +141,23 @@
         self.fault = fault;
         self
     }
+
+    /// The arguments of `standin` for the host.
+    pub(crate) fn args(self) -> Vec<String> {
+        let mut args = vec!["engine".to_owned()];
+        let mut add = |name: &str, value: String| args.extend([name.to_owned(), value]);
+        add("--host", self.id.to_string());
+        add("--centre", self.centre.to_string());
+        add("--domain", self.domain.to_string());
+        add("--step-ms", self.step_ms.to_string());
+        add("--slots", self.slots.to_string());
+        add("--prefill", self.prefill.to_string());
+        if self.fencing == Fencing::Checked {
+            args.push("--check-fences".to_owned());
+        }
+        args.extend(self.fault.args());
+        args
+    }
 }
 
 impl EngineFault {
@@ -178,4 +195,15 @@
         self.drop_answers = count;
         self
     }
+
+    /// The arguments of `standin` for the service process.
+    pub(crate) fn args(&self) -> Vec<String> {
+        let mut args = vec!["service".to_owned()];
+        let mut add = |name: &str, value: String| args.extend([name.to_owned(), value]);
+        add("--name", self.name.clone());
+        add("--centre", self.centre.to_string());
+        add("--delay-ms", self.delay_ms.to_string());
+        add("--drop-answers", self.drop_answers.to_string());
+        args
+    }
 }
