--- a/crates/rules/src/read.rs
+++ b/crates/rules/src/read.rs
@@ -151,15 +151,8 @@
         let ask = fields.optional("ask", false, boolean);
         let deadline = fields.optional("deadline", DEFAULT_DEADLINE, deadline);
         let retention = fields.optional("retention", DEFAULT_RETENTION, retention);
-        if repeat == Some(true) && line.table.contains_key("retention") {
-            let problem =
-                "calls that may be repeated are not remembered: drop it or say repeat = false";
-            fields.add_finding("retention", problem);
-        }
-        if repeat == Some(true) && ask == Some(true) {
-            let problem =
-                "calls that may be repeated are not asked about: drop it or say repeat = false";
-            fields.add_finding("ask", problem);
+        if repeat == Some(true) {
+            check_repeated_calls(line, &mut fields, ask);
         }
         fields.finish();
         let service = Service {
@@ -201,13 +194,8 @@
         if let Some(Overflow::Model(other)) = &overflow {
             check_defined(&self.defined, &mut fields, "short", Section::Models, other);
         }
-        if let (Some(one), Some(all)) = (token_rate, total_token_rate)
-            && all < one
-        {
-            let problem = format!(
-                "one answer is promised {one} tokens a second, all answers together only {all}"
-            );
-            fields.add_finding("total_token_rate", problem);
+        if let (Some(one), Some(all)) = (token_rate, total_token_rate) {
+            check_token_rates(&mut fields, one, all);
         }
         fields.finish();
         let callers = callers?;
@@ -256,6 +244,30 @@
     fields.add_finding(key, format!("there is no {noun} \"{name}\" in [{section}]"));
 }
 
+/// Reports fields that mean nothing for a service whose calls may be repeated.
+fn check_repeated_calls(line: &RuleLine, fields: &mut Fields<'_>, ask: Option<bool>) {
+    if line.table.contains_key("retention") {
+        let problem =
+            "calls that may be repeated are not remembered: drop it or say repeat = false";
+        fields.add_finding("retention", problem);
+    }
+    if ask == Some(true) {
+        let problem =
+            "calls that may be repeated are not asked about: drop it or say repeat = false";
+        fields.add_finding("ask", problem);
+    }
+}
+
+/// Reports a contract that promises one answer more than all answers together.
+fn check_token_rates(fields: &mut Fields<'_>, one: f64, all: f64) {
+    if all < one {
+        let problem = format!(
+            "one answer is promised {one} tokens a second, all answers together only {all}"
+        );
+        fields.add_finding("total_token_rate", problem);
+    }
+}
+
 fn callers(
     defined: &BTreeSet<(Section, String)>,
     fields: &mut Fields<'_>,
