cli: applying a file and printing apart from the commands

Change: apply.rs saves, sends and answers in steps, output.rs prints, run.rs runs the commands. Texts and exit codes stay.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,8 +1,10 @@
 //! `berylbay`, the operators' tool.
 
+mod apply;
 mod args;
 mod exit;
 mod node_client;
+mod output;
 mod run;
 mod saved_state;
 mod table;
