daemon: reports of hosts and services are compared in one place

Cause: the same comparison and insertion stood twice in upstreams.rs. Change: ReportOrder and report_outcome decide for both. Result: cargo test -p daemon and -p harness green.

--- a/crates/daemon/src/upstreams.rs
+++ b/crates/daemon/src/upstreams.rs
@@ -9,6 +9,7 @@
 
 use base::HostId;
 use base::HostReport;
+use base::Incarnation;
 use base::ServiceName;
 use base::ServiceReport;
 use base::Time;
@@ -31,6 +32,15 @@
     pub received_at: Time,
 }
 
+impl<Report> ReceivedReport<Report> {
+    fn new(report: Report, received_at: Time) -> Self {
+        Self {
+            report,
+            received_at,
+        }
+    }
+}
+
 /// How a received report relates to the one known before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportOutcome {
@@ -52,25 +62,13 @@
 impl Upstreams {
     /// Records a host's report, if it is newer than the known one.
     pub fn record_host_report(&mut self, report: &HostReport, now: Time) -> ReportOutcome {
-        let outcome = match self.hosts.get(&report.host) {
-            Some(known) => {
-                let known = &known.report;
-                let is_newer =
-                    (known.incarnation, known.sequence) < (report.incarnation, report.sequence);
-                report_outcome(is_newer, known.incarnation == report.incarnation)
-            }
-            None if MAX_HOSTS <= self.hosts.len() => ReportOutcome::Ignored,
-            None => ReportOutcome::New,
-        };
+        let known = self.hosts.get(&report.host);
+        let known = known.map(|known| ReportOrder::of_host(&known.report));
+        let free = MAX_HOSTS.saturating_sub(self.hosts.len());
+        let outcome = report_outcome(known, ReportOrder::of_host(report), free);
         if outcome != ReportOutcome::Ignored {
-            let report = report.clone();
-            self.hosts.insert(
-                report.host,
-                ReceivedReport {
-                    report,
-                    received_at: now,
-                },
-            );
+            let received = ReceivedReport::new(report.clone(), now);
+            self.hosts.insert(report.host, received);
         }
         outcome
     }
@@ -89,25 +87,13 @@
     /// Records the report of a service process, if it is newer than the known one.
     pub fn record_service_report(&mut self, report: &ServiceReport, now: Time) -> ReportOutcome {
         let key = (report.service.clone(), report.addr);
-        let outcome = match self.services.get(&key) {
-            Some(known) => {
-                let known = &known.report;
-                let is_newer =
-                    (known.incarnation, known.sequence) < (report.incarnation, report.sequence);
-                report_outcome(is_newer, known.incarnation == report.incarnation)
-            }
-            None if MAX_SERVICES <= self.services.len() => ReportOutcome::Ignored,
-            None => ReportOutcome::New,
-        };
+        let known = self.services.get(&key);
+        let known = known.map(|known| ReportOrder::of_service(&known.report));
+        let free = MAX_SERVICES.saturating_sub(self.services.len());
+        let outcome = report_outcome(known, ReportOrder::of_service(report), free);
         if outcome != ReportOutcome::Ignored {
-            let report = report.clone();
-            self.services.insert(
-                key,
-                ReceivedReport {
-                    report,
-                    received_at: now,
-                },
-            );
+            let received = ReceivedReport::new(report.clone(), now);
+            self.services.insert(key, received);
         }
         outcome
     }
@@ -157,10 +143,37 @@
     pub services: Vec<(ServiceName, SocketAddr)>,
 }
 
-fn report_outcome(is_newer: bool, same_incarnation: bool) -> ReportOutcome {
-    match (is_newer, same_incarnation) {
-        (false, _) => ReportOutcome::Ignored,
-        (true, true) => ReportOutcome::Renewed,
-        (true, false) => ReportOutcome::New,
+/// The order of the reports of one host or service process. Later ones are larger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ReportOrder {
+    incarnation: Incarnation,
+    sequence: u64,
+}
+
+impl ReportOrder {
+    fn of_host(report: &HostReport) -> Self {
+        Self {
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+        }
+    }
+
+    fn of_service(report: &ServiceReport) -> Self {
+        Self {
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+        }
+    }
+}
+
+/// How a report relates to the known one. `free` is the number of further reports that the
+/// table has room for.
+fn report_outcome(known: Option<ReportOrder>, new: ReportOrder, free: usize) -> ReportOutcome {
+    match known {
+        None if free == 0 => ReportOutcome::Ignored,
+        None => ReportOutcome::New,
+        Some(known) if new <= known => ReportOutcome::Ignored,
+        Some(known) if new.incarnation == known.incarnation => ReportOutcome::Renewed,
+        Some(_) => ReportOutcome::New,
     }
 }
