daemon: the start of a chat, its answer and its response in files of their own

Cause: entry/chat.rs held all three in 368 lines; start_answer was 57 lines. Change: answer.rs receives and resumes an answer, answer_body.rs streams or collects it, chat.rs places the request and starts the exchange in steps. observe_time records times, which five places spelt out.

--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -14,6 +14,7 @@
 use crate::entry::Arrival;
 use crate::entry::service_calls;
 use crate::metrics::Class;
+use crate::metrics::observe_time;
 use crate::node::Node;
 use crate::problem::Problem;
 use crate::problem_kind::ProblemKind;
@@ -78,10 +79,7 @@
     let response = respond(answer).map_err(|problem| problem.with_class(&class))?;
     class_request.mark_answered();
     let total = clock::now().since(arrival.arrived);
-    node.metrics
-        .total
-        .get_or_create(&class)
-        .observe(total.as_secs_f64());
+    observe_time(&node.metrics.total, &class, total);
     Ok(response)
 }
 
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -1,5 +1,7 @@
 //! The HTTP listener for callers: chat completions and calls to services.
 
+mod answer;
+mod answer_body;
 mod auth;
 mod call;
 mod chat;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,5 +1,7 @@
 //! The metrics of a node, in the Prometheus text format.
 
+use std::time::Duration;
+
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -38,7 +40,12 @@
 }
 
 /// A time histogram for each class.
-type Times = Family<Class, Histogram, fn() -> Histogram>;
+pub type Times = Family<Class, Histogram, fn() -> Histogram>;
+
+/// Records a time of a class.
+pub fn observe_time(times: &Times, class: &Class, time: Duration) {
+    times.get_or_create(class).observe(time.as_secs_f64());
+}
 
 /// The metrics of one node.
 #[derive(Debug)]
