A state from before the term that is reported late does not close a replica

A leader whose memory is empty took a place from before the join for the present and closed a replica that served. The queries for probing stand in a file of their own.

--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -74,7 +74,8 @@
     pub(crate) last_order: OrderId,
     /// Callers' requests have begun. From then on loads take their full time and are counted.
     pub(crate) has_traffic: bool,
-    term: Option<u64>,
+    pub(crate) term: Option<u64>,
+    pub(crate) term_began_at: Time,
     settled_at: Time,
     last_epoch: Fence,
     edition: Edition,
@@ -99,6 +100,7 @@
             last_order: OrderId::default(),
             has_traffic: false,
             term: None,
+            term_began_at: Time::ZERO,
             settled_at: Time::NEVER,
             last_epoch: Fence::default(),
             edition: Edition::default(),
@@ -111,18 +113,21 @@
         self.engines = engines;
     }
 
-    /// Records the announcement of an engine host. Those of other processes are ignored.
+    /// Records the announcement of an engine host that was heard at `now`. Those of other
+    /// processes are ignored.
     pub fn record_announcement(&mut self, announcement: &Announcement, now: Time) {
         if announcement.engine.is_none() {
             return;
         }
+        let corrected = self.correct_outdated(announcement, now);
+        let announcement = corrected.as_ref().unwrap_or(announcement);
         let ready = announcement
             .place()
             .filter(|place| PlaceState::Ready <= place.state);
         let joined = ready.and_then(|place| self.replicas.get(&place.epoch));
         let warm_model = joined.map(|replica| replica.model.clone());
         match self.hosts.get_mut(&announcement.id) {
-            Some(host) if announcement.incarnation < host.announcement.incarnation => {}
+            Some(host) if host.is_later_than(announcement) => {}
             Some(host) => {
                 host.record_announcement(announcement, now);
                 host.warm_model = warm_model.or_else(|| host.warm_model.take());
@@ -190,6 +195,7 @@
             return;
         }
         self.term = term;
+        self.term_began_at = now;
         self.outstanding_orders.clear();
         for host in self.hosts.values_mut() {
             host.pending_order = None;
@@ -278,36 +284,6 @@
         })
     }
 
-    /// The last announcements of all hosts of the replica that a head host leads.
-    pub fn replica_hosts(&self, head: &UpstreamId) -> Vec<Announcement> {
-        let is_led = |replica: &&Replica| {
-            let is_head = replica.head.as_ref().is_some_and(|(id, _)| id == head);
-            is_head && (replica.is_serving_or_forming() || replica.runs_requests())
-        };
-        let Some(replica) = self.replicas.values().find(is_led) else {
-            return Vec::new();
-        };
-        let hosts = replica.hosts().filter_map(|(id, _)| self.hosts.get(id));
-        hosts.map(|host| host.announcement.clone()).collect()
-    }
-
-    /// The head host of the replica that a host belongs to.
-    pub fn replica_head(&self, host: &UpstreamId) -> Option<&UpstreamId> {
-        let mut replicas = self.replicas.values().filter(|replica| {
-            let is_bound = replica.is_serving_or_forming() || replica.runs_requests();
-            is_bound && replica.hosts().any(|(id, _)| id == host)
-        });
-        replicas.next()?.head.as_ref().map(|(id, _)| id)
-    }
-
-    /// Hosts that have been silent for at least `silent` and are not yet marked as lost.
-    pub fn silent_hosts(&self, silent: std::time::Duration, now: Time) -> Vec<Announcement> {
-        let is_silent =
-            |host: &&Host| host.lost_since.is_none() && silent <= now.since(host.heard_at);
-        let hosts = self.hosts.values().filter(is_silent);
-        hosts.map(|host| host.announcement.clone()).collect()
-    }
-
     pub(crate) fn next_epoch(&mut self) -> Fence {
         self.last_epoch = self.last_epoch.next();
         self.last_epoch
--- a/crates/form/src/host.rs
+++ b/crates/form/src/host.rs
@@ -83,6 +83,13 @@
         }
     }
 
+    /// Whether an announcement is of an earlier incarnation than the known one. A start time may
+    /// go back with a clock, so a host that is lost may come back in an earlier one.
+    pub fn is_later_than(&self, announcement: &Announcement) -> bool {
+        let is_earlier = announcement.incarnation < self.announcement.incarnation;
+        is_earlier && self.lost_since.is_none()
+    }
+
     pub fn staged(&self) -> &[ModelName] {
         match &self.announcement.engine {
             Some(engine) => &engine.staged,
--- a/crates/form/src/lib.rs
+++ b/crates/form/src/lib.rs
@@ -27,6 +27,7 @@
 mod lost_head;
 mod order;
 mod place;
+mod probing;
 mod record;
 mod replica;
 mod shape;
--- a/crates/form/src/record.rs
+++ b/crates/form/src/record.rs
@@ -108,6 +108,39 @@
         }
     }
 
+    /// The announcement with the recorded place of its host, if it was heard before the term
+    /// began and reports an earlier place. Control hosts report late what they could not send.
+    pub(crate) fn correct_outdated(
+        &self,
+        announcement: &Announcement,
+        heard_at: Time,
+    ) -> Option<Announcement> {
+        if self.term.is_none() || self.term_began_at <= heard_at {
+            return None;
+        }
+        let (record, rank) = self.latest_record(&announcement.id, announcement.incarnation)?;
+        let announced = announcement.place().map(|place| place.epoch);
+        let is_outdated = announced.is_none_or(|epoch| epoch < record.epoch);
+        let mut corrected = announcement.clone();
+        corrected.engine.as_mut()?.place = Some(recorded_place(record, rank));
+        is_outdated.then_some(corrected)
+    }
+
+    /// The record of the replica that a host joined last, and the host's rank.
+    fn latest_record(
+        &self,
+        id: &UpstreamId,
+        incarnation: Incarnation,
+    ) -> Option<(&ReplicaRecord, u32)> {
+        let mut latest_first = self.records.committed.values().rev();
+        latest_first.find_map(|record| {
+            let mut ranks = (0..).zip(&record.hosts);
+            let is_host = |host: &RecordedHost| host.id == *id && host.incarnation == incarnation;
+            let (rank, _) = ranks.find(|(_, host)| is_host(host))?;
+            (record.phase != RecordedPhase::GivenUp).then_some((record, rank))
+        })
+    }
+
     /// The record of a replica, if it isn't committed as it should be.
     fn changed_record(&self, replica: &Replica) -> Option<ReplicaRecord> {
         let committed = self.records.committed.get(&replica.epoch);
@@ -189,15 +222,6 @@
 
 /// What a recorded host would announce if the replica serves.
 fn expected_announcement(record: &ReplicaRecord, host: &RecordedHost, rank: u32) -> Announcement {
-    let place = Place {
-        replica: record.replica.clone(),
-        epoch: record.epoch,
-        rank,
-        state: match rank {
-            0 => PlaceState::Open,
-            _ => PlaceState::Ready,
-        },
-    };
     Announcement {
         id: host.id.clone(),
         incarnation: host.incarnation,
@@ -211,7 +235,20 @@
         engine: Some(EngineReport {
             domain: record.domain.clone(),
             staged: Vec::new(),
-            place: Some(place),
+            place: Some(recorded_place(record, rank)),
         }),
     }
 }
+
+/// The place of a recorded host while its replica serves.
+fn recorded_place(record: &ReplicaRecord, rank: u32) -> Place {
+    Place {
+        replica: record.replica.clone(),
+        epoch: record.epoch,
+        rank,
+        state: match rank {
+            0 => PlaceState::Open,
+            _ => PlaceState::Ready,
+        },
+    }
+}
--- a/crates/form/tests/takeover.rs
+++ b/crates/form/tests/takeover.rs
@@ -11,6 +11,7 @@
 use base::Fence;
 use base::Incarnation;
 use base::UpstreamId;
+use fleet::Announcement;
 use fleet::ReplicaRecord;
 use form::Action;
 use form::Config;
@@ -253,3 +254,44 @@
     let leaves = world.count_orders(|action| matches!(action, Action::Leave { .. }));
     assert_eq!(leaves, 0, "a replica was formed and left again");
 }
+
+#[test]
+fn a_state_from_before_the_term_that_is_reported_late_does_not_close_a_replica() {
+    let (mut world, heads) = world_with_heads(1);
+    let old: Vec<Announcement> = heads
+        .iter()
+        .map(|head| world.hosts[head].announced_before_join.clone().unwrap())
+        .collect();
+    for head in &heads {
+        world.hosts.get_mut(head).unwrap().is_heard_elsewhere = true;
+    }
+    world.restart_controllers();
+    world.run(Duration::from_millis(200));
+    let heard_at = world.now - secs(15);
+    for announcement in &old {
+        world.controller.record_announcement(announcement, heard_at);
+    }
+    world.run(secs(5));
+    let table = world.controller.routing_table().unwrap();
+    let serving: BTreeSet<_> = table.serving.into_iter().map(|r| r.head).collect();
+    assert!(
+        heads.iter().all(|head| serving.contains(head)),
+        "{serving:?}"
+    );
+}
+
+#[test]
+fn a_lost_host_that_comes_back_in_an_earlier_incarnation_is_used_again() {
+    let (mut world, heads) = world_with_heads(1);
+    let head = heads[0].clone();
+    world.kill(&head);
+    world.run(secs(8));
+    let host = world.hosts.get_mut(&head).unwrap();
+    host.incarnation -= 1;
+    host.is_up = true;
+    host.membership = None;
+    host.begun_orders = 0;
+    host.highest_epoch = Fence(0);
+    world.run(secs(8));
+    assert_eq!(world.controller.shape(world.now).hosts, 20);
+}
