A probe answered by another process doesn't count, nor does a head that stands still as gone

Cause, found by a second review: whatever answered at a host's address passed for the host, so a replica whose head's address was used again was never closed; a head that took the connection and did not answer in time counted as not reached, though it may serve on. Change: a probe counts if the report is of the host's incarnation, as far as it says, and not a client error; orders of the leader name their host, as those of entry hosts did; an order to leave that is not answered counts as refused.

--- a/crates/site/src/control/orders.rs
+++ b/crates/site/src/control/orders.rs
@@ -10,6 +10,7 @@
 use crate::control::probe;
 use crate::events::Event;
 use crate::events::emit;
+use crate::order_request::order_request;
 use form::Order;
 use form::Outcome;
 use net::Connection;
@@ -104,9 +105,8 @@
     if !control.is_leader() || !is_outstanding {
         return Ok(Outcome::NotSent);
     }
-    let req = control
-        .platform
-        .order_request(&order.action, order.begun_orders);
+    let platform = control.platform.as_ref();
+    let req = order_request(platform, &order.host, &order.action, order.begun_orders);
     let Ok(sent) = timeout(ANSWER_TIMEOUT, connection.request(req)).await else {
         return Ok(Outcome::Unknown);
     };
--- a/crates/site/src/control/probe.rs
+++ b/crates/site/src/control/probe.rs
@@ -149,7 +149,13 @@
 
 async fn answers_probe(control: &ControlHost, host: &Announcement) -> bool {
     let id = (host.id.clone(), host.incarnation);
-    fetch_report(control, &id, host.addr).await.is_some()
+    let Some(report) = fetch_report(control, &id, host.addr).await else {
+        return false;
+    };
+    // Another process may have the address by now, or another incarnation of the host.
+    let status = control.platform.parse_report(&report);
+    let reported = status.ok().and_then(|status| status.incarnation);
+    reported.is_none_or(|reported| reported == host.incarnation)
 }
 
 /// Asks a host for its present state.
@@ -168,7 +174,7 @@
     }
 }
 
-/// Requests the report of a host.
+/// Requests the report of a host. None if there is no answer, or none that such a host gives.
 async fn fetch_report(control: &ControlHost, id: &TargetId, addr: SocketAddr) -> Option<Bytes> {
     let exchange = async {
         let mut connection = match control.pool.take_idle(id) {
@@ -179,6 +185,9 @@
             .request(control.platform.probe_request())
             .await
             .ok()?;
+        if response.status().is_client_error() {
+            return None;
+        }
         let read = read_body(response.into_body(), MAX_REPORT_BYTES, ANSWER_TIMEOUT).await;
         let body = read.ok()?;
         control.pool.put_back(id, connection, None);
--- a/crates/site/src/entry/leave_orders.rs
+++ b/crates/site/src/entry/leave_orders.rs
@@ -5,16 +5,16 @@
 
 use compio::time::timeout;
 use derive_more::Display;
-use http::HeaderValue;
 use http::StatusCode;
 
 use crate::entry::EntryHost;
 use crate::events::Event;
 use crate::events::emit;
 use crate::message::UnreachableHead;
+use crate::order_request::order_request;
 use form::Action;
 
-/// How long connecting to a host that is to leave may take; the whole exchange, twice as long.
+/// How long connecting to a host that is to leave may take, and how long its answer.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
 
 const LEAVE_RETRY_INTERVAL: Duration = Duration::from_millis(700);
@@ -70,23 +70,16 @@
         replica: head.replica.clone(),
         epoch: head.epoch,
     };
-    let mut request = entry.platform.order_request(&action, None);
-    if let Ok(id) = HeaderValue::from_str(head.host.as_str()) {
-        let target = entry.platform.headers().target.clone();
-        request.headers_mut().insert(target, id);
-    }
-    let exchange = async {
-        let Ok(mut connection) = entry.pool.connect(head.addr, LEAVE_TIMEOUT).await else {
-            return LeaveOutcome::Unreached;
-        };
-        match connection.request(request).await {
-            Ok(response) => LeaveOutcome::of_answer(response.status()),
-            // A running host with too many connections accepts new ones and ends them.
-            Err(_) => LeaveOutcome::Refused,
-        }
+    let request = order_request(entry.platform.as_ref(), &head.host, &action, None);
+    let Ok(mut connection) = entry.pool.connect(head.addr, LEAVE_TIMEOUT).await else {
+        return LeaveOutcome::Unreached;
     };
-    let outcome = timeout(2 * LEAVE_TIMEOUT, exchange).await;
-    outcome.unwrap_or(LeaveOutcome::Unreached)
+    match timeout(LEAVE_TIMEOUT, connection.request(request)).await {
+        Ok(Ok(response)) => LeaveOutcome::of_answer(response.status()),
+        // The host runs: one with too many connections accepts new ones and ends them, and one
+        // that stands still may go on.
+        Ok(Err(_)) | Err(_) => LeaveOutcome::Refused,
+    }
 }
 
 fn record_outcome(entry: &EntryHost, head: &UnreachableHead, outcome: LeaveOutcome) {
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -14,6 +14,7 @@
 mod events;
 mod message;
 mod notify;
+mod order_request;
 mod peers;
 mod platform;
 mod run;
