Reports of entry hosts are kept while no leader takes them

Cause, found by a second review: which replicas were left, stalled or not reached was dropped when no leader was known or the call failed, and giving up a replica rests on the last of them now. Change: they are put back, each once and a thousand of a kind at most; a control host that leads meanwhile records them itself.

--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -29,6 +29,9 @@
 /// Heartbeats of upstreams are sent at least this often.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Largest number of observations of one kind that are kept while they cannot be sent.
+const MAX_UNSENT: usize = 1_000;
+
 /// The incarnation and roster revision of the leader that this control host knows.
 #[derive(Debug, Default)]
 struct LeaderState {
@@ -153,9 +156,12 @@
         has_more = false;
         let others = std::mem::take(&mut *control.unsent_observations.borrow_mut());
         if control.is_leader() {
+            // They came before this control host led. There are no heartbeats among them.
+            let _ = watch::record_observations(&control, others);
             continue;
         }
         let Some(leader) = control.known_leader() else {
+            put_back(&control, others);
             compio::time::sleep(RETRY_INTERVAL).await;
             continue;
         };
@@ -165,7 +171,7 @@
             changes: batch.changes.clone(),
             heard_ms_ago: batch.heard_ms_ago.clone(),
             heartbeats: batch.heartbeats.clone(),
-            ..others
+            ..others.clone()
         };
         if observations == Observations::default() {
             continue;
@@ -179,8 +185,25 @@
             }
             Err(e) => {
                 log::debug!("the leader {leader} did not take the observations: {e}");
+                put_back(&control, others);
                 compio::time::sleep(RETRY_INTERVAL).await;
             }
         }
     }
 }
+
+/// Keeps observations of entry hosts that could not be sent.
+fn put_back(control: &ControlHost, others: Observations) {
+    let mut unsent = control.unsent_observations.borrow_mut();
+    add_missing(&mut unsent.stalled_heads, others.stalled_heads);
+    add_missing(&mut unsent.left_replicas, others.left_replicas);
+    add_missing(&mut unsent.unreached_replicas, others.unreached_replicas);
+}
+
+fn add_missing<T: PartialEq>(kept: &mut Vec<T>, added: Vec<T>) {
+    for item in added {
+        if kept.len() < MAX_UNSENT && !kept.contains(&item) {
+            kept.push(item);
+        }
+    }
+}
