--- a/crates/form/tests/lost_head.rs
+++ b/crates/form/tests/lost_head.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use world::World;
+use world::world_with_heads;
 
 use base::Fence;
 use base::UpstreamId;
@@ -15,22 +16,6 @@
     Duration::from_secs(secs)
 }
 
-/// A world of two domains with traffic, and the head hosts of all replicas of the first domain.
-fn world_with_heads(seed: u64) -> (World, Vec<UpstreamId>) {
-    let mut world = World::new(Config::default(), seed, 2, 10);
-    world.run(secs(20));
-    world.begin_traffic();
-    let routing_table = world.controller.routing_table().unwrap();
-    let heads = routing_table
-        .serving
-        .into_iter()
-        .map(|replica| replica.head);
-    let heads = heads
-        .filter(|head| world.hosts[head].domain == "d0")
-        .collect();
-    (world, heads)
-}
-
 fn cut_off(world: &mut World, hosts: &[UpstreamId]) {
     for host in hosts {
         world.hosts.get_mut(host).unwrap().is_cut_off = true;
--- a/crates/form/tests/takeover.rs
+++ b/crates/form/tests/takeover.rs
@@ -7,10 +7,10 @@
 
 use world::Faults;
 use world::World;
+use world::world_with_heads;
 
 use base::Fence;
 use base::Incarnation;
-use base::UpstreamId;
 use fleet::Announcement;
 use fleet::ReplicaRecord;
 use form::Action;
@@ -20,22 +20,6 @@
     Duration::from_secs(secs)
 }
 
-/// A world of two domains with traffic, and the head hosts of all replicas of the first domain.
-fn world_with_heads(seed: u64) -> (World, Vec<UpstreamId>) {
-    let mut world = World::new(Config::default(), seed, 2, 10);
-    world.run(secs(20));
-    world.begin_traffic();
-    let routing_table = world.controller.routing_table().unwrap();
-    let heads = routing_table
-        .serving
-        .into_iter()
-        .map(|replica| replica.head);
-    let heads = heads
-        .filter(|head| world.hosts[head].domain == "d0")
-        .collect();
-    (world, heads)
-}
-
 // The world panics if a host joins another replica while the head host of its own one serves.
 
 #[test]
--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -94,6 +94,22 @@
     }
 }
 
+/// A world of two domains with traffic, and the head hosts of all replicas of the first domain.
+pub fn world_with_heads(seed: u64) -> (World, Vec<UpstreamId>) {
+    let mut world = World::new(Config::default(), seed, 2, 10);
+    world.run(Duration::from_secs(20));
+    world.begin_traffic();
+    let routing_table = world.controller.routing_table().unwrap();
+    let heads = routing_table
+        .serving
+        .into_iter()
+        .map(|replica| replica.head);
+    let heads = heads
+        .filter(|head| world.hosts[head].domain == "d0")
+        .collect();
+    (world, heads)
+}
+
 impl World {
     pub fn new(cfg: Config, seed: u64, domains: usize, hosts_per_domain: usize) -> Self {
         let engine = EngineConfig {
