Entry hosts try a lost head only while hosts wait for it

Cause: a replica of which no host is heard waits until one is, for hours if all are dead, and since it is recorded each new leader waits on. All the while each entry host connected to its head every 0.7 s. Change: entry hosts are asked only about heads whose other hosts are heard, and so wait to be free. For the others there is nothing to gain. Result: cargo test -p form green; the new test fails without the change.

--- a/crates/form/src/lost_head.rs
+++ b/crates/form/src/lost_head.rs
@@ -29,14 +29,10 @@
 }
 
 impl Controller {
-    /// Orders to leave for the head hosts of closing replicas that this process cannot reach.
-    /// Other processes may reach them and pass the order on.
+    /// Orders to leave for the head hosts of closing replicas that this process cannot reach, and
+    /// for which other hosts wait. Other processes may reach them and pass the order on.
     pub fn leave_orders_for_unreachable_heads(&self) -> Vec<Order> {
-        let closing = self.replicas.values().filter(|replica| {
-            let head = replica.head.as_ref().and_then(|(id, _)| self.hosts.get(id));
-            let is_lost = head.is_some_and(|host| host.lost_since.is_some());
-            matches!(replica.phase, Phase::Closing(_)) && is_lost
-        });
+        let waiting = self.replicas.values().filter(|r| r.do_hosts_wait_for_head);
         let leave = |replica: &Replica| {
             let (id, incarnation) = replica.head.clone()?;
             let addr = self.hosts.get(&id)?.announcement.addr;
@@ -52,7 +48,7 @@
                 begun_orders: None,
             })
         };
-        closing.filter_map(leave).collect()
+        waiting.filter_map(leave).collect()
     }
 
     /// Records that the head host of a replica has left it, as another process reported.
@@ -134,7 +130,9 @@
                     .filter(|h| h.announcement.incarnation == *incarnation)
             });
             let is_lost = head.is_none_or(|host| host.lost_since.is_some());
-            if matches!(replica.phase, Phase::Closing(_)) && is_lost && !others_heard {
+            let is_waiting = matches!(replica.phase, Phase::Closing(_)) && is_lost;
+            replica.do_hosts_wait_for_head = is_waiting && others_heard;
+            if is_waiting && !others_heard {
                 replica.phase_since = now;
             }
         }
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -221,6 +221,7 @@
             entered_phase_at: now,
             phase_since: now,
             head_unreached_at: None,
+            do_hosts_wait_for_head: false,
             last_order_at: now,
         };
         self.replicas.insert(epoch, replica);
--- a/crates/form/src/record.rs
+++ b/crates/form/src/record.rs
@@ -216,6 +216,7 @@
         entered_phase_at: now,
         phase_since: now,
         head_unreached_at: None,
+        do_hosts_wait_for_head: false,
         last_order_at: Time::ZERO,
     }
 }
--- a/crates/form/src/replica.rs
+++ b/crates/form/src/replica.rs
@@ -56,6 +56,8 @@
     pub phase_since: Time,
     /// When an entry host last reported in this phase that it could not reach the head host.
     pub head_unreached_at: Option<Time>,
+    /// Whether other hosts that are heard wait until the lost head host has left.
+    pub do_hosts_wait_for_head: bool,
     /// When the last order of this phase was issued.
     pub last_order_at: Time,
 }
@@ -71,6 +73,7 @@
         self.entered_phase_at = now;
         self.phase_since = now;
         self.head_unreached_at = None;
+        self.do_hosts_wait_for_head = false;
         self.last_order_at = Time::ZERO;
     }
 
--- a/crates/form/tests/lost_head.rs
+++ b/crates/form/tests/lost_head.rs
@@ -111,3 +111,23 @@
         assert!(given_up.iter().all(in_time), "seed {seed}: {given_up:?}");
     }
 }
+
+#[test]
+fn entry_hosts_do_not_try_a_dead_head_for_which_no_host_waits() {
+    for are_all_dead in [false, true] {
+        let (mut world, heads) = world_with_heads(1);
+        let membership = world.hosts[&heads[0]].membership.clone().unwrap();
+        let dead = if are_all_dead {
+            membership.hosts.len()
+        } else {
+            1
+        };
+        for host in &membership.hosts[..dead] {
+            world.kill(host);
+        }
+        world.are_entry_hosts_silent = true;
+        world.run(secs(6));
+        let orders = world.controller.leave_orders_for_unreachable_heads();
+        assert_eq!(orders.is_empty(), are_all_dead, "{orders:?}");
+    }
+}
