Events 2500 and 2502 name the shared parts of the prompt

Change: the platform's list of parts is parsed once into ids, the last one left out, since it belongs to the request itself; both events name them. No decision uses them yet.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -45,6 +45,7 @@
 pub use name::NameError;
 pub use name::OrderKey;
 pub use name::OrgName;
+pub use name::PromptPartId;
 pub use name::ReplicaName;
 pub use name::RouteName;
 pub use name::ServiceName;
--- a/crates/base/src/name.rs
+++ b/crates/base/src/name.rs
@@ -130,6 +130,10 @@
     /// A fabric domain, under the name that the deployment gives it.
     DomainName, "fabric domain's name", MAX_KEY_BYTES, is_key_char
 );
+name!(
+    /// A part of a prompt, which several requests may share.
+    PromptPartId, "prompt part's id", MAX_NAME_BYTES, is_key_char
+);
 name!(
     /// A route of the configuration.
     RouteName, "route's name", MAX_KEY_BYTES, is_key_char
--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -134,6 +134,9 @@
     let prompt_tokens: f64 = prompt_tokens.unwrap_or(0.0);
     let model = head.headers.get(&names.model);
     let model: Option<ModelName> = model.and_then(|model| model.to_str().ok()?.parse().ok());
+    let parts = head.headers.get(&names.prompt_parts);
+    let parts = parts.and_then(|parts| parts.to_str().ok()).unwrap_or("");
+    let shared_parts = entry.platform.parse_shared_parts(parts);
     let mut prompt_secs = 0.0;
     if let Some(model) = &model {
         prompt_secs = prompt_time_secs(configuration, &service, model, prompt_tokens);
@@ -145,6 +148,7 @@
     Ok(RequestForwarder {
         request: OutboundRequest {
             prompt_secs,
+            shared_parts: shared_parts.into(),
             ..OutboundRequest::from_caller(head, body, names, organisation.as_ref())
         },
         id: attempt_id(entry, head),
--- a/crates/site/src/entry/outbound.rs
+++ b/crates/site/src/entry/outbound.rs
@@ -1,5 +1,6 @@
 //! A caller's request in the form in which it is sent to upstreams.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 
 use crate::platform::Headers;
 use base::OrgName;
+use base::PromptPartId;
 use base::UpstreamId;
 
 /// Headers that concern one connection only (hop-by-hop headers).
@@ -37,6 +39,8 @@
     pub body: Bytes,
     /// How long an otherwise idle replica needs to read the prompt, in seconds.
     pub prompt_secs: f64,
+    /// The prompt's parts that other requests may share.
+    pub shared_parts: Rc<[PromptPartId]>,
 }
 
 impl OutboundRequest {
@@ -70,6 +74,7 @@
             headers,
             body,
             prompt_secs: 0.0,
+            shared_parts: Rc::default(),
         }
     }
 
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -20,6 +20,7 @@
 use crate::entry::outbound::end_to_end;
 use crate::entry::relay;
 use crate::events::Event;
+use crate::events::PartList;
 use crate::events::emit;
 use base::ModelName;
 use base::ServiceName;
@@ -161,6 +162,7 @@
             why: error.why.to_owned(),
             next: next.to_string(),
             left_ms: self.deadline.since(now).as_millis(),
+            parts: PartList(&self.request.shared_parts),
         });
         let is_expired = self.deadline <= now;
         match next {
@@ -297,6 +299,7 @@
             first_ms: first.as_millis(),
             total_ms: total.as_millis(),
             late: punctuality.text(),
+            parts: PartList(&self.request.shared_parts),
         });
     }
 
--- a/crates/site/src/events.rs
+++ b/crates/site/src/events.rs
@@ -1,10 +1,12 @@
 //! The numbered events in a deployment's log. `docs/EVENTS.md` lists them.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
 
 use base::CentreName;
 use base::NodeId;
+use base::PromptPartId;
 use base::ReplicaName;
 use base::RouteName;
 use base::ServiceName;
@@ -12,6 +14,20 @@
 use base::Version;
 use fleet::Edition;
 
+/// The shared parts of a prompt, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PartList<'a>(pub &'a [PromptPartId]);
+
+impl fmt::Display for PartList<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{part}")?;
+        }
+        Ok(())
+    }
+}
+
 catalogue::events! {
     2000 Info Started { name: &'a str, centre: &'a CentreName, roles: &'a str }
         "started name={name} centre={centre} roles={roles}";
@@ -67,12 +83,12 @@
         "replica given up, its hosts are free though its head host could not be told to leave replica={replica} head={head} waited_ms={waited_ms}";
     2406 Info ReplicasTakenOver { term: u64, records: usize }
         "the term begins with the recorded replicas term={term} records={records}";
-    2500 Info Answered { id: &'a str, route: &'a RouteName, target: &'a UpstreamId, status: u16, attempts: u32, first_ms: u128, total_ms: u128, late: &'a str }
-        "answered id={id} route={route} target={target} status={status} attempts={attempts} first_ms={first_ms} total_ms={total_ms} late={late}";
+    2500 Info Answered { id: &'a str, route: &'a RouteName, target: &'a UpstreamId, status: u16, attempts: u32, first_ms: u128, total_ms: u128, late: &'a str, parts: PartList<'a> }
+        "answered id={id} route={route} target={target} status={status} attempts={attempts} first_ms={first_ms} total_ms={total_ms} late={late} parts={parts}";
     2501 Info Refused { id: &'a str, route: &'a str, status: u16, why: &'a str, waited_ms: u128, attempts: u32, version: Version, age_ms: u128 }
         "refused id={id} route={route} status={status} why={why:?} waited_ms={waited_ms} attempts={attempts} version={version} confirmed_ms_ago={age_ms}";
-    2502 Info AttemptFailed { id: &'a str, target: &'a UpstreamId, failure: String, why: String, next: String, left_ms: u128 }
-        "attempt failed id={id} target={target} failure={failure} why={why:?} next={next} left_ms={left_ms}";
+    2502 Info AttemptFailed { id: &'a str, target: &'a UpstreamId, failure: String, why: String, next: String, left_ms: u128, parts: PartList<'a> }
+        "attempt failed id={id} target={target} failure={failure} why={why:?} next={next} left_ms={left_ms} parts={parts}";
     2503 Info Resumed { id: &'a str, from: &'a UpstreamId, to: &'a UpstreamId, after: Option<u64> }
         "stream resumed id={id} from={from} to={to} after={after:?}";
     2504 Warn StreamBroken { id: &'a str, target: &'a UpstreamId, after: Option<u64>, why: String, total_ms: u128 }
--- a/crates/site/src/platform.rs
+++ b/crates/site/src/platform.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 
 use base::Findings;
+use base::PromptPartId;
 use base::UpstreamId;
 use fleet::Announcement;
 use fleet::Configuration;
@@ -36,6 +37,8 @@
     pub model: HeaderName,
     /// The number of tokens in the prompt and, after a comma, the most tokens in the answer.
     pub token_counts: HeaderName,
+    /// The parts of the prompt.
+    pub prompt_parts: HeaderName,
 }
 
 /// A call to the API of a control host.
@@ -74,6 +77,8 @@
     -> Result<Announcement, MessageError>;
     /// Parses and checks a configuration.
     fn parse_configuration(&self, text: &str) -> Result<Configuration, Findings>;
+    /// Parses the ids of the prompt's parts that other requests may share, in their order.
+    fn parse_shared_parts(&self, prompt_parts: &str) -> Vec<PromptPartId>;
     /// Builds the request that sends an order to a host. The host refuses the order if the number
     /// of orders it has begun isn't `begun_orders`.
     fn order_request(&self, action: &Action, begun_orders: Option<u64>) -> Request<Full<Bytes>>;
