Parts of prompts under which replicas end are found and banned by all entry hosts

Cause: an entry host took each broken connection for a failure of the target and none for a failure of the request. It knew only its own requests, sent the broken one to the next replica, and sent the next ones of its kind there too. Change: crate quarantine. Each entry host reports requests that broke before their answer had gone on, with the shared parts of the prompt, over the control hosts to the leader, and tells which of these parts it saw answered. The leader bans a part if replicas ended one after the other with it, three if no request with it was answered lately, five otherwise, and publishes the list over the watch calls. Ends at the same moment count once, and ends that a ban explains count for no other part. A request with a suspected part is not sent again. An entry host alone bans by what it saw. Entry hosts report bans to a new leader, which collects them for 1.5 s. A ban ends when no request comes for 5 min, when one is answered, or after a trial that the leader gives to one entry host.

--- a/crates/forward/src/retry_decision.rs
+++ b/crates/forward/src/retry_decision.rs
@@ -13,11 +13,22 @@
     /// The upstream answered that it did not run the request.
     #[display("refused")]
     Refused,
-    /// The request was sent and its answer is missing: it may have run.
+    /// The connection broke before the answer had gone on for a while: the request may have
+    /// run, and the upstream may have ended because of it.
+    #[display("broken")]
+    Broken,
+    /// The request was sent and its answer is missing for another reason: it may have run.
     #[display("lost")]
     Lost,
 }
 
+impl Failure {
+    /// Whether the request may have run.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Self::Broken | Self::Lost)
+    }
+}
+
 /// What follows a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 pub enum RetryDecision {
@@ -41,7 +52,7 @@
         may_have_run: bool,
         allowed: bool,
     ) -> Self {
-        let ran = may_have_run || failure == Failure::Lost;
+        let ran = may_have_run || failure.may_have_run();
         let may_repeat = !ran || kind.is_retryable();
         match (allowed && may_repeat, ran) {
             (true, _) => Self::Retry,
--- a/crates/forward/tests/retry_decision.rs
+++ b/crates/forward/tests/retry_decision.rs
@@ -20,7 +20,12 @@
     RequestKind::Stream { resumable: false },
 ];
 
-const FAILURES: [Failure; 3] = [Failure::NotSent, Failure::Refused, Failure::Lost];
+const FAILURES: [Failure; 4] = [
+    Failure::NotSent,
+    Failure::Refused,
+    Failure::Broken,
+    Failure::Lost,
+];
 
 #[test]
 fn what_may_have_run_goes_again_only_where_it_may_be_repeated() {
@@ -30,7 +35,7 @@
                 for allowed in [false, true] {
                     let decision =
                         RetryDecision::after_failure(kind, failure, may_have_run, allowed);
-                    let ran = may_have_run || failure == Failure::Lost;
+                    let ran = may_have_run || matches!(failure, Failure::Broken | Failure::Lost);
                     match decision {
                         RetryDecision::Retry => assert!(allowed && (!ran || kind.is_retryable())),
                         RetryDecision::ReportNotRun => assert!(!ran),
--- /dev/null
+++ b/crates/quarantine/src/lib.rs
@@ -0,0 +1,34 @@
+//! Finds parts of prompts that end the upstreams which answer them, and bans requests with them.
+//!
+//! A replica runs many requests at once, so its end tells little about any of them. What tells
+//! is the sequence: a part is suspected if one replica after the other ends with a request that
+//! has it, and no request that has it is answered. The load under which this decides is a normal
+//! one plus a few requests that each end a replica; ordinary losses of hosts must not suffice.
+//!
+//! - [`PartGuard`], at each entry host, collects evidence and checks requests.
+//! - [`Quarantine`], at the leading control host, decides from the evidence of all entry hosts.
+//! - [`Evidence`] goes from entry hosts to the leader, and [`NoticeList`] back to all of them.
+//!
+//! The crate does no I/O and reads no clock. Between processes, times are sent as ages.
+
+mod evidence;
+mod ledger;
+mod notice;
+mod part_guard;
+mod quarantine;
+mod sound_parts;
+
+pub use evidence::CrashReport;
+pub use evidence::Evidence;
+pub use evidence::SoundPart;
+pub use ledger::CrashLedger;
+pub use ledger::Suspicion;
+pub use notice::Notice;
+pub use notice::NoticeList;
+pub use notice::NoticeState;
+pub use notice::PartSet;
+pub use part_guard::Admission;
+pub use part_guard::PartGuard;
+pub use quarantine::LiftReason;
+pub use quarantine::Quarantine;
+pub use quarantine::QuarantineEvent;
--- /dev/null
+++ b/crates/quarantine/src/quarantine.rs
@@ -0,0 +1,356 @@
+//! The leader's decision which parts are suspected and banned.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::CrashLedger;
+use crate::Evidence;
+use crate::Notice;
+use crate::NoticeList;
+use crate::NoticeState;
+use crate::PartSet;
+use crate::Suspicion;
+use base::NodeId;
+use base::PromptPartId;
+use base::Time;
+use fleet::Edition;
+
+/// The most bans at once.
+const MAX_BANS: usize = 64;
+
+/// The most suspected sets of parts that are published.
+const MAX_SUSPECTED: usize = 64;
+
+/// How long a new leader collects what entry hosts know before it publishes.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+
+/// A ban ends once no request with its parts has come for this long.
+const UNUSED_BAN_TTL: Duration = Duration::from_secs(300);
+
+/// Time from a ban, or from its last trial, to the next trial, multiplied by
+/// [`TRIAL_BACKOFF`] after each.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(600);
+
+/// How much longer each trial of a ban is delayed than the one before.
+const TRIAL_BACKOFF: u32 = 4;
+
+/// Trials of a ban. Each may end a replica, and few are allowed to all entry hosts together.
+const MAX_TRIALS: u32 = 2;
+
+/// A trial that nothing came of after this long counts as made.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time between two decisions while no evidence comes.
+const DECISION_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Something for the operators' log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum QuarantineEvent {
+    /// Requests with all of the parts are refused from now on.
+    Banned {
+        /// The parts.
+        parts: PartSet,
+        /// Processes that ended one after the other.
+        crashes: u32,
+    },
+    /// Requests with the parts are served again.
+    Lifted {
+        /// The parts.
+        parts: PartSet,
+        /// Why.
+        why: LiftReason,
+    },
+}
+
+/// Why a ban ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum LiftReason {
+    /// No request with the parts came for a long time.
+    #[display("no request came")]
+    Unused,
+    /// A request with the parts was answered.
+    #[display("a request was answered")]
+    Answered,
+    /// Another ban holds for all its requests.
+    #[display("another ban replaces it")]
+    Replaced,
+    /// An operator lifted it.
+    #[display("lifted by an operator")]
+    Operator,
+}
+
+/// A ban in force.
+#[derive(Clone, Debug)]
+struct Ban {
+    crashes: u32,
+    /// When the first of the processes ended that the ban rests on.
+    since: Time,
+    last_refused_at: Time,
+    /// The entry host that refused the last request.
+    refused_by: Option<NodeId>,
+    trials: u32,
+    trial: Option<Trial>,
+    next_trial_at: Time,
+}
+
+/// A trial under way.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    entry: NodeId,
+    began_at: Time,
+}
+
+/// The parts that are suspected and banned, as one control host knows them.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    ledger: CrashLedger,
+    bans: BTreeMap<PartSet, Ban>,
+    term: Option<u64>,
+    /// The leader publishes from this time on. Until then it takes over bans from entry hosts.
+    publish_from: Time,
+    decided_at: Time,
+    has_new_evidence: bool,
+    published: NoticeList,
+    events: Vec<QuarantineEvent>,
+}
+
+impl Quarantine {
+    /// The list that is in force.
+    pub fn published(&self) -> &NoticeList {
+        &self.published
+    }
+
+    /// Takes over the list of the leader, if it is newer.
+    pub fn follow(&mut self, list: NoticeList) {
+        if self.published.edition < list.edition {
+            self.published = list;
+        }
+    }
+
+    /// Begins or ends a term as leader. A new leader begins with the bans that it followed.
+    pub fn set_term(&mut self, term: Option<u64>, now: Time) {
+        if self.term == term {
+            return;
+        }
+        self.term = term;
+        self.bans.clear();
+        if term.is_some() {
+            self.publish_from = now + SETTLE_TIME;
+            self.has_new_evidence = true;
+            let known: Vec<Notice> = self.published.bans().cloned().collect();
+            known.into_iter().for_each(|ban| self.adopt(ban, now));
+        }
+    }
+
+    /// Records what an entry host reports.
+    pub fn record(&mut self, evidence: Evidence, now: Time) {
+        for sound in &evidence.sound {
+            let at = now - Duration::from_millis(sound.answered_ms_ago);
+            self.ledger.record_sound(&sound.part, at);
+        }
+        for report in &evidence.crashes {
+            self.ledger.record_crash(report, now);
+        }
+        if now < self.publish_from {
+            let bans = evidence.known.into_iter().filter(Notice::is_ban);
+            bans.for_each(|ban| self.adopt(ban, now));
+        }
+        self.has_new_evidence |= !(evidence.crashes.is_empty() && evidence.sound.is_empty());
+        for (entry, parts) in evidence.refused {
+            if let Some(ban) = self.bans.get_mut(&parts) {
+                ban.last_refused_at = now;
+                ban.refused_by = Some(entry);
+            }
+        }
+    }
+
+    /// Decides anew. Returns whether there is a newer list to publish.
+    pub fn tick(&mut self, now: Time) -> bool {
+        let Some(term) = self.term else {
+            return false;
+        };
+        let is_due = DECISION_INTERVAL <= now.since(self.decided_at);
+        if !is_due && !self.has_new_evidence {
+            return false;
+        }
+        self.decided_at = now;
+        self.has_new_evidence = false;
+        self.ledger.expire(now);
+        if now < self.publish_from {
+            self.has_new_evidence = true;
+            return false;
+        }
+        self.lift_ended_bans(now);
+        self.ban_due_parts(now);
+        self.advance_trials(now);
+        let notices = self.notices(now);
+        if notices == self.published.notices && self.published.edition.term == term {
+            return false;
+        }
+        let count = match self.published.edition.term == term {
+            true => self.published.edition.count + 1,
+            false => 1,
+        };
+        let edition = Edition { term, count };
+        self.published = NoticeList { edition, notices };
+        true
+    }
+
+    /// Lifts the ban of these parts for an operator. Returns whether there was one.
+    pub fn lift(&mut self, parts: &PartSet) -> bool {
+        // Otherwise the same evidence would ban them again.
+        self.ledger.forget(parts);
+        self.has_new_evidence = true;
+        self.end_ban(parts, LiftReason::Operator)
+    }
+
+    /// Takes the events since the last call.
+    pub fn take_events(&mut self) -> Vec<QuarantineEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    fn adopt(&mut self, known: Notice, now: Time) {
+        if !self.bans.contains_key(&known.parts) {
+            let (parts, crashes) = (known.parts, known.crashes);
+            let since = now;
+            let known = Suspicion {
+                parts,
+                crashes,
+                since,
+            };
+            self.begin_ban(known, now);
+        }
+    }
+
+    fn begin_ban(&mut self, suspicion: Suspicion, now: Time) {
+        let Suspicion {
+            parts,
+            crashes,
+            since,
+        } = suspicion;
+        if MAX_BANS <= self.bans.len() {
+            return;
+        }
+        self.events.push(QuarantineEvent::Banned {
+            parts: parts.clone(),
+            crashes,
+        });
+        let ban = Ban {
+            crashes,
+            since,
+            last_refused_at: now,
+            refused_by: None,
+            trials: 0,
+            trial: None,
+            next_trial_at: now + FIRST_TRIAL_DELAY,
+        };
+        self.bans.insert(parts, ban);
+    }
+
+    fn end_ban(&mut self, parts: &PartSet, why: LiftReason) -> bool {
+        let is_ended = self.bans.remove(parts).is_some();
+        if is_ended {
+            let parts = parts.clone();
+            self.events.push(QuarantineEvent::Lifted { parts, why });
+        }
+        is_ended
+    }
+
+    fn lift_ended_bans(&mut self, now: Time) {
+        let refuted = self.bans.iter().filter_map(|(parts, ban)| {
+            let refuted = self.refuted_parts(parts, ban);
+            (!refuted.is_empty()).then(|| (parts.clone(), refuted))
+        });
+        let refuted: Vec<(PartSet, PartSet)> = refuted.collect();
+        for (parts, refuted) in refuted {
+            let remaining = &parts - &refuted;
+            let ban = self.bans.get(&parts).cloned();
+            self.end_ban(&parts, LiftReason::Answered);
+            if let Some(ban) = ban.filter(|_| !remaining.is_empty()) {
+                let (crashes, since) = (ban.crashes, ban.since);
+                let narrowed = Suspicion {
+                    parts: remaining,
+                    crashes,
+                    since,
+                };
+                self.begin_ban(narrowed, now);
+            }
+        }
+        let bans = self.bans.iter();
+        let unused = bans.filter(|(_, ban)| UNUSED_BAN_TTL <= now.since(ban.last_refused_at));
+        let unused: Vec<PartSet> = unused.map(|(parts, _)| parts.clone()).collect();
+        for parts in unused {
+            self.end_ban(&parts, LiftReason::Unused);
+        }
+    }
+
+    /// The parts of a ban that a request was answered with since the first end that the ban
+    /// rests on: the ends were not one after the other without an answer.
+    fn refuted_parts(&self, parts: &PartSet, ban: &Ban) -> PartSet {
+        let is_refuted = |part: &&PromptPartId| {
+            let answered_at = self.ledger.answered_at(part);
+            answered_at.is_some_and(|at| ban.since < at)
+        };
+        parts.iter().filter(is_refuted).cloned().collect()
+    }
+
+    fn ban_due_parts(&mut self, now: Time) {
+        let banned: Vec<PartSet> = self.bans.keys().cloned().collect();
+        for suspicion in self.ledger.due_bans(&banned, now) {
+            self.replace_narrower_bans(&suspicion.parts);
+            self.begin_ban(suspicion, now);
+        }
+    }
+
+    /// Ends bans that hold only for requests for which a ban of `parts` holds too.
+    fn replace_narrower_bans(&mut self, parts: &PartSet) {
+        let narrower = self.bans.keys().filter(|known| parts.is_subset(known));
+        let narrower: Vec<PartSet> = narrower.cloned().collect();
+        for known in narrower {
+            self.end_ban(&known, LiftReason::Replaced);
+        }
+    }
+
+    fn advance_trials(&mut self, now: Time) {
+        for (parts, ban) in &mut self.bans {
+            if let Some(trial) = ban.trial {
+                let last_crash = self.ledger.last_crash(parts);
+                let has_crashed = last_crash.is_some_and(|at| trial.began_at < at);
+                if has_crashed || TRIAL_TIMEOUT <= now.since(trial.began_at) {
+                    ban.trial = None;
+                    let delay = FIRST_TRIAL_DELAY * TRIAL_BACKOFF.pow(ban.trials);
+                    ban.next_trial_at = now + delay;
+                }
+            } else if ban.next_trial_at <= now && ban.trials < MAX_TRIALS {
+                let Some(entry) = ban.refused_by else {
+                    continue;
+                };
+                ban.trials += 1;
+                ban.trial = Some(Trial {
+                    entry,
+                    began_at: now,
+                });
+            }
+        }
+    }
+
+    fn notices(&self, now: Time) -> Vec<Notice> {
+        let bans = self.bans.iter().map(|(parts, ban)| Notice {
+            parts: parts.clone(),
+            state: NoticeState::Banned {
+                trial: ban.trial.map(|trial| trial.entry),
+            },
+            crashes: ban.crashes,
+        });
+        let banned: Vec<PartSet> = self.bans.keys().cloned().collect();
+        let suspicions = self.ledger.suspicions(&banned, now).into_iter();
+        let suspected = suspicions.take(MAX_SUSPECTED).map(|suspicion| Notice {
+            parts: suspicion.parts,
+            state: NoticeState::Suspected,
+            crashes: suspicion.crashes,
+        });
+        bans.chain(suspected).collect()
+    }
+}
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -15,6 +15,7 @@
 use base::NodeId;
 use base::Time;
 use fleet::Revision;
+use quarantine::Evidence;
 use quorum::clock;
 
 /// How long the leader may take to answer.
@@ -65,6 +66,7 @@
             revision: state.revision,
             version: control.active_config.borrow().version,
             edition: control.routing_table.borrow().edition,
+            notices: control.quarantine.borrow().published().edition,
             watcher: Watcher::Control,
             load_report: control
                 .loads
@@ -137,6 +139,10 @@
             }),
         }
     }
+    if let Some(newer) = update.notices {
+        control.quarantine.borrow_mut().follow(newer);
+        control.watch_changed.notify_waiters();
+    }
     if let Some(newer) = update.routing_table
         && control.routing_table.borrow().edition < newer.edition
     {
@@ -155,13 +161,16 @@
         }
         has_more = false;
         let others = std::mem::take(&mut *control.unsent_observations.borrow_mut());
+        let evidence = std::mem::take(&mut *control.unsent_evidence.borrow_mut());
         if control.is_leader() {
             // They came before this control host led. There are no heartbeats among them.
             let _ = watch::record_observations(&control, others);
+            let mut quarantine = control.quarantine.borrow_mut();
+            quarantine.record(sum_evidence(&evidence, clock::now()), clock::now());
             continue;
         }
         let Some(leader) = control.known_leader() else {
-            put_back(&control, others);
+            put_back(&control, others, evidence);
             compio::time::sleep(RETRY_INTERVAL).await;
             continue;
         };
@@ -171,6 +180,7 @@
             changes: batch.changes.clone(),
             heard_ms_ago: batch.heard_ms_ago.clone(),
             heartbeats: batch.heartbeats.clone(),
+            evidence: sum_evidence(&evidence, now),
             ..others.clone()
         };
         if observations == Observations::default() {
@@ -185,15 +195,26 @@
             }
             Err(e) => {
                 log::debug!("the leader {leader} did not take the observations: {e}");
-                put_back(&control, others);
+                put_back(&control, others, evidence);
                 compio::time::sleep(RETRY_INTERVAL).await;
             }
         }
     }
 }
 
+/// All evidence together, with its ages at `now`.
+fn sum_evidence(received: &[(Time, Evidence)], now: Time) -> Evidence {
+    let mut sum = Evidence::default();
+    for (at, evidence) in received {
+        sum.add(evidence.clone().aged(now.since(*at)));
+    }
+    sum
+}
+
 /// Keeps observations of entry hosts that could not be sent.
-fn put_back(control: &ControlHost, others: Observations) {
+fn put_back(control: &ControlHost, others: Observations, mut evidence: Vec<(Time, Evidence)>) {
+    evidence.append(&mut control.unsent_evidence.borrow_mut());
+    control.unsent_evidence.replace(evidence);
     let mut unsent = control.unsent_observations.borrow_mut();
     add_missing(&mut unsent.stalled_heads, others.stalled_heads);
     add_missing(&mut unsent.left_replicas, others.left_replicas);
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -13,15 +13,18 @@
 use crate::control::voter::VoterEnvironment;
 use crate::events::Event;
 use crate::events::emit;
+use crate::events::join_parts;
 use crate::message::ConfigText;
 use crate::message::OfferConfigReply;
 use crate::message::ReadConfigReply;
 use base::ModelName;
+use base::Time;
 use base::UpstreamId;
 use fleet::CompressedText;
 use fleet::DecompressError;
 use fleet::ReplicaRecord;
 use form::Controller;
+use quarantine::QuarantineEvent;
 use quorum::clock;
 use state::ConfigOfferReply;
 use state::Op;
@@ -73,9 +76,11 @@
         for order in orders {
             orders::spawn_order(&control, order);
         }
+        control.quarantine.borrow_mut().set_term(term, now);
         if term.is_some() {
             RecordWriter::commit_changes(&control);
             publish_routing_table(&control);
+            publish_notices(&control, now);
         }
         compio::time::sleep(REST_PER_TICK * clock::now().since(now)).await;
         if EXPIRY_INTERVAL <= now.since(last_expiry_at) {
@@ -141,6 +146,27 @@
     control.watch_changed.notify_waiters();
 }
 
+/// Publishes the notices of prompt parts if they have changed.
+fn publish_notices(control: &ControlHost, now: Time) {
+    let mut quarantine = control.quarantine.borrow_mut();
+    let is_changed = quarantine.tick(now);
+    for event in quarantine.take_events() {
+        match &event {
+            QuarantineEvent::Banned { parts, crashes } => emit(&Event::PartsBanned {
+                parts: join_parts(parts),
+                crashes: *crashes,
+            }),
+            QuarantineEvent::Lifted { parts, why } => emit(&Event::BanLifted {
+                parts: join_parts(parts),
+                why: why.to_string(),
+            }),
+        }
+    }
+    if is_changed {
+        control.watch_changed.notify_waiters();
+    }
+}
+
 /// Proposes a configuration to the voters, if this control host leads.
 pub(crate) async fn propose_config(
     control: &Rc<ControlHost>,
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -48,6 +48,8 @@
 use net::RpcClient;
 use net::RpcMethods;
 use net::Server;
+use quarantine::Evidence;
+use quarantine::Quarantine;
 use quorum::LocalVoter;
 use quorum::clock;
 use vote::Founding;
@@ -105,6 +107,11 @@
     pub leader_reports: RefCell<LeaderReports>,
     /// Other observations that have not been sent to the leader yet.
     pub unsent_observations: RefCell<Observations>,
+    /// What entry hosts reported of the parts of prompts and is not sent to the leader yet, with
+    /// the times at which it came.
+    pub unsent_evidence: RefCell<Vec<(Time, Evidence)>>,
+    /// Which parts of prompts are suspected and banned.
+    pub quarantine: RefCell<Quarantine>,
     /// Hosts that are being probed or were lost.
     pub probes: RefCell<Probes>,
     /// The leading control host, as the last reply to this control host's watch calls showed.
@@ -207,6 +214,8 @@
             loads: RefCell::default(),
             leader_reports: RefCell::default(),
             unsent_observations: RefCell::default(),
+            unsent_evidence: RefCell::default(),
+            quarantine: RefCell::default(),
             probes: RefCell::default(),
             reported_leader: Cell::new(None),
             reported_unreachable: RefCell::default(),
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -25,6 +25,7 @@
 use fleet::heard_times;
 use forward::LoadReport;
 use net::RpcMethods;
+use quarantine::Evidence;
 use quorum::clock;
 
 /// The longest time that a watch call waits for a change. With the calls, and so at least this
@@ -46,6 +47,9 @@
 /// The longest time for which changes are batched.
 const MAX_BATCH_DELAY: Duration = Duration::from_millis(100);
 
+/// The most reports of evidence that are kept while they cannot be sent to the leader.
+const MAX_UNSENT_EVIDENCE: usize = 512;
+
 /// Adds the methods that control hosts offer to each other and to entry hosts.
 pub(crate) fn add_methods(methods: RpcMethods<ControlHost>) -> RpcMethods<ControlHost> {
     methods
@@ -79,6 +83,7 @@
             || call.revision < control.roster.borrow().revision()
             || call.version < control.active_config.borrow().version
             || call.edition < control.routing_table.borrow().edition
+            || call.notices < control.quarantine.borrow().published().edition
     };
     if !has_newer(&control) {
         control.watch_changed.wait(watch_wait(&control)).await;
@@ -101,6 +106,9 @@
     let routing_table = control.routing_table.borrow();
     let is_newer = call.edition < routing_table.edition;
     update.routing_table = is_newer.then(|| routing_table.clone());
+    let quarantine = control.quarantine.borrow();
+    let is_newer = call.notices < quarantine.published().edition;
+    update.notices = is_newer.then(|| quarantine.published().clone());
     WatchReply::Update(Box::new(update))
 }
 
@@ -123,6 +131,7 @@
         changes: roster.changes_since(since),
         configuration: None,
         routing_table: None,
+        notices: None,
         unreachable: control.unreachable_heads(),
         confirmed_ago,
         controls: control.control_hosts().into_iter().collect(),
@@ -192,9 +201,28 @@
     for head in observations.stalled_heads {
         probe::record_stalled_replica(control, &head);
     }
+    record_evidence(control, observations.evidence);
     lacking
 }
 
+/// Records what entry hosts saw of the parts of prompts.
+fn record_evidence(control: &Rc<ControlHost>, evidence: Evidence) {
+    let now = clock::now();
+    if evidence.is_empty() {
+        return;
+    }
+    if control.is_leader() {
+        control.quarantine.borrow_mut().record(evidence, now);
+        control.controller_changed.notify_waiters();
+        return;
+    }
+    let mut unsent = control.unsent_evidence.borrow_mut();
+    if unsent.len() < MAX_UNSENT_EVIDENCE {
+        unsent.push((now, evidence));
+        control.observations_added.notify_waiters();
+    }
+}
+
 /// Records that the head host of a replica has left it.
 fn record_head_left(control: &Rc<ControlHost>, epoch: Fence) {
     if control.is_leader() {
--- a/crates/site/src/entry/answer.rs
+++ b/crates/site/src/entry/answer.rs
@@ -32,6 +32,8 @@
     NoTarget,
     /// All targets for the request are full.
     Full,
+    /// Upstreams ended under requests with parts of its prompt.
+    Banned,
     /// Every target that got the request refused it.
     NotRun,
     /// The request may have run, but its answer was lost.
@@ -55,6 +57,7 @@
             Self::TooLarge => "the body is too large",
             Self::NoTarget => "no upstream is there for it",
             Self::Full => "all upstreams are full",
+            Self::Banned => "upstreams ended under requests with a part of its prompt",
             Self::NotRun => "no upstream took it",
             Self::Lost => "its answer was lost, it may have run",
             Self::OutOfTime => "its time was over before it ran",
@@ -76,6 +79,7 @@
             | Self::KeysUncertain
             | Self::NoTarget
             | Self::Full
+            | Self::Banned
             | Self::NotRun
             | Self::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/crates/site/src/entry/attempt.rs
+++ b/crates/site/src/entry/attempt.rs
@@ -137,6 +137,9 @@
                 Err(_) if deadline <= clock::now() => {
                     return Err(AttemptError::new(Failure::Lost, "no answer in time"));
                 }
+                Err(_) if request.is_banned(entry) => {
+                    return Err(AttemptError::new(Failure::Lost, "its parts are banned"));
+                }
                 Err(_) if target.model.is_some() && check_stalled(entry, &id) => {
                     return Err(AttemptError::new(Failure::Lost, "the replica stands still"));
                 }
@@ -147,7 +150,7 @@
     match result {
         Ok(response) => Ok((response, connection)),
         Err(RequestError::NotSent) => Err(AttemptError::new(Failure::NotSent, "it had ended")),
-        Err(RequestError::Lost) => Err(AttemptError::new(Failure::Lost, "the connection broke")),
+        Err(RequestError::Lost) => Err(AttemptError::new(Failure::Broken, "the connection broke")),
     }
 }
 
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -81,6 +81,8 @@
                 if state.control != Some(control) {
                     emit(&Event::FollowStarted { control, addr });
                     state.control = Some(control);
+                    // The one before may not have passed everything on.
+                    entry.part_guard.borrow_mut().report_again();
                 }
                 state.heard_at = asked;
                 let stale = is_stale(update.confirmed_ago);
@@ -179,6 +181,7 @@
         revision: state.revision,
         version: entry.version.get(),
         edition: entry.routing_table.borrow().edition,
+        notices: entry.part_guard.borrow().list().edition,
         watcher: Watcher::Entry,
         load_report: Some(LoadReport {
             entries: 1,
@@ -214,6 +217,10 @@
     if is_changed {
         update_targets(entry);
     }
+    if let Some(newer) = update.notices {
+        entry.part_guard.borrow_mut().apply(newer);
+        entry.observations_added.notify_waiters();
+    }
     if let Some(load_report) = update.load_report {
         apply_load_report(entry, &load_report);
     }
@@ -271,6 +278,7 @@
             stalled_heads: std::mem::take(&mut *entry.stalled_heads.borrow_mut()),
             left_replicas: std::mem::take(&mut *entry.left_replicas.borrow_mut()),
             unreached_replicas: std::mem::take(&mut *entry.unreached_replicas.borrow_mut()),
+            evidence: entry.part_guard.borrow_mut().take_evidence(clock::now()),
             ..Observations::default()
         };
         if call == Observations::default() {
@@ -278,16 +286,23 @@
         }
         let seeds = entry.seeds.borrow().clone();
         let mut selector = entry.selector.borrow().clone();
+        let mut is_taken = false;
         for _ in 0..3 {
             let Some(control) = selector.current(&seeds) else {
                 break;
             };
             let addr = entry.settings.internal_addr(control);
             match entry.rpc.call(addr, &call, CALL_TIMEOUT).await {
-                Ok(_) => break,
+                Ok(_) => {
+                    is_taken = true;
+                    break;
+                }
                 Err(e) => log::debug!("{control} did not take the observations: {e}"),
             }
             selector.record_failure(clock::now());
         }
+        if !is_taken {
+            entry.part_guard.borrow_mut().report_again();
+        }
     }
 }
--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -30,6 +30,7 @@
 use net::Body;
 use net::BodyError;
 use net::read_body;
+use quarantine::Admission;
 use quorum::clock;
 
 /// Answers one request.
@@ -137,6 +138,11 @@
     let parts = head.headers.get(&names.prompt_parts);
     let parts = parts.and_then(|parts| parts.to_str().ok()).unwrap_or("");
     let shared_parts = entry.platform.parse_shared_parts(parts);
+    let is_trial = match entry.part_guard.borrow_mut().admit(&shared_parts, arrived) {
+        Admission::Allowed => false,
+        Admission::Trial => true,
+        Admission::Banned => return Err(Refusal::Banned),
+    };
     let mut prompt_secs = 0.0;
     if let Some(model) = &model {
         prompt_secs = prompt_time_secs(configuration, &service, model, prompt_tokens);
@@ -149,6 +155,7 @@
         request: OutboundRequest {
             prompt_secs,
             shared_parts: shared_parts.into(),
+            is_trial,
             ..OutboundRequest::from_caller(head, body, names, organisation.as_ref())
         },
         id: attempt_id(entry, head),
@@ -164,6 +171,7 @@
         arrived,
         attempts: 0,
         unsent_attempts: 0,
+        sent_at: arrived,
         may_have_run: false,
         avoid: BTreeSet::new(),
         _in_flight: in_flight,
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -43,6 +43,7 @@
 use net::RpcClient;
 use net::Server;
 use net::ServerLimits;
+use quarantine::PartGuard;
 use quorum::clock;
 
 /// How long a caller's connection may be idle. Longer than callers keep one idle.
@@ -132,6 +133,8 @@
     pub selector: RefCell<ControlSelector>,
     pub targets: RefCell<TargetTable>,
     pub retry_budget: RefCell<RetryBudget>,
+    /// Checks requests by the parts of their prompts.
+    pub part_guard: RefCell<PartGuard>,
     /// The recent requests for each model.
     pub arrivals: RefCell<BTreeMap<ModelName, ModelArrivals>>,
     /// Stalled head hosts that have not been reported to a control host yet.
@@ -256,6 +259,7 @@
             selector: RefCell::new(ControlSelector::new(settings.node_id())),
             targets: RefCell::new(TargetTable::new(settings.centre.clone(), seed)),
             retry_budget: RefCell::new(RetryBudget::new(ratio, slack, window)),
+            part_guard: RefCell::new(PartGuard::new(settings.node_id())),
             arrivals: RefCell::default(),
             stalled_heads: RefCell::default(),
             left_replicas: RefCell::default(),
--- a/crates/site/src/entry/outbound.rs
+++ b/crates/site/src/entry/outbound.rs
@@ -13,10 +13,12 @@
 use http::header;
 use http_body_util::Full;
 
+use crate::entry::EntryHost;
 use crate::platform::Headers;
 use base::OrgName;
 use base::PromptPartId;
 use base::UpstreamId;
+use quorum::clock;
 
 /// Headers that concern one connection only (hop-by-hop headers).
 const HOP_BY_HOP_HEADERS: [HeaderName; 8] = [
@@ -41,6 +43,8 @@
     pub prompt_secs: f64,
     /// The prompt's parts that other requests may share.
     pub shared_parts: Rc<[PromptPartId]>,
+    /// Whether the request is sent to find out whether a ban is still needed.
+    pub is_trial: bool,
 }
 
 impl OutboundRequest {
@@ -75,9 +79,17 @@
             body,
             prompt_secs: 0.0,
             shared_parts: Rc::default(),
+            is_trial: false,
         }
     }
 
+    /// Whether requests with the parts of this one's prompt are banned, and this one isn't the
+    /// trial of the ban.
+    pub fn is_banned(&self, entry: &EntryHost) -> bool {
+        let guard = entry.part_guard.borrow();
+        !self.is_trial && guard.is_banned(&self.shared_parts, clock::now())
+    }
+
     /// Builds the request for one target. `left` is the time that the caller still waits, and
     /// `after` the number of the last event that the caller has.
     pub fn for_target(
--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 
 use crate::entry::answer::Refusal;
+use crate::entry::attempt::AttemptError;
 use crate::entry::attempt::AttemptResponse;
 use crate::entry::attempt::check_stalled;
 use crate::entry::attempt_guard::AttemptGuard;
@@ -35,6 +36,9 @@
 /// Time between two attempts to resume a stalled stream at another target.
 const STALL_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// A stream that goes on this long after its first event has not ended its upstream.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+
 /// A stream that is relayed to its caller.
 struct StreamRelay {
     forwarder: RequestForwarder,
@@ -57,6 +61,15 @@
     connection: Connection,
     guard: AttemptGuard,
     keep_alive: Option<Duration>,
+    first_event_at: Option<Time>,
+}
+
+impl StreamSource {
+    /// Whether the stream began long enough ago that its request can't be what ends the upstream.
+    fn is_settled(&self, now: Time) -> bool {
+        let began_at = self.first_event_at;
+        began_at.is_some_and(|at| SETTLE_TIME <= now.since(at))
+    }
 }
 
 /// The result of waiting for more of a stream.
@@ -112,6 +125,7 @@
         connection,
         guard,
         keep_alive,
+        first_event_at: None,
     };
     (head, source)
 }
@@ -128,7 +142,7 @@
                     Ok(_) => {}
                     Err(e) => {
                         log::debug!("{}: {e}", self.forwarder.id);
-                        if !self.resume("events out of order").await {
+                        if !self.resume(Failure::Lost, "events out of order").await {
                             return Some(Err(self.break_off("events out of order")));
                         }
                     }
@@ -138,12 +152,13 @@
                     return None;
                 }
                 StreamInput::End => {
-                    if !self.resume("it ended within an event").await {
+                    let failure = self.failure_of_break();
+                    if !self.resume(failure, "it ended within an event").await {
                         return Some(Err(self.break_off("it ended within an event")));
                     }
                 }
                 StreamInput::Broken(why) => {
-                    if !self.resume(why).await {
+                    if !self.resume(self.failure_of_break(), why).await {
                         return Some(Err(self.break_off(why)));
                     }
                 }
@@ -185,21 +200,35 @@
             self.longest_gap = self.longest_gap.max(now.since(self.last_event_at));
         }
         self.first_event_at.get_or_insert(now);
-        self.last_event_at = now;
         if let Some(source) = &mut self.source {
             source.guard.record_first_event();
+            let was_settled = source.is_settled(self.last_event_at);
+            let began_at = *source.first_event_at.get_or_insert(now);
+            if !was_settled && SETTLE_TIME <= now.since(began_at) {
+                self.forwarder.record_sound();
+            }
             let mut targets = self.forwarder.entry.targets.borrow_mut();
             targets.record_success(&source.guard.id, now);
         }
+        self.last_event_at = now;
         bytes.into()
     }
 
+    /// What a broken connection says about the request.
+    fn failure_of_break(&self) -> Failure {
+        let now = clock::now();
+        match self.source.as_ref().is_some_and(|s| s.is_settled(now)) {
+            true => Failure::Lost,
+            false => Failure::Broken,
+        }
+    }
+
     /// Resumes the stream at another target if possible. Silence alone is no reason to end an
     /// answer, so otherwise the stream stays at its target.
     async fn leave_stalled_target(&mut self) {
         let kept = self.source.take();
         let can_retry = self.forwarder.can_retry_elsewhere();
-        if can_retry && self.resume("the replica stands still").await {
+        if can_retry && self.resume(Failure::Lost, "the replica stands still").await {
             return;
         }
         self.source = kept;
@@ -207,11 +236,8 @@
     }
 
     /// Resumes the stream at another target, after the last complete event.
-    async fn resume(&mut self, why: &'static str) -> bool {
-        let error = crate::entry::attempt::AttemptError {
-            failure: Failure::Lost,
-            why,
-        };
+    async fn resume(&mut self, failure: Failure, why: &'static str) -> bool {
+        let error = AttemptError { failure, why };
         // The failed attempt was already counted when the head of its response came.
         self.forwarder.attempts -= 1;
         if self.forwarder.record_failure(&self.target, error).is_err() {
@@ -252,6 +278,9 @@
         if let Some(source) = self.source.take() {
             let pool = &self.forwarder.entry.pool;
             pool.put_back(&source.guard.id, source.connection, source.keep_alive);
+            if source.first_event_at.is_some() {
+                self.forwarder.record_sound();
+            }
         }
         let first = self.first_event_at.unwrap_or(self.last_event_at);
         self.forwarder
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -20,8 +20,8 @@
 use crate::entry::outbound::end_to_end;
 use crate::entry::relay;
 use crate::events::Event;
-use crate::events::PartList;
 use crate::events::emit;
+use crate::events::join_parts;
 use base::ModelName;
 use base::ServiceName;
 use base::Time;
@@ -62,6 +62,8 @@
     pub arrived: Time,
     /// The time by which the final answer must be given.
     pub deadline: Time,
+    /// When the last attempt began.
+    pub sent_at: Time,
     /// Attempts that reached a target.
     pub attempts: u32,
     /// Attempts that were never sent.
@@ -101,6 +103,8 @@
     ) -> Result<(Target, AttemptResponse), Refusal> {
         loop {
             let target = self.choose_target().await?;
+            self.check_ban()?;
+            self.sent_at = clock::now();
             match attempt(&self.entry, &self.request, &target, after, self.deadline).await {
                 Ok(answer) => {
                     self.attempts += 1;
@@ -111,6 +115,15 @@
         }
     }
 
+    /// Refuses the request if its parts were banned while it waited.
+    fn check_ban(&self) -> Result<(), Refusal> {
+        match (self.request.is_banned(&self.entry), self.may_have_run) {
+            (false, _) => Ok(()),
+            (true, false) => Err(Refusal::Banned),
+            (true, true) => Err(Refusal::Lost),
+        }
+    }
+
     /// Chooses the target, waiting a short time for one with a free slot.
     async fn choose_target(&mut self) -> Result<Target, Refusal> {
         let give_up_at = clock::now() + self.route.latency_target / TARGET_WAIT_DIVISOR;
@@ -147,14 +160,17 @@
         let id = (target.id.clone(), target.incarnation);
         match error.failure {
             Failure::NotSent => self.unsent_attempts += 1,
-            Failure::Refused | Failure::Lost => self.attempts += 1,
+            Failure::Refused | Failure::Broken | Failure::Lost => self.attempts += 1,
+        }
+        if error.failure == Failure::Broken {
+            self.record_crash(target, now);
         }
         if error.failure != Failure::Refused || target.model.is_none() {
             self.entry.targets.borrow_mut().record_failure(&id, now);
         }
         self.avoid.insert(target.id.clone());
         let next = self.decide_retry(error.failure, now);
-        self.may_have_run |= error.failure == Failure::Lost;
+        self.may_have_run |= error.failure.may_have_run();
         emit(&Event::AttemptFailed {
             id: &self.id,
             target: &target.id,
@@ -162,7 +178,7 @@
             why: error.why.to_owned(),
             next: next.to_string(),
             left_ms: self.deadline.since(now).as_millis(),
-            parts: PartList(&self.request.shared_parts),
+            parts: join_parts(self.request.shared_parts.iter()),
         });
         let is_expired = self.deadline <= now;
         match next {
@@ -174,10 +190,32 @@
         }
     }
 
+    /// Records that the request broke at a target, which may have ended because of it.
+    fn record_crash(&self, target: &Target, now: Time) {
+        let parts = &self.request.shared_parts;
+        if target.model.is_none() || parts.is_empty() {
+            return;
+        }
+        let process = (&target.id, target.incarnation);
+        let mut guard = self.entry.part_guard.borrow_mut();
+        guard.record_crash(process, parts, self.sent_at, now);
+        self.entry.observations_added.notify_waiters();
+    }
+
+    /// Records that the request's answer went on or was complete.
+    pub fn record_sound(&self) {
+        let mut guard = self.entry.part_guard.borrow_mut();
+        if guard.record_sound(&self.request.shared_parts, clock::now()) {
+            self.entry.observations_added.notify_waiters();
+        }
+    }
+
     /// Whether another target may be tried and one is available. Takes no retry from the budget.
     pub fn can_retry_elsewhere(&self) -> bool {
         let now = clock::now();
-        let may_retry = self.route.kind.is_retryable() && self.attempts < self.route.attempts;
+        let may_retry = self.route.kind.is_retryable()
+            && self.attempts < self.route.attempts
+            && self.may_repeat(now);
         let query = TargetQuery {
             service: &self.service,
             model: self.model.as_ref(),
@@ -188,15 +226,23 @@
             && self.entry.targets.borrow_mut().choose(&query, now).is_ok()
     }
 
+    /// Whether the request may be sent again, by the parts of its prompt.
+    fn may_repeat(&self, now: Time) -> bool {
+        let guard = self.entry.part_guard.borrow();
+        guard.may_repeat(&self.request.shared_parts, now)
+    }
+
     /// Decides what follows an attempt that failed just now. Takes a retry from the budget.
     pub fn decide_retry(&self, failure: Failure, now: Time) -> RetryDecision {
         let has_time = now < self.deadline;
         let has_attempts = match failure {
             Failure::NotSent => self.unsent_attempts < MAX_UNSENT_ATTEMPTS,
-            Failure::Refused | Failure::Lost => self.attempts < self.route.attempts,
+            Failure::Refused | Failure::Broken | Failure::Lost => {
+                self.attempts < self.route.attempts
+            }
         };
-        let may_have_run = self.may_have_run || failure == Failure::Lost;
-        let may_repeat = !may_have_run || self.route.kind.is_retryable();
+        let may_have_run = self.may_have_run || failure.may_have_run();
+        let may_repeat = !may_have_run || (self.route.kind.is_retryable() && self.may_repeat(now));
         let allowed = has_time && has_attempts && may_repeat && {
             let nothing_sent = failure == Failure::NotSent && self.attempts == 0;
             nothing_sent
@@ -258,6 +304,7 @@
                 .targets
                 .borrow_mut()
                 .record_success(&id, clock::now());
+            self.record_sound();
         }
         self.record_answer(target, head.status, first, Duration::ZERO);
         let mut answer = Response::new(Body::whole(body));
@@ -299,7 +346,7 @@
             first_ms: first.as_millis(),
             total_ms: total.as_millis(),
             late: punctuality.text(),
-            parts: PartList(&self.request.shared_parts),
+            parts: join_parts(self.request.shared_parts.iter()),
         });
     }
 
--- a/crates/site/src/events.rs
+++ b/crates/site/src/events.rs
@@ -1,6 +1,5 @@
 //! The numbered events in a deployment's log. `docs/EVENTS.md` lists them.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -14,18 +13,10 @@
 use base::Version;
 use fleet::Edition;
 
-/// The shared parts of a prompt, for the log.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct PartList<'a>(pub &'a [PromptPartId]);
-
-impl fmt::Display for PartList<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, part) in self.0.iter().enumerate() {
-            let separator = if index == 0 { "" } else { "," };
-            write!(f, "{separator}{part}")?;
-        }
-        Ok(())
-    }
+/// The ids of prompt parts, for the log.
+pub(crate) fn join_parts<'a>(parts: impl IntoIterator<Item = &'a PromptPartId>) -> String {
+    let ids: Vec<&str> = parts.into_iter().map(PromptPartId::as_str).collect();
+    ids.join(",")
 }
 
 catalogue::events! {
@@ -83,11 +74,15 @@
         "replica given up, its hosts are free though its head host could not be told to leave replica={replica} head={head} waited_ms={waited_ms}";
     2406 Info ReplicasTakenOver { term: u64, records: usize }
         "the term begins with the recorded replicas term={term} records={records}";
-    2500 Info Answered { id: &'a str, route: &'a RouteName, target: &'a UpstreamId, status: u16, attempts: u32, first_ms: u128, total_ms: u128, late: &'a str, parts: PartList<'a> }
+    2410 Warn PartsBanned { parts: String, crashes: u32 }
+        "requests with all of these prompt parts are refused, upstreams ended under them parts={parts} crashes={crashes}";
+    2411 Info BanLifted { parts: String, why: String }
+        "requests with these prompt parts are served again parts={parts} why={why:?}";
+    2500 Info Answered { id: &'a str, route: &'a RouteName, target: &'a UpstreamId, status: u16, attempts: u32, first_ms: u128, total_ms: u128, late: &'a str, parts: String }
         "answered id={id} route={route} target={target} status={status} attempts={attempts} first_ms={first_ms} total_ms={total_ms} late={late} parts={parts}";
     2501 Info Refused { id: &'a str, route: &'a str, status: u16, why: &'a str, waited_ms: u128, attempts: u32, version: Version, age_ms: u128 }
         "refused id={id} route={route} status={status} why={why:?} waited_ms={waited_ms} attempts={attempts} version={version} confirmed_ms_ago={age_ms}";
-    2502 Info AttemptFailed { id: &'a str, target: &'a UpstreamId, failure: String, why: String, next: String, left_ms: u128, parts: PartList<'a> }
+    2502 Info AttemptFailed { id: &'a str, target: &'a UpstreamId, failure: String, why: String, next: String, left_ms: u128, parts: String }
         "attempt failed id={id} target={target} failure={failure} why={why:?} next={next} left_ms={left_ms} parts={parts}";
     2503 Info Resumed { id: &'a str, from: &'a UpstreamId, to: &'a UpstreamId, after: Option<u64> }
         "stream resumed id={id} from={from} to={to} after={after:?}";
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -20,6 +20,8 @@
 use fleet::RosterChange;
 use fleet::RoutingTable;
 use forward::LoadReport;
+use quarantine::Evidence;
+use quarantine::NoticeList;
 use wire::Call;
 
 /// A head host that the leader cannot reach and that is to leave its replica.
@@ -67,6 +69,9 @@
     pub version: Version,
     /// The known edition of the routing table.
     pub edition: Edition,
+    /// The known edition of the notices.
+    #[serde(default)]
+    pub notices: Edition,
     /// The kind of process that asks.
     pub watcher: Watcher,
     /// The load of the sender, or of the entry hosts that follow it. None if it was sent shortly
@@ -90,6 +95,9 @@
     /// The routing table, if it is newer.
     #[serde(rename = "directions")]
     pub routing_table: Option<RoutingTable>,
+    /// The notices of suspected and banned prompt parts, if they are newer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub notices: Option<NoticeList>,
     /// Head hosts that are to leave their replicas. An entry host that can reach one tells it.
     pub unreachable: Vec<UnreachableHead>,
     /// How long ago a majority last confirmed the configuration, if ever.
@@ -139,6 +147,9 @@
     /// Replicas whose head host entry hosts tried to reach and could not.
     #[serde(rename = "unreached", default)]
     pub unreached_replicas: Vec<Fence>,
+    /// What entry hosts saw of the parts of prompts.
+    #[serde(default, skip_serializing_if = "Evidence::is_empty")]
+    pub evidence: Evidence,
 }
 
 /// The reply to [`Observations`].
