--- a/crates/quarantine/tests/world/mod.rs
+++ b/crates/quarantine/tests/world/mod.rs
@@ -5,12 +5,13 @@
 
 use std::time::Duration;
 
+use fastrand::Rng;
+
 use base::Incarnation;
 use base::NodeId;
 use base::PromptPartId;
 use base::Time;
 use base::UpstreamId;
-use fastrand::Rng;
 use quarantine::Admission;
 use quarantine::Evidence;
 use quarantine::NoticeList;
