The limits that upstreams name are divided among the entry hosts by the leader

Cause: no code read the limit, and each entry host by itself can't keep one that holds for all of them: nine that each obey it send nine times as much. Change: crate allot. An entry host that an answer tells a limit stops sending to that process at once, tells the leader with the requests that it has for it, and sends again when it holds a share. The leader gives shares by demand to as many entry hosts as the limit needs, at most three more than requests a second, and publishes them over the watch calls; a new leader collects for 1.5 s. Turns start at none and few are saved up. An answer to a later request that names no limit ends it, silence doesn't, and a restart of the process clears it. Without a turn a request goes elsewhere or waits as at a full target; health is not touched.

--- a/crates/forward/src/target_table.rs
+++ b/crates/forward/src/target_table.rs
@@ -55,11 +55,13 @@
     pub model: Option<&'a ModelName>,
     /// Targets at which this request already failed.
     pub avoid: &'a BTreeSet<UpstreamId>,
+    /// Targets that may get no request now.
+    pub closed: &'a BTreeSet<UpstreamId>,
 }
 
 impl TargetQuery<'_> {
     /// Whether a target serves what the request asks for and takes new requests.
-    fn fits(&self, target: &Target) -> bool {
+    pub fn fits(&self, target: &Target) -> bool {
         target.service == *self.service
             && target.intake == Intake::Open
             && (target.model.is_none() || target.model.as_ref() == self.model)
@@ -272,7 +274,7 @@
         return Err(ChooseError::NoneKnown);
     }
     let mut allowed = fitting.clone();
-    allowed.retain(|t| !query.avoid.contains(&t.id));
+    allowed.retain(|t| !query.avoid.contains(&t.id) && !query.closed.contains(&t.id));
     let mut healthy = allowed.clone();
     healthy.retain(|t| !t.health.is_excluded(now));
     if !healthy.is_empty() {
--- a/crates/forward/tests/stale_views.rs
+++ b/crates/forward/tests/stale_views.rs
@@ -181,6 +181,7 @@
                     service: &"s".parse().unwrap(),
                     model: Some(&"wide".parse().unwrap()),
                     avoid: &BTreeSet::new(),
+                    closed: &BTreeSet::new(),
                 };
                 let target = self.tables[host].choose(&query, self.now).ok()?;
                 self.ids.iter().position(|id| *id == target.id)
--- a/crates/forward/tests/target_table.rs
+++ b/crates/forward/tests/target_table.rs
@@ -57,6 +57,7 @@
         service: &service,
         model: model.as_ref(),
         avoid: &avoid,
+        closed: &BTreeSet::new(),
     };
     let chosen = table.choose(&query, Time::from_millis(now_ms))?;
     Ok((chosen.id, chosen.incarnation))
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -7,6 +7,7 @@
 use crate::control::watch;
 use crate::events::Event;
 use crate::events::emit;
+use crate::message::FleetReport;
 use crate::message::Observations;
 use crate::message::Watch;
 use crate::message::WatchReply;
@@ -15,7 +16,6 @@
 use base::NodeId;
 use base::Time;
 use fleet::Revision;
-use quarantine::Evidence;
 use quorum::clock;
 
 /// How long the leader may take to answer.
@@ -67,6 +67,7 @@
             version: control.active_config.borrow().version,
             edition: control.routing_table.borrow().edition,
             notices: control.quarantine.borrow().published().edition,
+            shares: control.allotment.borrow().published().edition,
             watcher: Watcher::Control,
             load_report: control
                 .loads
@@ -143,6 +144,10 @@
         control.quarantine.borrow_mut().follow(newer);
         control.watch_changed.notify_waiters();
     }
+    if let Some(newer) = update.shares {
+        control.allotment.borrow_mut().follow(newer);
+        control.watch_changed.notify_waiters();
+    }
     if let Some(newer) = update.routing_table
         && control.routing_table.borrow().edition < newer.edition
     {
@@ -161,16 +166,15 @@
         }
         has_more = false;
         let others = std::mem::take(&mut *control.unsent_observations.borrow_mut());
-        let evidence = std::mem::take(&mut *control.unsent_evidence.borrow_mut());
+        let reports = std::mem::take(&mut *control.unsent_reports.borrow_mut());
         if control.is_leader() {
             // They came before this control host led. There are no heartbeats among them.
             let _ = watch::record_observations(&control, others);
-            let mut quarantine = control.quarantine.borrow_mut();
-            quarantine.record(sum_evidence(&evidence, clock::now()), clock::now());
+            watch::record_fleet_report(&control, sum_reports(&reports, clock::now()));
             continue;
         }
         let Some(leader) = control.known_leader() else {
-            put_back(&control, others, evidence);
+            put_back(&control, others, reports);
             compio::time::sleep(RETRY_INTERVAL).await;
             continue;
         };
@@ -180,7 +184,7 @@
             changes: batch.changes.clone(),
             heard_ms_ago: batch.heard_ms_ago.clone(),
             heartbeats: batch.heartbeats.clone(),
-            evidence: sum_evidence(&evidence, now),
+            fleet: sum_reports(&reports, now),
             ..others.clone()
         };
         if observations == Observations::default() {
@@ -195,26 +199,26 @@
             }
             Err(e) => {
                 log::debug!("the leader {leader} did not take the observations: {e}");
-                put_back(&control, others, evidence);
+                put_back(&control, others, reports);
                 compio::time::sleep(RETRY_INTERVAL).await;
             }
         }
     }
 }
 
-/// All evidence together, with its ages at `now`.
-fn sum_evidence(received: &[(Time, Evidence)], now: Time) -> Evidence {
-    let mut sum = Evidence::default();
-    for (at, evidence) in received {
-        sum.add(evidence.clone().aged(now.since(*at)));
+/// All reports together, with their ages at `now`.
+fn sum_reports(received: &[(Time, FleetReport)], now: Time) -> FleetReport {
+    let mut sum = FleetReport::default();
+    for (at, report) in received {
+        sum.add(report.clone().aged(now.since(*at)));
     }
     sum
 }
 
 /// Keeps observations of entry hosts that could not be sent.
-fn put_back(control: &ControlHost, others: Observations, mut evidence: Vec<(Time, Evidence)>) {
-    evidence.append(&mut control.unsent_evidence.borrow_mut());
-    control.unsent_evidence.replace(evidence);
+fn put_back(control: &ControlHost, others: Observations, mut reports: Vec<(Time, FleetReport)>) {
+    reports.append(&mut control.unsent_reports.borrow_mut());
+    control.unsent_reports.replace(reports);
     let mut unsent = control.unsent_observations.borrow_mut();
     add_missing(&mut unsent.stalled_heads, others.stalled_heads);
     add_missing(&mut unsent.left_replicas, others.left_replicas);
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -77,10 +77,12 @@
             orders::spawn_order(&control, order);
         }
         control.quarantine.borrow_mut().set_term(term, now);
+        control.allotment.borrow_mut().set_term(term, now);
         if term.is_some() {
             RecordWriter::commit_changes(&control);
             publish_routing_table(&control);
             publish_notices(&control, now);
+            publish_shares(&control, now);
         }
         compio::time::sleep(REST_PER_TICK * clock::now().since(now)).await;
         if EXPIRY_INTERVAL <= now.since(last_expiry_at) {
@@ -167,6 +169,25 @@
     }
 }
 
+/// Publishes the shares of limits if they have changed.
+fn publish_shares(control: &ControlHost, now: Time) {
+    let roster = control.roster.borrow();
+    let is_present = |id: &UpstreamId, incarnation| {
+        let entry = roster.get(id);
+        entry.is_some_and(|entry| entry.announcement.incarnation == incarnation)
+    };
+    let mut allotment = control.allotment.borrow_mut();
+    allotment.retain_processes(is_present);
+    if allotment.tick(now) {
+        let list = allotment.published();
+        emit(&Event::SharesPublished {
+            edition: list.edition,
+            limited: list.limited.len(),
+        });
+        control.watch_changed.notify_waiters();
+    }
+}
+
 /// Proposes a configuration to the voters, if this control host leads.
 pub(crate) async fn propose_config(
     control: &Rc<ControlHost>,
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -23,6 +23,7 @@
 use crate::control::records::RecordWriter;
 use crate::events::Event;
 use crate::events::emit;
+use crate::message::FleetReport;
 use crate::message::Observations;
 use crate::message::UnreachableHead;
 use crate::notify::Notify;
@@ -30,6 +31,7 @@
 use crate::platform::Platform;
 use crate::semaphore::Semaphore;
 use crate::settings::Settings;
+use allot::Allotment;
 use base::Incarnation;
 use base::NodeId;
 use base::Time;
@@ -48,7 +50,6 @@
 use net::RpcClient;
 use net::RpcMethods;
 use net::Server;
-use quarantine::Evidence;
 use quarantine::Quarantine;
 use quorum::LocalVoter;
 use quorum::clock;
@@ -107,11 +108,13 @@
     pub leader_reports: RefCell<LeaderReports>,
     /// Other observations that have not been sent to the leader yet.
     pub unsent_observations: RefCell<Observations>,
-    /// What entry hosts reported of the parts of prompts and is not sent to the leader yet, with
-    /// the times at which it came.
-    pub unsent_evidence: RefCell<Vec<(Time, Evidence)>>,
+    /// What entry hosts reported for all others and is not sent to the leader yet, with the times
+    /// at which it came.
+    pub unsent_reports: RefCell<Vec<(Time, FleetReport)>>,
     /// Which parts of prompts are suspected and banned.
     pub quarantine: RefCell<Quarantine>,
+    /// The limits that upstreams name, and the entry hosts that share them.
+    pub allotment: RefCell<Allotment>,
     /// Hosts that are being probed or were lost.
     pub probes: RefCell<Probes>,
     /// The leading control host, as the last reply to this control host's watch calls showed.
@@ -214,8 +217,9 @@
             loads: RefCell::default(),
             leader_reports: RefCell::default(),
             unsent_observations: RefCell::default(),
-            unsent_evidence: RefCell::default(),
+            unsent_reports: RefCell::default(),
             quarantine: RefCell::default(),
+            allotment: RefCell::default(),
             probes: RefCell::default(),
             reported_leader: Cell::new(None),
             reported_unreachable: RefCell::default(),
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -8,6 +8,7 @@
 use crate::control::lead;
 use crate::control::probe;
 use crate::message::ConfigText;
+use crate::message::FleetReport;
 use crate::message::Observations;
 use crate::message::ObservationsReply;
 use crate::message::OfferConfig;
@@ -25,7 +26,6 @@
 use fleet::heard_times;
 use forward::LoadReport;
 use net::RpcMethods;
-use quarantine::Evidence;
 use quorum::clock;
 
 /// The longest time that a watch call waits for a change. With the calls, and so at least this
@@ -47,8 +47,8 @@
 /// The longest time for which changes are batched.
 const MAX_BATCH_DELAY: Duration = Duration::from_millis(100);
 
-/// The most reports of evidence that are kept while they cannot be sent to the leader.
-const MAX_UNSENT_EVIDENCE: usize = 512;
+/// The most reports of entry hosts that are kept while they cannot be sent to the leader.
+const MAX_UNSENT_REPORTS: usize = 512;
 
 /// Adds the methods that control hosts offer to each other and to entry hosts.
 pub(crate) fn add_methods(methods: RpcMethods<ControlHost>) -> RpcMethods<ControlHost> {
@@ -84,6 +84,7 @@
             || call.version < control.active_config.borrow().version
             || call.edition < control.routing_table.borrow().edition
             || call.notices < control.quarantine.borrow().published().edition
+            || call.shares < control.allotment.borrow().published().edition
     };
     if !has_newer(&control) {
         control.watch_changed.wait(watch_wait(&control)).await;
@@ -109,6 +110,9 @@
     let quarantine = control.quarantine.borrow();
     let is_newer = call.notices < quarantine.published().edition;
     update.notices = is_newer.then(|| quarantine.published().clone());
+    let allotment = control.allotment.borrow();
+    let is_newer = call.shares < allotment.published().edition;
+    update.shares = is_newer.then(|| allotment.published().clone());
     WatchReply::Update(Box::new(update))
 }
 
@@ -132,6 +136,7 @@
         configuration: None,
         routing_table: None,
         notices: None,
+        shares: None,
         unreachable: control.unreachable_heads(),
         confirmed_ago,
         controls: control.control_hosts().into_iter().collect(),
@@ -201,24 +206,27 @@
     for head in observations.stalled_heads {
         probe::record_stalled_replica(control, &head);
     }
-    record_evidence(control, observations.evidence);
+    record_fleet_report(control, observations.fleet);
     lacking
 }
 
-/// Records what entry hosts saw of the parts of prompts.
-fn record_evidence(control: &Rc<ControlHost>, evidence: Evidence) {
+/// Records what entry hosts saw and all others are to know.
+pub(crate) fn record_fleet_report(control: &ControlHost, report: FleetReport) {
     let now = clock::now();
-    if evidence.is_empty() {
+    if report.is_empty() {
         return;
     }
     if control.is_leader() {
-        control.quarantine.borrow_mut().record(evidence, now);
+        control.quarantine.borrow_mut().record(report.evidence, now);
+        let mut allotment = control.allotment.borrow_mut();
+        let limits = report.limits.into_iter();
+        limits.for_each(|report| allotment.record(report, now));
         control.controller_changed.notify_waiters();
         return;
     }
-    let mut unsent = control.unsent_evidence.borrow_mut();
-    if unsent.len() < MAX_UNSENT_EVIDENCE {
-        unsent.push((now, evidence));
+    let mut unsent = control.unsent_reports.borrow_mut();
+    if unsent.len() < MAX_UNSENT_REPORTS {
+        unsent.push((now, report));
         control.observations_added.notify_waiters();
     }
 }
--- a/crates/site/src/entry/attempt.rs
+++ b/crates/site/src/entry/attempt.rs
@@ -12,6 +12,7 @@
 
 use crate::entry::EntryHost;
 use crate::entry::attempt_guard::AttemptGuard;
+use crate::entry::limits::record_limit;
 use crate::entry::outbound::OutboundRequest;
 use crate::events::Event;
 use crate::events::emit;
@@ -63,6 +64,11 @@
     deadline: Time,
 ) -> Result<AttemptResponse, AttemptError> {
     let id = (target.id.clone(), target.incarnation);
+    let sent_at = clock::now();
+    entry
+        .limit_guard
+        .borrow_mut()
+        .record_sent(&target.id, sent_at);
     let guard = AttemptGuard::new(entry, id.clone(), request.prompt_secs);
     let kept = entry.pool.take_idle(&id);
     let sent = match kept {
@@ -77,6 +83,7 @@
         other => other,
     };
     let (response, connection) = sent?;
+    record_limit(entry, target, &response, sent_at);
     let keep_alive = keep_alive_time(response.headers());
     check_response(entry, request, &response)?;
     entry.targets.borrow_mut().record_output(&id, clock::now());
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -12,6 +12,7 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::message::ConfigText;
+use crate::message::FleetReport;
 use crate::message::Observations;
 use crate::message::ObservationsReply;
 use crate::message::Watch;
@@ -82,7 +83,7 @@
                     emit(&Event::FollowStarted { control, addr });
                     state.control = Some(control);
                     // The one before may not have passed everything on.
-                    entry.part_guard.borrow_mut().report_again();
+                    report_again(&entry);
                 }
                 state.heard_at = asked;
                 let stale = is_stale(update.confirmed_ago);
@@ -182,6 +183,7 @@
         version: entry.version.get(),
         edition: entry.routing_table.borrow().edition,
         notices: entry.part_guard.borrow().list().edition,
+        shares: entry.limit_guard.borrow().list().edition,
         watcher: Watcher::Entry,
         load_report: Some(LoadReport {
             entries: 1,
@@ -221,6 +223,10 @@
         entry.part_guard.borrow_mut().apply(newer);
         entry.observations_added.notify_waiters();
     }
+    if let Some(newer) = update.shares {
+        entry.limit_guard.borrow_mut().apply(newer, clock::now());
+        entry.capacity_changed.notify_waiters();
+    }
     if let Some(load_report) = update.load_report {
         apply_load_report(entry, &load_report);
     }
@@ -278,7 +284,10 @@
             stalled_heads: std::mem::take(&mut *entry.stalled_heads.borrow_mut()),
             left_replicas: std::mem::take(&mut *entry.left_replicas.borrow_mut()),
             unreached_replicas: std::mem::take(&mut *entry.unreached_replicas.borrow_mut()),
-            evidence: entry.part_guard.borrow_mut().take_evidence(clock::now()),
+            fleet: FleetReport {
+                evidence: entry.part_guard.borrow_mut().take_evidence(clock::now()),
+                limits: entry.limit_guard.borrow_mut().take_reports(clock::now()),
+            },
             ..Observations::default()
         };
         if call == Observations::default() {
@@ -302,7 +311,13 @@
             selector.record_failure(clock::now());
         }
         if !is_taken {
-            entry.part_guard.borrow_mut().report_again();
+            report_again(&entry);
         }
     }
 }
+
+/// Has everything reported again that all other entry hosts are to know.
+fn report_again(entry: &EntryHost) {
+    entry.part_guard.borrow_mut().report_again();
+    entry.limit_guard.borrow_mut().report_again();
+}
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod handle;
 mod leave_orders;
+mod limits;
 mod metrics;
 mod outbound;
 mod relay;
@@ -26,6 +27,7 @@
 use crate::notify::Notify;
 use crate::platform::Platform;
 use crate::settings::Settings;
+use allot::LimitGuard;
 use base::Fence;
 use base::ModelName;
 use base::NodeId;
@@ -135,6 +137,8 @@
     pub retry_budget: RefCell<RetryBudget>,
     /// Checks requests by the parts of their prompts.
     pub part_guard: RefCell<PartGuard>,
+    /// The limits that upstreams name, and the shares of this entry host.
+    pub limit_guard: RefCell<LimitGuard>,
     /// The recent requests for each model.
     pub arrivals: RefCell<BTreeMap<ModelName, ModelArrivals>>,
     /// Stalled head hosts that have not been reported to a control host yet.
@@ -260,6 +264,7 @@
             targets: RefCell::new(TargetTable::new(settings.centre.clone(), seed)),
             retry_budget: RefCell::new(RetryBudget::new(ratio, slack, window)),
             part_guard: RefCell::new(PartGuard::new(settings.node_id())),
+            limit_guard: RefCell::new(LimitGuard::new(settings.node_id())),
             arrivals: RefCell::default(),
             stalled_heads: RefCell::default(),
             left_replicas: RefCell::default(),
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -15,6 +15,7 @@
 use crate::entry::attempt::AttemptResponse;
 use crate::entry::attempt::attempt;
 use crate::entry::attempt_guard::InFlightGuard;
+use crate::entry::limits::closed_targets;
 use crate::entry::metrics::RequestLabels;
 use crate::entry::outbound::OutboundRequest;
 use crate::entry::outbound::end_to_end;
@@ -49,6 +50,8 @@
 /// A request is refused after this many attempts that were never sent.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
 
+static NONE_CLOSED: BTreeSet<UpstreamId> = BTreeSet::new();
+
 /// Forwards one request whose route and service are known.
 pub(crate) struct RequestForwarder {
     pub entry: Rc<EntryHost>,
@@ -130,11 +133,9 @@
         let give_up_at = give_up_at.min(self.deadline);
         loop {
             let now = clock::now();
-            let query = TargetQuery {
-                service: &self.service,
-                model: self.model.as_ref(),
-                avoid: &self.avoid,
-            };
+            let query = self.target_query(&NONE_CLOSED);
+            let closed = closed_targets(&self.entry, &query);
+            let query = self.target_query(&closed);
             let choose_error = match self.entry.targets.borrow_mut().choose(&query, now) {
                 Ok(target) => return Ok(target),
                 Err(choose_error) => choose_error,
@@ -154,6 +155,15 @@
         }
     }
 
+    fn target_query<'a>(&'a self, closed: &'a BTreeSet<UpstreamId>) -> TargetQuery<'a> {
+        TargetQuery {
+            service: &self.service,
+            model: self.model.as_ref(),
+            avoid: &self.avoid,
+            closed,
+        }
+    }
+
     /// Records a failed attempt. Returns the refusal for the caller if no retry follows.
     pub fn record_failure(&mut self, target: &Target, error: AttemptError) -> Result<(), Refusal> {
         let now = clock::now();
@@ -216,11 +226,9 @@
         let may_retry = self.route.kind.is_retryable()
             && self.attempts < self.route.attempts
             && self.may_repeat(now);
-        let query = TargetQuery {
-            service: &self.service,
-            model: self.model.as_ref(),
-            avoid: &self.avoid,
-        };
+        let query = self.target_query(&NONE_CLOSED);
+        let closed = closed_targets(&self.entry, &query);
+        let query = self.target_query(&closed);
         may_retry
             && now < self.deadline
             && self.entry.targets.borrow_mut().choose(&query, now).is_ok()
--- a/crates/site/src/events.rs
+++ b/crates/site/src/events.rs
@@ -78,6 +78,8 @@
         "requests with all of these prompt parts are refused, upstreams ended under them parts={parts} crashes={crashes}";
     2411 Info BanLifted { parts: String, why: String }
         "requests with these prompt parts are served again parts={parts} why={why:?}";
+    2412 Info SharesPublished { edition: Edition, limited: usize }
+        "shares of the limits that upstreams name were published edition={edition:?} limited={limited}";
     2500 Info Answered { id: &'a str, route: &'a RouteName, target: &'a UpstreamId, status: u16, attempts: u32, first_ms: u128, total_ms: u128, late: &'a str, parts: String }
         "answered id={id} route={route} target={target} status={status} attempts={attempts} first_ms={first_ms} total_ms={total_ms} late={late} parts={parts}";
     2501 Info Refused { id: &'a str, route: &'a str, status: u16, why: &'a str, waited_ms: u128, attempts: u32, version: Version, age_ms: u128 }
@@ -92,4 +94,6 @@
         "caller disconnected id={id} total_ms={total_ms}";
     2506 Info TargetStalled { target: &'a UpstreamId, own: u32 }
         "target stalled target={target} own={own}";
+    2507 Info LimitNamed { target: &'a UpstreamId, limit: String }
+        "a target names the requests a second that it takes target={target} limit={limit}";
 }
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use allot::LimitReport;
+use allot::ShareList;
 use base::Fence;
 use base::Incarnation;
 use base::NodeId;
@@ -72,6 +74,9 @@
     /// The known edition of the notices.
     #[serde(default)]
     pub notices: Edition,
+    /// The known edition of the shares of limits.
+    #[serde(default)]
+    pub shares: Edition,
     /// The kind of process that asks.
     pub watcher: Watcher,
     /// The load of the sender, or of the entry hosts that follow it. None if it was sent shortly
@@ -98,6 +103,9 @@
     /// The notices of suspected and banned prompt parts, if they are newer.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub notices: Option<NoticeList>,
+    /// The shares of the limits that upstreams name, if they are newer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shares: Option<ShareList>,
     /// Head hosts that are to leave their replicas. An entry host that can reach one tells it.
     pub unreachable: Vec<UnreachableHead>,
     /// How long ago a majority last confirmed the configuration, if ever.
@@ -128,7 +136,7 @@
 }
 
 /// Reports what the sender observed to a control host, which passes it on to the leader.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Observations {
     /// New announcements and departures of upstream processes.
     pub changes: Vec<RosterChange>,
@@ -147,9 +155,42 @@
     /// Replicas whose head host entry hosts tried to reach and could not.
     #[serde(rename = "unreached", default)]
     pub unreached_replicas: Vec<Fence>,
-    /// What entry hosts saw of the parts of prompts.
+    /// What entry hosts saw and all others are to know.
+    #[serde(default, skip_serializing_if = "FleetReport::is_empty")]
+    pub fleet: FleetReport,
+}
+
+/// What entry hosts saw and all others are to know. The leader decides from it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetReport {
+    /// What they saw of the parts of prompts.
     #[serde(default, skip_serializing_if = "Evidence::is_empty")]
     pub evidence: Evidence,
+    /// What they know of the limits of upstreams.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitReport>,
+}
+
+impl FleetReport {
+    /// Whether there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        self.evidence.is_empty() && self.limits.is_empty()
+    }
+
+    /// Adds what was reported later.
+    pub fn add(&mut self, other: Self) {
+        self.evidence.add(other.evidence);
+        self.limits.extend(other.limits);
+    }
+
+    /// The report as it reads after another `span`.
+    pub fn aged(self, span: Duration) -> Self {
+        let limits = self.limits.into_iter();
+        Self {
+            evidence: self.evidence.aged(span),
+            limits: limits.map(|report| report.aged(span)).collect(),
+        }
+    }
 }
 
 /// The reply to [`Observations`].
--- a/crates/site/src/platform.rs
+++ b/crates/site/src/platform.rs
@@ -39,6 +39,8 @@
     pub token_counts: HeaderName,
     /// The parts of the prompt.
     pub prompt_parts: HeaderName,
+    /// The requests a second that an upstream takes from all entry hosts together.
+    pub limit: HeaderName,
 }
 
 /// A call to the API of a control host.
