The memory of answers that come without end is bounded

Cause: an entry host read up to 16 MiB of each answer whole, whatever the others took, and up to 1 MiB of each event. Change: AnswerMemory: 256 KiB of each answer are free, beyond that all answers together have 24 MiB; heads are bounded to 64 KiB, events to 128 KiB.

--- a/crates/forward/src/event_splitter.rs
+++ b/crates/forward/src/event_splitter.rs
@@ -7,7 +7,7 @@
 use derive_more::Error;
 
 /// The longest event that is accepted, in bytes.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+const MAX_EVENT_BYTES: usize = 128 * 1024;
 
 /// Complete events, ready to be passed on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -20,6 +20,9 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 
+/// The largest head of a response, and the most bytes of a body that are read ahead.
+const MAX_BUFFERED_BYTES: usize = 64 * 1024;
+
 /// An HTTP/1 client connection. Dropping it closes it at once. [`Connection::send`] consumes it
 /// without closing it, so that the body of the response can still be read.
 pub struct Connection {
@@ -79,7 +82,10 @@
         };
         let _ = stream.set_nodelay(true);
         let io = HyperStream::new_plain(stream);
-        let handshake = hyper::client::conn::http1::handshake(io).await;
+        let handshake = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(MAX_BUFFERED_BYTES)
+            .handshake(io)
+            .await;
         let (sender, driver) = handshake.map_err(|_| not_connected)?;
         let driver = compio::runtime::spawn(async move {
             if let Err(e) = driver.await {
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! An entry host: it takes callers' requests and forwards them to upstreams.
 
 mod answer;
+mod answer_memory;
 mod attempt;
 mod attempt_guard;
 mod follow;
@@ -23,6 +24,7 @@
 
 use crate::bounds::RetryLimits;
 use crate::connection_pool::ConnectionPool;
+use crate::entry::answer_memory::AnswerMemory;
 use crate::entry::metrics::Metrics;
 use crate::notify::Notify;
 use crate::platform::Platform;
@@ -155,6 +157,7 @@
     pub in_flight: Cell<usize>,
     pub rpc: RpcClient,
     pub pool: ConnectionPool,
+    pub answer_memory: AnswerMemory,
     pub metrics: Metrics,
 }
 
@@ -275,6 +278,7 @@
             in_flight: Cell::new(0),
             rpc: RpcClient::new(String::new())?,
             pool: ConnectionPool::default(),
+            answer_memory: AnswerMemory::default(),
             metrics: Metrics::default(),
             settings,
             role_settings,
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -35,12 +35,8 @@
 use forward::Target;
 use forward::TargetQuery;
 use net::Body;
-use net::read_body;
 use quorum::clock;
 
-/// The largest answer in bytes that is read completely before it is passed on.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-
 /// A request may wait for a target with a free slot for its latency target divided by this.
 const TARGET_WAIT_DIVISOR: u32 = 4;
 
@@ -279,13 +275,13 @@
         let first = clock::now();
         let (head, body) = response.into_parts();
         let left = self.deadline.since(first);
-        let read = read_body(body, MAX_ANSWER_BYTES, left).await;
+        let read = self.entry.answer_memory.read(body, left).await;
         let id = guard.id.clone();
         drop(guard);
         let body: Bytes = match read {
             Ok(body) => body,
-            Err(_) => {
-                let why = "the answer did not come whole";
+            Err(e) => {
+                let why = e.text();
                 let failure = Failure::Lost;
                 // `record_failure` counts this attempt again.
                 self.attempts -= 1;
