A stream with neither length nor chunks that ends before its first event is broken off

Cause: such an answer ends with its connection, so the end of a host that had sent the head only looked like a complete, empty stream: the caller got 200 and nothing. Change: without framing, an end before the first event counts as a break, and the stream goes on at another target. An end within an event did so before.

--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -62,6 +62,8 @@
     guard: AttemptGuard,
     keep_alive: Option<Duration>,
     first_event_at: Option<Time>,
+    /// Whether a length or chunks tell where the answer ends.
+    is_framed: bool,
 }
 
 impl StreamSource {
@@ -120,12 +122,15 @@
         keep_alive,
     } = answer;
     let (head, body) = response.into_parts();
+    let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING);
     let source = StreamSource {
         body,
         connection,
         guard,
         keep_alive,
         first_event_at: None,
+        is_framed,
     };
     (head, source)
 }
@@ -147,16 +152,17 @@
                         }
                     }
                 },
-                StreamInput::End if !self.events.has_partial_event() => {
-                    self.finish();
-                    return None;
-                }
-                StreamInput::End => {
-                    let failure = self.failure_of_break();
-                    if !self.resume(failure, "it ended within an event").await {
-                        return Some(Err(self.break_off("it ended within an event")));
+                StreamInput::End => match self.why_end_is_early() {
+                    None => {
+                        self.finish();
+                        return None;
                     }
-                }
+                    Some(why) => {
+                        if !self.resume(self.failure_of_break(), why).await {
+                            return Some(Err(self.break_off(why)));
+                        }
+                    }
+                },
                 StreamInput::Broken(why) => {
                     if !self.resume(self.failure_of_break(), why).await {
                         return Some(Err(self.break_off(why)));
@@ -214,6 +220,17 @@
         bytes.into()
     }
 
+    /// Why the end of the answer isn't the end of the stream, if so. An answer with neither a
+    /// length nor chunks ends with its connection, whatever ended that.
+    fn why_end_is_early(&self) -> Option<&'static str> {
+        let is_framed = self.source.as_ref().is_none_or(|source| source.is_framed);
+        if self.events.has_partial_event() {
+            return Some("it ended within an event");
+        }
+        let is_empty = self.events.last_number().is_none();
+        (is_empty && !is_framed).then_some("it ended before its first event")
+    }
+
     /// What a broken connection says about the request.
     fn failure_of_break(&self) -> Failure {
         let now = clock::now();
