berylbay bans lists and lifts the bans of prompt parts

Cause: operators could see a ban in the log only, and end it in no way. Change: any control host answers the calls bans and lift_ban, and asks the leader if it doesn't lead; the tool has the command.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -8,6 +8,7 @@
 use base::NodeId;
 use base::OrderKey;
 use base::OrgName;
+use base::PromptPartId;
 use base::Version;
 
 /// Configures and inspects berylbay.
@@ -48,6 +49,8 @@
     Status(StatusArgs),
     #[options(help = "show the record of an order, a call under an idempotency key")]
     Order(OrderArgs),
+    #[options(help = "show the prompt parts that a deployment bans, or lift a ban")]
+    Bans(BansArgs),
     #[options(help = "show the voters that hold the durable state, or change one member")]
     Voters(VotersArgs),
 }
@@ -101,6 +104,18 @@
     pub key: Option<OrderKey>,
 }
 
+/// Options of `bans`.
+#[derive(Debug, Options)]
+pub struct BansArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        no_short,
+        help = "lift the ban of this part; if the ban has several, repeat it for each"
+    )]
+    pub lift: Vec<PromptPartId>,
+}
+
 /// Options of `voters`.
 #[derive(Debug, Options)]
 pub struct VotersArgs {
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -70,6 +70,12 @@
         /// True if a node may have carried out the call.
         maybe_done: bool,
     },
+    /// The control hosts have no leader that answers.
+    #[display("no control host leads")]
+    NoLeader {
+        /// True if the call may have been carried out.
+        maybe_done: bool,
+    },
     /// The HTTP client could not be created.
     #[display("{_0}")]
     Client(cyper::Error),
@@ -82,10 +88,12 @@
             Self::Missing { .. } => Exit::Invalid,
             Self::NoAnswer {
                 maybe_done: true, ..
-            } => Exit::Unknown,
+            }
+            | Self::NoLeader { maybe_done: true } => Exit::Unknown,
             Self::File { .. }
             | Self::SavedState { .. }
             | Self::NoAnswer { .. }
+            | Self::NoLeader { .. }
             | Self::Client(_) => Exit::Failed,
         }
     }
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -7,6 +7,8 @@
 use crate::table;
 use base::Findings;
 use base::NodeId;
+use base::PromptPartId;
+use wire::deployment::BanRow;
 use wire::operator::ClassRow;
 use wire::operator::NodeRow;
 use wire::operator::OrderRow;
@@ -85,6 +87,17 @@
     table::print(&["state", "status"], &[vec![record.state.clone(), status]]);
 }
 
+/// Prints the bans of prompt parts.
+pub fn print_bans(bans: &[BanRow]) {
+    let rows: Vec<_> = bans.iter().map(ban_row).collect();
+    table::print(&["parts", "ended processes"], &rows);
+}
+
+fn ban_row(ban: &BanRow) -> Vec<String> {
+    let parts: Vec<&str> = ban.parts.iter().map(PromptPartId::as_str).collect();
+    vec![parts.join(" "), ban.crashes.to_string()]
+}
+
 /// Prints the members of the voters' group.
 pub fn print_voters(reply: &VotersReply) {
     let rows: Vec<_> = reply.members.iter().map(voter_row).collect();
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -6,6 +6,7 @@
 use crate::apply::apply_rules;
 use crate::apply::read_rules_file;
 use crate::args::Args;
+use crate::args::BansArgs;
 use crate::args::CheckArgs;
 use crate::args::Command;
 use crate::args::OrderArgs;
@@ -14,6 +15,7 @@
 use crate::exit::CliError;
 use crate::exit::Exit;
 use crate::node_client::NodeClient;
+use crate::output::print_bans;
 use crate::output::print_findings;
 use crate::output::print_json;
 use crate::output::print_nodes;
@@ -24,6 +26,10 @@
 use crate::saved_state::SavedState;
 use base::Version;
 use rules::Rules;
+use wire::deployment::LiftBan;
+use wire::deployment::LiftBanReply;
+use wire::deployment::ShowBans;
+use wire::deployment::ShowBansReply;
 use wire::operator::ChangeVoters;
 use wire::operator::FindOrder;
 use wire::operator::ShowRules;
@@ -39,6 +45,7 @@
         Some(Command::Rules(rules)) => self::rules(&args, rules).await,
         Some(Command::Status(_)) => status(&args).await,
         Some(Command::Order(order)) => self::order(&args, order).await,
+        Some(Command::Bans(bans)) => self::bans(&args, bans).await,
         Some(Command::Voters(voters)) => self::voters(&args, voters).await,
     }
 }
@@ -98,6 +105,32 @@
     Ok(Exit::Done)
 }
 
+async fn bans(args: &Args, bans: &BansArgs) -> Result<Exit, CliError> {
+    let client = NodeClient::open(args)?;
+    if bans.lift.is_empty() {
+        let reply = client.query(&ShowBans {}).await?;
+        print_json(args, &reply);
+        return match &reply {
+            ShowBansReply::NoLeader => Err(CliError::NoLeader { maybe_done: false }),
+            ShowBansReply::Bans(bans) => {
+                if !args.json {
+                    print_bans(bans);
+                }
+                Ok(Exit::Done)
+            }
+        };
+    }
+    let parts = bans.lift.clone();
+    let reply = client.call(&LiftBan { parts }).await?;
+    print_json(args, &reply);
+    match reply {
+        LiftBanReply::NoLeader => return Err(CliError::NoLeader { maybe_done: true }),
+        LiftBanReply::Lifted => print_text(args, "the ban is lifted"),
+        LiftBanReply::NotBanned => print_text(args, "no ban of just these parts is in force"),
+    }
+    Ok(Exit::Done)
+}
+
 async fn voters(args: &Args, voters: &VotersArgs) -> Result<Exit, CliError> {
     let client = NodeClient::open(args)?;
     let add = voters.add.map(ChangeVoters::Add);
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! orders to the hosts of the engines.
 
 mod api;
+mod bans;
 mod follow;
 mod lead;
 mod membership;
@@ -158,6 +159,7 @@
         )?);
         let methods = watch::add_methods(RpcMethods::new(Rc::clone(&control)));
         let methods = voter::add_methods(methods);
+        let methods = bans::add_methods(methods);
         let internal_addr = control.settings.internal_addr(control.settings.node_id());
         let internal = peers::bind(internal_addr, methods).await?;
         let api = api::bind(&control).await?;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,8 +3,9 @@
 //! Each call is a type that implements [`Call`], with its method and its reply. Entry
 //! nodes serve the calls in [`upstream`] to hosts and services, those in [`operator`]
 //! to the command-line tool and those in [`peer`] to each other. Engines serve the
-//! calls in [`engine`].
+//! calls in [`engine`], control hosts of a deployment those in [`deployment`].
 
+pub mod deployment;
 pub mod engine;
 pub mod operator;
 pub mod peer;
