fleet::Published: a list that the leader publishes and the others follow

Cause: the shares of limits counted editions and compared lists by code of their own, which another list of the leader needs too. Change: one type for it; allot uses it. No change of behaviour.

--- a/crates/allot/src/allotment.rs
+++ b/crates/allot/src/allotment.rs
@@ -16,7 +16,6 @@
 use base::RequestRate;
 use base::Time;
 use base::UpstreamId;
-use fleet::Edition;
 
 /// The holders of a limit: at most as many as requests a second, and these more. Each may have
 /// saved up a turn, so together they must stay far below what the bound allows beyond the rate.
@@ -75,9 +74,7 @@
 
     /// Takes over the list of the leader, if it is newer.
     pub fn follow(&mut self, list: ShareList) {
-        if self.published.edition < list.edition {
-            self.published = list;
-        }
+        self.published.follow(list);
     }
 
     /// Begins or ends a term as leader. A new leader begins with the limits that it followed.
@@ -90,7 +87,7 @@
         self.ended_at.clear();
         if term.is_some() {
             self.publish_from = now + SETTLE_TIME;
-            for known in self.published.limited.clone() {
+            for known in self.published.items.clone() {
                 let holders = known.holders.iter().map(|holder| {
                     let wanted = f64::from(holder.weight) / WEIGHTS_PER_REQUEST;
                     (holder.entry, (RequestRate(wanted), now))
@@ -168,19 +165,11 @@
             rate: limit.rate,
             holders: limit.holders.clone(),
         });
-        let limited: Vec<LimitedProcess> = limited.collect();
-        let is_own = self.published.edition.term == term;
-        if is_own && limited == self.published.limited {
-            return false;
+        let is_changed = self.published.publish(term, limited.collect());
+        if is_changed {
+            self.publish_from = now + PUBLISH_INTERVAL;
         }
-        let count = match is_own {
-            true => self.published.edition.count + 1,
-            false => 1,
-        };
-        let edition = Edition { term, count };
-        self.published = ShareList { edition, limited };
-        self.publish_from = now + PUBLISH_INTERVAL;
-        true
+        is_changed
     }
 }
 
--- a/crates/allot/src/limit_guard.rs
+++ b/crates/allot/src/limit_guard.rs
@@ -155,7 +155,7 @@
         if list.edition <= self.list.edition {
             return;
         }
-        for limited in &list.limited {
+        for limited in &list.items {
             let limit = self
                 .limits
                 .entry(limited.process.clone())
@@ -173,7 +173,7 @@
         // A limit that was listed and isn't any more has ended; one that never was may be on its
         // way to the leader.
         self.limits.retain(|process, limit| {
-            let mut listed = list.limited.iter();
+            let mut listed = list.items.iter();
             !limit.is_listed || listed.any(|limited| limited.process == *process)
         });
         self.list = list;
--- a/crates/allot/src/share_list.rs
+++ b/crates/allot/src/share_list.rs
@@ -7,7 +7,7 @@
 use base::NodeId;
 use base::RequestRate;
 use base::UpstreamId;
-use fleet::Edition;
+use fleet::Published;
 
 /// A process that named a limit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -43,11 +43,5 @@
     }
 }
 
-/// All limits in force.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct ShareList {
-    /// The version of this list. The lists of a later leader have a later edition.
-    pub edition: Edition,
-    /// The processes with limits.
-    pub limited: Vec<LimitedProcess>,
-}
+/// All limits in force, as the leader publishes them.
+pub type ShareList = Published<LimitedProcess>;
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -182,7 +182,7 @@
         let list = allotment.published();
         emit(&Event::SharesPublished {
             edition: list.edition,
-            limited: list.limited.len(),
+            limited: list.items.len(),
         });
         control.watch_changed.notify_waiters();
     }
