An answer of a process after its restart ends its limit

Cause: an entry host took only answers of the same incarnation for the end of a limit. With no leader to take the old incarnation off the list, a process that had restarted stayed limited. Change: an answer of a later incarnation that names no limit ends it as well. Tests of when a limit ends.

--- a/crates/allot/src/limit_guard.rs
+++ b/crates/allot/src/limit_guard.rs
@@ -141,8 +141,10 @@
     ) -> bool {
         let limit = self.limits.get(process);
         // An answer from before may overtake the one that named the limit.
-        let is_ended = limit
-            .is_some_and(|limit| limit.incarnation == incarnation && limit.known_at <= sent_at);
+        let is_ended = limit.is_some_and(|limit| {
+            let is_later = limit.incarnation == incarnation && limit.known_at <= sent_at;
+            is_later || limit.incarnation < incarnation
+        });
         if is_ended {
             self.limits.remove(process);
             self.ended.push((process.clone(), incarnation, now));
