--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! The crate does no I/O and reads no clock. Between processes, times are sent as ages.
 
+mod ban;
 mod evidence;
 mod ledger;
 mod notice;
@@ -18,6 +19,7 @@
 mod quarantine;
 mod sound_parts;
 
+pub use ban::LiftReason;
 pub use evidence::CrashReport;
 pub use evidence::Evidence;
 pub use evidence::SoundPart;
@@ -29,6 +31,5 @@
 pub use notice::PartSet;
 pub use part_guard::Admission;
 pub use part_guard::PartGuard;
-pub use quarantine::LiftReason;
 pub use quarantine::Quarantine;
 pub use quarantine::QuarantineEvent;
--- a/crates/quarantine/src/notice.rs
+++ b/crates/quarantine/src/notice.rs
@@ -7,7 +7,7 @@
 
 use base::NodeId;
 use base::PromptPartId;
-use fleet::Edition;
+use fleet::Published;
 
 /// A set of prompt parts.
 pub type PartSet = BTreeSet<PromptPartId>;
@@ -48,23 +48,5 @@
     }
 }
 
-/// All notices in force.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct NoticeList {
-    /// The version of this list. The lists of a later leader have a later edition.
-    pub edition: Edition,
-    /// The notices.
-    pub notices: Vec<Notice>,
-}
-
-impl NoticeList {
-    /// The bans in force.
-    pub fn bans(&self) -> impl Iterator<Item = &Notice> {
-        self.notices.iter().filter(|notice| notice.is_ban())
-    }
-
-    /// The ban that holds for a request with these parts.
-    pub fn ban_for(&self, parts: &[PromptPartId]) -> Option<&Notice> {
-        self.bans().find(|notice| notice.covers(parts))
-    }
-}
+/// All notices in force, as the leader publishes them.
+pub type NoticeList = Published<Notice>;
--- a/crates/quarantine/src/part_guard.rs
+++ b/crates/quarantine/src/part_guard.rs
@@ -113,9 +113,10 @@
 
     /// The bans in force.
     pub fn bans(&self, now: Time) -> impl Iterator<Item = &Notice> {
+        let listed = self.list.items.iter().filter(|notice| notice.is_ban());
         let own = self.own_bans.values();
         let own = own.filter(move |ban| now.since(ban.began_at) < OWN_BAN_TTL);
-        self.list.bans().chain(own.map(|ban| &ban.notice))
+        listed.chain(own.map(|ban| &ban.notice))
     }
 
     /// Whether a request with these parts is banned now.
@@ -145,7 +146,7 @@
             let mut suspects = notice.parts.iter();
             notice.covers(parts) && !suspects.any(|part| self.ledger.is_sound(part, now))
         };
-        !self.is_banned(parts, now) && !self.list.notices.iter().any(is_suspected)
+        !self.is_banned(parts, now) && !self.list.items.iter().any(is_suspected)
     }
 
     /// Records that a request broke before its answer had gone on for a while.
@@ -181,7 +182,7 @@
         for part in parts {
             self.ledger.record_sound(part, now);
         }
-        let mut suspected = self.list.notices.iter().flat_map(|notice| &notice.parts);
+        let mut suspected = self.list.items.iter().flat_map(|notice| &notice.parts);
         suspected.any(|part| parts.contains(part) && self.is_sound_report_due(part, now))
     }
 
@@ -202,12 +203,14 @@
         }
         let trial = Some(self.own_id);
         let has_trial = |parts: &PartSet| {
-            let mut bans = list.bans();
-            bans.any(|ban| ban.parts == *parts && ban.state == NoticeState::Banned { trial })
+            let mut notices = list.items.iter();
+            notices.any(|ban| ban.parts == *parts && ban.state == NoticeState::Banned { trial })
         };
         self.used_trials.retain(has_trial);
-        self.refusals
-            .retain(|parts, _| list.bans().any(|ban| ban.parts == *parts));
+        self.refusals.retain(|parts, _| {
+            let mut notices = list.items.iter();
+            notices.any(|notice| notice.is_ban() && notice.parts == *parts)
+        });
         self.own_bans.clear();
         self.list = list;
     }
@@ -253,7 +256,7 @@
     /// The parts in these reports and in notices that were answered here lately.
     fn sound_parts(&mut self, crashes: &[CrashReport], now: Time) -> Vec<SoundPart> {
         let reported = crashes.iter().flat_map(|crash| &crash.parts);
-        let notices = self.list.notices.iter().flat_map(|notice| &notice.parts);
+        let notices = self.list.items.iter().flat_map(|notice| &notice.parts);
         let parts: PartSet = reported.chain(notices).cloned().collect();
         self.sound_reported_at
             .retain(|_, at| now.since(*at) < SOUND_INTERVAL);
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -3,8 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use derive_more::Display;
-
 use crate::CrashLedger;
 use crate::Evidence;
 use crate::Notice;
@@ -12,10 +10,10 @@
 use crate::NoticeState;
 use crate::PartSet;
 use crate::Suspicion;
-use base::NodeId;
+use crate::ban::Ban;
+use crate::ban::LiftReason;
 use base::PromptPartId;
 use base::Time;
-use fleet::Edition;
 
 /// The most bans at once.
 const MAX_BANS: usize = 64;
@@ -29,19 +27,6 @@
 /// A ban ends once no request with its parts has come for this long.
 const UNUSED_BAN_TTL: Duration = Duration::from_secs(300);
 
-/// Time from a ban, or from its last trial, to the next trial, multiplied by
-/// [`TRIAL_BACKOFF`] after each.
-const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(600);
-
-/// How much longer each trial of a ban is delayed than the one before.
-const TRIAL_BACKOFF: u32 = 4;
-
-/// Trials of a ban. Each may end a replica, and few are allowed to all entry hosts together.
-const MAX_TRIALS: u32 = 2;
-
-/// A trial that nothing came of after this long counts as made.
-const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Time between two decisions while no evidence comes.
 const DECISION_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -64,44 +49,6 @@
     },
 }
 
-/// Why a ban ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
-pub enum LiftReason {
-    /// No request with the parts came for a long time.
-    #[display("no request came")]
-    Unused,
-    /// A request with the parts was answered.
-    #[display("a request was answered")]
-    Answered,
-    /// Another ban holds for all its requests.
-    #[display("another ban replaces it")]
-    Replaced,
-    /// An operator lifted it.
-    #[display("lifted by an operator")]
-    Operator,
-}
-
-/// A ban in force.
-#[derive(Clone, Debug)]
-struct Ban {
-    crashes: u32,
-    /// When the first of the processes ended that the ban rests on.
-    since: Time,
-    last_refused_at: Time,
-    /// The entry host that refused the last request.
-    refused_by: Option<NodeId>,
-    trials: u32,
-    trial: Option<Trial>,
-    next_trial_at: Time,
-}
-
-/// A trial under way.
-#[derive(Clone, Copy, Debug)]
-struct Trial {
-    entry: NodeId,
-    began_at: Time,
-}
-
 /// The parts that are suspected and banned, as one control host knows them.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
@@ -124,9 +71,12 @@
 
     /// Takes over the list of the leader, if it is newer.
     pub fn follow(&mut self, list: NoticeList) {
-        if self.published.edition < list.edition {
-            self.published = list;
-        }
+        self.published.follow(list);
+    }
+
+    /// The published bans.
+    pub fn published_bans(&self) -> impl Iterator<Item = &Notice> {
+        self.published.items.iter().filter(|notice| notice.is_ban())
     }
 
     /// Begins or ends a term as leader. A new leader begins with the bans that it followed.
@@ -139,7 +89,7 @@
         if term.is_some() {
             self.publish_from = now + SETTLE_TIME;
             self.has_new_evidence = true;
-            let known: Vec<Notice> = self.published.bans().cloned().collect();
+            let known: Vec<Notice> = self.published_bans().cloned().collect();
             known.into_iter().for_each(|ban| self.adopt(ban, now));
         }
     }
@@ -184,18 +134,11 @@
         }
         self.lift_ended_bans(now);
         self.ban_due_parts(now);
-        self.advance_trials(now);
-        let notices = self.notices(now);
-        if notices == self.published.notices && self.published.edition.term == term {
-            return false;
+        for (parts, ban) in &mut self.bans {
+            ban.advance_trial(self.ledger.last_crash(parts), now);
         }
-        let count = match self.published.edition.term == term {
-            true => self.published.edition.count + 1,
-            false => 1,
-        };
-        let edition = Edition { term, count };
-        self.published = NoticeList { edition, notices };
-        true
+        let notices = self.notices(now);
+        self.published.publish(term, notices)
     }
 
     /// Lifts the ban of these parts for an operator. Returns whether there was one.
@@ -237,16 +180,7 @@
             parts: parts.clone(),
             crashes,
         });
-        let ban = Ban {
-            crashes,
-            since,
-            last_refused_at: now,
-            refused_by: None,
-            trials: 0,
-            trial: None,
-            next_trial_at: now + FIRST_TRIAL_DELAY,
-        };
-        self.bans.insert(parts, ban);
+        self.bans.insert(parts, Ban::new(crashes, since, now));
     }
 
     fn end_ban(&mut self, parts: &PartSet, why: LiftReason) -> bool {
@@ -313,34 +247,11 @@
         }
     }
 
-    fn advance_trials(&mut self, now: Time) {
-        for (parts, ban) in &mut self.bans {
-            if let Some(trial) = ban.trial {
-                let last_crash = self.ledger.last_crash(parts);
-                let has_crashed = last_crash.is_some_and(|at| trial.began_at < at);
-                if has_crashed || TRIAL_TIMEOUT <= now.since(trial.began_at) {
-                    ban.trial = None;
-                    let delay = FIRST_TRIAL_DELAY * TRIAL_BACKOFF.pow(ban.trials);
-                    ban.next_trial_at = now + delay;
-                }
-            } else if ban.next_trial_at <= now && ban.trials < MAX_TRIALS {
-                let Some(entry) = ban.refused_by else {
-                    continue;
-                };
-                ban.trials += 1;
-                ban.trial = Some(Trial {
-                    entry,
-                    began_at: now,
-                });
-            }
-        }
-    }
-
     fn notices(&self, now: Time) -> Vec<Notice> {
         let bans = self.bans.iter().map(|(parts, ban)| Notice {
             parts: parts.clone(),
             state: NoticeState::Banned {
-                trial: ban.trial.map(|trial| trial.entry),
+                trial: ban.trial_entry(),
             },
             crashes: ban.crashes,
         });
--- a/crates/site/src/control/bans.rs
+++ b/crates/site/src/control/bans.rs
@@ -50,7 +50,7 @@
 
 fn bans(control: &ControlHost) -> Vec<BanRow> {
     let quarantine = control.quarantine.borrow();
-    let rows = quarantine.published().bans().map(|ban| BanRow {
+    let rows = quarantine.published_bans().map(|ban| BanRow {
         parts: ban.parts.iter().cloned().collect(),
         crashes: ban.crashes,
     });
