A leader that has not heard a process yet keeps its limit

Cause: the leader dropped limits of processes that its roster lacks. After all control hosts restarted, entry hosts report limits before the processes announce themselves again, so the first list had none of them, and all entry hosts sent at will. Change: a limit ends with a later incarnation of the process, or 60 s after the last report if the process isn't heard.

--- a/crates/allot/src/allotment.rs
+++ b/crates/allot/src/allotment.rs
@@ -34,6 +34,10 @@
 /// share. Several times the interval of its reports.
 const WANT_TTL: Duration = Duration::from_secs(3);
 
+/// A limit of a process that the leader doesn't hear is forgotten if no entry host reports it for
+/// this long.
+const UNHEARD_TTL: Duration = Duration::from_secs(60);
+
 /// Reports that were made before a limit ended may come this much later.
 const ENDED_TTL: Duration = Duration::from_secs(10);
 
@@ -51,6 +55,8 @@
 struct Limit {
     rate: RequestRate,
     named_at: Time,
+    /// When an entry host last reported the limit.
+    reported_at: Time,
     /// How many requests a second entry hosts have for the process, and when each last said so.
     wanted_by: BTreeMap<NodeId, (RequestRate, Time)>,
     holders: Vec<ShareHolder>,
@@ -95,6 +101,7 @@
                 let limit = Limit {
                     rate: known.rate,
                     named_at: now,
+                    reported_at: now,
                     wanted_by: holders.collect(),
                     holders: known.holders,
                 };
@@ -129,9 +136,11 @@
         let limit = self.limits.entry(key).or_insert_with(|| Limit {
             rate,
             named_at: at,
+            reported_at: now,
             wanted_by: BTreeMap::new(),
             holders: Vec::new(),
         });
+        limit.reported_at = now;
         if is_named && limit.named_at <= at {
             limit.rate = rate;
             limit.named_at = at;
@@ -141,10 +150,19 @@
         }
     }
 
-    /// Forgets the limits of processes that are gone.
-    pub fn retain_processes(&mut self, is_present: impl Fn(&UpstreamId, Incarnation) -> bool) {
+    /// Forgets the limits of processes that have ended. `heard` is the incarnation in which a
+    /// process is known to run.
+    pub fn forget_ended_processes(
+        &mut self,
+        heard: impl Fn(&UpstreamId) -> Option<Incarnation>,
+        now: Time,
+    ) {
         self.limits
-            .retain(|(process, incarnation), _| is_present(process, *incarnation));
+            .retain(|(process, incarnation), limit| match heard(process) {
+                Some(heard) => heard <= *incarnation,
+                // A leader that has just started hasn't heard all processes yet.
+                None => now.since(limit.reported_at) < UNHEARD_TTL,
+            });
     }
 
     /// Decides anew. Returns whether there is a newer list to publish.
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -172,12 +172,9 @@
 /// Publishes the shares of limits if they have changed.
 fn publish_shares(control: &ControlHost, now: Time) {
     let roster = control.roster.borrow();
-    let is_present = |id: &UpstreamId, incarnation| {
-        let entry = roster.get(id);
-        entry.is_some_and(|entry| entry.announcement.incarnation == incarnation)
-    };
+    let heard = |id: &UpstreamId| Some(roster.get(id)?.announcement.incarnation);
     let mut allotment = control.allotment.borrow_mut();
-    allotment.retain_processes(is_present);
+    allotment.forget_ended_processes(heard, now);
     if allotment.tick(now) {
         let list = allotment.published();
         emit(&Event::SharesPublished {
