Control hosts tell a new leader the limits that they know, a new leader takes no others later

Cause: a leader that has just started knows no limits. Entry hosts that follow another control host don't notice the change, and report only limits that they have requests for, so the first list lacked the others and all entry hosts sent at will. Change: a control host reports the list that it followed to each new leader, which takes over limits that others only know until it has settled. The bans of prompt parts go the same way, which entry hosts report each second as well.

--- a/crates/allot/src/allotment.rs
+++ b/crates/allot/src/allotment.rs
@@ -11,6 +11,7 @@
 use crate::LimitedProcess;
 use crate::ShareHolder;
 use crate::ShareList;
+use crate::share_list::WEIGHTS_PER_REQUEST;
 use base::Incarnation;
 use base::NodeId;
 use base::RequestRate;
@@ -24,9 +25,6 @@
 /// Holders are added until they have this many times the requests that the limit allows.
 const ENOUGH_REQUESTS: f64 = 1.5;
 
-/// Steps of weight for each request a second.
-const WEIGHTS_PER_REQUEST: f64 = 8.0;
-
 /// Weight of the newest report in the moving average of the requests that an entry host has.
 const NEWEST_WEIGHT: f64 = 0.5;
 
@@ -68,6 +66,8 @@
     limits: BTreeMap<ProcessKey, Limit>,
     ended_at: BTreeMap<ProcessKey, Time>,
     term: Option<u64>,
+    /// Until then the leader takes over limits that others only know.
+    settled_at: Time,
     publish_from: Time,
     published: ShareList,
 }
@@ -83,6 +83,13 @@
         self.published.follow(list);
     }
 
+    /// What this control host knows from the list that it followed, for a leader that has begun
+    /// lately.
+    pub fn known_reports(&self) -> Vec<LimitReport> {
+        let limited = self.published.items.iter();
+        limited.flat_map(LimitedProcess::known_reports).collect()
+    }
+
     /// Begins or ends a term as leader. A new leader begins with the limits that it followed.
     pub fn set_term(&mut self, term: Option<u64>, now: Time) {
         if self.term == term {
@@ -92,7 +99,8 @@
         self.limits.clear();
         self.ended_at.clear();
         if term.is_some() {
-            self.publish_from = now + SETTLE_TIME;
+            self.settled_at = now + SETTLE_TIME;
+            self.publish_from = self.settled_at;
             for known in self.published.items.clone() {
                 let holders = known.holders.iter().map(|holder| {
                     let wanted = f64::from(holder.weight) / WEIGHTS_PER_REQUEST;
@@ -133,6 +141,9 @@
             return;
         }
         let is_named = matches!(report.change, LimitChange::Named(_));
+        if !is_named && self.settled_at <= now && !self.limits.contains_key(&key) {
+            return;
+        }
         let limit = self.limits.entry(key).or_insert_with(|| Limit {
             rate,
             named_at: at,
--- a/crates/allot/src/share_list.rs
+++ b/crates/allot/src/share_list.rs
@@ -3,12 +3,17 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::LimitChange;
+use crate::LimitReport;
 use base::Incarnation;
 use base::NodeId;
 use base::RequestRate;
 use base::UpstreamId;
 use fleet::Published;
 
+/// Steps of weight for each request a second.
+pub(crate) const WEIGHTS_PER_REQUEST: f64 = 8.0;
+
 /// A process that named a limit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitedProcess {
@@ -33,6 +38,27 @@
 }
 
 impl LimitedProcess {
+    /// The limit as reports of its holders, or of nobody if it has none.
+    pub(crate) fn known_reports(&self) -> Vec<LimitReport> {
+        let report = |from, wanted| LimitReport {
+            from,
+            process: self.process.clone(),
+            incarnation: self.incarnation,
+            change: LimitChange::Known(self.rate),
+            ms_ago: 0,
+            wanted,
+        };
+        if self.holders.is_empty() {
+            return vec![report(NodeId(0), RequestRate(0.0))];
+        }
+        let holders = self.holders.iter();
+        let reports = holders.map(|holder| {
+            let wanted = f64::from(holder.weight) / WEIGHTS_PER_REQUEST;
+            report(holder.entry, RequestRate(wanted))
+        });
+        reports.collect()
+    }
+
     /// The rate at which an entry host may send to the process.
     pub fn share_of(&self, entry: NodeId) -> RequestRate {
         let total: u32 = self.holders.iter().map(|holder| holder.weight).sum();
--- a/crates/allot/tests/shares.rs
+++ b/crates/allot/tests/shares.rs
@@ -52,6 +52,8 @@
     changes: bool,
     /// Whether the leader changes, and entry hosts restart.
     restarts: bool,
+    /// Whether no requests come for some seconds again and again.
+    pauses: bool,
 }
 
 const SCENARIO: Scenario = Scenario {
@@ -61,6 +63,7 @@
     demand: 12.0,
     changes: false,
     restarts: false,
+    pauses: false,
 };
 
 struct Process {
@@ -102,6 +105,8 @@
     processes: Vec<Process>,
     entries: Vec<Entry>,
     leader: Allotment,
+    /// Another control host, which follows the leader.
+    follower: Allotment,
     term: u64,
     leads_from: Time,
     sent_edition: Edition,
@@ -140,6 +145,7 @@
             rng,
             now: Time::from_millis(1),
             leader: Allotment::default(),
+            follower: Allotment::default(),
             term: 1,
             leads_from: Time::ZERO,
             sent_edition: Edition::default(),
@@ -219,6 +225,7 @@
         let list = self.leader.published().clone();
         if self.sent_edition < list.edition {
             self.sent_edition = list.edition;
+            self.follower.follow(list.clone());
             for entry in 0..self.cfg.entries {
                 let at = self.now + self.delay();
                 let message = Message::ToEntry(entry, list.clone());
@@ -248,10 +255,11 @@
                 next.follow(self.leader.published().clone());
             }
             self.leader = next;
-            for entry in &mut self.entries {
-                entry.guard.report_again();
-                entry.reported_at = Time::ZERO;
-            }
+            // Entry hosts follow other control hosts, and don't notice.
+            let at = self.leads_from + self.delay();
+            let known = self.follower.known_reports().into_iter();
+            self.messages
+                .extend(known.map(|report| (at, Message::ToLeader(report))));
         }
         if self.cfg.restarts && self.chance(0.1) {
             let index = self.rng.usize(0..self.entries.len());
@@ -264,6 +272,9 @@
     }
 
     fn send_requests(&mut self) {
+        if self.cfg.pauses && self.now.0 / 1_000_000 % 12 < 7 {
+            return;
+        }
         for entry in 0..self.cfg.entries {
             for process in 0..self.cfg.processes {
                 let rate = self.cfg.demand * self.entries[entry].share_of_callers;
@@ -333,7 +344,7 @@
             self.entries[index].reported_at = self.now;
             let reports = self.entries[index].guard.take_reports(self.now);
             let is_lost = self.rng.f64() < 0.03;
-            if is_lost {
+            if is_lost && !reports.is_empty() {
                 // The call fails, and the entry host knows.
                 self.entries[index].guard.report_again();
                 continue;
@@ -419,6 +430,18 @@
     println!("restarts: {worst:.1} above the bound, {used:.2} used");
 }
 
+#[test]
+fn limits_are_kept_over_a_change_of_leader_while_no_requests_come() {
+    let cfg = Scenario {
+        restarts: true,
+        pauses: true,
+        demand: 150.0,
+        ..SCENARIO
+    };
+    let (worst, _) = play(cfg, 100);
+    println!("pauses: {worst:.1} above the bound");
+}
+
 #[test]
 fn simpler_policies_break_the_bound_or_waste_the_limit() {
     for policy in [Policy::Alone, Policy::EqualParts, Policy::Shared] {
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -79,6 +79,15 @@
         self.published.items.iter().filter(|notice| notice.is_ban())
     }
 
+    /// What this control host knows from the list that it followed, for a leader that has begun
+    /// lately.
+    pub fn known_evidence(&self) -> Evidence {
+        Evidence {
+            known: self.published_bans().cloned().collect(),
+            ..Evidence::default()
+        }
+    }
+
     /// Begins or ends a term as leader. A new leader begins with the bans that it followed.
     pub fn set_term(&mut self, term: Option<u64>, now: Time) {
         if self.term == term {
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -117,6 +117,9 @@
     update: WatchUpdate,
     asked_at: Time,
 ) {
+    if state.incarnation != update.incarnation {
+        tell_new_leader(control);
+    }
     state.incarnation = update.incarnation;
     state.revision = update.revision;
     control.confirmed_at.set(Some(asked_at));
@@ -156,6 +159,20 @@
     }
 }
 
+/// Has the lists that this control host followed reported to the leader, which may have started
+/// after they were published.
+fn tell_new_leader(control: &ControlHost) {
+    let known = FleetReport {
+        evidence: control.quarantine.borrow().known_evidence(),
+        limits: control.allotment.borrow().known_reports(),
+    };
+    if !known.is_empty() {
+        let mut unsent = control.unsent_reports.borrow_mut();
+        unsent.push((clock::now(), known));
+        control.observations_added.notify_waiters();
+    }
+}
+
 /// Sends observations to the leader, for as long as the process runs.
 pub(crate) async fn send_observations(control: Rc<ControlHost>) {
     let mut has_more = false;
