--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,6 +5,7 @@
 //! file, clock or unseeded randomness.
 
 mod contract;
+mod digest;
 mod finding;
 mod host;
 mod id;
@@ -16,6 +17,7 @@
 pub use contract::Contract;
 pub use contract::Overflow;
 pub use contract::Priority;
+pub use digest::Digest;
 pub use finding::Finding;
 pub use finding::Findings;
 pub use finding::SourceLocation;
--- a/crates/bench/src/order/claim.rs
+++ b/crates/bench/src/order/claim.rs
@@ -8,12 +8,12 @@
 use super::voters::SyncMode;
 use super::voters::Voters;
 use crate::report::Table;
+use base::Digest;
 use base::Incarnation;
 use base::NodeId;
 use state::AttemptId;
 use state::Claim;
 use state::Command;
-use state::Digest;
 use state::LogTime;
 use state::Op;
 
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -18,6 +18,7 @@
 use crate::node::Node;
 use crate::problem::Problem;
 use crate::problem_kind::ProblemKind;
+use base::Digest;
 use base::OrderKey;
 use base::Ran;
 use base::ServiceName;
@@ -35,7 +36,6 @@
 use quorum::clock;
 use rules::Repeat;
 use rules::Service;
-use state::Digest;
 use state::StoredAnswer;
 use state::StoredBody;
 
--- a/crates/order/src/call.rs
+++ b/crates/order/src/call.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
+use base::Digest;
 use base::OrderKey;
 use base::OrgName;
 use base::Ran;
 use base::ServiceName;
-use state::Digest;
 
 /// The time after a call was accepted within which it may be sent.
 pub const SEND_WINDOW: Duration = Duration::from_secs(2);
--- a/crates/order/tests/attempt.rs
+++ b/crates/order/tests/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::Digest;
 use base::Incarnation;
 use base::NodeId;
 use base::Ran;
@@ -22,7 +23,6 @@
 use order::Refusal;
 use order::Sent;
 use state::ClaimReply;
-use state::Digest;
 use state::KeyStatus;
 use state::LogTime;
 use state::Op;
--- a/crates/order/tests/schedules.rs
+++ b/crates/order/tests/schedules.rs
@@ -12,6 +12,7 @@
 use crate::world::Faults;
 use crate::world::World;
 use crate::world::millis;
+use base::Digest;
 use base::OrderKey;
 use base::OrgName;
 use base::Ran;
@@ -22,7 +23,6 @@
 use order::KeyTerms;
 use order::OtherCalls;
 use order::OutcomeQuery;
-use state::Digest;
 use state::KeyStatus;
 
 const RETENTION: Duration = Duration::from_secs(86_400);
--- a/crates/state/src/claim.rs
+++ b/crates/state/src/claim.rs
@@ -7,10 +7,10 @@
 use serde::Serialize;
 
 use crate::AttemptId;
-use crate::Digest;
 use crate::KeyStatus;
 use crate::LogTime;
 use crate::StoredAnswer;
+use base::Digest;
 use base::OrderKey;
 use base::OrgName;
 use base::ServiceName;
--- a/crates/state/src/config_register.rs
+++ b/crates/state/src/config_register.rs
@@ -16,9 +16,9 @@
 use crate::ConfigChangeReply;
 use crate::ConfigOffer;
 use crate::ConfigOfferReply;
-use crate::Digest;
 use crate::Limits;
 use base::ChangeId;
+use base::Digest;
 use base::Version;
 
 /// The change that became a version.
--- a/crates/state/src/key_record.rs
+++ b/crates/state/src/key_record.rs
@@ -8,11 +8,11 @@
 
 use crate::AttemptId;
 use crate::Claim;
-use crate::Digest;
 use crate::KEY_CLOSED_FOR;
 use crate::KeyStatus;
 use crate::LogTime;
 use crate::StoredAnswer;
+use base::Digest;
 use base::OrderKey;
 use base::ServiceName;
 
--- a/crates/state/tests/ledger.rs
+++ b/crates/state/tests/ledger.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::Digest;
 use base::Incarnation;
 use base::NodeId;
 use base::OrderKey;
@@ -14,7 +15,6 @@
 use state::Claim;
 use state::ClaimReply;
 use state::Command;
-use state::Digest;
 use state::KEY_CLOSED_FOR;
 use state::KeyStatus;
 use state::Limits;
