Events 2500, 2501 and 2502 name a digest of the request

The log could not tell whether the requests under which processes of a plain service ended were one and the same (hypotheses 1 and 3 of docs/incidents/one-request-that-ends-replicas.md). Attempt ids, time budgets and other headers don't count. Nothing decides by it yet.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -11,6 +11,7 @@
 mod id;
 mod name;
 mod rate;
+mod request_part;
 mod time;
 mod truth;
 
@@ -56,5 +57,9 @@
 pub use rate::RequestRate;
 pub use rate::TokenCount;
 pub use rate::TokenRate;
+pub use request_part::RequestContent;
+pub use request_part::RequestDigest;
+pub use request_part::RequestPart;
+pub use request_part::RequestPartError;
 pub use time::Time;
 pub use truth::Ran;
--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -76,6 +76,7 @@
         attempts: 0,
         version: entry.version.get(),
         age_ms: entry.confirmed_ago().as_millis(),
+        parts: String::new(),
     });
 }
 
@@ -154,9 +155,8 @@
     Ok(RequestForwarder {
         request: OutboundRequest {
             prompt_secs,
-            shared_parts: shared_parts.into(),
             is_trial,
-            ..OutboundRequest::from_caller(head, body, names, organisation.as_ref())
+            ..OutboundRequest::from_caller(head, body, names, organisation.as_ref(), shared_parts)
         },
         id: attempt_id(entry, head),
         labels: RequestLabels {
--- a/crates/site/src/entry/outbound.rs
+++ b/crates/site/src/entry/outbound.rs
@@ -17,6 +17,9 @@
 use crate::platform::Headers;
 use base::OrgName;
 use base::PromptPartId;
+use base::RequestContent;
+use base::RequestDigest;
+use base::RequestPart;
 use base::UpstreamId;
 use quorum::clock;
 
@@ -43,6 +46,8 @@
     pub prompt_secs: f64,
     /// The prompt's parts that other requests may share.
     pub shared_parts: Rc<[PromptPartId]>,
+    /// What the request is known by: these parts, and all of it.
+    pub parts: Rc<[RequestPart]>,
     /// Whether the request is sent to find out whether a ban is still needed.
     pub is_trial: bool,
 }
@@ -55,7 +60,10 @@
         body: Bytes,
         names: &Headers,
         organisation: Option<&OrgName>,
+        shared_parts: Vec<PromptPartId>,
     ) -> Self {
+        let digest = RequestPart::Whole(digest(head, &body, organisation));
+        let parts = shared_parts.iter().cloned().map(RequestPart::Prompt);
         let mut headers = end_to_end(&head.headers);
         for name in [&names.target, &names.organisation, &names.deadline] {
             headers.remove(name);
@@ -78,7 +86,8 @@
             headers,
             body,
             prompt_secs: 0.0,
-            shared_parts: Rc::default(),
+            parts: parts.chain([digest]).collect(),
+            shared_parts: shared_parts.into(),
             is_trial: false,
         }
     }
@@ -115,6 +124,24 @@
     }
 }
 
+/// The digest of a request. Headers don't count: some differ between repetitions.
+fn digest(
+    head: &http::request::Parts,
+    body: &[u8],
+    organisation: Option<&OrgName>,
+) -> RequestDigest {
+    let host = head.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
+    let path = head.uri.path_and_query();
+    RequestDigest::of(&RequestContent {
+        organisation,
+        method: head.method.as_str(),
+        host: &host.to_ascii_lowercase(),
+        path: path.map_or("", |path| path.as_str()),
+        body,
+    })
+}
+
 /// The headers that concern more than one connection (end-to-end headers).
 pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<String> = headers
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -184,7 +184,7 @@
             why: error.why.to_owned(),
             next: next.to_string(),
             left_ms: self.deadline.since(now).as_millis(),
-            parts: join_parts(self.request.shared_parts.iter()),
+            parts: join_parts(&*self.request.parts),
         });
         let is_expired = self.deadline <= now;
         match next {
@@ -350,7 +350,7 @@
             first_ms: first.as_millis(),
             total_ms: total.as_millis(),
             late: punctuality.text(),
-            parts: join_parts(self.request.shared_parts.iter()),
+            parts: join_parts(&*self.request.parts),
         });
     }
 
@@ -367,6 +367,7 @@
             attempts: self.attempts,
             version: self.entry.version.get(),
             age_ms: self.entry.confirmed_ago().as_millis(),
+            parts: join_parts(&*self.request.parts),
         });
         let left = self.deadline.since(clock::now());
         refusal.response(&self.entry, Some(left))
--- a/crates/site/src/events.rs
+++ b/crates/site/src/events.rs
@@ -1,11 +1,11 @@
 //! The numbered events in a deployment's log. `docs/EVENTS.md` lists them.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::path::Path;
 
 use base::CentreName;
 use base::NodeId;
-use base::PromptPartId;
 use base::ReplicaName;
 use base::RouteName;
 use base::ServiceName;
@@ -13,9 +13,11 @@
 use base::Version;
 use fleet::Edition;
 
-/// The ids of prompt parts, for the log.
-pub(crate) fn join_parts<'a>(parts: impl IntoIterator<Item = &'a PromptPartId>) -> String {
-    let ids: Vec<&str> = parts.into_iter().map(PromptPartId::as_str).collect();
+/// The parts by which requests are known, for the log.
+pub(crate) fn join_parts<'a, Part: Display + 'a>(
+    parts: impl IntoIterator<Item = &'a Part>,
+) -> String {
+    let ids: Vec<String> = parts.into_iter().map(Part::to_string).collect();
     ids.join(",")
 }
 
@@ -82,8 +84,8 @@
         "shares of the limits that upstreams name were published edition={edition:?} limited={limited}";
     2500 Info Answered { id: &'a str, route: &'a RouteName, target: &'a UpstreamId, status: u16, attempts: u32, first_ms: u128, total_ms: u128, late: &'a str, parts: String }
         "answered id={id} route={route} target={target} status={status} attempts={attempts} first_ms={first_ms} total_ms={total_ms} late={late} parts={parts}";
-    2501 Info Refused { id: &'a str, route: &'a str, status: u16, why: &'a str, waited_ms: u128, attempts: u32, version: Version, age_ms: u128 }
-        "refused id={id} route={route} status={status} why={why:?} waited_ms={waited_ms} attempts={attempts} version={version} confirmed_ms_ago={age_ms}";
+    2501 Info Refused { id: &'a str, route: &'a str, status: u16, why: &'a str, waited_ms: u128, attempts: u32, version: Version, age_ms: u128, parts: String }
+        "refused id={id} route={route} status={status} why={why:?} waited_ms={waited_ms} attempts={attempts} version={version} confirmed_ms_ago={age_ms} parts={parts}";
     2502 Info AttemptFailed { id: &'a str, target: &'a UpstreamId, failure: String, why: String, next: String, left_ms: u128, parts: String }
         "attempt failed id={id} target={target} failure={failure} why={why:?} next={next} left_ms={left_ms} parts={parts}";
     2503 Info Resumed { id: &'a str, from: &'a UpstreamId, to: &'a UpstreamId, after: Option<u64> }
