Requests are known by a digest too, and a repeated one that ends upstreams is banned

Cause: what the fleet knows of a request was only the shared parts of its prompt. One to a plain service, or one without parts, left no evidence (RequestForwarder::record_crash), so nothing outlived each attempt.

Change: quarantine decides on parts of requests, a shared part of the prompt or the digest of the whole request, by the one ledger and the one published list. Answers speak for it, failures of the upstream among them. A break within the body of an answer counts as one before its head.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -8,7 +8,7 @@
 use base::NodeId;
 use base::OrderKey;
 use base::OrgName;
-use base::PromptPartId;
+use base::RequestPart;
 use base::Version;
 
 /// Configures and inspects berylbay.
@@ -49,7 +49,7 @@
     Status(StatusArgs),
     #[options(help = "show the record of an order, a call under an idempotency key")]
     Order(OrderArgs),
-    #[options(help = "show the prompt parts that a deployment bans, or lift a ban")]
+    #[options(help = "show the requests that a deployment bans, or lift a ban")]
     Bans(BansArgs),
     #[options(help = "show the voters that hold the durable state, or change one member")]
     Voters(VotersArgs),
@@ -113,7 +113,7 @@
         no_short,
         help = "lift the ban of this part; if the ban has several, repeat it for each"
     )]
-    pub lift: Vec<PromptPartId>,
+    pub lift: Vec<RequestPart>,
 }
 
 /// Options of `voters`.
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -7,7 +7,6 @@
 use crate::table;
 use base::Findings;
 use base::NodeId;
-use base::PromptPartId;
 use wire::deployment::BanRow;
 use wire::operator::ClassRow;
 use wire::operator::NodeRow;
@@ -87,14 +86,14 @@
     table::print(&["state", "status"], &[vec![record.state.clone(), status]]);
 }
 
-/// Prints the bans of prompt parts.
+/// Prints the bans of requests.
 pub fn print_bans(bans: &[BanRow]) {
     let rows: Vec<_> = bans.iter().map(ban_row).collect();
     table::print(&["parts", "ended processes"], &rows);
 }
 
 fn ban_row(ban: &BanRow) -> Vec<String> {
-    let parts: Vec<&str> = ban.parts.iter().map(PromptPartId::as_str).collect();
+    let parts: Vec<String> = ban.parts.iter().map(ToString::to_string).collect();
     vec![parts.join(" "), ban.crashes.to_string()]
 }
 
--- a/crates/quarantine/src/ban.rs
+++ b/crates/quarantine/src/ban.rs
@@ -20,6 +20,9 @@
 /// A trial that nothing came of after this long counts as made.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// A process that goes on is heard within this time, because it announces itself.
+const CONFIRM_TIME: Duration = Duration::from_secs(10);
+
 /// Why a ban ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 pub enum LiftReason {
@@ -32,17 +35,32 @@
     /// Another ban holds for all its requests.
     #[display("another ban replaces it")]
     Replaced,
+    /// Processes that were taken for ended go on.
+    #[display("the upstreams go on")]
+    Unfounded,
     /// An operator lifted it.
     #[display("lifted by an operator")]
     Operator,
 }
 
+/// Where a leader has a ban from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BanOrigin {
+    /// It decided the ban from evidence that it has.
+    Decided,
+    /// It heard of the ban when its term began.
+    TakenOver,
+}
+
 /// A ban in force.
 #[derive(Clone, Debug)]
 pub(crate) struct Ban {
     pub crashes: u32,
     /// When the first of the processes ended that the ban rests on.
     pub since: Time,
+    pub origin: BanOrigin,
+    /// When the leader decided or took over the ban.
+    began_at: Time,
     pub last_refused_at: Time,
     /// The entry host that refused the last request.
     pub refused_by: Option<NodeId>,
@@ -59,10 +77,12 @@
 }
 
 impl Ban {
-    pub fn new(crashes: u32, since: Time, now: Time) -> Self {
+    pub fn new(origin: BanOrigin, crashes: u32, since: Time, now: Time) -> Self {
         Self {
             crashes,
             since,
+            origin,
+            began_at: now,
             last_refused_at: now,
             refused_by: None,
             trials: 0,
@@ -71,6 +91,12 @@
         }
     }
 
+    /// Whether the processes that the ban rests on may still be heard, if they go on. Of a ban
+    /// that was taken over, the evidence isn't known here.
+    pub fn may_be_unfounded(&self, now: Time) -> bool {
+        self.origin == BanOrigin::Decided && now.since(self.began_at) < CONFIRM_TIME
+    }
+
     /// The entry host that may send one request now.
     pub fn trial_entry(&self) -> Option<NodeId> {
         self.trial.map(|trial| trial.entry)
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -9,7 +9,7 @@
 use crate::PartSet;
 use base::Incarnation;
 use base::NodeId;
-use base::PromptPartId;
+use base::RequestPart;
 use base::UpstreamId;
 
 /// A request that was at an upstream process when its connection broke, before its answer had
@@ -43,7 +43,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SoundPart {
     /// The part.
-    pub part: PromptPartId,
+    pub part: RequestPart,
     /// How long ago an answer to a request with the part went on, in milliseconds.
     pub answered_ms_ago: u64,
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,9 +1,11 @@
-//! Finds parts of prompts that end the upstreams which answer them, and bans requests with them.
+//! Finds requests that end the upstreams which answer them, and bans them.
 //!
-//! A replica runs many requests at once, so its end tells little about any of them. What tells
-//! is the sequence: a part is suspected if one replica after the other ends with a request that
-//! has it, and no request that has it is answered. The load under which this decides is a normal
-//! one plus a few requests that each end a replica; ordinary losses of hosts must not suffice.
+//! A request is known by the shared parts of its prompt and by a digest of all of it, which only
+//! its repetitions share. A process runs many requests at once, so its end tells little about
+//! any of them. What tells is that it happens again: a part is suspected if one process after the
+//! other ends with a request that has it, and no request that has it is answered. The load under
+//! which this decides is a normal one plus a few requests that each end a process; ordinary
+//! losses of hosts must not suffice, nor connections that break while their process goes on.
 //!
 //! - [`PartGuard`], at each entry host, collects evidence and checks requests.
 //! - [`Quarantine`], at the leading control host, decides from the evidence of all entry hosts.
--- a/crates/quarantine/src/notice.rs
+++ b/crates/quarantine/src/notice.rs
@@ -1,4 +1,4 @@
-//! What the leader tells all entry hosts about suspected and banned parts.
+//! What the leader tells all entry hosts about suspected and banned requests.
 
 use std::collections::BTreeSet;
 
@@ -6,11 +6,11 @@
 use serde::Serialize;
 
 use base::NodeId;
-use base::PromptPartId;
+use base::RequestPart;
 use fleet::Published;
 
-/// A set of prompt parts.
-pub type PartSet = BTreeSet<PromptPartId>;
+/// A set of parts of requests.
+pub type PartSet = BTreeSet<RequestPart>;
 
 /// What is known of a set of parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,7 +32,7 @@
     pub parts: PartSet,
     /// What is known of them.
     pub state: NoticeState,
-    /// Upstream processes that ended one after the other.
+    /// Upstream processes that ended.
     pub crashes: u32,
 }
 
@@ -43,7 +43,7 @@
     }
 
     /// Whether the notice holds for a request with these parts.
-    pub fn covers(&self, parts: &[PromptPartId]) -> bool {
+    pub fn covers(&self, parts: &[RequestPart]) -> bool {
         !self.parts.is_empty() && self.parts.iter().all(|part| parts.contains(part))
     }
 }
--- a/crates/quarantine/src/part_guard.rs
+++ b/crates/quarantine/src/part_guard.rs
@@ -14,7 +14,7 @@
 use crate::SoundPart;
 use base::Incarnation;
 use base::NodeId;
-use base::PromptPartId;
+use base::RequestPart;
 use base::Time;
 use base::UpstreamId;
 
@@ -83,7 +83,7 @@
     own_crashes: VecDeque<OwnCrash>,
     refusals: BTreeMap<PartSet, Refusals>,
     /// When parts were last reported as answered.
-    sound_reported_at: BTreeMap<PromptPartId, Time>,
+    sound_reported_at: BTreeMap<RequestPart, Time>,
     /// Bans for which this entry host has used its trial.
     used_trials: Vec<PartSet>,
     /// When the known bans were last reported.
@@ -120,12 +120,12 @@
     }
 
     /// Whether a request with these parts is banned now.
-    pub fn is_banned(&self, parts: &[PromptPartId], now: Time) -> bool {
+    pub fn is_banned(&self, parts: &[RequestPart], now: Time) -> bool {
         self.bans(now).any(|ban| ban.covers(parts))
     }
 
     /// Checks a new request, and takes the trial of its ban if this entry host is to make one.
-    pub fn admit(&mut self, parts: &[PromptPartId], now: Time) -> Admission {
+    pub fn admit(&mut self, parts: &[RequestPart], now: Time) -> Admission {
         let Some(ban) = self.bans(now).find(|ban| ban.covers(parts)).cloned() else {
             return Admission::Allowed;
         };
@@ -141,7 +141,7 @@
 
     /// Whether a request that broke may be sent again. One with suspected parts may not: it
     /// may end the next upstream.
-    pub fn may_repeat(&self, parts: &[PromptPartId], now: Time) -> bool {
+    pub fn may_repeat(&self, parts: &[RequestPart], now: Time) -> bool {
         let is_suspected = |notice: &Notice| {
             let mut suspects = notice.parts.iter();
             notice.covers(parts) && !suspects.any(|part| self.ledger.is_sound(part, now))
@@ -153,7 +153,7 @@
     pub fn record_crash(
         &mut self,
         (host, incarnation): (&UpstreamId, Incarnation),
-        parts: &[PromptPartId],
+        parts: &[RequestPart],
         sent_at: Time,
         now: Time,
     ) {
@@ -178,7 +178,7 @@
 
     /// Records that the answer to a request with these parts went on. Returns whether this is to
     /// be reported, because one of them is suspected.
-    pub fn record_sound(&mut self, parts: &[PromptPartId], now: Time) -> bool {
+    pub fn record_sound(&mut self, parts: &[RequestPart], now: Time) -> bool {
         for part in parts {
             self.ledger.record_sound(part, now);
         }
@@ -187,7 +187,7 @@
     }
 
     /// Whether the part was not reported as answered a moment ago.
-    fn is_sound_report_due(&self, part: &PromptPartId, now: Time) -> bool {
+    fn is_sound_report_due(&self, part: &RequestPart, now: Time) -> bool {
         let reported_at = self.sound_reported_at.get(part);
         reported_at.is_none_or(|at| SOUND_INTERVAL <= now.since(*at))
     }
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -11,9 +11,14 @@
 use crate::PartSet;
 use crate::Suspicion;
 use crate::ban::Ban;
+use crate::ban::BanOrigin;
 use crate::ban::LiftReason;
-use base::PromptPartId;
+use crate::ledger::MAX_CRASHES_SOUND;
+use crate::ledger::SOUND_TTL;
+use base::Incarnation;
+use base::RequestPart;
 use base::Time;
+use base::UpstreamId;
 
 /// The most bans at once.
 const MAX_BANS: usize = 64;
@@ -27,6 +32,10 @@
 /// A ban ends once no request with its parts has come for this long.
 const UNUSED_BAN_TTL: Duration = Duration::from_secs(300);
 
+/// A ban that rests on fewer ends is lifted. Fewer than a ban needs to begin, because each time that
+/// a ban is lifted by mistake ends further processes.
+const MIN_CRASHES_KEPT: u32 = 2;
+
 /// Time between two decisions while no evidence comes.
 const DECISION_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -59,6 +68,8 @@
     publish_from: Time,
     decided_at: Time,
     has_new_evidence: bool,
+    /// Whether processes that were taken for ended were heard since the last decision.
+    has_retracted: bool,
     published: NoticeList,
     events: Vec<QuarantineEvent>,
 }
@@ -125,13 +136,26 @@
         }
     }
 
+    /// The processes that are taken for ended.
+    pub fn ended_processes(&self) -> Vec<(UpstreamId, Incarnation)> {
+        let processes = self.ledger.processes();
+        let processes = processes.map(|(host, incarnation)| (host.clone(), incarnation));
+        processes.collect()
+    }
+
+    /// Records when a process was last heard. If connections broke before though it had not
+    /// ended, nothing follows from them.
+    pub fn record_alive(&mut self, host: &UpstreamId, incarnation: Incarnation, at: Time) {
+        self.has_retracted |= self.ledger.record_alive(host, incarnation, at);
+    }
+
     /// Decides anew. Returns whether there is a newer list to publish.
     pub fn tick(&mut self, now: Time) -> bool {
         let Some(term) = self.term else {
             return false;
         };
         let is_due = DECISION_INTERVAL <= now.since(self.decided_at);
-        if !is_due && !self.has_new_evidence {
+        if !is_due && !self.has_new_evidence && !self.has_retracted {
             return false;
         }
         self.decided_at = now;
@@ -141,6 +165,9 @@
             self.has_new_evidence = true;
             return false;
         }
+        if std::mem::take(&mut self.has_retracted) {
+            self.lift_unfounded_bans(now);
+        }
         self.lift_ended_bans(now);
         self.ban_due_parts(now);
         for (parts, ban) in &mut self.bans {
@@ -172,11 +199,11 @@
                 crashes,
                 since,
             };
-            self.begin_ban(known, now);
+            self.begin_ban(known, BanOrigin::TakenOver, now);
         }
     }
 
-    fn begin_ban(&mut self, suspicion: Suspicion, now: Time) {
+    fn begin_ban(&mut self, suspicion: Suspicion, origin: BanOrigin, now: Time) {
         let Suspicion {
             parts,
             crashes,
@@ -189,7 +216,8 @@
             parts: parts.clone(),
             crashes,
         });
-        self.bans.insert(parts, Ban::new(crashes, since, now));
+        self.bans
+            .insert(parts, Ban::new(origin, crashes, since, now));
     }
 
     fn end_ban(&mut self, parts: &PartSet, why: LiftReason) -> bool {
@@ -201,6 +229,20 @@
         is_ended
     }
 
+    /// Lifts new bans that too few ends speak for, because some were none.
+    fn lift_unfounded_bans(&mut self, now: Time) {
+        let recent = self
+            .bans
+            .iter()
+            .filter(|(_, ban)| ban.may_be_unfounded(now));
+        let unfounded =
+            recent.filter(|(parts, _)| self.ledger.count_crashes(parts, now) < MIN_CRASHES_KEPT);
+        let unfounded: Vec<PartSet> = unfounded.map(|(parts, _)| parts.clone()).collect();
+        for parts in unfounded {
+            self.end_ban(&parts, LiftReason::Unfounded);
+        }
+    }
+
     fn lift_ended_bans(&mut self, now: Time) {
         let refuted = self.bans.iter().filter_map(|(parts, ban)| {
             let refuted = self.refuted_parts(parts, ban);
@@ -218,7 +260,7 @@
                     crashes,
                     since,
                 };
-                self.begin_ban(narrowed, now);
+                self.begin_ban(narrowed, ban.origin, now);
             }
         }
         let bans = self.bans.iter();
@@ -230,11 +272,16 @@
     }
 
     /// The parts of a ban that a request was answered with since the first end that the ban
-    /// rests on: the ends were not one after the other without an answer.
+    /// rests on, so that the ends were not one after the other without an answer; or shortly
+    /// before it, if the ban rests on fewer ends than that asks for.
     fn refuted_parts(&self, parts: &PartSet, ban: &Ban) -> PartSet {
-        let is_refuted = |part: &&PromptPartId| {
+        let sound_since = match ban.crashes < MAX_CRASHES_SOUND {
+            true => ban.since - SOUND_TTL,
+            false => ban.since,
+        };
+        let is_refuted = |part: &&RequestPart| {
             let answered_at = self.ledger.answered_at(part);
-            answered_at.is_some_and(|at| ban.since < at)
+            answered_at.is_some_and(|at| sound_since < at)
         };
         parts.iter().filter(is_refuted).cloned().collect()
     }
@@ -243,7 +290,7 @@
         let banned: Vec<PartSet> = self.bans.keys().cloned().collect();
         for suspicion in self.ledger.due_bans(&banned, now) {
             self.replace_narrower_bans(&suspicion.parts);
-            self.begin_ban(suspicion, now);
+            self.begin_ban(suspicion, BanOrigin::Decided, now);
         }
     }
 
--- a/crates/quarantine/src/sound_parts.rs
+++ b/crates/quarantine/src/sound_parts.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use base::PromptPartId;
+use base::RequestPart;
 use base::Time;
 
 /// The times of the last answers, of a bounded number of parts. The part that was answered
 /// longest ago is forgotten first.
 #[derive(Clone, Debug)]
 pub(crate) struct SoundParts {
-    answered_at: BTreeMap<PromptPartId, Time>,
+    answered_at: BTreeMap<RequestPart, Time>,
     max_parts: usize,
 }
 
@@ -22,7 +22,7 @@
     }
 
     /// Records that an answer to a request with the part went on at this time.
-    pub fn record(&mut self, part: &PromptPartId, at: Time) {
+    pub fn record(&mut self, part: &RequestPart, at: Time) {
         match self.answered_at.get_mut(part) {
             Some(known) => *known = at.max(*known),
             None => {
@@ -33,7 +33,7 @@
     }
 
     /// When a request with the part was last answered, if it is remembered.
-    pub fn answered_at(&self, part: &PromptPartId) -> Option<Time> {
+    pub fn answered_at(&self, part: &RequestPart) -> Option<Time> {
         self.answered_at.get(part).copied()
     }
 
--- a/crates/quarantine/tests/bans.rs
+++ b/crates/quarantine/tests/bans.rs
@@ -4,7 +4,7 @@
 
 use base::Incarnation;
 use base::NodeId;
-use base::PromptPartId;
+use base::RequestPart;
 use base::Time;
 use base::UpstreamId;
 use quarantine::Admission;
@@ -20,7 +20,7 @@
     ended: u32,
 }
 
-fn parts(ids: &[&str]) -> Vec<PromptPartId> {
+fn parts(ids: &[&str]) -> Vec<RequestPart> {
     ids.iter().map(|id| id.parse().unwrap()).collect()
 }
 
--- a/crates/quarantine/tests/fatal_parts.rs
+++ b/crates/quarantine/tests/fatal_parts.rs
@@ -7,6 +7,7 @@
 use world::Outcome;
 use world::Policy;
 use world::Scenario;
+use world::Service;
 use world::World;
 
 const SPAN: Duration = Duration::from_secs(40);
@@ -153,3 +154,90 @@
     assert!(ALLOWED_LATE < mean(Policy::Alone, |outcome| outcome.late_fatal));
     assert!(ALLOWED_LATE < mean(Policy::NoRepeat, |outcome| outcome.late_fatal));
 }
+
+/// A plain service and one request that ends each of its processes.
+fn one_fatal_request() -> Scenario {
+    Scenario {
+        service: Service::Plain,
+        is_one_request: true,
+        allowed_ends: 3,
+        fatal: vec![vec![]],
+        fatal_parts: vec![],
+        popular_share: 0.3,
+        ..Scenario::default()
+    }
+}
+
+#[test]
+fn one_fatal_request_is_banned_in_time_however_many_processes_its_service_has() {
+    for replicas in [2, 3, 8, 20] {
+        for fatal_per_sec in [0.1, 1.0, 6.0, 30.0] {
+            let scenario = Scenario {
+                replicas,
+                fatal_per_sec,
+                ..one_fatal_request()
+            };
+            for outcome in check(&scenario, 20) {
+                assert_eq!(outcome.false_bans, [], "{outcome:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn one_fatal_request_that_comes_to_several_entry_hosts_at_once_is_banned_in_time() {
+    for (replicas, fatal_burst) in [(3, 3), (3, 8), (8, 5), (20, 12)] {
+        let scenario = Scenario {
+            replicas,
+            fatal_burst,
+            fatal_per_sec: 0.3,
+            ..one_fatal_request()
+        };
+        for outcome in check(&scenario, 40) {
+            assert_eq!(outcome.false_bans, [], "{outcome:?}");
+        }
+    }
+}
+
+#[test]
+fn one_fatal_request_for_a_model_is_banned_beside_those_that_share_its_parts() {
+    let scenario = Scenario {
+        service: Service::Engine,
+        fatal: vec![vec!["common", "kind1"]],
+        ..one_fatal_request()
+    };
+    for outcome in check(&scenario, 60) {
+        assert_eq!(outcome.false_bans, [], "{outcome:?}");
+    }
+}
+
+#[test]
+fn ordinary_ends_and_broken_connections_ban_no_request() {
+    for service in [Service::Plain, Service::Engine] {
+        let scenario = Scenario {
+            service,
+            fatal_per_sec: 0.0,
+            ordinary_ends: true,
+            breaks_per_sec: 5.0,
+            popular_share: 0.3,
+            ..Scenario::default()
+        };
+        for seed in seeds(100) {
+            let outcome = World::new(scenario.clone(), seed).run(SPAN);
+            assert_eq!(outcome.false_bans, [], "seed {seed}: {outcome:?}");
+        }
+    }
+}
+
+#[test]
+fn the_ban_of_one_request_survives_changes_of_leader_and_restarts_of_entry_hosts() {
+    let scenario = Scenario {
+        replicas: 8,
+        ordinary_ends: true,
+        restarts: true,
+        breaks_per_sec: 2.0,
+        loss: 0.1,
+        ..one_fatal_request()
+    };
+    check(&scenario, 200);
+}
--- a/crates/quarantine/tests/world/mod.rs
+++ b/crates/quarantine/tests/world/mod.rs
@@ -9,7 +9,9 @@
 
 use base::Incarnation;
 use base::NodeId;
-use base::PromptPartId;
+use base::RequestContent;
+use base::RequestDigest;
+use base::RequestPart;
 use base::Time;
 use base::UpstreamId;
 use quarantine::Admission;
@@ -24,19 +26,53 @@
 /// The time within which entry hosts must know a part that ends replicas.
 pub const CONTACT: Duration = Duration::from_secs(3);
 
-/// Ends of replicas that are allowed before.
-const ALLOWED_ENDS: usize = 5;
-
 /// How long a replica is gone after its end.
 const DOWNTIME: Duration = Duration::from_millis(3_000);
 
-/// From the first token of a request with a fatal part to the end of the replica.
-const TIME_TO_CRASH: Duration = Duration::from_millis(80);
+/// Time between two announcements of a replica.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1_200);
+
+/// What serves the requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Service {
+    /// Replicas of a model. Requests share parts of their prompts.
+    Engine,
+    /// Processes of a plain service. Requests share no parts.
+    Plain,
+}
 
-/// An answer that goes on this long is reported as sound.
-const SETTLE_TIME: Duration = Duration::from_millis(500);
+impl Service {
+    /// From the begin of a fatal request to the end of its replica.
+    fn time_to_crash(self) -> Duration {
+        Duration::from_millis(match self {
+            Self::Engine => 80,
+            Self::Plain => 10,
+        })
+    }
 
-const ANSWER_TIME: Duration = Duration::from_millis(1_500);
+    /// An answer that goes on this long is reported as sound.
+    fn settle_time(self) -> Duration {
+        Duration::from_millis(match self {
+            Self::Engine => 500,
+            Self::Plain => 30,
+        })
+    }
+
+    fn answer_time(self) -> Duration {
+        Duration::from_millis(match self {
+            Self::Engine => 1_500,
+            Self::Plain => 30,
+        })
+    }
+
+    /// The longest time that a request waits for its turn.
+    fn max_queue_ms(self) -> u64 {
+        match self {
+            Self::Engine => 300,
+            Self::Plain => 100,
+        }
+    }
+}
 
 /// How entry hosts decide.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,7 +92,18 @@
 pub struct Scenario {
     pub entries: usize,
     pub replicas: usize,
+    pub service: Service,
     pub policy: Policy,
+    /// Whether all fatal requests are repetitions of one.
+    pub is_one_request: bool,
+    /// Fatal requests that arrive at once, at different entry hosts.
+    pub fatal_burst: usize,
+    /// Ends of replicas that are allowed before entry hosts must know.
+    pub allowed_ends: usize,
+    /// The part of the sound requests that are repetitions of one.
+    pub popular_share: f64,
+    /// Connections a second that break though their replica goes on.
+    pub breaks_per_sec: f64,
     /// The shared parts of requests that end replicas, one list for each kind.
     pub fatal: Vec<Vec<&'static str>>,
     /// The parts that end replicas.
@@ -78,7 +125,13 @@
         Self {
             entries: 9,
             replicas: 20,
+            service: Service::Engine,
             policy: Policy::Shared,
+            is_one_request: false,
+            fatal_burst: 1,
+            allowed_ends: 5,
+            popular_share: 0.0,
+            breaks_per_sec: 0.0,
             fatal: vec![vec!["common", "fatal"]],
             fatal_parts: vec!["fatal"],
             fatal_per_sec: 6.0,
@@ -112,7 +165,7 @@
 #[derive(Clone, Debug)]
 struct Request {
     entry: usize,
-    parts: Vec<PromptPartId>,
+    parts: Vec<RequestPart>,
     is_fatal: bool,
     crashes: bool,
     attempt: u32,
@@ -127,6 +180,9 @@
     id: UpstreamId,
     incarnation: Incarnation,
     up_from: Time,
+    /// When the leader last heard the process, and which incarnation.
+    heard: (Incarnation, Time),
+    announces_at: Time,
     running: Vec<Request>,
 }
 
@@ -153,9 +209,21 @@
     fatal_end_times: Vec<Time>,
     last_disruption: Time,
     outcome: Outcome,
+    requests: u64,
+}
+
+/// The part that stands for all of a request.
+fn whole(body: &str) -> RequestPart {
+    RequestPart::Whole(RequestDigest::of(&RequestContent {
+        organisation: None,
+        method: "POST",
+        host: "a.example",
+        path: "/",
+        body: body.as_bytes(),
+    }))
 }
 
-fn part(text: &str) -> PromptPartId {
+fn part(text: &str) -> RequestPart {
     text.parse().unwrap()
 }
 
@@ -165,6 +233,8 @@
             id: format!("h{index}").parse().unwrap(),
             incarnation: Incarnation(1),
             up_from: Time::ZERO,
+            heard: (Incarnation(1), Time::ZERO),
+            announces_at: Time::from_millis(37 * index as u64),
             running: Vec::new(),
         };
         Self {
@@ -183,6 +253,7 @@
             fatal_end_times: Vec::new(),
             last_disruption: Time::ZERO,
             outcome: Outcome::default(),
+            requests: 0,
             cfg,
         }
     }
@@ -198,6 +269,7 @@
             self.now += STEP;
             self.deliver_messages();
             self.lead();
+            self.announce();
             self.disrupt();
             self.advance_replicas();
             self.send_requests();
@@ -207,7 +279,10 @@
             .bans(self.now)
             .map(|ban| ban.parts.clone())
             .collect();
-        let fatal: PartSet = self.cfg.fatal_parts.iter().map(|id| part(id)).collect();
+        let mut fatal: PartSet = self.cfg.fatal_parts.iter().map(|id| part(id)).collect();
+        if self.cfg.is_one_request {
+            fatal.insert(whole("fatal"));
+        }
         self.outcome.false_bans = bans
             .into_iter()
             .filter(|parts| parts.is_disjoint(&fatal))
@@ -246,6 +321,13 @@
         let is_leading = self.leads_from <= self.now;
         self.leader
             .set_term(is_leading.then_some(self.term), self.now);
+        for (host, incarnation) in self.leader.ended_processes() {
+            let replica = self.replicas.iter().find(|replica| replica.id == host);
+            let heard = replica.unwrap().heard;
+            if heard.0 == incarnation {
+                self.leader.record_alive(&host, incarnation, heard.1);
+            }
+        }
         self.leader.tick(self.now);
         let list = self.leader.published().clone();
         if self.sent_edition < list.edition {
@@ -258,7 +340,32 @@
         }
     }
 
+    /// Has replicas announce themselves to the leader.
+    fn announce(&mut self) {
+        let now = self.now;
+        for replica in &mut self.replicas {
+            if replica.up_from <= now && replica.announces_at <= now {
+                replica.announces_at = now + ANNOUNCE_INTERVAL;
+                replica.heard = (replica.incarnation, now);
+            }
+        }
+    }
+
+    /// Breaks the connections of one request at a replica that goes on.
+    fn break_connection(&mut self) {
+        let index = self.rng.usize(0..self.replicas.len());
+        let replica = &mut self.replicas[index];
+        let process = (replica.id.clone(), replica.incarnation);
+        let Some(request) = replica.running.pop() else {
+            return;
+        };
+        self.record_broken(&process, request);
+    }
+
     fn disrupt(&mut self) {
+        if self.chance(self.cfg.breaks_per_sec) {
+            self.break_connection();
+        }
         if self.cfg.ordinary_ends && self.chance(0.2) {
             // A single replica, or a domain of five.
             let count = if self.rng.bool() { 1 } else { 5 };
@@ -296,20 +403,21 @@
         let process = (replica.id.clone(), replica.incarnation);
         replica.incarnation.0 += 1;
         for request in std::mem::take(&mut replica.running) {
-            let entry = request.entry;
-            if self.started[entry] <= request.sent_at {
-                if !request.is_settled {
-                    self.guards[entry].record_crash(
-                        (&process.0, process.1),
-                        &request.parts,
-                        request.sent_at,
-                        now,
-                    );
-                    self.is_due[entry] = true;
-                }
-                self.repeat(request);
-            }
+            self.record_broken(&process, request);
+        }
+    }
+
+    fn record_broken(&mut self, process: &(UpstreamId, Incarnation), request: Request) {
+        let entry = request.entry;
+        if request.sent_at < self.started[entry] {
+            return;
         }
+        if !request.is_settled {
+            let process = (&process.0, process.1);
+            self.guards[entry].record_crash(process, &request.parts, request.sent_at, self.now);
+            self.is_due[entry] = true;
+        }
+        self.repeat(request);
     }
 
     fn repeat(&mut self, request: Request) {
@@ -328,18 +436,19 @@
     }
 
     fn advance_replicas(&mut self) {
+        let service = self.cfg.service;
         for index in 0..self.replicas.len() {
             let now = self.now;
             let mut has_crashed = false;
             let mut settled = Vec::new();
             self.replicas[index].running.retain_mut(|request| {
                 let since = now.since(request.begins_at);
-                has_crashed |= request.crashes && TIME_TO_CRASH <= since;
-                if !request.crashes && !request.is_settled && SETTLE_TIME <= since {
+                has_crashed |= request.crashes && service.time_to_crash() <= since;
+                if !request.crashes && !request.is_settled && service.settle_time() <= since {
                     request.is_settled = true;
                     settled.push(request.clone());
                 }
-                since < ANSWER_TIME
+                since < service.answer_time()
             });
             for request in settled {
                 let guard = &mut self.guards[request.entry];
@@ -365,20 +474,43 @@
                 // A part that nobody has seen before.
                 ids.push(format!("new{}", self.now.0));
             }
-            self.arrive(ids, false);
+            let is_popular = self.rng.f64() < self.cfg.popular_share;
+            let body = match is_popular {
+                true => "popular".to_owned(),
+                false => self.new_body(),
+            };
+            self.arrive(&ids, &body, false);
         }
         let begins = Time::from_millis(5_000);
         if begins <= self.now && self.chance(self.cfg.fatal_per_sec) {
             let kind = self.rng.usize(0..self.cfg.fatal.len());
             let ids = self.cfg.fatal[kind].iter().map(|id| (*id).to_owned());
-            self.arrive(ids.collect(), true);
+            let ids: Vec<String> = ids.collect();
+            for _ in 0..self.cfg.fatal_burst {
+                let body = match self.cfg.is_one_request {
+                    true => "fatal".to_owned(),
+                    false => self.new_body(),
+                };
+                self.arrive(&ids, &body, true);
+            }
         }
     }
 
-    fn arrive(&mut self, ids: Vec<String>, is_fatal: bool) {
+    /// The body of a request that is like no other.
+    fn new_body(&mut self) -> String {
+        self.requests += 1;
+        self.requests.to_string()
+    }
+
+    fn arrive(&mut self, ids: &[String], body: &str, is_fatal: bool) {
         let entry = self.rng.usize(0..self.cfg.entries);
         let crashes = is_fatal && self.rng.f64() < self.cfg.fatal_share;
-        let parts: Vec<PromptPartId> = ids.iter().map(|id| part(id)).collect();
+        let shared = match self.cfg.service {
+            Service::Engine => ids,
+            Service::Plain => &[],
+        };
+        let mut parts: Vec<RequestPart> = shared.iter().map(|id| part(id)).collect();
+        parts.push(whole(body));
         if !is_fatal {
             self.outcome.sound += 1;
             self.outcome.sound_later += usize::from(self.must_serve_again());
@@ -414,7 +546,8 @@
         }
         let index = up[self.rng.usize(0..up.len())];
         request.sent_at = now;
-        request.begins_at = now + Duration::from_millis(self.rng.u64(80..300));
+        let max_ms = self.cfg.service.max_queue_ms();
+        request.begins_at = now + Duration::from_millis(self.rng.u64(max_ms / 4..max_ms));
         if request.is_fatal {
             self.count_fatal(&request);
         } else if request.attempt == 1 && self.must_serve_again() {
@@ -432,14 +565,14 @@
     fn count_fatal(&mut self, request: &Request) {
         let since = self.started[request.entry].max(self.last_disruption);
         let is_in_touch = since == Time::ZERO || CONTACT * 2 < self.now.since(since);
-        let known = self.fatal_end_times.get(ALLOWED_ENDS - 1);
+        let known = self.fatal_end_times.get(self.cfg.allowed_ends - 1);
         if is_in_touch && known.is_some_and(|at| CONTACT < self.now.since(*at)) {
             self.outcome.late_fatal += 1;
         }
     }
 
     fn must_serve_again(&self) -> bool {
-        let last = self.fatal_end_times.get(ALLOWED_ENDS - 1);
+        let last = self.fatal_end_times.get(self.cfg.allowed_ends - 1);
         let last = last.or(self.fatal_end_times.last());
         last.is_some_and(|at| CONTACT * 2 < self.now.since(*at))
     }
--- a/crates/site/src/control/bans.rs
+++ b/crates/site/src/control/bans.rs
@@ -1,4 +1,4 @@
-//! Shows and lifts bans of prompt parts for operators. A control host that doesn't lead asks the
+//! Shows and lifts bans of requests for operators. A control host that doesn't lead asks the
 //! one that does.
 
 use std::rc::Rc;
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -24,6 +24,7 @@
 use fleet::DecompressError;
 use fleet::ReplicaRecord;
 use form::Controller;
+use quarantine::Quarantine;
 use quarantine::QuarantineEvent;
 use quorum::clock;
 use state::ConfigOfferReply;
@@ -148,9 +149,10 @@
     control.watch_changed.notify_waiters();
 }
 
-/// Publishes the notices of prompt parts if they have changed.
+/// Publishes the notices of suspected and banned requests if they have changed.
 fn publish_notices(control: &ControlHost, now: Time) {
     let mut quarantine = control.quarantine.borrow_mut();
+    record_alive_processes(control, &mut quarantine);
     let is_changed = quarantine.tick(now);
     for event in quarantine.take_events() {
         match &event {
@@ -169,6 +171,18 @@
     }
 }
 
+/// Tells the quarantine which processes are heard though they are taken for ended.
+fn record_alive_processes(control: &ControlHost, quarantine: &mut Quarantine) {
+    let roster = control.roster.borrow();
+    for (host, incarnation) in quarantine.ended_processes() {
+        let known = roster.get(&host);
+        let same = known.filter(|entry| entry.announcement.incarnation == incarnation);
+        if let Some(entry) = same {
+            quarantine.record_alive(&host, incarnation, entry.alive_at);
+        }
+    }
+}
+
 /// Publishes the shares of limits if they have changed.
 fn publish_shares(control: &ControlHost, now: Time) {
     let roster = control.roster.borrow();
--- a/crates/site/src/entry/answer.rs
+++ b/crates/site/src/entry/answer.rs
@@ -32,7 +32,7 @@
     NoTarget,
     /// All targets for the request are full.
     Full,
-    /// Upstreams ended under requests with parts of its prompt.
+    /// Upstreams ended under this request, or under others with parts of its prompt.
     Banned,
     /// Every target that got the request refused it.
     NotRun,
@@ -57,7 +57,7 @@
             Self::TooLarge => "the body is too large",
             Self::NoTarget => "no upstream is there for it",
             Self::Full => "all upstreams are full",
-            Self::Banned => "upstreams ended under requests with a part of its prompt",
+            Self::Banned => "upstreams ended under it or requests like it",
             Self::NotRun => "no upstream took it",
             Self::Lost => "its answer was lost, it may have run",
             Self::OutOfTime => "its time was over before it ran",
--- a/crates/site/src/entry/attempt.rs
+++ b/crates/site/src/entry/attempt.rs
@@ -145,7 +145,7 @@
                     return Err(AttemptError::new(Failure::Lost, "no answer in time"));
                 }
                 Err(_) if request.is_banned(entry) => {
-                    return Err(AttemptError::new(Failure::Lost, "its parts are banned"));
+                    return Err(AttemptError::new(Failure::Lost, "it is banned"));
                 }
                 Err(_) if target.model.is_some() && check_stalled(entry, &id) => {
                     return Err(AttemptError::new(Failure::Lost, "the replica stands still"));
--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -21,8 +21,10 @@
 use crate::entry::request_forwarder::RequestForwarder;
 use crate::events::Event;
 use crate::events::emit;
+use crate::events::join_parts;
 use base::ModelName;
 use base::OrgName;
+use base::RequestPart;
 use base::ServiceName;
 use base::Time;
 use fleet::Configuration;
@@ -45,9 +47,9 @@
     let mut response = match prepare(&entry, &configuration, &head, body, arrived, in_flight).await
     {
         Ok(forwarder) => forwarder.run().await,
-        Err(refusal) => {
-            record_refusal(&entry, &head, refusal, arrived);
-            refusal.response(&entry, None)
+        Err(rejection) => {
+            record_rejection(&entry, &head, &rejection, arrived);
+            rejection.refusal.response(&entry, None)
         }
     };
     if matches!(entry.phase.get(), Phase::Leaving | Phase::Draining) {
@@ -64,8 +66,23 @@
     })
 }
 
-/// Records the refusal of a request whose route or service is not known yet.
-fn record_refusal(entry: &EntryHost, head: &Parts, refusal: Refusal, arrived: Time) {
+/// The refusal of a request before its first attempt.
+struct Rejection {
+    refusal: Refusal,
+    /// What the request is known by, if it was read whole.
+    parts: Rc<[RequestPart]>,
+}
+
+impl From<Refusal> for Rejection {
+    fn from(refusal: Refusal) -> Self {
+        let parts = Rc::default();
+        Self { refusal, parts }
+    }
+}
+
+/// Records the refusal of a request before its first attempt.
+fn record_rejection(entry: &EntryHost, head: &Parts, rejection: &Rejection, arrived: Time) {
+    let refusal = rejection.refusal;
     entry.metrics.count_outcome("-", refusal.text());
     emit(&Event::Refused {
         id: &attempt_id(entry, head),
@@ -76,7 +93,7 @@
         attempts: 0,
         version: entry.version.get(),
         age_ms: entry.confirmed_ago().as_millis(),
-        parts: String::new(),
+        parts: join_parts(&*rejection.parts),
     });
 }
 
@@ -93,10 +110,10 @@
     body: Incoming,
     arrived: Time,
     in_flight: InFlightGuard,
-) -> Result<RequestForwarder, Refusal> {
+) -> Result<RequestForwarder, Rejection> {
     match entry.phase.get() {
-        Phase::Starting => return Err(Refusal::Starting),
-        Phase::Draining => return Err(Refusal::Stopping),
+        Phase::Starting => return Err(Refusal::Starting.into()),
+        Phase::Draining => return Err(Refusal::Stopping.into()),
         Phase::Serving | Phase::Leaving => {}
     }
     let host = head
@@ -139,10 +156,16 @@
     let parts = head.headers.get(&names.prompt_parts);
     let parts = parts.and_then(|parts| parts.to_str().ok()).unwrap_or("");
     let shared_parts = entry.platform.parse_shared_parts(parts);
-    let is_trial = match entry.part_guard.borrow_mut().admit(&shared_parts, arrived) {
+    let caller = organisation.as_ref();
+    let request = OutboundRequest::from_caller(head, body, names, caller, shared_parts);
+    let admission = entry.part_guard.borrow_mut().admit(&request.parts, arrived);
+    let is_trial = match admission {
         Admission::Allowed => false,
         Admission::Trial => true,
-        Admission::Banned => return Err(Refusal::Banned),
+        Admission::Banned => {
+            let (refusal, parts) = (Refusal::Banned, request.parts);
+            return Err(Rejection { refusal, parts });
+        }
     };
     let mut prompt_secs = 0.0;
     if let Some(model) = &model {
@@ -156,7 +179,7 @@
         request: OutboundRequest {
             prompt_secs,
             is_trial,
-            ..OutboundRequest::from_caller(head, body, names, organisation.as_ref(), shared_parts)
+            ..request
         },
         id: attempt_id(entry, head),
         labels: RequestLabels {
--- a/crates/site/src/entry/outbound.rs
+++ b/crates/site/src/entry/outbound.rs
@@ -44,9 +44,8 @@
     pub body: Bytes,
     /// How long an otherwise idle replica needs to read the prompt, in seconds.
     pub prompt_secs: f64,
-    /// The prompt's parts that other requests may share.
-    pub shared_parts: Rc<[PromptPartId]>,
-    /// What the request is known by: these parts, and all of it.
+    /// What the request is known by: the prompt's parts that other requests may share, and all of
+    /// it.
     pub parts: Rc<[RequestPart]>,
     /// Whether the request is sent to find out whether a ban is still needed.
     pub is_trial: bool,
@@ -63,7 +62,7 @@
         shared_parts: Vec<PromptPartId>,
     ) -> Self {
         let digest = RequestPart::Whole(digest(head, &body, organisation));
-        let parts = shared_parts.iter().cloned().map(RequestPart::Prompt);
+        let shared_parts = shared_parts.into_iter().map(RequestPart::Prompt);
         let mut headers = end_to_end(&head.headers);
         for name in [&names.target, &names.organisation, &names.deadline] {
             headers.remove(name);
@@ -86,17 +85,15 @@
             headers,
             body,
             prompt_secs: 0.0,
-            parts: parts.chain([digest]).collect(),
-            shared_parts: shared_parts.into(),
+            parts: shared_parts.chain([digest]).collect(),
             is_trial: false,
         }
     }
 
-    /// Whether requests with the parts of this one's prompt are banned, and this one isn't the
-    /// trial of the ban.
+    /// Whether the request is banned, and isn't the trial of the ban.
     pub fn is_banned(&self, entry: &EntryHost) -> bool {
         let guard = entry.part_guard.borrow();
-        !self.is_trial && guard.is_banned(&self.shared_parts, clock::now())
+        !self.is_trial && guard.is_banned(&self.parts, clock::now())
     }
 
     /// Builds the request for one target. `left` is the time that the caller still waits, and
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -11,6 +11,7 @@
 
 use crate::entry::EntryHost;
 use crate::entry::answer::Refusal;
+use crate::entry::answer_memory::AnswerError;
 use crate::entry::attempt::AttemptError;
 use crate::entry::attempt::AttemptResponse;
 use crate::entry::attempt::attempt;
@@ -114,7 +115,7 @@
         }
     }
 
-    /// Refuses the request if its parts were banned while it waited.
+    /// Refuses the request if it was banned while it waited.
     fn check_ban(&self) -> Result<(), Refusal> {
         match (self.request.is_banned(&self.entry), self.may_have_run) {
             (false, _) => Ok(()),
@@ -198,20 +199,16 @@
 
     /// Records that the request broke at a target, which may have ended because of it.
     fn record_crash(&self, target: &Target, now: Time) {
-        let parts = &self.request.shared_parts;
-        if target.model.is_none() || parts.is_empty() {
-            return;
-        }
         let process = (&target.id, target.incarnation);
         let mut guard = self.entry.part_guard.borrow_mut();
-        guard.record_crash(process, parts, self.sent_at, now);
+        guard.record_crash(process, &self.request.parts, self.sent_at, now);
         self.entry.observations_added.notify_waiters();
     }
 
     /// Records that the request's answer went on or was complete.
     pub fn record_sound(&self) {
         let mut guard = self.entry.part_guard.borrow_mut();
-        if guard.record_sound(&self.request.shared_parts, clock::now()) {
+        if guard.record_sound(&self.request.parts, clock::now()) {
             self.entry.observations_added.notify_waiters();
         }
     }
@@ -230,10 +227,10 @@
             && self.entry.targets.borrow_mut().choose(&query, now).is_ok()
     }
 
-    /// Whether the request may be sent again, by the parts of its prompt.
+    /// Whether the request may be sent again, by what is known of it.
     fn may_repeat(&self, now: Time) -> bool {
         let guard = self.entry.part_guard.borrow();
-        guard.may_repeat(&self.request.shared_parts, now)
+        guard.may_repeat(&self.request.parts, now)
     }
 
     /// Decides what follows an attempt that failed just now. Takes a retry from the budget.
@@ -282,7 +279,12 @@
             Ok(body) => body,
             Err(e) => {
                 let why = e.text();
-                let failure = Failure::Lost;
+                let failure = match e {
+                    AnswerError::Broken => Failure::Broken,
+                    AnswerError::TooLarge | AnswerError::NoMemory | AnswerError::TooSlow => {
+                        Failure::Lost
+                    }
+                };
                 // `record_failure` counts this attempt again.
                 self.attempts -= 1;
                 return self
@@ -291,6 +293,8 @@
             }
         };
         self.entry.pool.put_back(&id, connection, keep_alive);
+        // A process that answers with a failure has not ended either.
+        self.record_sound();
         let is_failure = head.status.is_server_error();
         if is_failure && self.route.kind == RequestKind::Idempotent {
             self.may_have_run = true;
@@ -308,7 +312,6 @@
                 .targets
                 .borrow_mut()
                 .record_success(&id, clock::now());
-            self.record_sound();
         }
         self.record_answer(target, head.status, first, Duration::ZERO);
         let mut answer = Response::new(Body::whole(body));
--- a/crates/site/src/events.rs
+++ b/crates/site/src/events.rs
@@ -77,9 +77,9 @@
     2406 Info ReplicasTakenOver { term: u64, records: usize }
         "the term begins with the recorded replicas term={term} records={records}";
     2410 Warn PartsBanned { parts: String, crashes: u32 }
-        "requests with all of these prompt parts are refused, upstreams ended under them parts={parts} crashes={crashes}";
+        "requests with all of these parts are refused, upstreams ended under them parts={parts} crashes={crashes}";
     2411 Info BanLifted { parts: String, why: String }
-        "requests with these prompt parts are served again parts={parts} why={why:?}";
+        "requests with these parts are served again parts={parts} why={why:?}";
     2412 Info SharesPublished { edition: Edition, limited: usize }
         "shares of the limits that upstreams name were published edition={edition:?} limited={limited}";
     2500 Info Answered { id: &'a str, route: &'a RouteName, target: &'a UpstreamId, status: u16, attempts: u32, first_ms: u128, total_ms: u128, late: &'a str, parts: String }
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -100,7 +100,7 @@
     /// The routing table, if it is newer.
     #[serde(rename = "directions")]
     pub routing_table: Option<RoutingTable>,
-    /// The notices of suspected and banned prompt parts, if they are newer.
+    /// The notices of suspected and banned requests, if they are newer.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub notices: Option<NoticeList>,
     /// The shares of the limits that upstreams name, if they are newer.
@@ -163,7 +163,7 @@
 /// What entry hosts saw and all others are to know. The leader decides from it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct FleetReport {
-    /// What they saw of the parts of prompts.
+    /// What they saw of requests that broke.
     #[serde(default, skip_serializing_if = "Evidence::is_empty")]
     pub evidence: Evidence,
     /// What they know of the limits of upstreams.
--- a/crates/wire/src/deployment.rs
+++ b/crates/wire/src/deployment.rs
@@ -4,9 +4,9 @@
 use serde::Serialize;
 
 use crate::Call;
-use base::PromptPartId;
+use base::RequestPart;
 
-/// Asks for the prompt parts that are banned.
+/// Asks for the requests that are banned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShowBans {}
 
@@ -14,8 +14,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BanRow {
     /// The parts.
-    pub parts: Vec<PromptPartId>,
-    /// Upstream processes that ended one after the other with a request that has the parts.
+    pub parts: Vec<RequestPart>,
+    /// Upstream processes that ended with a request that has the parts.
     pub crashes: u32,
 }
 
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LiftBan {
     /// The parts of the ban.
-    pub parts: Vec<PromptPartId>,
+    pub parts: Vec<RequestPart>,
 }
 
 /// The reply to [`LiftBan`].
