Connections to upstreams come from the address of their own process

A test can tell by it which entry host a connection is from, and cut one of them off; on a machine with several addresses upstreams see the one that the settings name. Nothing else changes.

--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -4,10 +4,13 @@
 //! may a caller be told that the request has not run.
 
 use std::fmt;
+use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use compio::net::TcpSocket;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
 use compio::time::timeout;
@@ -31,6 +34,16 @@
     driver: JoinHandle<()>,
 }
 
+/// Connects from the address `source` of this process.
+async fn connect_stream(source: IpAddr, addr: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4().await?,
+        SocketAddr::V6(_) => TcpSocket::new_v6().await?,
+    };
+    socket.bind(SocketAddr::new(source, 0)).await?;
+    socket.connect(addr).await
+}
+
 impl fmt::Debug for Connection {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "Connection({})", self.addr)
@@ -76,10 +89,28 @@
 impl Connection {
     /// Connects within `time_limit`, without sending a request.
     pub async fn connect(addr: SocketAddr, time_limit: Duration) -> Result<Self, SendError> {
+        match timeout(time_limit, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => Self::open(addr, stream).await,
+            Ok(Err(_)) | Err(_) => Err(SendError::NotConnected { addr }),
+        }
+    }
+
+    /// Connects within `time_limit` from this process's address `source`, without sending a
+    /// request.
+    pub async fn connect_from(
+        source: IpAddr,
+        addr: SocketAddr,
+        time_limit: Duration,
+    ) -> Result<Self, SendError> {
+        match timeout(time_limit, connect_stream(source, addr)).await {
+            Ok(Ok(stream)) => Self::open(addr, stream).await,
+            Ok(Err(_)) | Err(_) => Err(SendError::NotConnected { addr }),
+        }
+    }
+
+    /// Speaks HTTP on a connected stream.
+    async fn open(addr: SocketAddr, stream: TcpStream) -> Result<Self, SendError> {
         let not_connected = SendError::NotConnected { addr };
-        let Ok(Ok(stream)) = timeout(time_limit, TcpStream::connect(addr)).await else {
-            return Err(not_connected);
-        };
         let _ = stream.set_nodelay(true);
         let io = HyperStream::new_plain(stream);
         let handshake = hyper::client::conn::http1::Builder::new()
--- a/crates/site/src/connection_pool.rs
+++ b/crates/site/src/connection_pool.rs
@@ -2,6 +2,8 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -25,12 +27,22 @@
 }
 
 /// Idle connections to upstreams, kept for later requests.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ConnectionPool {
+    /// The address of this process, from which connections are made.
+    source: IpAddr,
     idle: RefCell<BTreeMap<TargetId, Vec<Idle>>>,
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool of a process at the address `source`.
+    pub fn new(source: Ipv4Addr) -> Self {
+        Self {
+            source: source.into(),
+            idle: RefCell::default(),
+        }
+    }
+
     /// Takes the most recently used idle connection to an upstream process.
     pub fn take_idle(&self, id: &TargetId) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -50,7 +62,7 @@
         addr: SocketAddr,
         timeout: Duration,
     ) -> Result<Connection, SendError> {
-        Connection::connect(addr, timeout).await
+        Connection::connect_from(self.source, addr, timeout).await
     }
 
     /// Keeps a connection for a later request, for three quarters of the idle time that its
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -226,7 +226,7 @@
             reported_leader: Cell::new(None),
             reported_unreachable: RefCell::default(),
             rpc: RpcClient::new(String::new())?,
-            pool: ConnectionPool::default(),
+            pool: ConnectionPool::new(settings.ip),
             watch_changed: Notify::default(),
             controller_changed: Notify::default(),
             observations_added: Notify::default(),
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -277,7 +277,7 @@
             capacity_changed: Notify::default(),
             in_flight: Cell::new(0),
             rpc: RpcClient::new(String::new())?,
-            pool: ConnectionPool::default(),
+            pool: ConnectionPool::new(settings.ip),
             answer_memory: AnswerMemory::default(),
             metrics: Metrics::default(),
             settings,
