An entry host that reaches no upstream connects through another entry host

Cause: an entry host knew one way to an upstream, the direct one, and took each failure of it for a failure of the upstream. So it excluded them all and refused, "all upstreams are full", while its peers reached them.

Change: a connection leads through a peer if the direct one fails or takes over 100 ms. The peer only joins two connections (net::TunnelServer, as with HTTP CONNECT), for entry hosts of the deployment and to targets that it knows, 400 at most; a connection that breaks, or a peer that ends, is a reset on the other side. All decisions stay at the first host, so nothing is counted, admitted or sent twice. forward::PathTable keeps which processes only peers reach and probes them; once two processes of a service have failed with no direct sign of any, the service is in doubt: its idle connections are closed, and health, which spoke of the path, is not trusted for 1.5 s. Connections fail after 700 ms without an acknowledgement, which a silent process still gives. The leader publishes the entry hosts with the services that they are cut off from (fleet::Published, FleetReport); peers of the own data centre come first while half of it is fit.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,8 @@
 //! - [`EventSplitter`] finds complete events in a stream, so that another target can
 //!   continue the stream after the last one.
 //! - [`RefusalCause`] gives the time after which a refused caller should retry.
+//! - [`PathTable`] says which way to connect to a target, and [`PeerTable`] through which other
+//!   entry host.
 //! - [`KeyFreshness`] says whether callers' keys may still be trusted.
 
 mod control_selector;
@@ -20,6 +22,8 @@
 mod key_freshness;
 mod load_aggregator;
 mod load_report;
+mod path;
+mod peer_table;
 mod recent_sends;
 mod refusal_cause;
 mod retry_budget;
@@ -37,6 +41,10 @@
 pub use load_report::LoadReport;
 pub use load_report::ModelWork;
 pub use load_report::TargetLoad;
+pub use path::ConnectPath;
+pub use path::ConnectPlan;
+pub use path::PathTable;
+pub use peer_table::PeerTable;
 pub use recent_sends::RecentSends;
 pub use refusal_cause::RefusalCause;
 pub use retry_budget::RetryBudget;
--- a/crates/forward/src/target_table.rs
+++ b/crates/forward/src/target_table.rs
@@ -57,6 +57,8 @@
     pub avoid: &'a BTreeSet<UpstreamId>,
     /// Targets that may get no request now.
     pub closed: &'a BTreeSet<UpstreamId>,
+    /// Whether failures speak against targets, and not against this host's way to them.
+    pub trusts_health: bool,
 }
 
 impl TargetQuery<'_> {
@@ -262,8 +264,8 @@
     }
 }
 
-/// The targets among which a request's target is chosen: the healthy ones, or those of a plain
-/// service if none is healthy.
+/// The targets among which a request's target is chosen: the healthy ones, or if none is, those of
+/// a plain service and those that only this host may fail to reach.
 fn candidates<'a>(
     targets: &'a BTreeMap<UpstreamId, Target>,
     query: &TargetQuery<'_>,
@@ -281,7 +283,7 @@
         return Ok(healthy);
     }
     let is_plain_service = fitting.iter().all(|t| t.model.is_none());
-    match is_plain_service && !allowed.is_empty() {
+    match (is_plain_service || !query.trusts_health) && !allowed.is_empty() {
         true => Ok(allowed),
         false => Err(ChooseError::AllFull),
     }
--- a/crates/forward/tests/stale_views.rs
+++ b/crates/forward/tests/stale_views.rs
@@ -182,6 +182,7 @@
                     model: Some(&"wide".parse().unwrap()),
                     avoid: &BTreeSet::new(),
                     closed: &BTreeSet::new(),
+                    trusts_health: true,
                 };
                 let target = self.tables[host].choose(&query, self.now).ok()?;
                 self.ids.iter().position(|id| *id == target.id)
--- a/crates/forward/tests/target_table.rs
+++ b/crates/forward/tests/target_table.rs
@@ -58,6 +58,7 @@
         model: model.as_ref(),
         avoid: &avoid,
         closed: &BTreeSet::new(),
+        trusts_health: true,
     };
     let chosen = table.choose(&query, Time::from_millis(now_ms))?;
     Ok((chosen.id, chosen.incarnation))
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -23,6 +23,10 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 
+use crate::tunnel::TunnelError;
+use crate::tunnel::open_tunnel;
+use crate::tunnel::set_user_timeout;
+
 /// The largest head of a response, and the most bytes of a body that are read ahead.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
@@ -30,12 +34,14 @@
 /// without closing it, so that the body of the response can still be read.
 pub struct Connection {
     addr: SocketAddr,
+    /// The process that a tunnel leads through.
+    peer: Option<SocketAddr>,
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
 }
 
 /// Connects from the address `source` of this process.
-async fn connect_stream(source: IpAddr, addr: SocketAddr) -> io::Result<TcpStream> {
+pub(crate) async fn connect_stream(source: IpAddr, addr: SocketAddr) -> io::Result<TcpStream> {
     let socket = match addr {
         SocketAddr::V4(_) => TcpSocket::new_v4().await?,
         SocketAddr::V6(_) => TcpSocket::new_v6().await?,
@@ -96,18 +102,41 @@
     }
 
     /// Connects within `time_limit` from this process's address `source`, without sending a
-    /// request.
+    /// request. The connection fails once sent data was not acknowledged for `user_timeout`.
     pub async fn connect_from(
         source: IpAddr,
         addr: SocketAddr,
         time_limit: Duration,
+        user_timeout: Duration,
     ) -> Result<Self, SendError> {
         match timeout(time_limit, connect_stream(source, addr)).await {
-            Ok(Ok(stream)) => Self::open(addr, stream).await,
+            Ok(Ok(stream)) => {
+                set_user_timeout(&stream, user_timeout);
+                Self::open(addr, stream).await
+            }
             Ok(Err(_)) | Err(_) => Err(SendError::NotConnected { addr }),
         }
     }
 
+    /// Connects through the process at `peer`, without sending a request. Otherwise like
+    /// [`Self::connect_from`].
+    pub async fn connect_through(
+        source: IpAddr,
+        peer: SocketAddr,
+        addr: SocketAddr,
+        time_limit: Duration,
+        user_timeout: Duration,
+    ) -> Result<Self, TunnelError> {
+        let stream = open_tunnel(source, peer, addr, time_limit).await?;
+        set_user_timeout(&stream, user_timeout);
+        let opened = Self::open(addr, stream).await;
+        let opened = opened.map_err(|_| TunnelError::PeerSilent)?;
+        Ok(Self {
+            peer: Some(peer),
+            ..opened
+        })
+    }
+
     /// Speaks HTTP on a connected stream.
     async fn open(addr: SocketAddr, stream: TcpStream) -> Result<Self, SendError> {
         let not_connected = SendError::NotConnected { addr };
@@ -125,6 +154,7 @@
         });
         Ok(Self {
             addr,
+            peer: None,
             sender,
             driver,
         })
@@ -135,6 +165,11 @@
         self.addr
     }
 
+    /// The process that the connection leads through, if any.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.peer
+    }
+
     /// Whether another request can be sent now.
     pub fn is_idle(&self) -> bool {
         self.sender.is_ready()
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`Server`] accepts connections within limits and passes requests to one handler.
 //! [`Connection`] sends requests over a connection of its own, so that its user knows
 //! whether any byte can have been sent. [`RpcClient`] calls the system's own processes over
-//! connections that it keeps open, and [`RpcMethods`] answers them.
+//! connections that it keeps open, and [`RpcMethods`] answers them. [`TunnelServer`] joins
+//! connections for a process that cannot reach an upstream itself.
 
 mod body;
 mod connection;
@@ -13,6 +14,7 @@
 mod rpc_methods;
 mod server;
 mod traffic_meter;
+mod tunnel;
 mod write_timeout;
 
 pub use body::Body;
@@ -33,3 +35,6 @@
 pub use server::Server;
 pub use server::ServerLimits;
 pub use traffic_meter::TrafficMeter;
+pub use tunnel::TunnelError;
+pub use tunnel::TunnelServer;
+pub use tunnel::TunnelServerConfig;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -84,7 +84,7 @@
         Handler: Fn(Request<Incoming>) -> Answer + Clone + 'static,
         Answer: Future<Output = Response<Body>> + 'static,
     {
-        let listener = listen(addr, limits).await?;
+        let listener = listen(addr, limits.max_connections).await?;
         let (stop_accepting, stopped) = async_channel::bounded(1);
         let server = Self {
             stop_accepting,
@@ -128,14 +128,14 @@
 
 /// Listens with a queue for all connections that may be open, as they may arrive together: a
 /// handshake that the operating system drops is sent again only after a second.
-async fn listen(addr: SocketAddr, limits: ServerLimits) -> io::Result<TcpListener> {
+pub(crate) async fn listen(addr: SocketAddr, max_connections: usize) -> io::Result<TcpListener> {
     let socket = match addr {
         SocketAddr::V4(_) => TcpSocket::new_v4().await?,
         SocketAddr::V6(_) => TcpSocket::new_v6().await?,
     };
     socket.set_reuseaddr(true)?;
     socket.bind(addr).await?;
-    let queue = i32::try_from(limits.max_connections.max(MIN_ACCEPT_QUEUE)).unwrap_or(i32::MAX);
+    let queue = i32::try_from(max_connections.max(MIN_ACCEPT_QUEUE)).unwrap_or(i32::MAX);
     socket.listen(queue).await
 }
 
--- /dev/null
+++ b/crates/net/src/tunnel.rs
@@ -0,0 +1,307 @@
+//! Connections to an upstream that lead through another process of the deployment.
+//!
+//! The process that opens the tunnel keeps all decisions: the other one only connects to the
+//! upstream and joins the two connections, as with an HTTP `CONNECT`. What ends one of them ends
+//! the other in the same way: a reset stays a reset, so that an answer which ends with its
+//! connection can't look complete because the process in between has ended.
+
+use std::cell::Cell;
+use std::io;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use compio::buf::BufResult;
+use compio::io::AsyncRead;
+use compio::io::AsyncWrite;
+use compio::io::AsyncWriteExt;
+use compio::net::TcpListener;
+use compio::net::TcpStream;
+use compio::time::timeout;
+use derive_more::Display;
+use derive_more::Error;
+use futures_util::future::Either;
+use futures_util::future::select;
+use http::StatusCode;
+
+use crate::connection::connect_stream;
+use crate::server::listen;
+
+/// The largest head of a request to open a tunnel, and of its answer, in bytes.
+const MAX_HEAD_BYTES: usize = 512;
+
+/// The header fields that are read of a head. None is needed.
+const MAX_HEADERS: usize = 8;
+
+/// How long the head of a request to open a tunnel may take.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long connecting to the upstream may take.
+const UPSTREAM_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How long the process that opened a tunnel may take to close it after the upstream did.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Bytes that are read at once from each side of a tunnel.
+const BUFFER_BYTES: usize = 8 * 1024;
+
+/// Why a tunnel was not opened. Nothing was sent to the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+pub enum TunnelError {
+    /// The process that the tunnel leads through didn't answer, or ended the connection.
+    #[display("the peer does not answer")]
+    PeerSilent,
+    /// It takes no tunnels now, or none to this upstream.
+    #[display("the peer takes no tunnel")]
+    PeerRefuses,
+    /// It cannot connect to the upstream.
+    #[display("the peer cannot connect to the upstream")]
+    UpstreamUnreachable,
+}
+
+/// Accepts tunnels until it is dropped or told to stop.
+#[derive(Debug)]
+pub struct TunnelServer {
+    open: Rc<Cell<usize>>,
+    stop_accepting: Sender<()>,
+}
+
+/// What a tunnel server needs of its process.
+#[derive(Clone, Debug)]
+pub struct TunnelServerConfig {
+    /// The address on which tunnels are accepted.
+    pub addr: SocketAddr,
+    /// The most tunnels at once.
+    pub max_tunnels: usize,
+    /// How long an upstream may leave sent data unacknowledged.
+    pub user_timeout: Duration,
+}
+
+/// Counts a tunnel as open until it is dropped.
+struct OpenTunnel(Rc<Cell<usize>>);
+
+impl Drop for OpenTunnel {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl TunnelServer {
+    /// Listens for tunnels. `may_open` says whether the process at an address may have one to an
+    /// upstream.
+    pub async fn bind(
+        cfg: TunnelServerConfig,
+        may_open: impl Fn(IpAddr, SocketAddr) -> bool + Clone + 'static,
+    ) -> io::Result<Self> {
+        let listener = listen(cfg.addr, cfg.max_tunnels).await?;
+        let (stop_accepting, stopped) = async_channel::bounded::<()>(1);
+        let open = Rc::new(Cell::new(0));
+        let server = Self {
+            open: Rc::clone(&open),
+            stop_accepting,
+        };
+        compio::runtime::spawn(async move {
+            let accept = std::pin::pin!(accept_tunnels(listener, cfg, open, may_open));
+            let stopped = std::pin::pin!(stopped.recv());
+            select(accept, stopped).await;
+        })
+        .detach();
+        Ok(server)
+    }
+
+    /// The number of open tunnels.
+    pub fn open_tunnels(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Accepts no further tunnels. Open ones go on.
+    pub fn stop_accepting(&self) {
+        self.stop_accepting.close();
+    }
+}
+
+async fn accept_tunnels(
+    listener: TcpListener,
+    cfg: TunnelServerConfig,
+    open: Rc<Cell<usize>>,
+    may_open: impl Fn(IpAddr, SocketAddr) -> bool + Clone + 'static,
+) {
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            // Most likely out of file descriptors. Wait for open connections to end.
+            compio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let (cfg, may_open) = (cfg.clone(), may_open.clone());
+        let is_full = cfg.max_tunnels <= open.get();
+        open.set(open.get() + 1);
+        let open = OpenTunnel(Rc::clone(&open));
+        compio::runtime::spawn(async move {
+            let _open = open;
+            let may_open = |addr| !is_full && may_open(peer.ip(), addr);
+            if let Err(e) = serve_tunnel(stream, &cfg, may_open).await {
+                log::debug!("a tunnel of {peer} ended: {e}");
+            }
+        })
+        .detach();
+    }
+}
+
+async fn serve_tunnel(
+    mut stream: TcpStream,
+    cfg: &TunnelServerConfig,
+    may_open: impl Fn(SocketAddr) -> bool,
+) -> io::Result<()> {
+    let _ = stream.set_nodelay(true);
+    let head = match timeout(HEAD_TIMEOUT, read_head(&mut stream)).await {
+        Ok(head) => head?,
+        Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+    };
+    let Some(addr) = requested_addr(&head) else {
+        return answer(&mut stream, StatusCode::BAD_REQUEST).await;
+    };
+    if !may_open(addr) {
+        return answer(&mut stream, StatusCode::SERVICE_UNAVAILABLE).await;
+    }
+    let connected = timeout(UPSTREAM_TIMEOUT, connect_stream(cfg.addr.ip(), addr)).await;
+    let Ok(Ok(upstream)) = connected else {
+        return answer(&mut stream, StatusCode::BAD_GATEWAY).await;
+    };
+    let _ = upstream.set_nodelay(true);
+    set_user_timeout(&upstream, cfg.user_timeout);
+    answer(&mut stream, StatusCode::OK).await?;
+    join(stream, upstream).await
+}
+
+/// Passes bytes on in both directions until one side closes or breaks off.
+async fn join(stream: TcpStream, upstream: TcpStream) -> io::Result<()> {
+    // From now on, whatever closes the connection without a shutdown resets it, the end of this
+    // process included.
+    stream.set_zero_linger()?;
+    let (mut stream_in, mut stream_out) = stream.into_split();
+    let (mut upstream_in, mut upstream_out) = upstream.into_split();
+    {
+        let requests = std::pin::pin!(copy(&mut stream_in, &mut upstream_out));
+        let answers = std::pin::pin!(copy(&mut upstream_in, &mut stream_out));
+        match select(answers, requests).await {
+            Either::Left((Ok(()), _)) => {}
+            Either::Left((Err(e), _)) | Either::Right((Err(e), _)) => return Err(e),
+            // The caller has left. The upstream's connection is closed with this function's end.
+            Either::Right((Ok(()), _)) => return Ok(()),
+        }
+    }
+    stream_out.shutdown().await?;
+    let mut rest = std::pin::pin!(read_to_end(&mut stream_in));
+    // Closing earlier would reset what the other side has not read yet.
+    let _ = timeout(CLOSE_TIMEOUT, rest.as_mut()).await;
+    Ok(())
+}
+
+async fn copy(from: &mut TcpStream, to: &mut TcpStream) -> io::Result<()> {
+    let mut buf = Vec::with_capacity(BUFFER_BYTES);
+    loop {
+        let BufResult(read, bytes) = from.read(buf).await;
+        if read? == 0 {
+            return Ok(());
+        }
+        let BufResult(written, bytes) = to.write_all(bytes).await;
+        written?;
+        buf = bytes;
+        buf.clear();
+    }
+}
+
+async fn read_to_end(stream: &mut TcpStream) -> io::Result<()> {
+    let mut buf = Vec::with_capacity(BUFFER_BYTES);
+    loop {
+        let BufResult(read, bytes) = stream.read(buf).await;
+        if read? == 0 {
+            return Ok(());
+        }
+        buf = bytes;
+        buf.clear();
+    }
+}
+
+/// Opens a tunnel to the upstream at `addr`, within `time_limit`.
+pub(crate) async fn open_tunnel(
+    source: IpAddr,
+    peer: SocketAddr,
+    addr: SocketAddr,
+    time_limit: Duration,
+) -> Result<TcpStream, TunnelError> {
+    let opened = timeout(time_limit, request_tunnel(source, peer, addr)).await;
+    let Ok(Ok((stream, status))) = opened else {
+        return Err(TunnelError::PeerSilent);
+    };
+    match status {
+        StatusCode::OK => Ok(stream),
+        StatusCode::BAD_GATEWAY => Err(TunnelError::UpstreamUnreachable),
+        _ => Err(TunnelError::PeerRefuses),
+    }
+}
+
+async fn request_tunnel(
+    source: IpAddr,
+    peer: SocketAddr,
+    addr: SocketAddr,
+) -> io::Result<(TcpStream, StatusCode)> {
+    let mut stream = connect_stream(source, peer).await?;
+    let _ = stream.set_nodelay(true);
+    let head = format!("CONNECT {addr} HTTP/1.1\r\nHost: {addr}\r\n\r\n");
+    let BufResult(written, _) = stream.write_all(head.into_bytes()).await;
+    written?;
+    let head = read_head(&mut stream).await?;
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let is_read = response
+        .parse(&head)
+        .is_ok_and(|parsed| parsed.is_complete());
+    let status = response.code.filter(|_| is_read);
+    let status = status.and_then(|code| StatusCode::from_u16(code).ok());
+    let status = status.ok_or(io::ErrorKind::InvalidData)?;
+    Ok((stream, status))
+}
+
+async fn answer(stream: &mut TcpStream, status: StatusCode) -> io::Result<()> {
+    let head = format!("HTTP/1.1 {} -\r\n\r\n", status.as_u16());
+    let BufResult(written, _) = stream.write_all(head.into_bytes()).await;
+    written.map(|_| ())
+}
+
+/// Reads up to the empty line that ends a head. Nothing follows it before the other side has read
+/// an answer.
+async fn read_head(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
+    let mut head = Vec::with_capacity(MAX_HEAD_BYTES);
+    loop {
+        let BufResult(read, bytes) = stream.read(Vec::with_capacity(MAX_HEAD_BYTES)).await;
+        if read? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        head.extend_from_slice(&bytes);
+        if head.ends_with(b"\r\n\r\n") {
+            return Ok(head);
+        }
+        if MAX_HEAD_BYTES < head.len() {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+    }
+}
+
+fn requested_addr(head: &[u8]) -> Option<SocketAddr> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let is_read = request.parse(head).is_ok_and(|parsed| parsed.is_complete());
+    let is_connect = is_read && request.method == Some("CONNECT");
+    request.path.filter(|_| is_connect)?.parse().ok()
+}
+
+/// Has the connection fail once sent data was not acknowledged for this long.
+pub(crate) fn set_user_timeout(stream: &TcpStream, user_timeout: Duration) {
+    let socket = socket2::SockRef::from(stream);
+    if let Err(e) = socket.set_tcp_user_timeout(Some(user_timeout)) {
+        log::warn!("a connection stays without a limit for acknowledgements: {e}");
+    }
+}
--- a/crates/site/src/connection_pool.rs
+++ b/crates/site/src/connection_pool.rs
@@ -11,11 +11,16 @@
 use forward::TargetId;
 use net::Connection;
 use net::SendError;
+use net::TunnelError;
 use quorum::clock;
 
 /// The longest time a connection is kept idle, and the time if its upstream names none.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 
+/// How long an upstream may leave sent data unacknowledged. Its system acknowledges at once, also
+/// while the upstream is silent; three packets in a row must be lost to reach this otherwise.
+pub(crate) const USER_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Idle connections kept per upstream process.
 const MAX_IDLE_PER_TARGET: usize = 24;
 
@@ -62,7 +67,25 @@
         addr: SocketAddr,
         timeout: Duration,
     ) -> Result<Connection, SendError> {
-        Connection::connect_from(self.source, addr, timeout).await
+        Connection::connect_from(self.source, addr, timeout, USER_TIMEOUT).await
+    }
+
+    /// Opens a new connection through another entry host, which takes them at `peer`.
+    pub async fn connect_through(
+        &self,
+        peer: SocketAddr,
+        addr: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Connection, TunnelError> {
+        Connection::connect_through(self.source, peer, addr, timeout, USER_TIMEOUT).await
+    }
+
+    /// Closes the idle connections for which `is_closed` holds.
+    pub fn close_idle(&self, is_closed: impl Fn(&TargetId, &Connection) -> bool) {
+        self.idle.borrow_mut().retain(|id, connections| {
+            connections.retain(|idle| !is_closed(id, &idle.connection));
+            !connections.is_empty()
+        });
     }
 
     /// Keeps a connection for a later request, for three quarters of the idle time that its
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -68,6 +68,7 @@
             edition: control.routing_table.borrow().edition,
             notices: control.quarantine.borrow().published().edition,
             shares: control.allotment.borrow().published().edition,
+            entries: control.entry_directory.borrow().published().edition,
             watcher: Watcher::Control,
             load_report: control
                 .loads
@@ -151,6 +152,10 @@
         control.allotment.borrow_mut().follow(newer);
         control.watch_changed.notify_waiters();
     }
+    if let Some(newer) = update.entries {
+        control.entry_directory.borrow_mut().follow(newer);
+        control.watch_changed.notify_waiters();
+    }
     if let Some(newer) = update.routing_table
         && control.routing_table.borrow().edition < newer.edition
     {
@@ -165,6 +170,7 @@
     let known = FleetReport {
         evidence: control.quarantine.borrow().known_evidence(),
         limits: control.allotment.borrow().known_reports(),
+        entries: control.entry_directory.borrow().published().items.clone(),
     };
     if !known.is_empty() {
         let mut unsent = control.unsent_reports.borrow_mut();
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -22,6 +22,7 @@
 use base::UpstreamId;
 use fleet::CompressedText;
 use fleet::DecompressError;
+use fleet::EntryReport;
 use fleet::ReplicaRecord;
 use form::Controller;
 use quarantine::Quarantine;
@@ -79,11 +80,13 @@
         }
         control.quarantine.borrow_mut().set_term(term, now);
         control.allotment.borrow_mut().set_term(term, now);
+        control.entry_directory.borrow_mut().set_term(term, now);
         if term.is_some() {
             RecordWriter::commit_changes(&control);
             publish_routing_table(&control);
             publish_notices(&control, now);
             publish_shares(&control, now);
+            publish_entries(&control, now);
         }
         compio::time::sleep(REST_PER_TICK * clock::now().since(now)).await;
         if EXPIRY_INTERVAL <= now.since(last_expiry_at) {
@@ -183,6 +186,21 @@
     }
 }
 
+/// Publishes the entry hosts if they have changed.
+fn publish_entries(control: &ControlHost, now: Time) {
+    let mut entry_directory = control.entry_directory.borrow_mut();
+    if entry_directory.tick(now) {
+        let list = entry_directory.published();
+        let is_cut = |entry: &&EntryReport| !entry.cut_from.is_empty();
+        emit(&Event::EntriesPublished {
+            edition: list.edition,
+            entries: list.items.len(),
+            cut: list.items.iter().filter(is_cut).count(),
+        });
+        control.watch_changed.notify_waiters();
+    }
+}
+
 /// Publishes the shares of limits if they have changed.
 fn publish_shares(control: &ControlHost, now: Time) {
     let roster = control.roster.borrow();
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -39,6 +39,7 @@
 use base::UpstreamId;
 use base::Version;
 use fleet::CompressedText;
+use fleet::EntryDirectory;
 use fleet::LeaderReports;
 use fleet::Probes;
 use fleet::Roster;
@@ -114,6 +115,8 @@
     pub unsent_reports: RefCell<Vec<(Time, FleetReport)>>,
     /// Which parts of prompts are suspected and banned.
     pub quarantine: RefCell<Quarantine>,
+    /// The entry hosts, and which upstreams they reach.
+    pub entry_directory: RefCell<EntryDirectory>,
     /// The limits that upstreams name, and the entry hosts that share them.
     pub allotment: RefCell<Allotment>,
     /// Hosts that are being probed or were lost.
@@ -221,6 +224,7 @@
             unsent_observations: RefCell::default(),
             unsent_reports: RefCell::default(),
             quarantine: RefCell::default(),
+            entry_directory: RefCell::default(),
             allotment: RefCell::default(),
             probes: RefCell::default(),
             reported_leader: Cell::new(None),
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -85,6 +85,7 @@
             || call.edition < control.routing_table.borrow().edition
             || call.notices < control.quarantine.borrow().published().edition
             || call.shares < control.allotment.borrow().published().edition
+            || call.entries < control.entry_directory.borrow().published().edition
     };
     if !has_newer(&control) {
         control.watch_changed.wait(watch_wait(&control)).await;
@@ -113,6 +114,9 @@
     let allotment = control.allotment.borrow();
     let is_newer = call.shares < allotment.published().edition;
     update.shares = is_newer.then(|| allotment.published().clone());
+    let entry_directory = control.entry_directory.borrow();
+    let is_newer = call.entries < entry_directory.published().edition;
+    update.entries = is_newer.then(|| entry_directory.published().clone());
     WatchReply::Update(Box::new(update))
 }
 
@@ -137,6 +141,7 @@
         routing_table: None,
         notices: None,
         shares: None,
+        entries: None,
         unreachable: control.unreachable_heads(),
         confirmed_ago,
         controls: control.control_hosts().into_iter().collect(),
@@ -221,6 +226,9 @@
         let mut allotment = control.allotment.borrow_mut();
         let limits = report.limits.into_iter();
         limits.for_each(|report| allotment.record(report, now));
+        let mut entry_directory = control.entry_directory.borrow_mut();
+        let entries = report.entries.into_iter();
+        entries.for_each(|report| entry_directory.record(report, now));
         control.controller_changed.notify_waiters();
         return;
     }
--- a/crates/site/src/entry/attempt.rs
+++ b/crates/site/src/entry/attempt.rs
@@ -14,18 +14,18 @@
 use crate::entry::attempt_guard::AttemptGuard;
 use crate::entry::limits::record_limit;
 use crate::entry::outbound::OutboundRequest;
+use crate::entry::paths;
+use crate::entry::paths::path_of;
 use crate::events::Event;
 use crate::events::emit;
 use base::Time;
+use forward::ConnectPath;
 use forward::Failure;
 use forward::Target;
 use net::Connection;
 use net::RequestError;
 use quorum::clock;
 
-/// How long connecting to a target may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Time between two checks whether a target has stalled.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -36,11 +36,13 @@
     pub failure: Failure,
     /// The reason for the log.
     pub why: &'static str,
+    /// The way of the connection, if there was one.
+    pub path: Option<ConnectPath>,
 }
 
 impl AttemptError {
-    fn new(failure: Failure, why: &'static str) -> Self {
-        Self { failure, why }
+    fn new(failure: Failure, why: &'static str, path: Option<ConnectPath>) -> Self {
+        Self { failure, why, path }
     }
 }
 
@@ -73,11 +75,18 @@
     let kept = entry.pool.take_idle(&id);
     let sent = match kept {
         Some(kept) => send(entry, request, target, kept, after, deadline).await,
-        None => Err(AttemptError::new(Failure::NotSent, "no kept connection")),
+        None => Err(AttemptError::new(
+            Failure::NotSent,
+            "no kept connection",
+            None,
+        )),
     };
     let sent = match sent {
         Err(error) if error.failure == Failure::NotSent => {
-            let fresh = connect(entry, target, deadline).await?;
+            let left = deadline.since(clock::now());
+            let fresh = paths::connect(entry, target, left).await;
+            let cannot_connect = AttemptError::new(Failure::NotSent, "cannot connect", None);
+            let fresh = fresh.ok_or(cannot_connect)?;
             send(entry, request, target, fresh, after, deadline).await
         }
         other => other,
@@ -85,7 +94,12 @@
     let (response, connection) = sent?;
     record_limit(entry, target, &response, sent_at);
     let keep_alive = keep_alive_time(response.headers());
-    check_response(entry, request, &response)?;
+    let path = path_of(&connection);
+    if path == ConnectPath::Direct {
+        paths::record_sign(entry, target);
+    }
+    entry.metrics.count_attempt(path);
+    check_response(entry, request, &response, path)?;
     entry.targets.borrow_mut().record_output(&id, clock::now());
     Ok(AttemptResponse {
         response,
@@ -95,16 +109,6 @@
     })
 }
 
-async fn connect(
-    entry: &EntryHost,
-    target: &Target,
-    deadline: Time,
-) -> Result<Connection, AttemptError> {
-    let span = CONNECT_TIMEOUT.min(deadline.since(clock::now()));
-    let opened = entry.pool.connect(target.addr, span).await;
-    opened.map_err(|_| AttemptError::new(Failure::NotSent, "cannot connect"))
-}
-
 async fn send(
     entry: &Rc<EntryHost>,
     request: &OutboundRequest,
@@ -116,8 +120,10 @@
     // Checked after the last await before sending: the target may have left, or this process may
     // have been suspended.
     let now = clock::now();
+    let path = path_of(&connection);
+    let failed = |failure, why| Err(AttemptError::new(failure, why, Some(path)));
     if deadline <= now {
-        return Err(AttemptError::new(Failure::NotSent, "no time is left"));
+        return failed(Failure::NotSent, "no time is left");
     }
     let is_known = {
         let targets = entry.targets.borrow();
@@ -126,7 +132,7 @@
             .is_some_and(|t| t.incarnation == target.incarnation)
     };
     if !is_known {
-        return Err(AttemptError::new(Failure::NotSent, "the target is gone"));
+        return failed(Failure::NotSent, "the target is gone");
     }
     let outbound = request.for_target(
         entry.platform.headers(),
@@ -142,13 +148,14 @@
             match timeout(STALL_CHECK_INTERVAL, answer.as_mut()).await {
                 Ok(result) => break result,
                 Err(_) if deadline <= clock::now() => {
-                    return Err(AttemptError::new(Failure::Lost, "no answer in time"));
+                    return failed(Failure::Lost, "no answer in time");
                 }
                 Err(_) if request.is_banned(entry) => {
-                    return Err(AttemptError::new(Failure::Lost, "it is banned"));
+                    return failed(Failure::Lost, "it is banned");
                 }
                 Err(_) if target.model.is_some() && check_stalled(entry, &id) => {
-                    return Err(AttemptError::new(Failure::Lost, "the replica stands still"));
+                    record_direct_failure(entry, target, path);
+                    return failed(Failure::Lost, "the replica stands still");
                 }
                 Err(_) => {}
             }
@@ -156,8 +163,18 @@
     };
     match result {
         Ok(response) => Ok((response, connection)),
-        Err(RequestError::NotSent) => Err(AttemptError::new(Failure::NotSent, "it had ended")),
-        Err(RequestError::Lost) => Err(AttemptError::new(Failure::Broken, "the connection broke")),
+        Err(RequestError::NotSent) => failed(Failure::NotSent, "it had ended"),
+        Err(RequestError::Lost) => {
+            record_direct_failure(entry, target, path);
+            failed(Failure::Broken, "the connection broke")
+        }
+    }
+}
+
+/// Records that a connection broke or stood still, if it was a direct one.
+pub(crate) fn record_direct_failure(entry: &EntryHost, target: &Target, path: ConnectPath) {
+    if path == ConnectPath::Direct {
+        paths::record_failure(entry, target);
     }
 }
 
@@ -189,33 +206,26 @@
     entry: &EntryHost,
     request: &OutboundRequest,
     response: &Response<Incoming>,
+    path: ConnectPath,
 ) -> Result<(), AttemptError> {
+    let failed = |failure, why| Err(AttemptError::new(failure, why, Some(path)));
     let names = entry.platform.headers();
     let headers = response.headers();
     let sent = request.headers.get(&names.attempt_id);
     let echoed = headers.get(&names.attempt_id);
     if echoed.is_some() && echoed != sent {
-        return Err(AttemptError::new(
-            Failure::Lost,
-            "an answer to another request",
-        ));
+        return failed(Failure::Lost, "an answer to another request");
     }
     let refused = headers.contains_key(&names.not_run);
     if refused || response.status() == StatusCode::MISDIRECTED_REQUEST {
-        return Err(AttemptError::new(
-            Failure::Refused,
-            "the upstream did not run it",
-        ));
+        return failed(Failure::Refused, "the upstream did not run it");
     }
     if headers.contains_key(header::CONTENT_ENCODING) {
-        return Err(AttemptError::new(Failure::Lost, "an encoded answer"));
+        return failed(Failure::Lost, "an encoded answer");
     }
     let is_signed = headers.contains_key(&names.signature) && echoed.is_some();
     if response.status().is_success() && !is_signed {
-        return Err(AttemptError::new(
-            Failure::Lost,
-            "an answer without signature",
-        ));
+        return failed(Failure::Lost, "an answer without signature");
     }
     Ok(())
 }
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -8,6 +8,7 @@
 use crate::entry::ModelArrivals;
 use crate::entry::Phase;
 use crate::entry::leave_orders::send_leave_order;
+use crate::entry::paths;
 use crate::entry::targets::update_targets;
 use crate::events::Event;
 use crate::events::emit;
@@ -184,6 +185,7 @@
         edition: entry.routing_table.borrow().edition,
         notices: entry.part_guard.borrow().list().edition,
         shares: entry.limit_guard.borrow().list().edition,
+        entries: entry.peers.borrow().list().edition,
         watcher: Watcher::Entry,
         load_report: Some(LoadReport {
             entries: 1,
@@ -227,6 +229,10 @@
         entry.limit_guard.borrow_mut().apply(newer, clock::now());
         entry.capacity_changed.notify_waiters();
     }
+    if let Some(newer) = update.entries {
+        entry.peers.borrow_mut().apply(newer);
+        paths::close_stale_tunnels(entry);
+    }
     if let Some(load_report) = update.load_report {
         apply_load_report(entry, &load_report);
     }
@@ -287,6 +293,7 @@
             fleet: FleetReport {
                 evidence: entry.part_guard.borrow_mut().take_evidence(clock::now()),
                 limits: entry.limit_guard.borrow_mut().take_reports(clock::now()),
+                entries: paths::due_report(&entry).into_iter().collect(),
             },
             ..Observations::default()
         };
@@ -320,4 +327,5 @@
 fn report_again(entry: &EntryHost) {
     entry.part_guard.borrow_mut().report_again();
     entry.limit_guard.borrow_mut().report_again();
+    paths::report_again(entry);
 }
--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -52,7 +52,7 @@
             rejection.refusal.response(&entry, None)
         }
     };
-    if matches!(entry.phase.get(), Phase::Leaving | Phase::Draining) {
+    if entry.is_leaving() {
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -196,6 +196,7 @@
         unsent_attempts: 0,
         sent_at: arrived,
         may_have_run: false,
+        path: None,
         avoid: BTreeSet::new(),
         _in_flight: in_flight,
     })
--- a/crates/site/src/entry/metrics.rs
+++ b/crates/site/src/entry/metrics.rs
@@ -9,6 +9,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use forward::ConnectPath;
+
 /// Upper bounds of the buckets of all time histograms, in seconds.
 const TIME_BUCKETS: [f64; 14] = [
     0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0,
@@ -30,6 +32,13 @@
     pub outcome: String,
 }
 
+/// Labels of the attempt counter.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct PathLabels {
+    /// `direct`, or `peer` through another entry host.
+    pub path: String,
+}
+
 /// Time histograms by route and organisation.
 type Times = Family<RequestLabels, Histogram, fn() -> Histogram>;
 
@@ -40,6 +49,7 @@
     first: Times,
     total: Times,
     outcomes: Family<OutcomeLabels, Counter>,
+    attempts: Family<PathLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -60,11 +70,18 @@
             total.clone(),
         );
         registry.register("requests", "Requests by how they ended", outcomes.clone());
+        let attempts = Family::default();
+        registry.register(
+            "attempts",
+            "Attempts with an answer by the way of their connection",
+            attempts.clone(),
+        );
         Self {
             registry,
             first,
             total,
             outcomes,
+            attempts,
         }
     }
 }
@@ -79,6 +96,16 @@
         self.outcomes.get_or_create(&labels).inc();
     }
 
+    /// Counts an attempt that got an answer, by the way of its connection.
+    pub fn count_attempt(&self, path: ConnectPath) {
+        let path = match path {
+            ConnectPath::Direct => "direct",
+            ConnectPath::Through(_) => "peer",
+        };
+        let path = path.to_owned();
+        self.attempts.get_or_create(&PathLabels { path }).inc();
+    }
+
     /// Records how long a request's first bytes and its whole answer took.
     pub fn observe_times(&self, labels: &RequestLabels, first: Duration, total: Duration) {
         let first_times = self.first.get_or_create(labels);
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod metrics;
 mod outbound;
+mod paths;
 mod relay;
 mod request_forwarder;
 mod targets;
@@ -26,6 +27,7 @@
 use crate::connection_pool::ConnectionPool;
 use crate::entry::answer_memory::AnswerMemory;
 use crate::entry::metrics::Metrics;
+use crate::entry::paths::OwnReport;
 use crate::notify::Notify;
 use crate::platform::Platform;
 use crate::settings::Settings;
@@ -42,11 +44,14 @@
 use fleet::RoutingTable;
 use forward::ControlSelector;
 use forward::KeyFreshness;
+use forward::PathTable;
+use forward::PeerTable;
 use forward::RetryBudget;
 use forward::TargetTable;
 use net::RpcClient;
 use net::Server;
 use net::ServerLimits;
+use net::TunnelServer;
 use quarantine::PartGuard;
 use quorum::clock;
 
@@ -139,6 +144,12 @@
     pub retry_budget: RefCell<RetryBudget>,
     /// Checks requests by the parts of their prompts.
     pub part_guard: RefCell<PartGuard>,
+    /// Which way to connect to upstreams.
+    pub paths: RefCell<PathTable>,
+    /// The other entry hosts.
+    pub peers: RefCell<PeerTable>,
+    /// What this host last reported of itself.
+    pub own_report: RefCell<OwnReport>,
     /// The limits that upstreams name, and the shares of this entry host.
     pub limit_guard: RefCell<LimitGuard>,
     /// The recent requests for each model.
@@ -166,6 +177,8 @@
     pub entry: Rc<EntryHost>,
     callers: Server,
     readiness: Option<Server>,
+    /// Takes connections that other entry hosts lead through this one.
+    tunnels: Option<TunnelServer>,
 }
 
 impl Running {
@@ -194,6 +207,8 @@
                 .await?,
             ),
         };
+        let tunnels = paths::bind_tunnels(&entry).await?;
+        compio::runtime::spawn(paths::probe_lost_paths(Rc::clone(&entry))).detach();
         compio::runtime::spawn(follow::follow_control_host(Rc::clone(&entry))).detach();
         compio::runtime::spawn(follow::return_to_nearest(Rc::clone(&entry))).detach();
         compio::runtime::spawn(follow::send_observations(Rc::clone(&entry))).detach();
@@ -202,9 +217,16 @@
             entry,
             callers,
             readiness,
+            tunnels,
         })
     }
 
+    /// Requests and tunnels that have not ended.
+    fn in_flight(&self) -> usize {
+        let tunnels = self.tunnels.as_ref().map_or(0, TunnelServer::open_tunnels);
+        self.entry.in_flight.get() + tunnels
+    }
+
     async fn listen(
         entry: &Rc<EntryHost>,
         addr: SocketAddr,
@@ -227,11 +249,16 @@
     pub async fn stop(&self) {
         let deadline = clock::now() + self.entry.settings.stop_timeout;
         self.entry.phase.set(Phase::Leaving);
+        // Other entry hosts choose no tunnel through this one any more.
+        self.entry.observations_added.notify_waiters();
         compio::time::sleep(DRAIN_DELAY).await;
         self.entry.phase.set(Phase::Draining);
         self.callers.stop_accepting();
         self.callers.close_idle_connections();
-        while 0 < self.entry.in_flight.get() && clock::now() + ABANDON_MARGIN < deadline {
+        if let Some(tunnels) = &self.tunnels {
+            tunnels.stop_accepting();
+        }
+        while 0 < self.in_flight() && clock::now() + ABANDON_MARGIN < deadline {
             compio::time::sleep(Duration::from_millis(20)).await;
         }
         // The connections still have to write out their last bytes.
@@ -267,6 +294,13 @@
             targets: RefCell::new(TargetTable::new(settings.centre.clone(), seed)),
             retry_budget: RefCell::new(RetryBudget::new(ratio, slack, window)),
             part_guard: RefCell::new(PartGuard::new(settings.node_id())),
+            paths: RefCell::default(),
+            peers: RefCell::new(PeerTable::new(
+                settings.node_id(),
+                settings.centre.clone(),
+                seed,
+            )),
+            own_report: RefCell::default(),
             limit_guard: RefCell::new(LimitGuard::new(settings.node_id())),
             arrivals: RefCell::default(),
             stalled_heads: RefCell::default(),
@@ -286,6 +320,11 @@
         })
     }
 
+    /// Whether this host is stopping.
+    pub fn is_leaving(&self) -> bool {
+        matches!(self.phase.get(), Phase::Leaving | Phase::Draining)
+    }
+
     /// How long ago this process started.
     pub fn uptime(&self) -> Duration {
         clock::now().since(self.started_at)
--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -15,8 +15,10 @@
 use crate::entry::attempt::AttemptError;
 use crate::entry::attempt::AttemptResponse;
 use crate::entry::attempt::check_stalled;
+use crate::entry::attempt::record_direct_failure;
 use crate::entry::attempt_guard::AttemptGuard;
 use crate::entry::outbound::end_to_end;
+use crate::entry::paths;
 use crate::entry::request_forwarder::RequestForwarder;
 use crate::events::Event;
 use crate::events::emit;
@@ -208,6 +210,9 @@
         self.first_event_at.get_or_insert(now);
         if let Some(source) = &mut self.source {
             source.guard.record_first_event();
+            if source.connection.peer().is_none() {
+                paths::record_sign(&self.forwarder.entry, &self.target);
+            }
             let was_settled = source.is_settled(self.last_event_at);
             let began_at = *source.first_event_at.get_or_insert(now);
             if !was_settled && SETTLE_TIME <= now.since(began_at) {
@@ -254,7 +259,11 @@
 
     /// Resumes the stream at another target, after the last complete event.
     async fn resume(&mut self, failure: Failure, why: &'static str) -> bool {
-        let error = AttemptError { failure, why };
+        let path = self.forwarder.path;
+        if let Some(path) = path {
+            record_direct_failure(&self.forwarder.entry, &self.target, path);
+        }
+        let error = AttemptError { failure, why, path };
         // The failed attempt was already counted when the head of its response came.
         self.forwarder.attempts -= 1;
         if self.forwarder.record_failure(&self.target, error).is_err() {
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -20,6 +20,7 @@
 use crate::entry::metrics::RequestLabels;
 use crate::entry::outbound::OutboundRequest;
 use crate::entry::outbound::end_to_end;
+use crate::entry::paths::path_of;
 use crate::entry::relay;
 use crate::events::Event;
 use crate::events::emit;
@@ -31,6 +32,7 @@
 use fleet::RequestKind;
 use fleet::Route;
 use forward::ChooseError;
+use forward::ConnectPath;
 use forward::Failure;
 use forward::RetryDecision;
 use forward::Target;
@@ -70,6 +72,8 @@
     pub unsent_attempts: u32,
     /// Whether an earlier attempt may have run.
     pub may_have_run: bool,
+    /// The way of the last attempt that had a connection.
+    pub path: Option<ConnectPath>,
     /// Targets at which the request failed.
     pub avoid: BTreeSet<UpstreamId>,
     /// Counts the request at this entry host until it is dropped.
@@ -108,6 +112,7 @@
             match attempt(&self.entry, &self.request, &target, after, self.deadline).await {
                 Ok(answer) => {
                     self.attempts += 1;
+                    self.path = Some(path_of(&answer.connection));
                     return Ok((target, answer));
                 }
                 Err(error) => self.record_failure(&target, error)?,
@@ -158,13 +163,20 @@
             model: self.model.as_ref(),
             avoid: &self.avoid,
             closed,
+            trusts_health: self.trusts_health(),
         }
     }
 
+    fn trusts_health(&self) -> bool {
+        let paths = self.entry.paths.borrow();
+        paths.trusts_health(&self.service, clock::now())
+    }
+
     /// Records a failed attempt. Returns the refusal for the caller if no retry follows.
     pub fn record_failure(&mut self, target: &Target, error: AttemptError) -> Result<(), Refusal> {
         let now = clock::now();
         let id = (target.id.clone(), target.incarnation);
+        self.path = error.path;
         match error.failure {
             Failure::NotSent => self.unsent_attempts += 1,
             Failure::Refused | Failure::Broken | Failure::Lost => self.attempts += 1,
@@ -185,6 +197,7 @@
             why: error.why.to_owned(),
             next: next.to_string(),
             left_ms: self.deadline.since(now).as_millis(),
+            path: error.path.map_or("-".to_owned(), |path| path.to_string()),
             parts: join_parts(&*self.request.parts),
         });
         let is_expired = self.deadline <= now;
@@ -270,6 +283,7 @@
             keep_alive,
         } = answer;
         let first = clock::now();
+        let path = Some(path_of(&connection));
         let (head, body) = response.into_parts();
         let left = self.deadline.since(first);
         let read = self.entry.answer_memory.read(body, left).await;
@@ -288,7 +302,7 @@
                 // `record_failure` counts this attempt again.
                 self.attempts -= 1;
                 return self
-                    .record_failure(target, AttemptError { failure, why })
+                    .record_failure(target, AttemptError { failure, why, path })
                     .map_or_else(|refusal| Err(Some(refusal)), |()| Err(None));
             }
         };
@@ -302,7 +316,7 @@
             let failure = Failure::Lost;
             self.attempts -= 1;
             if self
-                .record_failure(target, AttemptError { failure, why })
+                .record_failure(target, AttemptError { failure, why, path })
                 .is_ok()
             {
                 return Err(None);
@@ -353,6 +367,7 @@
             first_ms: first.as_millis(),
             total_ms: total.as_millis(),
             late: punctuality.text(),
+            path: self.path.unwrap_or(ConnectPath::Direct),
             parts: join_parts(&*self.request.parts),
         });
     }
--- a/crates/site/src/entry/targets.rs
+++ b/crates/site/src/entry/targets.rs
@@ -4,6 +4,7 @@
 
 use crate::entry::EntryHost;
 use base::Time;
+use base::UpstreamId;
 use fleet::Announcement;
 use fleet::Configuration;
 use fleet::Intake;
@@ -29,6 +30,9 @@
     });
     let targets = plain.chain(served).collect();
     entry.targets.borrow_mut().set_targets(targets);
+    let targets = entry.targets.borrow();
+    let is_known = |id: &UpstreamId| targets.get(id).is_some();
+    entry.paths.borrow_mut().retain(is_known);
     entry.capacity_changed.notify_waiters();
 }
 
--- a/crates/site/src/events.rs
+++ b/crates/site/src/events.rs
@@ -12,6 +12,7 @@
 use base::UpstreamId;
 use base::Version;
 use fleet::Edition;
+use forward::ConnectPath;
 
 /// The parts by which requests are known, for the log.
 pub(crate) fn join_parts<'a, Part: Display + 'a>(
@@ -82,12 +83,14 @@
         "requests with these parts are served again parts={parts} why={why:?}";
     2412 Info SharesPublished { edition: Edition, limited: usize }
         "shares of the limits that upstreams name were published edition={edition:?} limited={limited}";
-    2500 Info Answered { id: &'a str, route: &'a RouteName, target: &'a UpstreamId, status: u16, attempts: u32, first_ms: u128, total_ms: u128, late: &'a str, parts: String }
-        "answered id={id} route={route} target={target} status={status} attempts={attempts} first_ms={first_ms} total_ms={total_ms} late={late} parts={parts}";
+    2413 Info EntriesPublished { edition: Edition, entries: usize, cut: usize }
+        "entry hosts were published edition={edition:?} entries={entries} cut={cut}";
+    2500 Info Answered { id: &'a str, route: &'a RouteName, target: &'a UpstreamId, status: u16, attempts: u32, first_ms: u128, total_ms: u128, late: &'a str, path: ConnectPath, parts: String }
+        "answered id={id} route={route} target={target} path={path} status={status} attempts={attempts} first_ms={first_ms} total_ms={total_ms} late={late} parts={parts}";
     2501 Info Refused { id: &'a str, route: &'a str, status: u16, why: &'a str, waited_ms: u128, attempts: u32, version: Version, age_ms: u128, parts: String }
         "refused id={id} route={route} status={status} why={why:?} waited_ms={waited_ms} attempts={attempts} version={version} confirmed_ms_ago={age_ms} parts={parts}";
-    2502 Info AttemptFailed { id: &'a str, target: &'a UpstreamId, failure: String, why: String, next: String, left_ms: u128, parts: String }
-        "attempt failed id={id} target={target} failure={failure} why={why:?} next={next} left_ms={left_ms} parts={parts}";
+    2502 Info AttemptFailed { id: &'a str, target: &'a UpstreamId, failure: String, why: String, next: String, left_ms: u128, path: String, parts: String }
+        "attempt failed id={id} target={target} path={path} failure={failure} why={why:?} next={next} left_ms={left_ms} parts={parts}";
     2503 Info Resumed { id: &'a str, from: &'a UpstreamId, to: &'a UpstreamId, after: Option<u64> }
         "stream resumed id={id} from={from} to={to} after={after:?}";
     2504 Warn StreamBroken { id: &'a str, target: &'a UpstreamId, after: Option<u64>, why: String, total_ms: u128 }
@@ -98,4 +101,8 @@
         "target stalled target={target} own={own}";
     2507 Info LimitNamed { target: &'a UpstreamId, limit: String }
         "a target names the requests a second that it takes target={target} limit={limit}";
+    2508 Warn ServiceCutOff { service: &'a ServiceName }
+        "this host reaches no upstream of a service, its connections lead through other entry hosts service={service}";
+    2509 Info ServiceReached { service: &'a ServiceName }
+        "this host reaches upstreams of a service again service={service}";
 }
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -17,6 +17,8 @@
 use base::Version;
 use fleet::CompressedText;
 use fleet::Edition;
+use fleet::EntryList;
+use fleet::EntryReport;
 use fleet::Heartbeat;
 use fleet::Revision;
 use fleet::RosterChange;
@@ -77,6 +79,9 @@
     /// The known edition of the shares of limits.
     #[serde(default)]
     pub shares: Edition,
+    /// The known edition of the list of entry hosts.
+    #[serde(default)]
+    pub entries: Edition,
     /// The kind of process that asks.
     pub watcher: Watcher,
     /// The load of the sender, or of the entry hosts that follow it. None if it was sent shortly
@@ -106,6 +111,9 @@
     /// The shares of the limits that upstreams name, if they are newer.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub shares: Option<ShareList>,
+    /// The entry hosts, if the list is newer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub entries: Option<EntryList>,
     /// Head hosts that are to leave their replicas. An entry host that can reach one tells it.
     pub unreachable: Vec<UnreachableHead>,
     /// How long ago a majority last confirmed the configuration, if ever.
@@ -169,18 +177,22 @@
     /// What they know of the limits of upstreams.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitReport>,
+    /// What they say of themselves, the latest last.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub entries: Vec<EntryReport>,
 }
 
 impl FleetReport {
     /// Whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
-        self.evidence.is_empty() && self.limits.is_empty()
+        self.evidence.is_empty() && self.limits.is_empty() && self.entries.is_empty()
     }
 
     /// Adds what was reported later.
     pub fn add(&mut self, other: Self) {
         self.evidence.add(other.evidence);
         self.limits.extend(other.limits);
+        self.entries.extend(other.entries);
     }
 
     /// The report as it reads after another `span`.
@@ -189,6 +201,7 @@
         Self {
             evidence: self.evidence.aged(span),
             limits: limits.map(|report| report.aged(span)).collect(),
+            entries: self.entries,
         }
     }
 }
