--- a/crates/forward/src/path.rs
+++ b/crates/forward/src/path.rs
@@ -27,8 +27,9 @@
 /// Processes of a service that must fail one after the other before it is in doubt.
 const MIN_FAILED_TARGETS: usize = 2;
 
-/// How long failures of processes don't count against them after a service came in doubt.
-const HEALTH_GRACE: Duration = Duration::from_millis(1_500);
+/// How long no direct connection to a service may have worked before it is in doubt. A few processes
+/// may be gone while others answer all the time.
+const MIN_SILENCE: Duration = Duration::from_millis(150);
 
 /// Time from the loss of a direct path to its first probe. Doubles up to [`MAX_PROBE_DELAY`].
 const FIRST_PROBE_DELAY: Duration = Duration::from_millis(500);
@@ -67,8 +68,10 @@
 struct ServicePaths {
     /// Processes whose direct connections failed since one of the service last worked.
     failed: BTreeSet<UpstreamId>,
-    /// When the service came in doubt.
-    suspect_since: Option<Time>,
+    /// When a direct connection last worked.
+    worked_at: Time,
+    /// Whether the service is in doubt.
+    is_suspect: bool,
 }
 
 /// A process that only other entry hosts reach.
@@ -103,21 +106,13 @@
     /// Whether direct paths to the service are in doubt.
     pub fn is_suspect(&self, service: &ServiceName) -> bool {
         let paths = self.services.get(service);
-        paths.is_some_and(|paths| paths.suspect_since.is_some())
-    }
-
-    /// Whether failures speak against processes of the service, and not against this host's way
-    /// to them.
-    pub fn trusts_health(&self, service: &ServiceName, now: Time) -> bool {
-        let paths = self.services.get(service);
-        let suspect_since = paths.and_then(|paths| paths.suspect_since);
-        suspect_since.is_none_or(|since| HEALTH_GRACE <= now.since(since))
+        paths.is_some_and(|paths| paths.is_suspect)
     }
 
     /// Services of which no direct path is known to work.
     pub fn cut_services(&self) -> BTreeSet<ServiceName> {
         let suspect = self.services.iter();
-        let suspect = suspect.filter(|(_, paths)| paths.suspect_since.is_some());
+        let suspect = suspect.filter(|(_, paths)| paths.is_suspect);
         suspect.map(|(service, _)| service.clone()).collect()
     }
 
@@ -131,21 +126,25 @@
     ) -> bool {
         let paths = self.services.entry(service.clone()).or_default();
         paths.failed.insert(target.clone());
-        let is_new = paths.suspect_since.is_none() && MIN_FAILED_TARGETS <= paths.failed.len();
-        if is_new {
-            paths.suspect_since = Some(now);
-        }
+        let is_silent = MIN_SILENCE <= now.since(paths.worked_at);
+        let is_new = !paths.is_suspect && is_silent && MIN_FAILED_TARGETS <= paths.failed.len();
+        paths.is_suspect |= is_new;
         is_new
     }
 
     /// Records that bytes came over a direct connection to the service. Returns whether it was in
     /// doubt before.
-    pub fn record_sign(&mut self, service: &ServiceName) -> bool {
-        if self.services.is_empty() {
-            return false;
+    pub fn record_sign(&mut self, service: &ServiceName, now: Time) -> bool {
+        if !self.services.contains_key(service) {
+            self.services
+                .insert(service.clone(), ServicePaths::default());
         }
-        let paths = self.services.remove(service);
-        paths.is_some_and(|paths| paths.suspect_since.is_some())
+        let Some(paths) = self.services.get_mut(service) else {
+            return false;
+        };
+        paths.failed.clear();
+        paths.worked_at = now;
+        std::mem::take(&mut paths.is_suspect)
     }
 
     /// Records that another entry host reached a process that this one could not reach.
--- a/crates/forward/src/peer_table.rs
+++ b/crates/forward/src/peer_table.rs
@@ -10,12 +10,18 @@
 use base::NodeId;
 use base::ServiceName;
 use base::Time;
+use base::UpstreamId;
 use fleet::EntryList;
 use fleet::EntryReport;
 
-/// How long an entry host that did not answer is left out.
+/// How long an entry host that did not answer is left out, or one that reaches no process of a
+/// service, for that service.
 const FAILURE_EXCLUSION: Duration = Duration::from_secs(1);
 
+/// Processes of a service that an entry host must fail to reach before it is left out. One alone
+/// may be gone.
+const MIN_UNREACHED_TARGETS: usize = 2;
+
 /// The other entry hosts of the deployment, as the leader published them.
 #[derive(Clone, Debug)]
 pub struct PeerTable {
@@ -23,9 +29,18 @@
     centre: CentreName,
     list: EntryList,
     excluded_until: BTreeMap<NodeId, Time>,
+    /// Processes that an entry host did not reach since it last reached one of their service.
+    unreached: BTreeMap<(NodeId, ServiceName), Unreached>,
     rng: Rng,
 }
 
+/// Processes of a service that an entry host did not reach.
+#[derive(Clone, Debug)]
+struct Unreached {
+    targets: BTreeSet<UpstreamId>,
+    until: Time,
+}
+
 impl PeerTable {
     /// Creates the table of an entry host that knows no others. `seed` is for the random part of
     /// the choice.
@@ -35,6 +50,7 @@
             centre,
             list: EntryList::default(),
             excluded_until: BTreeMap::new(),
+            unreached: BTreeMap::new(),
             rng: Rng::with_seed(seed),
         }
     }
@@ -70,6 +86,7 @@
         now: Time,
     ) -> Option<NodeId> {
         self.excluded_until.retain(|_, until| now < *until);
+        self.unreached.retain(|_, unreached| now < unreached.until);
         let is_fit = |entry: &&EntryReport| {
             entry.node != self.own_id
                 && !entry.is_leaving
@@ -77,7 +94,11 @@
                 && !avoid.contains(&entry.node)
                 && !self.excluded_until.contains_key(&entry.node)
         };
-        let fit: Vec<&EntryReport> = self.list.items.iter().filter(is_fit).collect();
+        let mut fit: Vec<&EntryReport> = self.list.items.iter().filter(is_fit).collect();
+        let reaches_some = |entry: &&EntryReport| !self.reaches_none(entry.node, service);
+        if fit.iter().any(reaches_some) {
+            fit.retain(reaches_some);
+        }
         let is_near = |entry: &&EntryReport| entry.centre == self.centre;
         let near: Vec<&EntryReport> = fit.iter().copied().filter(is_near).collect();
         let far: Vec<&EntryReport> = fit.iter().copied().filter(|e| !is_near(e)).collect();
@@ -98,4 +119,31 @@
     pub fn record_failure(&mut self, node: NodeId, now: Time) {
         self.excluded_until.insert(node, now + FAILURE_EXCLUSION);
     }
+
+    /// Records that an entry host did not reach a process of a service.
+    pub fn record_unreachable(
+        &mut self,
+        node: NodeId,
+        service: &ServiceName,
+        target: &UpstreamId,
+        now: Time,
+    ) {
+        let key = (node, service.clone());
+        let unreached = self.unreached.entry(key).or_insert_with(|| Unreached {
+            targets: BTreeSet::new(),
+            until: now,
+        });
+        unreached.targets.insert(target.clone());
+        unreached.until = now + FAILURE_EXCLUSION;
+    }
+
+    /// Records that an entry host reached a process of a service.
+    pub fn record_reached(&mut self, node: NodeId, service: &ServiceName) {
+        self.unreached.remove(&(node, service.clone()));
+    }
+
+    fn reaches_none(&self, node: NodeId, service: &ServiceName) -> bool {
+        let unreached = self.unreached.get(&(node, service.clone()));
+        unreached.is_some_and(|unreached| MIN_UNREACHED_TARGETS <= unreached.targets.len())
+    }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -36,5 +36,6 @@
 pub use server::ServerLimits;
 pub use traffic_meter::TrafficMeter;
 pub use tunnel::TunnelError;
+pub use tunnel::TunnelPolicy;
 pub use tunnel::TunnelServer;
 pub use tunnel::TunnelServerConfig;
--- a/crates/net/src/tunnel.rs
+++ b/crates/net/src/tunnel.rs
@@ -39,7 +39,7 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// How long connecting to the upstream may take.
-const UPSTREAM_TIMEOUT: Duration = Duration::from_millis(200);
+const UPSTREAM_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// How long the process that opened a tunnel may take to close it after the upstream did.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -61,6 +61,14 @@
     UpstreamUnreachable,
 }
 
+/// What a process decides of the tunnels that lead through it.
+pub trait TunnelPolicy: 'static {
+    /// Whether the process at `peer` may have a tunnel to the upstream at `addr`.
+    fn may_open(&self, peer: IpAddr, addr: SocketAddr) -> bool;
+    /// Records whether the upstream at `addr` could be connected to.
+    fn record_connect(&self, addr: SocketAddr, is_connected: bool);
+}
+
 /// Accepts tunnels until it is dropped or told to stop.
 #[derive(Debug)]
 pub struct TunnelServer {
@@ -89,12 +97,8 @@
 }
 
 impl TunnelServer {
-    /// Listens for tunnels. `may_open` says whether the process at an address may have one to an
-    /// upstream.
-    pub async fn bind(
-        cfg: TunnelServerConfig,
-        may_open: impl Fn(IpAddr, SocketAddr) -> bool + Clone + 'static,
-    ) -> io::Result<Self> {
+    /// Listens for tunnels.
+    pub async fn bind(cfg: TunnelServerConfig, policy: Rc<dyn TunnelPolicy>) -> io::Result<Self> {
         let listener = listen(cfg.addr, cfg.max_tunnels).await?;
         let (stop_accepting, stopped) = async_channel::bounded::<()>(1);
         let open = Rc::new(Cell::new(0));
@@ -103,7 +107,7 @@
             stop_accepting,
         };
         compio::runtime::spawn(async move {
-            let accept = std::pin::pin!(accept_tunnels(listener, cfg, open, may_open));
+            let accept = std::pin::pin!(accept_tunnels(listener, cfg, open, policy));
             let stopped = std::pin::pin!(stopped.recv());
             select(accept, stopped).await;
         })
@@ -126,7 +130,7 @@
     listener: TcpListener,
     cfg: TunnelServerConfig,
     open: Rc<Cell<usize>>,
-    may_open: impl Fn(IpAddr, SocketAddr) -> bool + Clone + 'static,
+    policy: Rc<dyn TunnelPolicy>,
 ) {
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
@@ -134,14 +138,14 @@
             compio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let (cfg, may_open) = (cfg.clone(), may_open.clone());
+        let (cfg, policy) = (cfg.clone(), Rc::clone(&policy));
         let is_full = cfg.max_tunnels <= open.get();
         open.set(open.get() + 1);
         let open = OpenTunnel(Rc::clone(&open));
         compio::runtime::spawn(async move {
             let _open = open;
-            let may_open = |addr| !is_full && may_open(peer.ip(), addr);
-            if let Err(e) = serve_tunnel(stream, &cfg, may_open).await {
+            let may_open = |addr| !is_full && policy.may_open(peer.ip(), addr);
+            if let Err(e) = serve_tunnel(stream, &cfg, may_open, policy.as_ref()).await {
                 log::debug!("a tunnel of {peer} ended: {e}");
             }
         })
@@ -153,6 +157,7 @@
     mut stream: TcpStream,
     cfg: &TunnelServerConfig,
     may_open: impl Fn(SocketAddr) -> bool,
+    policy: &dyn TunnelPolicy,
 ) -> io::Result<()> {
     let _ = stream.set_nodelay(true);
     let head = match timeout(HEAD_TIMEOUT, read_head(&mut stream)).await {
@@ -166,6 +171,7 @@
         return answer(&mut stream, StatusCode::SERVICE_UNAVAILABLE).await;
     }
     let connected = timeout(UPSTREAM_TIMEOUT, connect_stream(cfg.addr.ip(), addr)).await;
+    policy.record_connect(addr, matches!(connected, Ok(Ok(_))));
     let Ok(Ok(upstream)) = connected else {
         return answer(&mut stream, StatusCode::BAD_GATEWAY).await;
     };
--- a/crates/site/src/entry/paths.rs
+++ b/crates/site/src/entry/paths.rs
@@ -25,6 +25,7 @@
 use net::Connection;
 use net::SendError;
 use net::TunnelError;
+use net::TunnelPolicy;
 use net::TunnelServer;
 use net::TunnelServerConfig;
 use quorum::clock;
@@ -32,8 +33,11 @@
 /// How long connecting to a target may take, each way.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How long another entry host may take to connect in place of this one.
+const PEER_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Other entry hosts that are asked for one connection.
-const MAX_PEERS: usize = 2;
+const MAX_PEERS: usize = 3;
 
 /// The most tunnels of other entry hosts at once.
 const MAX_TUNNELS: usize = 400;
@@ -71,20 +75,38 @@
         max_tunnels: MAX_TUNNELS,
         user_timeout: USER_TIMEOUT,
     };
-    let entry = Rc::clone(entry);
-    let may_open = move |peer: IpAddr, addr: SocketAddr| may_open_tunnel(&entry, peer, addr);
-    TunnelServer::bind(cfg, may_open).await.map(Some)
+    let policy = Rc::new(Carrier(Rc::clone(entry)));
+    TunnelServer::bind(cfg, policy).await.map(Some)
 }
 
-/// Whether another entry host may have a tunnel to an address: only entry hosts of the deployment
-/// may, and only to targets.
-fn may_open_tunnel(entry: &EntryHost, peer: IpAddr, addr: SocketAddr) -> bool {
-    let IpAddr::V4(peer) = peer else {
-        return false;
-    };
-    let targets = entry.targets.borrow();
-    let mut targets = targets.targets();
-    entry.peers.borrow().is_entry_host(node_at(peer)) && targets.any(|t| t.addr == addr)
+/// This host as the one that tunnels of others lead through.
+struct Carrier(Rc<EntryHost>);
+
+impl Carrier {
+    fn target_at(&self, addr: SocketAddr) -> Option<Target> {
+        let targets = self.0.targets.borrow();
+        let mut targets = targets.targets();
+        targets.find(|target| target.addr == addr).cloned()
+    }
+}
+
+impl TunnelPolicy for Carrier {
+    /// Only entry hosts of the deployment may have tunnels, and only to targets.
+    fn may_open(&self, peer: IpAddr, addr: SocketAddr) -> bool {
+        let IpAddr::V4(peer) = peer else {
+            return false;
+        };
+        let is_entry_host = self.0.peers.borrow().is_entry_host(node_at(peer));
+        is_entry_host && self.target_at(addr).is_some()
+    }
+
+    fn record_connect(&self, addr: SocketAddr, is_connected: bool) {
+        match (self.target_at(addr), is_connected) {
+            (Some(target), true) => record_connected(&self.0, &target),
+            (Some(target), false) => record_failure(&self.0, &target),
+            (None, _) => {}
+        }
+    }
 }
 
 /// Opens a connection to a target.
@@ -168,7 +190,7 @@
     let mut asked = BTreeSet::new();
     while asked.len() < MAX_PEERS {
         let now = clock::now();
-        let left = give_up_at.since(now);
+        let left = give_up_at.since(now).min(PEER_TIMEOUT);
         let peer = entry
             .peers
             .borrow_mut()
@@ -176,11 +198,21 @@
         asked.insert(peer);
         let addr = entry.settings.internal_addr(peer);
         match entry.pool.connect_through(addr, target.addr, left).await {
-            Ok(connection) => return Some(connection),
+            Ok(connection) => {
+                let mut peers = entry.peers.borrow_mut();
+                peers.record_reached(peer, &target.service);
+                return Some(connection);
+            }
             Err(e) => {
                 log::debug!("no tunnel to {} through {peer}: {e}", target.id);
-                if e != TunnelError::UpstreamUnreachable {
-                    entry.peers.borrow_mut().record_failure(peer, clock::now());
+                let mut peers = entry.peers.borrow_mut();
+                match e {
+                    TunnelError::PeerSilent | TunnelError::PeerRefuses => {
+                        peers.record_failure(peer, clock::now());
+                    }
+                    TunnelError::UpstreamUnreachable => {
+                        peers.record_unreachable(peer, &target.service, &target.id, clock::now());
+                    }
                 }
             }
         }
@@ -205,7 +237,10 @@
 
 /// Records that bytes came over a direct connection.
 pub(crate) fn record_sign(entry: &EntryHost, target: &Target) {
-    let was_suspect = entry.paths.borrow_mut().record_sign(&target.service);
+    let was_suspect = entry
+        .paths
+        .borrow_mut()
+        .record_sign(&target.service, clock::now());
     if was_suspect {
         let service = &target.service;
         emit(&Event::ServiceReached { service });
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -167,9 +167,9 @@
         }
     }
 
+    /// Whether failures to connect speak against targets, and not against this host's way to them.
     fn trusts_health(&self) -> bool {
-        let paths = self.entry.paths.borrow();
-        paths.trusts_health(&self.service, clock::now())
+        !self.entry.paths.borrow().is_suspect(&self.service)
     }
 
     /// Records a failed attempt. Returns the refusal for the caller if no retry follows.
@@ -184,7 +184,12 @@
         if error.failure == Failure::Broken {
             self.record_crash(target, now);
         }
-        if error.failure != Failure::Refused || target.model.is_none() {
+        let speaks_against_target = match error.failure {
+            Failure::NotSent => self.trusts_health(),
+            Failure::Refused => target.model.is_none(),
+            Failure::Broken | Failure::Lost => true,
+        };
+        if speaks_against_target {
             self.entry.targets.borrow_mut().record_failure(&id, now);
         }
         self.avoid.insert(target.id.clone());
