--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -16,7 +16,6 @@
 use crate::entry::attempt::AttemptResponse;
 use crate::entry::attempt::attempt;
 use crate::entry::attempt_guard::InFlightGuard;
-use crate::entry::limits::closed_targets;
 use crate::entry::metrics::RequestLabels;
 use crate::entry::outbound::OutboundRequest;
 use crate::entry::outbound::end_to_end;
@@ -31,26 +30,16 @@
 use base::UpstreamId;
 use fleet::RequestKind;
 use fleet::Route;
-use forward::ChooseError;
 use forward::ConnectPath;
 use forward::Failure;
 use forward::RetryDecision;
 use forward::Target;
-use forward::TargetQuery;
 use net::Body;
 use quorum::clock;
 
-/// A request may wait for a target with a free slot for its latency target divided by this.
-const TARGET_WAIT_DIVISOR: u32 = 4;
-
-/// The longest time between two attempts to find a target with a free slot.
-const TARGET_RETRY_INTERVAL: Duration = Duration::from_millis(25);
-
 /// A request is refused after this many attempts that were never sent.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
 
-static NONE_CLOSED: BTreeSet<UpstreamId> = BTreeSet::new();
-
 /// Forwards one request whose route and service are known.
 pub(crate) struct RequestForwarder {
     pub entry: Rc<EntryHost>,
@@ -129,49 +118,6 @@
         }
     }
 
-    /// Chooses the target, waiting a short time for one with a free slot.
-    async fn choose_target(&mut self) -> Result<Target, Refusal> {
-        let give_up_at = clock::now() + self.route.latency_target / TARGET_WAIT_DIVISOR;
-        let give_up_at = give_up_at.min(self.deadline);
-        loop {
-            let now = clock::now();
-            let query = self.target_query(&NONE_CLOSED);
-            let closed = closed_targets(&self.entry, &query);
-            let query = self.target_query(&closed);
-            let choose_error = match self.entry.targets.borrow_mut().choose(&query, now) {
-                Ok(target) => return Ok(target),
-                Err(choose_error) => choose_error,
-            };
-            if give_up_at <= now {
-                return Err(match (self.may_have_run, choose_error) {
-                    (true, _) => Refusal::Lost,
-                    (false, ChooseError::NoneKnown) => Refusal::NoTarget,
-                    (false, ChooseError::AllFull) => Refusal::Full,
-                });
-            }
-            let left = give_up_at.since(now);
-            self.entry
-                .capacity_changed
-                .wait(TARGET_RETRY_INTERVAL.min(left))
-                .await;
-        }
-    }
-
-    fn target_query<'a>(&'a self, closed: &'a BTreeSet<UpstreamId>) -> TargetQuery<'a> {
-        TargetQuery {
-            service: &self.service,
-            model: self.model.as_ref(),
-            avoid: &self.avoid,
-            closed,
-            trusts_health: self.trusts_health(),
-        }
-    }
-
-    /// Whether failures to connect speak against targets, and not against this host's way to them.
-    fn trusts_health(&self) -> bool {
-        !self.entry.paths.borrow().is_suspect(&self.service)
-    }
-
     /// Records a failed attempt. Returns the refusal for the caller if no retry follows.
     pub fn record_failure(&mut self, target: &Target, error: AttemptError) -> Result<(), Refusal> {
         let now = clock::now();
@@ -181,7 +127,8 @@
             Failure::NotSent => self.unsent_attempts += 1,
             Failure::Refused | Failure::Broken | Failure::Lost => self.attempts += 1,
         }
-        if error.failure == Failure::Broken {
+        let is_own_path = error.path == Some(ConnectPath::Direct) && !self.trusts_health();
+        if error.failure == Failure::Broken && !is_own_path {
             self.record_crash(target, now);
         }
         let speaks_against_target = match error.failure {
@@ -231,22 +178,8 @@
         }
     }
 
-    /// Whether another target may be tried and one is available. Takes no retry from the budget.
-    pub fn can_retry_elsewhere(&self) -> bool {
-        let now = clock::now();
-        let may_retry = self.route.kind.is_retryable()
-            && self.attempts < self.route.attempts
-            && self.may_repeat(now);
-        let query = self.target_query(&NONE_CLOSED);
-        let closed = closed_targets(&self.entry, &query);
-        let query = self.target_query(&closed);
-        may_retry
-            && now < self.deadline
-            && self.entry.targets.borrow_mut().choose(&query, now).is_ok()
-    }
-
     /// Whether the request may be sent again, by what is known of it.
-    fn may_repeat(&self, now: Time) -> bool {
+    pub(super) fn may_repeat(&self, now: Time) -> bool {
         let guard = self.entry.part_guard.borrow();
         guard.may_repeat(&self.request.parts, now)
     }
--- /dev/null
+++ b/crates/site/src/entry/target_choice.rs
@@ -0,0 +1,81 @@
+//! The choice of a request's target: when one is free, which ones may get it, and whether failures
+//! speak against them.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::entry::answer::Refusal;
+use crate::entry::limits::closed_targets;
+use crate::entry::request_forwarder::RequestForwarder;
+use base::UpstreamId;
+use forward::ChooseError;
+use forward::Target;
+use forward::TargetQuery;
+use quorum::clock;
+
+/// A request may wait for a target with a free slot for its latency target divided by this.
+const TARGET_WAIT_DIVISOR: u32 = 4;
+
+/// The longest time between two attempts to find a target with a free slot.
+const TARGET_RETRY_INTERVAL: Duration = Duration::from_millis(25);
+
+static NONE_CLOSED: BTreeSet<UpstreamId> = BTreeSet::new();
+
+impl RequestForwarder {
+    /// Chooses the target, waiting a short time for one with a free slot.
+    pub(super) async fn choose_target(&mut self) -> Result<Target, Refusal> {
+        let give_up_at = clock::now() + self.route.latency_target / TARGET_WAIT_DIVISOR;
+        let give_up_at = give_up_at.min(self.deadline);
+        loop {
+            let now = clock::now();
+            let query = self.target_query(&NONE_CLOSED);
+            let closed = closed_targets(&self.entry, &query);
+            let query = self.target_query(&closed);
+            let choose_error = match self.entry.targets.borrow_mut().choose(&query, now) {
+                Ok(target) => return Ok(target),
+                Err(choose_error) => choose_error,
+            };
+            if give_up_at <= now {
+                return Err(match (self.may_have_run, choose_error) {
+                    (true, _) => Refusal::Lost,
+                    (false, ChooseError::NoneKnown) => Refusal::NoTarget,
+                    (false, ChooseError::AllFull) => Refusal::Full,
+                });
+            }
+            let left = give_up_at.since(now);
+            self.entry
+                .capacity_changed
+                .wait(TARGET_RETRY_INTERVAL.min(left))
+                .await;
+        }
+    }
+
+    fn target_query<'a>(&'a self, closed: &'a BTreeSet<UpstreamId>) -> TargetQuery<'a> {
+        TargetQuery {
+            service: &self.service,
+            model: self.model.as_ref(),
+            avoid: &self.avoid,
+            closed,
+            trusts_health: self.trusts_health(),
+        }
+    }
+
+    /// Whether failures to connect speak against targets, and not against this host's way to them.
+    pub(super) fn trusts_health(&self) -> bool {
+        !self.entry.paths.borrow().is_suspect(&self.service)
+    }
+
+    /// Whether another target may be tried and one is available. Takes no retry from the budget.
+    pub fn can_retry_elsewhere(&self) -> bool {
+        let now = clock::now();
+        let may_retry = self.route.kind.is_retryable()
+            && self.attempts < self.route.attempts
+            && self.may_repeat(now);
+        let query = self.target_query(&NONE_CLOSED);
+        let closed = closed_targets(&self.entry, &query);
+        let query = self.target_query(&closed);
+        may_retry
+            && now < self.deadline
+            && self.entry.targets.borrow_mut().choose(&query, now).is_ok()
+    }
+}
