Bytes that are no answer are no end of an upstream

This host closes such connections itself, and took that for the end of the upstream; since requests are known by their digest, the next equal one was refused as banned, until the upstreams were heard again. An answer that can't be read is told apart from a connection that ended, in heads, bodies and streams, and speaks against no request.

--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -3,6 +3,7 @@
 //! Its errors tell whether any byte of the request can have been sent. Only if none was
 //! may a caller be told that the request has not run.
 
+use std::error::Error as _;
 use std::fmt;
 use std::io;
 use std::net::IpAddr;
@@ -65,6 +66,21 @@
     /// The connection ended after the request may have been sent.
     #[display("the connection broke before the answer")]
     Lost,
+    /// What came is no answer, so the connection was closed.
+    #[display("the answer cannot be read")]
+    Unreadable,
+}
+
+/// Whether an answer ended because its connection did, and not because it cannot be read.
+pub fn is_connection_end(e: &hyper::Error) -> bool {
+    let io = e.source().and_then(|e| e.downcast_ref::<io::Error>());
+    let is_unreadable = |kind| {
+        matches!(
+            kind,
+            io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput
+        )
+    };
+    !e.is_parse() && !io.is_some_and(|io| is_unreadable(io.kind()))
 }
 
 /// Why a request to an address has no response.
@@ -184,7 +200,8 @@
         let sent = self.sender.try_send_request(req).await;
         sent.map_err(|mut e| match e.take_message() {
             Some(_) => RequestError::NotSent,
-            None => RequestError::Lost,
+            None if is_connection_end(&e.into_error()) => RequestError::Lost,
+            None => RequestError::Unreadable,
         })
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -27,6 +27,7 @@
 pub use connection::Connection;
 pub use connection::RequestError;
 pub use connection::SendError;
+pub use connection::is_connection_end;
 pub use line_reader::LineReader;
 pub use line_stream::LineStream;
 pub use rpc::RpcClient;
--- a/crates/site/src/control/orders.rs
+++ b/crates/site/src/control/orders.rs
@@ -80,7 +80,7 @@
     if let Some(kept) = control.pool.take_idle(&id) {
         match send_order(control, order, kept).await {
             Err(RequestError::NotSent) => {}
-            Err(RequestError::Lost) => return Outcome::Unknown,
+            Err(RequestError::Lost | RequestError::Unreadable) => return Outcome::Unknown,
             Ok(outcome) => return outcome,
         }
     }
@@ -90,7 +90,7 @@
     match send_order(control, order, fresh).await {
         Ok(outcome) => outcome,
         Err(RequestError::NotSent) => Outcome::NotSent,
-        Err(RequestError::Lost) => Outcome::Unknown,
+        Err(RequestError::Lost | RequestError::Unreadable) => Outcome::Unknown,
     }
 }
 
--- a/crates/site/src/entry/answer_memory.rs
+++ b/crates/site/src/entry/answer_memory.rs
@@ -10,6 +10,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use net::is_connection_end;
+
 /// The largest answer in bytes that is read whole.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
@@ -31,6 +33,8 @@
     TooSlow,
     /// Its connection broke.
     Broken,
+    /// Its bytes are no body.
+    Unreadable,
 }
 
 impl AnswerError {
@@ -41,6 +45,7 @@
             Self::NoMemory => "too many large answers at once",
             Self::TooSlow => "the answer did not come in time",
             Self::Broken => "the answer did not come whole",
+            Self::Unreadable => "the answer cannot be read",
         }
     }
 }
@@ -71,7 +76,10 @@
             bytes: 0,
         };
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| AnswerError::Broken)?;
+            let frame = frame.map_err(|e| match is_connection_end(&e) {
+                true => AnswerError::Broken,
+                false => AnswerError::Unreadable,
+            })?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
--- a/crates/site/src/entry/attempt.rs
+++ b/crates/site/src/entry/attempt.rs
@@ -168,6 +168,7 @@
             record_direct_failure(entry, target, path);
             failed(Failure::Broken, "the connection broke")
         }
+        Err(RequestError::Unreadable) => failed(Failure::Lost, "bytes that are no answer"),
     }
 }
 
--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -30,6 +30,7 @@
 use net::Body;
 use net::BodyAborted;
 use net::Connection;
+use net::is_connection_end;
 use quorum::clock;
 
 /// Time between two checks whether the target has stalled.
@@ -81,6 +82,8 @@
     Bytes(Bytes),
     End,
     Broken(&'static str),
+    /// What came is no part of an answer.
+    Unreadable,
     /// No data came, and the target produces no output for any stream.
     Stalled,
     Nothing,
@@ -170,6 +173,12 @@
                         return Some(Err(self.break_off(why)));
                     }
                 }
+                StreamInput::Unreadable => {
+                    let why = "bytes that are no answer";
+                    if !self.resume(Failure::Lost, why).await {
+                        return Some(Err(self.break_off(why)));
+                    }
+                }
                 StreamInput::Nothing | StreamInput::Stalled
                     if self.forwarder.deadline <= clock::now() =>
                 {
@@ -193,7 +202,10 @@
                 Ok(data) => StreamInput::Bytes(data),
                 Err(_) => StreamInput::Nothing,
             },
-            Ok(Some(Err(_))) => StreamInput::Broken("the connection broke"),
+            Ok(Some(Err(e))) if is_connection_end(&e) => {
+                StreamInput::Broken("the connection broke")
+            }
+            Ok(Some(Err(_))) => StreamInput::Unreadable,
             Ok(None) => StreamInput::End,
             Err(_) if check_stalled(&self.forwarder.entry, &source.guard.id) => {
                 StreamInput::Stalled
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -233,9 +233,10 @@
                 let why = e.text();
                 let failure = match e {
                     AnswerError::Broken => Failure::Broken,
-                    AnswerError::TooLarge | AnswerError::NoMemory | AnswerError::TooSlow => {
-                        Failure::Lost
-                    }
+                    AnswerError::TooLarge
+                    | AnswerError::NoMemory
+                    | AnswerError::TooSlow
+                    | AnswerError::Unreadable => Failure::Lost,
                 };
                 // `record_failure` counts this attempt again.
                 self.attempts -= 1;
