--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -557,7 +557,7 @@
     pub id: String,
     pub addr: SocketAddr,
     service: String,
-    born: u64,
+    pub born: u64,
     sequence: AtomicU64,
     is_draining: AtomicBool,
     is_silent: AtomicBool,
