Log how many whole events came before a rejected one

The log could not tell apart whether the entry host received these events and lost them, or never got them. Event 2510 names the events that came whole right before a rejected one, and the position that a resumption starts from. Nothing else changes.

--- a/crates/forward/src/event_splitter.rs
+++ b/crates/forward/src/event_splitter.rs
@@ -34,6 +34,16 @@
     TooLong,
 }
 
+/// Bytes of a stream that are rejected.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[display("{error}")]
+pub struct RejectedEvents {
+    /// Why they are rejected.
+    pub error: EventError,
+    /// How many complete events came before the bad one in the same bytes.
+    pub complete_before: usize,
+}
+
 /// Splits the stream of one answer into events, across all targets that it comes from.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
@@ -66,17 +76,25 @@
     }
 
     /// Adds bytes of the stream and returns the events that are complete now.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<CompleteEvents, EventError> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<CompleteEvents, RejectedEvents> {
         self.partial.extend_from_slice(bytes);
         let mut complete = CompleteEvents::default();
         while let Some(len) = event_len(&self.partial) {
             let event: Vec<u8> = self.partial.drain(..len).collect();
-            self.check_number(&event)?;
+            if let Err(error) = self.check_number(&event) {
+                return Err(RejectedEvents {
+                    error,
+                    complete_before: complete.count,
+                });
+            }
             complete.bytes.extend(event);
             complete.count += 1;
         }
         match MAX_EVENT_BYTES < self.partial.len() {
-            true => Err(EventError::TooLong),
+            true => Err(RejectedEvents {
+                error: EventError::TooLong,
+                complete_before: complete.count,
+            }),
             false => Ok(complete),
         }
     }
--- a/crates/forward/tests/event_splitter.rs
+++ b/crates/forward/tests/event_splitter.rs
@@ -37,7 +37,7 @@
 fn an_event_that_is_not_the_next_one_is_refused() {
     for wrong in [5, 7, 1] {
         let mut splitter = EventSplitter::resume_after(Some(5));
-        let error = splitter.push(event(wrong).as_bytes()).unwrap_err();
+        let error = splitter.push(event(wrong).as_bytes()).unwrap_err().error;
         let expected = EventError::OutOfOrder {
             got: wrong,
             expected: 6,
--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -151,7 +151,13 @@
                     }
                     Ok(_) => {}
                     Err(e) => {
-                        log::debug!("{}: {e}", self.forwarder.id);
+                        emit(&Event::EventsRejected {
+                            id: &self.forwarder.id,
+                            target: &self.target.id,
+                            error: e.to_string(),
+                            complete: e.complete_before,
+                            after: self.events.last_number(),
+                        });
                         if !self.resume(Failure::Lost, "events out of order").await {
                             return Some(Err(self.break_off("events out of order")));
                         }
--- a/crates/site/src/events.rs
+++ b/crates/site/src/events.rs
@@ -105,4 +105,6 @@
         "this host reaches no upstream of a service, its connections lead through other entry hosts service={service}";
     2509 Info ServiceReached { service: &'a ServiceName }
         "this host reaches upstreams of a service again service={service}";
+    2510 Warn EventsRejected { id: &'a str, target: &'a UpstreamId, error: String, complete: usize, after: Option<u64> }
+        "a target sent an event that is not passed on id={id} target={target} error={error:?} complete_before={complete} after={after:?}";
 }
