--- a/crates/forward/src/event_splitter.rs
+++ b/crates/forward/src/event_splitter.rs
@@ -1,7 +1,9 @@
 //! Finds the complete events in the bytes of a server-sent event stream.
 //!
 //! Only complete events are passed on to the caller, so that another target can continue
-//! the stream after the last one. Events carry consecutive numbers.
+//! the stream after the last one. Events carry consecutive numbers. What the splitter calls the
+//! last event is the last one that it has returned: events that came before a bad one, in the
+//! same bytes, are returned together with the error.
 
 use derive_more::Display;
 use derive_more::Error;
@@ -16,6 +18,8 @@
     pub bytes: Vec<u8>,
     /// The number of events.
     pub count: usize,
+    /// Why the bytes after these events are rejected, if they are.
+    pub rejected: Option<EventError>,
 }
 
 /// Why the bytes of a stream are rejected.
@@ -34,29 +38,27 @@
     TooLong,
 }
 
-/// Bytes of a stream that are rejected.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
-#[display("{error}")]
-pub struct RejectedEvents {
-    /// Why they are rejected.
-    pub error: EventError,
-    /// How many complete events came before the bad one in the same bytes.
-    pub complete_before: usize,
-}
-
 /// Splits the stream of one answer into events, across all targets that it comes from.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     partial: Vec<u8>,
+    scan: Scan,
     last: Option<u64>,
 }
 
+/// How far the bytes of an incomplete event were searched for its end.
+#[derive(Clone, Copy, Debug, Default)]
+struct Scan {
+    at: usize,
+    line_start: usize,
+}
+
 impl EventSplitter {
     /// Expects the stream to start after event `last`, which the caller already has, if any.
     pub fn resume_after(last: Option<u64>) -> Self {
         Self {
-            partial: Vec::new(),
             last,
+            ..Self::default()
         }
     }
 
@@ -73,30 +75,43 @@
     /// Drops an incomplete event, because another target sends it again from its start.
     pub fn drop_partial_event(&mut self) {
         self.partial.clear();
+        self.scan = Scan::default();
     }
 
-    /// Adds bytes of the stream and returns the events that are complete now.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<CompleteEvents, RejectedEvents> {
+    /// Adds bytes of the stream and returns the events that are complete now. Once bytes are
+    /// rejected, no more of the same target may be added.
+    pub fn push(&mut self, bytes: &[u8]) -> CompleteEvents {
         self.partial.extend_from_slice(bytes);
         let mut complete = CompleteEvents::default();
-        while let Some(len) = event_len(&self.partial) {
-            let event: Vec<u8> = self.partial.drain(..len).collect();
-            if let Err(error) = self.check_number(&event) {
-                return Err(RejectedEvents {
-                    error,
-                    complete_before: complete.count,
-                });
+        loop {
+            match self.take_event() {
+                Ok(Some(event)) => {
+                    complete.bytes.extend(event);
+                    complete.count += 1;
+                }
+                Ok(None) => return complete,
+                Err(e) => {
+                    self.drop_partial_event();
+                    complete.rejected = Some(e);
+                    return complete;
+                }
             }
-            complete.bytes.extend(event);
-            complete.count += 1;
         }
-        match MAX_EVENT_BYTES < self.partial.len() {
-            true => Err(RejectedEvents {
-                error: EventError::TooLong,
-                complete_before: complete.count,
-            }),
-            false => Ok(complete),
+    }
+
+    /// Takes the first event out of the held bytes, if it is complete.
+    fn take_event(&mut self) -> Result<Option<Vec<u8>>, EventError> {
+        let len = self.scan.event_len(&self.partial);
+        if MAX_EVENT_BYTES < len.unwrap_or(self.partial.len()) {
+            return Err(EventError::TooLong);
         }
+        let Some(len) = len else {
+            return Ok(None);
+        };
+        let event: Vec<u8> = self.partial.drain(..len).collect();
+        self.scan = Scan::default();
+        self.check_number(&event)?;
+        Ok(Some(event))
     }
 
     fn check_number(&mut self, event: &[u8]) -> Result<(), EventError> {
@@ -114,20 +129,23 @@
     }
 }
 
-/// The length in bytes of the first event, including the empty line that ends it.
-fn event_len(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (at, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..at];
-        if matches!(line, b"" | b"\r") {
-            return Some(at + 1);
+impl Scan {
+    /// The length in bytes of the first event, including the empty line that ends it. Searches
+    /// only the bytes that were added since the last call.
+    fn event_len(&mut self, bytes: &[u8]) -> Option<usize> {
+        while self.at < bytes.len() {
+            let at = self.at;
+            self.at += 1;
+            if bytes[at] != b'\n' {
+                continue;
+            }
+            if matches!(&bytes[self.line_start..at], b"" | b"\r") {
+                return Some(self.at);
+            }
+            self.line_start = self.at;
         }
-        line_start = at + 1;
+        None
     }
-    None
 }
 
 /// The number in the `id` field of an event.
--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -67,6 +67,8 @@
     first_event_at: Option<Time>,
     /// Whether a length or chunks tell where the answer ends.
     is_framed: bool,
+    /// Whether an event came that is not passed on. Nothing more is read.
+    is_rejected: bool,
 }
 
 impl StreamSource {
@@ -84,6 +86,8 @@
     Broken(&'static str),
     /// What came is no part of an answer.
     Unreadable,
+    /// An event came that is not passed on.
+    Rejected,
     /// No data came, and the target produces no output for any stream.
     Stalled,
     Nothing,
@@ -136,6 +140,7 @@
         keep_alive,
         first_event_at: None,
         is_framed,
+        is_rejected: false,
     };
     (head, source)
 }
@@ -144,47 +149,21 @@
     /// The next complete events. None once the stream is complete.
     async fn next(&mut self) -> Option<Result<Bytes, BodyAborted>> {
         while !self.is_over {
-            match self.next_input().await {
-                StreamInput::Bytes(bytes) => match self.events.push(&bytes) {
-                    Ok(complete) if 0 < complete.count => {
-                        return Some(Ok(self.pass_on(complete.bytes)));
-                    }
-                    Ok(_) => {}
-                    Err(e) => {
-                        emit(&Event::EventsRejected {
-                            id: &self.forwarder.id,
-                            target: &self.target.id,
-                            error: e.to_string(),
-                            complete: e.complete_before,
-                            after: self.events.last_number(),
-                        });
-                        if !self.resume(Failure::Lost, "events out of order").await {
-                            return Some(Err(self.break_off("events out of order")));
-                        }
-                    }
+            let (failure, why) = match self.next_input().await {
+                StreamInput::Bytes(bytes) => match self.push(&bytes) {
+                    Some(events) => return Some(Ok(events)),
+                    None => continue,
                 },
                 StreamInput::End => match self.why_end_is_early() {
+                    Some(why) => (self.failure_of_break(), why),
                     None => {
                         self.finish();
                         return None;
                     }
-                    Some(why) => {
-                        if !self.resume(self.failure_of_break(), why).await {
-                            return Some(Err(self.break_off(why)));
-                        }
-                    }
                 },
-                StreamInput::Broken(why) => {
-                    if !self.resume(self.failure_of_break(), why).await {
-                        return Some(Err(self.break_off(why)));
-                    }
-                }
-                StreamInput::Unreadable => {
-                    let why = "bytes that are no answer";
-                    if !self.resume(Failure::Lost, why).await {
-                        return Some(Err(self.break_off(why)));
-                    }
-                }
+                StreamInput::Broken(why) => (self.failure_of_break(), why),
+                StreamInput::Unreadable => (Failure::Lost, "bytes that are no answer"),
+                StreamInput::Rejected => (Failure::Lost, "events out of order"),
                 StreamInput::Nothing | StreamInput::Stalled
                     if self.forwarder.deadline <= clock::now() =>
                 {
@@ -192,17 +171,43 @@
                 }
                 StreamInput::Stalled if self.retry_stalled_at <= clock::now() => {
                     self.leave_stalled_target().await;
+                    continue;
                 }
-                StreamInput::Stalled | StreamInput::Nothing => {}
+                StreamInput::Stalled | StreamInput::Nothing => continue,
+            };
+            if !self.resume(failure, why).await {
+                return Some(Err(self.break_off(why)));
             }
         }
         None
     }
 
+    /// Adds bytes of the stream. Returns the events to pass on, if any are complete. If bytes
+    /// after them are rejected, the stream leaves its source at the next input.
+    fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let complete = self.events.push(bytes);
+        if let Some(error) = complete.rejected {
+            emit(&Event::EventsRejected {
+                id: &self.forwarder.id,
+                target: &self.target.id,
+                error: error.to_string(),
+                complete: complete.count,
+                after: self.events.last_number(),
+            });
+            if let Some(source) = &mut self.source {
+                source.is_rejected = true;
+            }
+        }
+        (0 < complete.count).then(|| self.pass_on(complete.bytes))
+    }
+
     async fn next_input(&mut self) -> StreamInput {
         let Some(source) = &mut self.source else {
             return StreamInput::End;
         };
+        if source.is_rejected {
+            return StreamInput::Rejected;
+        }
         match timeout(STALL_CHECK_INTERVAL, source.body.frame()).await {
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(data) => StreamInput::Bytes(data),
