Write what was sent of a body before it is broken off (ORDER)

What callers saw: a stream that was broken off lacked its last whole events, or came as a closed connection with no head at all, although the entry host had passed these events on.

Cause: when a body ends with an error, the HTTP connection ends at once and drops what it has taken and not written yet. Events that arrive right before the error are such bytes.

Evidence: net, abort: three frames and then an abort; before, not even the head of the response came (frames_before_an_abort_reach_the_caller failed).

Change: net::flush. The error of a body is held back until the connection has written everything that it had taken. A caller that reads nothing is bounded by the write timeout as before.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod body;
 mod connection;
+mod flush;
 mod line_reader;
 mod line_stream;
 mod rpc;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -20,6 +20,8 @@
 use hyper::service::service_fn;
 
 use crate::Body;
+use crate::flush::FlushCounter;
+use crate::flush::FlushedBody;
 use crate::write_timeout::WriteTimeoutStream;
 
 /// Limits of what one server accepts.
@@ -185,16 +187,23 @@
 {
     let _open = open;
     let _ = stream.set_nodelay(true);
+    let flushes = Rc::new(FlushCounter::default());
+    let body_flushes = Rc::clone(&flushes);
     let service = service_fn(move |req| {
         let answer = handler(req);
-        async move { Ok::<_, std::convert::Infallible>(answer.await) }
+        let flushes = Rc::clone(&body_flushes);
+        async move {
+            let response = answer.await;
+            let response = response.map(|body| FlushedBody::new(body, flushes));
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_header_bytes.max(8192))
         .serve_connection(
-            WriteTimeoutStream::new(stream, limits.write_stall_timeout),
+            WriteTimeoutStream::new(stream, limits.write_stall_timeout, flushes),
             service,
         );
     let mut connection = std::pin::pin!(connection);
--- a/crates/net/src/write_timeout.rs
+++ b/crates/net/src/write_timeout.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -13,19 +14,27 @@
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
 
+use crate::flush::FlushCounter;
+
 /// A stream that fails once a write has been pending for too long.
 pub(crate) struct WriteTimeoutStream {
     inner: HyperStream<TcpStream>,
     write_timeout: Duration,
+    flushes: Rc<FlushCounter>,
     /// The timer of a pending write.
     timer: Option<LocalBoxFuture<'static, ()>>,
 }
 
 impl WriteTimeoutStream {
-    pub(crate) fn new(stream: TcpStream, write_timeout: Duration) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        write_timeout: Duration,
+        flushes: Rc<FlushCounter>,
+    ) -> Self {
         Self {
             inner: HyperStream::new_plain(stream),
             write_timeout,
+            flushes,
             timer: None,
         }
     }
@@ -84,6 +93,9 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flush = Pin::new(&mut self.inner).poll_flush(cx);
+        if matches!(flush, Poll::Ready(Ok(()))) {
+            self.flushes.record_flush();
+        }
         self.check_timeout(cx, flush)
     }
 
