--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -251,12 +251,12 @@
     /// Why the end of the answer isn't the end of the stream, if so. An answer with neither a
     /// length nor chunks ends with its connection, whatever ended that.
     fn why_end_is_early(&self) -> Option<&'static str> {
-        let is_framed = self.source.as_ref().is_none_or(|source| source.is_framed);
         if self.events.has_partial_event() {
             return Some("it ended within an event");
         }
-        let is_empty = self.events.last_number().is_none();
-        (is_empty && !is_framed).then_some("it ended before its first event")
+        let source = self.source.as_ref()?;
+        let is_empty = source.first_event_at.is_none();
+        (is_empty && !source.is_framed).then_some("it ended before its first event")
     }
 
     /// What a broken connection says about the request.
