Resume a stream only after an event with a number (ORDER)

What callers saw: a stream that broke after an event without a number was resumed after the last number, so the unnumbered event could come twice or be followed by a piece of another place. An event whose number cannot be read was passed on, and the next one then seemed to be out of order.

Cause: the position counts only events with numbers, and was used though others had been passed on since.

Change: EventSplitter::resume_point says that there is none after an event with data and no number, until the next numbered event. The decision to retry then breaks the stream off visibly (RequestForwarder::is_resumable). In a numbered stream an unreadable number is rejected. Comments carry no data and change nothing; unnumbered and opaque streams are passed on as before, and so is an unnumbered last event. u64::MAX as a position no longer overflows.

--- a/crates/forward/src/event_splitter.rs
+++ b/crates/forward/src/event_splitter.rs
@@ -33,17 +33,31 @@
         /// The number that was expected.
         expected: u64,
     },
+    /// An event of a stream whose events have numbers has one that cannot be read.
+    #[display("the number of an event cannot be read")]
+    Unreadable,
     /// An event exceeds the largest accepted size.
     #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
     TooLong,
 }
 
+/// Where another target can continue a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResumePoint {
+    /// At its start, or after the event with this number.
+    After(Option<u64>),
+    /// Nowhere: the last event that the caller has bears no number.
+    Unknown,
+}
+
 /// Splits the stream of one answer into events, across all targets that it comes from.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     partial: Vec<u8>,
     scan: Scan,
     last: Option<u64>,
+    /// Whether events without a number followed the last one that has a number.
+    has_unnumbered: bool,
 }
 
 /// How far the bytes of an incomplete event were searched for its end.
@@ -67,6 +81,14 @@
         self.last
     }
 
+    /// Where another target can continue the stream.
+    pub fn resume_point(&self) -> ResumePoint {
+        match self.has_unnumbered {
+            true => ResumePoint::Unknown,
+            false => ResumePoint::After(self.last),
+        }
+    }
+
     /// Whether bytes of an incomplete event are held.
     pub fn has_partial_event(&self) -> bool {
         !self.partial.is_empty()
@@ -115,16 +137,22 @@
     }
 
     fn check_number(&mut self, event: &[u8]) -> Result<(), EventError> {
-        let Some(got) = event_number(event) else {
-            return Ok(());
-        };
-        if let Some(last) = self.last {
-            let expected = last + 1;
-            if got != expected {
-                return Err(EventError::OutOfOrder { got, expected });
+        let got = match (event_number(event), self.last) {
+            (EventNumber::Number(got), _) => got,
+            (EventNumber::Unreadable, Some(_)) => return Err(EventError::Unreadable),
+            (EventNumber::Unreadable, None) | (EventNumber::Missing, _) => {
+                self.has_unnumbered |= has_data(event);
+                return Ok(());
             }
+        };
+        if let Some(last) = self.last
+            && got.checked_sub(1) != Some(last)
+        {
+            let expected = last.saturating_add(1);
+            return Err(EventError::OutOfOrder { got, expected });
         }
         self.last = Some(got);
+        self.has_unnumbered = false;
         Ok(())
     }
 }
@@ -148,10 +176,27 @@
     }
 }
 
-/// The number in the `id` field of an event.
-fn event_number(event: &[u8]) -> Option<u64> {
-    let lines = event.split(|byte| *byte == b'\n');
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let text = std::str::from_utf8(ids.next()?).ok()?;
-    text.trim().parse().ok()
+/// What the `id` field of an event says.
+enum EventNumber {
+    Number(u64),
+    /// There is no such field.
+    Missing,
+    /// It is no number.
+    Unreadable,
+}
+
+fn event_number(event: &[u8]) -> EventNumber {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let Some(id) = lines.find_map(|line| line.strip_prefix(b"id:")) else {
+        return EventNumber::Missing;
+    };
+    let text = std::str::from_utf8(id).ok();
+    let number = text.and_then(|text| text.trim().parse().ok());
+    number.map_or(EventNumber::Unreadable, EventNumber::Number)
+}
+
+/// Whether an event carries data. Otherwise it is only a comment, or nothing.
+fn has_data(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(b"data"))
 }
--- a/crates/forward/tests/event_splitter.rs
+++ b/crates/forward/tests/event_splitter.rs
@@ -2,6 +2,7 @@
 
 use forward::EventError;
 use forward::EventSplitter;
+use forward::ResumePoint;
 
 /// The largest event that is accepted, in bytes.
 const MAX_EVENT_BYTES: usize = 128 * 1024;
@@ -51,7 +52,10 @@
 #[test]
 fn whole_events_before_a_bad_one_are_passed_on_however_the_bytes_are_cut() {
     let too_long = format!("id: 6\ndata: {}\n\n", "x".repeat(MAX_EVENT_BYTES));
-    let bad_events = [event(7), event(5), event(1), event(u64::MAX), too_long];
+    let unreadable = event(6).replace("id: 6", "id: six");
+    let wrong_numbers = [7, 5, 1, u64::MAX].map(event);
+    let bad_events = wrong_numbers.into_iter().chain([unreadable, too_long]);
+    let bad_events: Vec<_> = bad_events.collect();
     for (first, last) in [(1, None), (3, Some(2))] {
         let good: String = (first..=5).map(event).collect();
         for bad in &bad_events {
@@ -119,3 +123,24 @@
     assert_eq!(complete.count, 1);
     assert_eq!(splitter.last_number(), Some(1));
 }
+
+/// Guards against events without a number that come twice, as the position does not count them.
+#[test]
+fn a_stream_is_resumed_only_after_an_event_with_a_number() {
+    let steps = [
+        (": a comment\n\n", ResumePoint::After(None)),
+        ("data: first\n\n", ResumePoint::Unknown),
+        ("id: a\ndata: opaque\n\n", ResumePoint::Unknown),
+        (": a comment\n\n", ResumePoint::Unknown),
+        ("id: 3\ndata: third\n\n", ResumePoint::After(Some(3))),
+        (": a comment\n\n", ResumePoint::After(Some(3))),
+        ("id: 4\ndata: fourth\n\n", ResumePoint::After(Some(4))),
+        ("data: [DONE]\n\n", ResumePoint::Unknown),
+    ];
+    let mut splitter = EventSplitter::default();
+    for (text, expected) in steps {
+        let complete = splitter.push(text.as_bytes());
+        assert_eq!((complete.count, complete.rejected), (1, None), "{text}");
+        assert_eq!(splitter.resume_point(), expected, "{text}");
+    }
+}
--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -196,6 +196,7 @@
         unsent_attempts: 0,
         sent_at: arrived,
         may_have_run: false,
+        is_resumable: true,
         path: None,
         avoid: BTreeSet::new(),
         _in_flight: in_flight,
--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -25,6 +25,7 @@
 use base::Time;
 use forward::EventSplitter;
 use forward::Failure;
+use forward::ResumePoint;
 use forward::RetryDecision;
 use forward::Target;
 use net::Body;
@@ -186,6 +187,7 @@
     /// after them are rejected, the stream leaves its source at the next input.
     fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         let complete = self.events.push(bytes);
+        self.forwarder.is_resumable = self.events.resume_point() != ResumePoint::Unknown;
         if let Some(error) = complete.rejected {
             emit(&Event::EventsRejected {
                 id: &self.forwarder.id,
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -61,6 +61,8 @@
     pub unsent_attempts: u32,
     /// Whether an earlier attempt may have run.
     pub may_have_run: bool,
+    /// Whether another attempt can continue what the caller has of the answer.
+    pub is_resumable: bool,
     /// The way of the last attempt that had a connection.
     pub path: Option<ConnectPath>,
     /// Targets at which the request failed.
@@ -178,10 +180,10 @@
         }
     }
 
-    /// Whether the request may be sent again, by what is known of it.
+    /// Whether the request may be sent again, by what is known of it and of its answer.
     pub(super) fn may_repeat(&self, now: Time) -> bool {
         let guard = self.entry.part_guard.borrow();
-        guard.may_repeat(&self.request.parts, now)
+        self.is_resumable && guard.may_repeat(&self.request.parts, now)
     }
 
     /// Decides what follows an attempt that failed just now. Takes a retry from the budget.
