Keep the departure of a process that is not known (DRAIN)

What callers would see: requests reach a process that has departed, after a late announcement of it came to a control host that had started again.

Cause: a roster passed over the departure of a process, or of an incarnation, that it did not know. An announcement of the same incarnation that came afterwards was then taken for news, and followers that asked for what changed were never told of the departure.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -3,7 +3,9 @@
 //! The announcements of a process are ordered by incarnation and sequence number. Of two
 //! processes that claim the same address, the one with the later incarnation holds it. A short
 //! silence removes no process, as one that is not heard here may still serve elsewhere. A
-//! process is forgotten after a long silence, and no longer listed once it has departed.
+//! process is forgotten after a long silence, and no longer listed once it has departed. The
+//! departure of a process that is not known is kept as well, because a late announcement of it may
+//! still come.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -59,6 +61,14 @@
     pub revision: Revision,
 }
 
+/// The departure of a process that this roster held no announcement of.
+#[derive(Clone, Copy, Debug)]
+struct UnknownDeparture {
+    incarnation: Incarnation,
+    heard_at: Time,
+    revision: Revision,
+}
+
 /// A change of a roster, sent to processes that follow it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RosterChange {
@@ -80,6 +90,7 @@
 pub struct Roster {
     entries: BTreeMap<UpstreamId, RosterEntry>,
     by_addr: BTreeMap<SocketAddr, UpstreamId>,
+    unknown_departures: BTreeMap<UpstreamId, UnknownDeparture>,
     revision: Revision,
 }
 
@@ -91,6 +102,37 @@
             Self::Gone { id, .. } => id,
         }
     }
+
+    /// Whether the process takes no more requests from now on.
+    pub fn is_departure(&self) -> bool {
+        match self {
+            Self::Announced(announcement) => announcement.leaving,
+            Self::Gone { .. } => true,
+        }
+    }
+}
+
+impl RosterEntry {
+    /// The change that tells another roster of this entry.
+    fn to_change(&self) -> RosterChange {
+        let announcement = &self.announcement;
+        match self.has_departed {
+            false => RosterChange::Announced(announcement.clone()),
+            true => RosterChange::Gone {
+                id: announcement.id.clone(),
+                incarnation: announcement.incarnation,
+            },
+        }
+    }
+}
+
+impl UnknownDeparture {
+    fn to_change(self, id: &UpstreamId) -> RosterChange {
+        RosterChange::Gone {
+            id: id.clone(),
+            incarnation: self.incarnation,
+        }
+    }
 }
 
 impl Roster {
@@ -107,6 +149,9 @@
         if known.is_none() && MAX_ENTRIES <= self.entries.len() {
             return UpdateOutcome::Ignored;
         }
+        if self.has_departed_unknown(&announcement.id, announcement.incarnation) {
+            return UpdateOutcome::Ignored;
+        }
         if self.has_newer_holder_of_addr(&announcement) {
             return UpdateOutcome::Ignored;
         }
@@ -122,6 +167,7 @@
             }
             return UpdateOutcome::Refreshed;
         }
+        self.unknown_departures.remove(&announcement.id);
         self.by_addr
             .insert(announcement.addr, announcement.id.clone());
         let entry = RosterEntry {
@@ -138,6 +184,9 @@
 
     /// Records a heartbeat, which counts only for the state that it repeats.
     pub fn record_heartbeat(&mut self, heartbeat: &Heartbeat, now: Time) -> HeartbeatOutcome {
+        if self.has_departed_unknown(&heartbeat.id, heartbeat.incarnation) {
+            return HeartbeatOutcome::Ignored;
+        }
         let Some(entry) = self.entries.get_mut(&heartbeat.id) else {
             return HeartbeatOutcome::Lacking;
         };
@@ -159,37 +208,76 @@
         HeartbeatOutcome::Refreshed
     }
 
-    /// Records that a process has departed. If an incarnation is given and it is not the known
-    /// one, the departure is ignored.
+    /// Records that an incarnation of a process has departed.
     pub fn record_departure(
         &mut self,
         id: &UpstreamId,
-        incarnation: Option<Incarnation>,
+        incarnation: Incarnation,
         heard_at: Time,
     ) -> UpdateOutcome {
-        let revision = self.revision.0 + 1;
+        let known = self.entries.get(id);
+        match known.map(|known| known.announcement.incarnation) {
+            Some(known) if known == incarnation => self.mark_departed(id, heard_at),
+            Some(known) if incarnation < known => UpdateOutcome::Ignored,
+            // An earlier incarnation has ended, too.
+            Some(_) => {
+                self.mark_departed(id, heard_at);
+                self.keep_unknown_departure(id, incarnation, heard_at)
+            }
+            None => self.keep_unknown_departure(id, incarnation, heard_at),
+        }
+    }
+
+    fn mark_departed(&mut self, id: &UpstreamId, heard_at: Time) -> UpdateOutcome {
+        let revision = Revision(self.revision.0 + 1);
         let Some(entry) = self.entries.get_mut(id) else {
             return UpdateOutcome::Ignored;
         };
-        if incarnation.is_some_and(|departed| departed != entry.announcement.incarnation)
-            || entry.has_departed
-        {
+        if entry.has_departed {
             return UpdateOutcome::Ignored;
         }
         entry.has_departed = true;
         entry.heard_at = heard_at;
         entry.alive_at = heard_at;
-        entry.revision = Revision(revision);
-        self.revision = Revision(revision);
+        entry.revision = revision;
+        self.revision = revision;
         UpdateOutcome::Changed
     }
 
+    fn keep_unknown_departure(
+        &mut self,
+        id: &UpstreamId,
+        incarnation: Incarnation,
+        heard_at: Time,
+    ) -> UpdateOutcome {
+        if self.has_departed_unknown(id, incarnation)
+            || MAX_ENTRIES <= self.unknown_departures.len()
+        {
+            return UpdateOutcome::Ignored;
+        }
+        let departure = UnknownDeparture {
+            incarnation,
+            heard_at,
+            revision: self.next_revision(),
+        };
+        self.unknown_departures.insert(id.clone(), departure);
+        UpdateOutcome::Changed
+    }
+
+    /// Whether this or a later incarnation of a process has departed that was not known.
+    fn has_departed_unknown(&self, id: &UpstreamId, incarnation: Incarnation) -> bool {
+        let departure = self.unknown_departures.get(id);
+        departure.is_some_and(|departure| incarnation <= departure.incarnation)
+    }
+
     /// Forgets the processes that have been silent for long.
     pub fn remove_silent(&mut self, now: Time) {
         self.entries
             .retain(|_, entry| now.since(entry.alive_at) < FORGET_AFTER);
         let entries = &self.entries;
         self.by_addr.retain(|_, id| entries.contains_key(id));
+        self.unknown_departures
+            .retain(|_, departure| now.since(departure.heard_at) < FORGET_AFTER);
     }
 
     /// The entry of a process, unless the process has departed.
@@ -202,6 +290,30 @@
         self.entries.values().filter(|entry| !entry.has_departed)
     }
 
+    /// The latest known incarnation of a process, which may have departed.
+    pub fn latest_incarnation(&self, id: &UpstreamId) -> Option<Incarnation> {
+        let entry = self.entries.get(id);
+        let entry = entry.map(|entry| entry.announcement.incarnation);
+        let departure = self.unknown_departures.get(id);
+        entry.max(departure.map(|departure| departure.incarnation))
+    }
+
+    /// The revision of the last change of a process.
+    pub fn revision_of(&self, id: &UpstreamId) -> Option<Revision> {
+        let entry = self.entries.get(id).map(|entry| entry.revision);
+        let departure = self.unknown_departures.get(id);
+        entry.max(departure.map(|departure| departure.revision))
+    }
+
+    /// The processes that are leaving or have departed, with the times at which they were heard.
+    pub fn departures(&self) -> impl Iterator<Item = (RosterChange, Time)> {
+        let entries = self.entries.values();
+        let entries = entries.filter(|e| e.has_departed || e.announcement.leaving);
+        let known = entries.map(|entry| (entry.to_change(), entry.heard_at));
+        let unknown = self.unknown_departures.iter();
+        known.chain(unknown.map(|(id, departure)| (departure.to_change(id), departure.heard_at)))
+    }
+
     /// The number of the last change.
     pub fn revision(&self) -> Revision {
         self.revision
@@ -210,14 +322,11 @@
     /// All changes after revision `since`.
     pub fn changes_since(&self, since: Revision) -> Vec<RosterChange> {
         let changed = self.entries.values().filter(|e| since < e.revision);
+        let departures = self.unknown_departures.iter();
+        let departures = departures.filter(|(_, departure)| since < departure.revision);
         changed
-            .map(|entry| match entry.has_departed {
-                false => RosterChange::Announced(entry.announcement.clone()),
-                true => RosterChange::Gone {
-                    id: entry.announcement.id.clone(),
-                    incarnation: entry.announcement.incarnation,
-                },
-            })
+            .map(RosterEntry::to_change)
+            .chain(departures.map(|(id, departure)| departure.to_change(id)))
             .collect()
     }
 
@@ -228,7 +337,7 @@
                 self.record_announcement(announcement, heard_at)
             }
             RosterChange::Gone { id, incarnation } => {
-                self.record_departure(&id, Some(incarnation), heard_at)
+                self.record_departure(&id, incarnation, heard_at)
             }
         }
     }
--- a/crates/fleet/tests/leader_reports.rs
+++ b/crates/fleet/tests/leader_reports.rs
@@ -78,7 +78,8 @@
     }
 
     fn hear_departure(&mut self, now: Time) {
-        self.roster.record_departure(&id(), None, now);
+        self.roster
+            .record_departure(&id(), Incarnation(1), now);
         self.reports.record_departure(&id(), Incarnation(1), now);
     }
 
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -74,7 +74,7 @@
     let mut roster = Roster::default();
     roster.record_announcement(announcement("a", 5, 3, 1), Time::ZERO);
     assert_eq!(
-        roster.record_departure(&id("a"), None, Time::ZERO),
+        roster.record_departure(&id("a"), Incarnation(5), Time::ZERO),
         UpdateOutcome::Changed
     );
     assert_eq!(
@@ -88,6 +88,45 @@
     );
 }
 
+/// Guards against a late announcement that brings back a process whose departure came first.
+#[test]
+fn the_departure_of_an_unknown_process_or_life_is_kept_and_passed_on() {
+    let mut known_before = Roster::default();
+    known_before.record_announcement(announcement("a", 4, 9, 1), Time::ZERO);
+    for mut roster in [Roster::default(), known_before] {
+        let since = roster.revision();
+        let departed = roster.record_departure(&id("a"), Incarnation(5), Time::ZERO);
+        assert_eq!(departed, UpdateOutcome::Changed);
+        let again = roster.record_departure(&id("a"), Incarnation(5), Time::ZERO);
+        assert_eq!(again, UpdateOutcome::Ignored);
+        assert!(roster.get(&id("a")).is_none());
+        assert_eq!(roster.latest_incarnation(&id("a")), Some(Incarnation(5)));
+        let mut follower = Roster::default();
+        for change in roster.changes_since(since) {
+            follower.apply_change(change, Time::ZERO);
+        }
+        for roster in [&mut roster, &mut follower] {
+            let late = roster.record_announcement(announcement("a", 5, 7, 1), Time::ZERO);
+            assert_eq!(late, UpdateOutcome::Ignored);
+            let born_anew = roster.record_announcement(announcement("a", 6, 1, 1), Time::ZERO);
+            assert_eq!(born_anew, UpdateOutcome::Changed);
+            let late = roster.record_departure(&id("a"), Incarnation(5), Time::ZERO);
+            assert_eq!(late, UpdateOutcome::Ignored);
+            assert!(roster.get(&id("a")).is_some());
+        }
+    }
+}
+
+#[test]
+fn the_departure_of_an_unknown_process_is_forgotten_after_a_long_silence() {
+    let mut roster = Roster::default();
+    roster.record_departure(&id("a"), Incarnation(5), Time::ZERO);
+    roster.remove_silent(Time::ZERO + Duration::from_secs(59));
+    assert_eq!(roster.departures().count(), 1);
+    roster.remove_silent(Time::ZERO + Duration::from_secs(61));
+    assert_eq!(roster.departures().count(), 0);
+}
+
 #[test]
 fn a_follower_that_takes_the_changes_knows_the_same() {
     let mut roster = Roster::default();
@@ -100,7 +139,7 @@
             Time::ZERO,
         );
         if round % 5 == 0 {
-            roster.record_departure(&id(&name), None, Time::ZERO);
+            roster.record_departure(&id(&name), Incarnation(1), Time::ZERO);
         }
         for change in roster.changes_since(known) {
             follower.apply_change(change, Time::ZERO);
--- a/crates/site/src/control/api.rs
+++ b/crates/site/src/control/api.rs
@@ -105,9 +105,12 @@
         .borrow()
         .get(id)
         .map(|entry| entry.announcement.incarnation);
-    let outcome = control.roster.borrow_mut().record_departure(id, None, now);
-    control.record_update(id, outcome);
     if let Some(incarnation) = incarnation {
+        let outcome = control
+            .roster
+            .borrow_mut()
+            .record_departure(id, incarnation, now);
+        control.record_update(id, outcome);
         control
             .leader_reports
             .borrow_mut()
