--- a/crates/fleet/src/leader_reports.rs
+++ b/crates/fleet/src/leader_reports.rs
@@ -7,6 +7,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::Announcement;
 use crate::Heartbeat;
 use crate::RosterChange;
@@ -32,6 +35,11 @@
 }
 
 impl ReportBatch {
+    /// Whether there are departures among the changes.
+    pub fn has_departures(&self) -> bool {
+        self.changes.iter().any(RosterChange::is_departure)
+    }
+
     /// The changes, with the time at which the sender heard each.
     pub fn changes_heard(&self, now: Time) -> impl Iterator<Item = (&RosterChange, Time)> {
         let heard_at = heard_times(&self.heard_ms_ago, now);
@@ -53,6 +61,15 @@
     u64::try_from(micros).unwrap_or(u64::MAX)
 }
 
+/// Whether enough control hosts hold departures for them to be acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DeparturesHeld {
+    /// The loss of as many as the deployment has to bear leaves one that holds them.
+    ByEnough,
+    /// Not yet.
+    ByTooFew,
+}
+
 /// What the leader holds of an upstream's present state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Told {
@@ -120,6 +137,25 @@
         self.heard.insert(id.clone(), heard);
     }
 
+    /// Records a departure that this control host knows of, for a new leader that may not.
+    pub fn record_known_departure(&mut self, change: RosterChange, heard_at: Time) {
+        let heard = Heard {
+            latest: change,
+            heard_at,
+            told: Told::Nothing,
+            is_due: true,
+        };
+        let id = heard.latest.id().clone();
+        self.heard.entry(id).or_insert(heard);
+    }
+
+    /// Whether the leader holds the latest state of an upstream, as far as it came to this control
+    /// host.
+    pub fn is_reported(&self, id: &UpstreamId) -> bool {
+        let heard = self.heard.get(id);
+        heard.is_none_or(|heard| heard.told != Told::Nothing)
+    }
+
     /// Records that another control host heard a later state of an upstream, and so reports it.
     pub fn record_heard_elsewhere(&mut self, id: &UpstreamId) {
         self.heard.remove(id);
@@ -149,10 +185,17 @@
         batch
     }
 
-    /// Records that the leader took a batch, and of which processes it lacks the state.
-    pub fn record_taken(&mut self, batch: &ReportBatch, lacking: &[UpstreamId]) {
+    /// Records that the leader took a batch, of which processes it lacks the state, and whether
+    /// enough control hosts hold the departures in it. Otherwise these stay due.
+    pub fn record_taken(
+        &mut self,
+        batch: &ReportBatch,
+        lacking: &[UpstreamId],
+        departures: DeparturesHeld,
+    ) {
         for change in &batch.changes {
-            if let Some(heard) = self.heard.get_mut(change.id()) {
+            let is_held = !change.is_departure() || departures == DeparturesHeld::ByEnough;
+            if is_held && let Some(heard) = self.heard.get_mut(change.id()) {
                 heard.record_change_taken(change);
             }
         }
@@ -168,6 +211,11 @@
         }
     }
 
+    /// The leader has started again, or another one leads. It is told everything again.
+    pub fn forget_leader(&mut self) {
+        self.leader = None;
+    }
+
     /// Sets the leader that is told. Another one than before is told everything again.
     fn set_leader(&mut self, leader: NodeId) {
         if self.leader == Some(leader) {
--- a/crates/fleet/tests/leader_reports.rs
+++ b/crates/fleet/tests/leader_reports.rs
@@ -12,6 +12,7 @@
 use base::Time;
 use base::UpstreamId;
 use fleet::Announcement;
+use fleet::DeparturesHeld;
 use fleet::EngineReport;
 use fleet::Heartbeat;
 use fleet::HeartbeatOutcome;
@@ -78,8 +79,7 @@
     }
 
     fn hear_departure(&mut self, now: Time) {
-        self.roster
-            .record_departure(&id(), Incarnation(1), now);
+        self.roster.record_departure(&id(), Incarnation(1), now);
         self.reports.record_departure(&id(), Incarnation(1), now);
     }
 
@@ -87,7 +87,8 @@
     fn send(&mut self, leader: NodeId, roster: &mut Roster, now: Time) -> ReportBatch {
         let batch = self.reports.next_batch(leader, now);
         let lacking = apply(&batch, roster, now);
-        self.reports.record_taken(&batch, &lacking);
+        self.reports
+            .record_taken(&batch, &lacking, DeparturesHeld::ByEnough);
         batch
     }
 }
@@ -187,7 +188,9 @@
     let batch = sender.reports.next_batch(FIRST, ms(0));
     sender.hear(&announcement(2, 7), ms(10));
     let lacking = apply(&batch, &mut leader, ms(20));
-    sender.reports.record_taken(&batch, &lacking);
+    sender
+        .reports
+        .record_taken(&batch, &lacking, DeparturesHeld::ByEnough);
     sender.send(FIRST, &mut leader, ms(30));
     assert_eq!(epoch_of(&leader), Some(7));
 }
--- a/crates/site/src/control/api.rs
+++ b/crates/site/src/control/api.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 
 use crate::control::ControlHost;
+use crate::control::departures;
 use crate::control::lead;
 use crate::events::Event;
 use crate::events::emit;
@@ -24,6 +25,7 @@
 use base::Time;
 use base::UpstreamId;
 use fleet::CompressedText;
+use fleet::DeparturesHeld;
 use fleet::UpdateOutcome;
 use net::Body;
 use net::Server;
@@ -65,15 +67,15 @@
         Err(e) => return error_response(StatusCode::BAD_REQUEST, &e.to_string()),
     };
     match call {
-        ControlCall::Announce(id) => announce(&control, id, &body),
-        ControlCall::Leave(id) => leave(&control, &id),
+        ControlCall::Announce(id) => announce(&control, id, &body).await,
+        ControlCall::Leave(id) => leave(&control, &id).await,
         ControlCall::PutConfiguration => put_configuration(&control, &body).await,
         ControlCall::ReadConfiguration => read_configuration(&control).await,
         ControlCall::Unknown => error_response(StatusCode::NOT_FOUND, "there is no such call"),
     }
 }
 
-fn announce(control: &ControlHost, id: UpstreamId, body: &Bytes) -> Response<Body> {
+async fn announce(control: &ControlHost, id: UpstreamId, body: &Bytes) -> Response<Body> {
     let announcement = match control.platform.parse_announcement(id.clone(), body) {
         Ok(announcement) => announcement,
         Err(e) => {
@@ -95,29 +97,43 @@
     if outcome == UpdateOutcome::Changed {
         control.observations_added.notify_waiters();
     }
-    json_response(StatusCode::OK, "{}")
+    match announcement.leaving && outcome != UpdateOutcome::Ignored {
+        true => acknowledge_departure(control, &id).await,
+        false => json_response(StatusCode::OK, "{}"),
+    }
 }
 
-fn leave(control: &ControlHost, id: &UpstreamId) -> Response<Body> {
+async fn leave(control: &ControlHost, id: &UpstreamId) -> Response<Body> {
+    let Some(incarnation) = departures::wait_until_known(control, id).await else {
+        emit(&Event::DepartureUnknown { id });
+        let what = "the process is not known here";
+        return error_response(StatusCode::SERVICE_UNAVAILABLE, what);
+    };
     let now = clock::now();
-    let incarnation = control
+    let outcome = control
         .roster
-        .borrow()
-        .get(id)
-        .map(|entry| entry.announcement.incarnation);
-    if let Some(incarnation) = incarnation {
-        let outcome = control
-            .roster
-            .borrow_mut()
-            .record_departure(id, incarnation, now);
-        control.record_update(id, outcome);
+        .borrow_mut()
+        .record_departure(id, incarnation, now);
+    control.record_update(id, outcome);
+    if outcome == UpdateOutcome::Changed {
         control
             .leader_reports
             .borrow_mut()
             .record_departure(id, incarnation, now);
         control.observations_added.notify_waiters();
     }
-    json_response(StatusCode::OK, "{}")
+    acknowledge_departure(control, id).await
+}
+
+/// Answers a process that leaves, once it is certain that entry hosts will know.
+async fn acknowledge_departure(control: &ControlHost, id: &UpstreamId) -> Response<Body> {
+    match departures::wait_until_held(control, id).await {
+        DeparturesHeld::ByEnough => json_response(StatusCode::OK, "{}"),
+        DeparturesHeld::ByTooFew => {
+            let what = "too few control hosts hold the departure";
+            error_response(StatusCode::SERVICE_UNAVAILABLE, what)
+        }
+    }
 }
 
 async fn put_configuration(control: &Rc<ControlHost>, body: &Bytes) -> Response<Body> {
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -15,6 +15,9 @@
 use crate::message::Watcher;
 use base::NodeId;
 use base::Time;
+use base::UpstreamId;
+use fleet::DeparturesHeld;
+use fleet::ReportBatch;
 use fleet::Revision;
 use quorum::clock;
 
@@ -46,6 +49,8 @@
     let mut tries = 0;
     loop {
         if control.is_leader() {
+            // The next leader may lack what this one has heard.
+            state = LeaderState::default();
             control.confirmed_at.set(Some(clock::now()));
             control
                 .loads
@@ -70,6 +75,7 @@
             shares: control.allotment.borrow().published().edition,
             entries: control.entry_directory.borrow().published().edition,
             watcher: Watcher::Control,
+            reports_departures: true,
             load_report: control
                 .loads
                 .borrow_mut()
@@ -164,9 +170,15 @@
     }
 }
 
-/// Has the lists that this control host followed reported to the leader, which may have started
-/// after they were published.
+/// Has the departures that this control host knows of and the lists that it followed reported to
+/// the leader, which may have started after they were published.
 fn tell_new_leader(control: &ControlHost) {
+    let mut leader_reports = control.leader_reports.borrow_mut();
+    leader_reports.forget_leader();
+    for (change, heard_at) in control.roster.borrow().departures() {
+        leader_reports.record_known_departure(change, heard_at);
+    }
+    control.observations_added.notify_waiters();
     let known = FleetReport {
         evidence: control.quarantine.borrow().known_evidence(),
         limits: control.allotment.borrow().known_reports(),
@@ -204,6 +216,7 @@
         let now = clock::now();
         let batch = control.leader_reports.borrow_mut().next_batch(leader, now);
         let observations = Observations {
+            reporter: batch.has_departures().then(|| control.settings.node_id()),
             changes: batch.changes.clone(),
             heard_ms_ago: batch.heard_ms_ago.clone(),
             heartbeats: batch.heartbeats.clone(),
@@ -216,9 +229,14 @@
         let addr = control.settings.internal_addr(leader);
         match control.rpc.call(addr, &observations, CALL_TIMEOUT).await {
             Ok(reply) => {
-                let mut reports = control.leader_reports.borrow_mut();
-                reports.record_taken(&batch, &reply.lacking);
-                has_more = reports.has_unsent_changes();
+                let departures = reply.departures.unwrap_or_else(|| {
+                    log_earlier_release(&batch, leader);
+                    DeparturesHeld::ByEnough
+                });
+                has_more = record_taken(&control, &batch, &reply.lacking, departures);
+                if departures == DeparturesHeld::ByTooFew {
+                    compio::time::sleep(RETRY_INTERVAL).await;
+                }
             }
             Err(e) => {
                 log::debug!("the leader {leader} did not take the observations: {e}");
@@ -229,6 +247,27 @@
     }
 }
 
+/// Records what the leader took. Returns whether changes wait to be sent.
+fn record_taken(
+    control: &ControlHost,
+    batch: &ReportBatch,
+    lacking: &[UpstreamId],
+    departures: DeparturesHeld,
+) -> bool {
+    let mut leader_reports = control.leader_reports.borrow_mut();
+    leader_reports.record_taken(batch, lacking, departures);
+    control.departures_held.notify_waiters();
+    leader_reports.has_unsent_changes()
+}
+
+/// Logs that a leader of an earlier release took departures. It holds them, and does not say who
+/// else does.
+fn log_earlier_release(batch: &ReportBatch, leader: NodeId) {
+    if batch.has_departures() {
+        emit(&Event::LeaderSaysLess { leader });
+    }
+}
+
 /// All reports together, with their ages at `now`.
 fn sum_reports(received: &[(Time, FleetReport)], now: Time) -> FleetReport {
     let mut sum = FleetReport::default();
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod api;
 mod bans;
+mod departures;
 mod follow;
 mod lead;
 mod membership;
@@ -42,6 +43,7 @@
 use fleet::EntryDirectory;
 use fleet::LeaderReports;
 use fleet::Probes;
+use fleet::RevisionHolders;
 use fleet::Roster;
 use fleet::RosterEntry;
 use fleet::RoutingTable;
@@ -133,6 +135,10 @@
     pub controller_changed: Notify,
     /// There are observations to send to the leader.
     pub observations_added: Notify,
+    /// Which control hosts hold what the roster says, while this one leads.
+    pub revision_holders: RefCell<RevisionHolders>,
+    /// More control hosts hold departures than before.
+    pub departures_held: Notify,
 }
 
 /// A running control host.
@@ -234,6 +240,8 @@
             watch_changed: Notify::default(),
             controller_changed: Notify::default(),
             observations_added: Notify::default(),
+            revision_holders: RefCell::default(),
+            departures_held: Notify::default(),
             settings,
             role_settings,
             platform,
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::control::ControlHost;
+use crate::control::departures;
 use crate::control::lead;
 use crate::control::probe;
 use crate::message::ConfigText;
@@ -22,6 +23,7 @@
 use base::UpstreamId;
 use fleet::HeartbeatOutcome;
 use fleet::Revision;
+use fleet::RosterChange;
 use fleet::UpdateOutcome;
 use fleet::heard_times;
 use forward::LoadReport;
@@ -57,8 +59,7 @@
             |control: Rc<ControlHost>, call: Watch| async move { Ok(watch(control, call).await) },
         )
         .register(|control: Rc<ControlHost>, call: Observations| async move {
-            let lacking = record_observations(&control, call);
-            Ok(ObservationsReply { lacking })
+            Ok(take_observations(&control, call).await)
         })
         .register(|control: Rc<ControlHost>, call: OfferConfig| async move {
             Ok(lead::propose_config(&control, call.configuration).await)
@@ -68,12 +69,31 @@
         })
 }
 
+/// Records what another process observed. The reply to departures comes once enough control hosts
+/// hold them.
+async fn take_observations(control: &Rc<ControlHost>, call: Observations) -> ObservationsReply {
+    let has_departures = call.changes.iter().any(RosterChange::is_departure);
+    let reporter = call.reporter;
+    let lacking = record_observations(control, call);
+    let departures = match has_departures {
+        true => Some(departures::wait_until_roster_held(control, reporter).await),
+        false => None,
+    };
+    ObservationsReply {
+        lacking,
+        departures,
+    }
+}
+
 async fn watch(control: Rc<ControlHost>, call: Watch) -> WatchReply {
     let needs_leader = call.watcher == Watcher::Control;
     if needs_leader && !control.is_leader() {
         let leader = control.known_leader();
         return WatchReply::NotLeading { leader };
     }
+    if needs_leader {
+        departures::record_follower(&control, &call);
+    }
     if let Some(load_report) = call.load_report {
         let mut loads = control.loads.borrow_mut();
         loads.record_report(call.from, load_report, clock::now());
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -187,6 +187,7 @@
         shares: entry.limit_guard.borrow().list().edition,
         entries: entry.peers.borrow().list().edition,
         watcher: Watcher::Entry,
+        reports_departures: false,
         load_report: Some(LoadReport {
             entries: 1,
             loads: targets.active_targets(recent_since).map(load_of).collect(),
--- a/crates/site/src/events.rs
+++ b/crates/site/src/events.rs
@@ -53,6 +53,16 @@
         "upstream gone id={id}";
     2202 Warn UpstreamUnreadable { id: &'a UpstreamId, error: String }
         "announcement unreadable id={id} error={error:?}";
+    2203 Info DepartureHeld { id: &'a UpstreamId, leads: bool, ms: u128 }
+        "a departure is held by enough control hosts id={id} leads={leads} ms={ms}";
+    2204 Warn DepartureNotHeld { id: &'a UpstreamId, leads: bool, leader: u32, ms: u128 }
+        "a departure is not acknowledged, too few control hosts hold it id={id} leads={leads} leader={leader} ms={ms}";
+    2205 Warn DepartureUnknown { id: &'a UpstreamId }
+        "a departure is not acknowledged, the process is not known here id={id}";
+    2206 Warn LeaderSaysLess { leader: NodeId }
+        "the leader's release does not say how many control hosts hold departures, it counts as one that does leader={leader}";
+    2207 Warn FollowerReportsLess { follower: NodeId }
+        "this follower's release does not report departures to a new leader follower={follower}";
     2300 Info Leading { term: u64 }
         "this voter leads term={term}";
     2301 Info Following { leader: NodeId }
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -16,6 +16,7 @@
 use base::UpstreamId;
 use base::Version;
 use fleet::CompressedText;
+use fleet::DeparturesHeld;
 use fleet::Edition;
 use fleet::EntryList;
 use fleet::EntryReport;
@@ -84,6 +85,10 @@
     pub entries: Edition,
     /// The kind of process that asks.
     pub watcher: Watcher,
+    /// Whether a control host reports the departures that it knows of to a new leader. Those of
+    /// earlier releases don't.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub reports_departures: bool,
     /// The load of the sender, or of the entry hosts that follow it. None if it was sent shortly
     /// before.
     #[serde(rename = "tally")]
@@ -146,6 +151,9 @@
 /// Reports what the sender observed to a control host, which passes it on to the leader.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Observations {
+    /// The control host that reports changes. None in earlier releases, and for an entry host.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reporter: Option<NodeId>,
     /// New announcements and departures of upstream processes.
     pub changes: Vec<RosterChange>,
     /// How long ago the sender heard each of the changes, in milliseconds.
@@ -213,6 +221,10 @@
     /// The sender sends them whole.
     #[serde(default)]
     pub lacking: Vec<UpstreamId>,
+    /// Whether enough control hosts hold the departures among the changes. None if there are none,
+    /// and in earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub departures: Option<DeparturesHeld>,
 }
 
 impl Call for Observations {
