Read a relayed stream's source in a file of its own

relay.rs held the relay and the reading of one target's response. StreamSource now reads, and knows whether its end may be early; the relay decides what follows.

--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod paths;
 mod relay;
 mod request_forwarder;
+mod stream_source;
 mod target_choice;
 mod targets;
 
--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -3,23 +3,20 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compio::time::timeout;
 use futures_util::stream::unfold;
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use crate::entry::answer::Refusal;
 use crate::entry::attempt::AttemptError;
 use crate::entry::attempt::AttemptResponse;
-use crate::entry::attempt::check_stalled;
 use crate::entry::attempt::record_direct_failure;
-use crate::entry::attempt_guard::AttemptGuard;
 use crate::entry::outbound::end_to_end;
 use crate::entry::paths;
 use crate::entry::request_forwarder::RequestForwarder;
+use crate::entry::stream_source::StreamInput;
+use crate::entry::stream_source::StreamSource;
 use crate::events::Event;
 use crate::events::emit;
 use base::Time;
@@ -30,19 +27,11 @@
 use forward::Target;
 use net::Body;
 use net::BodyAborted;
-use net::Connection;
-use net::is_connection_end;
 use quorum::clock;
 
-/// Time between two checks whether the target has stalled.
-const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(80);
-
 /// Time between two attempts to resume a stalled stream at another target.
 const STALL_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A stream that goes on this long after its first event has not ended its upstream.
-const SETTLE_TIME: Duration = Duration::from_millis(500);
-
 /// A stream that is relayed to its caller.
 struct StreamRelay {
     forwarder: RequestForwarder,
@@ -59,41 +48,6 @@
     is_over: bool,
 }
 
-/// The response that the stream is currently read from.
-struct StreamSource {
-    body: Incoming,
-    connection: Connection,
-    guard: AttemptGuard,
-    keep_alive: Option<Duration>,
-    first_event_at: Option<Time>,
-    /// Whether a length or chunks tell where the answer ends.
-    is_framed: bool,
-    /// Whether an event came that is not passed on. Nothing more is read.
-    is_rejected: bool,
-}
-
-impl StreamSource {
-    /// Whether the stream began long enough ago that its request can't be what ends the upstream.
-    fn is_settled(&self, now: Time) -> bool {
-        let began_at = self.first_event_at;
-        began_at.is_some_and(|at| SETTLE_TIME <= now.since(at))
-    }
-}
-
-/// The result of waiting for more of a stream.
-enum StreamInput {
-    Bytes(Bytes),
-    End,
-    Broken(&'static str),
-    /// What came is no part of an answer.
-    Unreadable,
-    /// An event came that is not passed on.
-    Rejected,
-    /// No data came, and the target produces no output for any stream.
-    Stalled,
-    Nothing,
-}
-
 /// Builds the response whose body is the relayed stream.
 pub(crate) fn stream_response(
     forwarder: RequestForwarder,
@@ -101,7 +55,7 @@
     answer: AttemptResponse,
     after: Option<u64>,
 ) -> Response<Body> {
-    let (head, source) = split_response(answer);
+    let (head, source) = StreamSource::open(answer);
     let relay = StreamRelay {
         forwarder,
         target,
@@ -124,28 +78,6 @@
     response
 }
 
-fn split_response(answer: AttemptResponse) -> (http::response::Parts, StreamSource) {
-    let AttemptResponse {
-        response,
-        connection,
-        guard,
-        keep_alive,
-    } = answer;
-    let (head, body) = response.into_parts();
-    let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING);
-    let source = StreamSource {
-        body,
-        connection,
-        guard,
-        keep_alive,
-        first_event_at: None,
-        is_framed,
-        is_rejected: false,
-    };
-    (head, source)
-}
-
 impl StreamRelay {
     /// The next complete events. None once the stream is complete.
     async fn next(&mut self) -> Option<Result<Bytes, BodyAborted>> {
@@ -204,26 +136,9 @@
     }
 
     async fn next_input(&mut self) -> StreamInput {
-        let Some(source) = &mut self.source else {
-            return StreamInput::End;
-        };
-        if source.is_rejected {
-            return StreamInput::Rejected;
-        }
-        match timeout(STALL_CHECK_INTERVAL, source.body.frame()).await {
-            Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(data) => StreamInput::Bytes(data),
-                Err(_) => StreamInput::Nothing,
-            },
-            Ok(Some(Err(e))) if is_connection_end(&e) => {
-                StreamInput::Broken("the connection broke")
-            }
-            Ok(Some(Err(_))) => StreamInput::Unreadable,
-            Ok(None) => StreamInput::End,
-            Err(_) if check_stalled(&self.forwarder.entry, &source.guard.id) => {
-                StreamInput::Stalled
-            }
-            Err(_) => StreamInput::Nothing,
+        match &mut self.source {
+            Some(source) => source.next_input(&self.forwarder.entry).await,
+            None => StreamInput::End,
         }
     }
 
@@ -239,8 +154,8 @@
                 paths::record_sign(&self.forwarder.entry, &self.target);
             }
             let was_settled = source.is_settled(self.last_event_at);
-            let began_at = *source.first_event_at.get_or_insert(now);
-            if !was_settled && SETTLE_TIME <= now.since(began_at) {
+            source.first_event_at.get_or_insert(now);
+            if !was_settled && source.is_settled(now) {
                 self.forwarder.record_sound();
             }
             let mut targets = self.forwarder.entry.targets.borrow_mut();
@@ -250,15 +165,15 @@
         bytes.into()
     }
 
-    /// Why the end of the answer isn't the end of the stream, if so. An answer with neither a
-    /// length nor chunks ends with its connection, whatever ended that.
+    /// Why the end of the answer isn't the end of the stream, if so.
     fn why_end_is_early(&self) -> Option<&'static str> {
         if self.events.has_partial_event() {
             return Some("it ended within an event");
         }
         let source = self.source.as_ref()?;
-        let is_empty = source.first_event_at.is_none();
-        (is_empty && !source.is_framed).then_some("it ended before its first event")
+        source
+            .may_have_lost_all()
+            .then_some("it ended before its first event")
     }
 
     /// What a broken connection says about the request.
@@ -319,7 +234,7 @@
             });
             self.events.drop_partial_event();
             self.target = target;
-            self.source = Some(split_response(answer).1);
+            self.source = Some(StreamSource::open(answer).1);
             return true;
         }
     }
