Require no more holders of a departure than the losses leave (DRAIN)

What upstreams would see: where a group of three is told that two losses are to be borne, as while it grows to five, one lost control host had each departure refused: three of three had to hold it.

Cause: the count of holders followed the setting only, not the size of the group.

Evidence: fleet, departures: the_hosts_that_are_left_after_the_losses_suffice_to_acknowledge failed before: 3 of 2, 3 members.

Change: at most half of the members besides the leader. A group of three bears one loss, and in a pair the other one still has to know.

--- a/crates/fleet/src/revision_holders.rs
+++ b/crates/fleet/src/revision_holders.rs
@@ -10,9 +10,10 @@
 use base::NodeId;
 
 /// How many control hosts besides the leader have to hold a departure, if `max_losses` of
-/// `members` control hosts may be lost at once.
+/// `members` control hosts may be lost at once. No more than are left after losses that leave a
+/// majority, or the other one of two.
 pub fn required_followers(max_losses: usize, members: usize) -> usize {
-    max_losses.min(members.saturating_sub(1))
+    max_losses.min(members / 2)
 }
 
 /// The revisions of the leader's roster that its followers hold.
--- a/crates/fleet/tests/departures.rs
+++ b/crates/fleet/tests/departures.rs
@@ -300,6 +300,23 @@
         .quickcheck(check as fn(Vec<u8>, u8, Vec<u8>) -> bool);
 }
 
+/// Guards against departures that nobody acknowledges any more, because more control hosts would
+/// have to hold them than are left after the losses that are to be borne.
+#[test]
+fn the_hosts_that_are_left_after_the_losses_suffice_to_acknowledge() {
+    for members in 1..=9_usize {
+        for max_losses in 0..=4 {
+            let borne = max_losses.min((members - 1) / 2);
+            let left = members - borne;
+            let holders = required_followers(max_losses, members) + 1;
+            assert!(holders <= left, "{holders} of {left}, {members} members");
+            assert!(borne < holders, "{holders}, {borne} lost of {members}");
+        }
+    }
+    // The other one of a pair has to know, too, if one may be lost.
+    assert_eq!(required_followers(1, 2), 1);
+}
+
 /// Each host, told while all hosts are in step, acknowledges after one exchange.
 #[test]
 fn each_departure_is_acknowledged_after_one_exchange() {
