form: one place chooses the hosts that join a replica

The choice of warm hosts first, then of those that fit the fewest models, stood in place.rs and exchange.rs word for word. No behaviour changes: cargo test -p form passes.

--- a/crates/form/src/exchange.rs
+++ b/crates/form/src/exchange.rs
@@ -154,36 +154,20 @@
     }
 
     /// The model of the next replica to form from the free hosts of a domain, and its hosts. The
-    /// model is the one of which a further replica is worth most. Warm hosts are chosen first,
-    /// then those that can join the fewest other models.
+    /// model is the one of which a further replica is worth most.
     fn most_valuable_replica(
         &self,
         engine: &EngineConfig,
         free: &[UpstreamId],
         supply: &Supply<'_>,
     ) -> Option<(ModelName, Vec<UpstreamId>)> {
-        let joinable = |model: &EngineModel| {
-            let joinable = free.iter().filter(|id| {
-                let host = self.hosts.get(*id);
-                host.is_some_and(|host| host.can_join(&model.model))
-            });
-            joinable.cloned().collect::<Vec<_>>()
-        };
+        let joinable = |model: &EngineModel| self.joinable_hosts(free, model);
         let can_form =
             |model: &&EngineModel| 0 < model.width && model.width <= joinable(model).len();
         let candidates = engine.models.iter().filter(can_form);
         let gain = |model: &EngineModel| supply.gain_per_host(model);
         let model = candidates.max_by(|a, b| gain(a).total_cmp(&gain(b)))?;
-        let mut hosts = joinable(model);
-        hosts.sort_by_key(|id| {
-            let host = self.hosts.get(id);
-            let is_warm = host.is_some_and(|host| host.warm_model.as_ref() == Some(&model.model));
-            let others = engine.models.iter().filter(|other| {
-                other.model != model.model && host.is_some_and(|h| h.can_join(&other.model))
-            });
-            (!is_warm, others.count())
-        });
-        hosts.truncate(model.width);
+        let hosts = self.first_joiners(engine, model, joinable(model));
         Some((model.model.clone(), hosts))
     }
 
--- a/crates/form/src/lib.rs
+++ b/crates/form/src/lib.rs
@@ -22,6 +22,7 @@
 mod forget;
 mod host;
 mod host_counts;
+mod joiners;
 mod layout;
 mod load_window;
 mod lost_head;
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -132,8 +132,7 @@
     }
 
     /// The model of the next replica to form, and its hosts. The model is the one with the
-    /// fewest replicas relative to its plan. Warm hosts are chosen first, then those that can
-    /// join the fewest other models.
+    /// fewest replicas relative to its plan.
     fn next_replica(
         &self,
         engine: &EngineConfig,
@@ -141,13 +140,6 @@
         free: &[UpstreamId],
         formed: &ReplicaCounts,
     ) -> Option<(ModelName, Vec<UpstreamId>)> {
-        let joinable = |model: &EngineModel| {
-            let joinable = free.iter().filter(|id| {
-                let host = self.hosts.get(*id);
-                host.is_some_and(|host| host.can_join(&model.model))
-            });
-            joinable.cloned().collect::<Vec<_>>()
-        };
         let fill_ratio = |model: &EngineModel| formed.fill_ratio(model, layout);
         // Hosts that can join a model with fewer replicas than planned are reserved for it, until
         // enough are free at once.
@@ -160,7 +152,7 @@
         };
         let usable = |model: &EngineModel| {
             let is_planned = fill_ratio(model) < 1.0;
-            let mut joinable = joinable(model);
+            let mut joinable = self.joinable_hosts(free, model);
             joinable.retain(|id| is_planned || !is_reserved(id));
             joinable
         };
@@ -177,16 +169,7 @@
         };
         let candidates = engine.models.iter().filter(can_form);
         let model = candidates.min_by(|a, b| fill_ratio(a).total_cmp(&fill_ratio(b)))?;
-        let mut hosts = usable(model);
-        hosts.sort_by_key(|id| {
-            let host = self.hosts.get(id);
-            let is_warm = host.is_some_and(|host| host.warm_model.as_ref() == Some(&model.model));
-            let others = engine.models.iter().filter(|other| {
-                other.model != model.model && host.is_some_and(|h| h.can_join(&other.model))
-            });
-            (!is_warm, others.count())
-        });
-        hosts.truncate(model.width);
+        let hosts = self.first_joiners(engine, model, usable(model));
         Some((model.model.clone(), hosts))
     }
 
