--- a/crates/site/src/control/api.rs
+++ b/crates/site/src/control/api.rs
@@ -13,6 +13,7 @@
 use crate::control::ControlHost;
 use crate::control::departures;
 use crate::control::lead;
+use crate::control::leader_search::LeaderSearch;
 use crate::events::Event;
 use crate::events::emit;
 use crate::message::ConfigText;
@@ -21,8 +22,6 @@
 use crate::message::ReadConfig;
 use crate::message::ReadConfigReply;
 use crate::platform::ControlCall;
-use base::NodeId;
-use base::Time;
 use base::UpstreamId;
 use fleet::CompressedText;
 use fleet::DeparturesHeld;
@@ -39,15 +38,6 @@
 /// How long a body may take to arrive.
 const BODY_RECEIVE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// How long an operator's call may take in total.
-const OPERATOR_CALL_TIMEOUT: Duration = Duration::from_millis(900);
-
-/// Time between two attempts to reach the leader.
-const LEADER_RETRY_INTERVAL: Duration = Duration::from_millis(60);
-
-/// How long the leader may take to answer.
-const LEADER_CALL_TIMEOUT: Duration = Duration::from_millis(900);
-
 /// Listens for upstreams and operators.
 pub(crate) async fn bind(control: &Rc<ControlHost>) -> std::io::Result<Server> {
     let addr = control.role_settings.api_addr;
@@ -189,10 +179,9 @@
 
 /// Offers a configuration to the leader, which may be this control host.
 async fn offer_to_leader(control: &Rc<ControlHost>, configuration: ConfigText) -> OfferConfigReply {
-    let deadline = clock::now() + OPERATOR_CALL_TIMEOUT;
-    let mut hint = None;
+    let mut search = LeaderSearch::begin();
     loop {
-        let reply = match leader_or_hint(control, hint) {
+        let reply = match search.leader(control) {
             Some(leader) if leader == control.settings.node_id() => {
                 lead::propose_config(control, configuration.clone()).await
             }
@@ -200,77 +189,44 @@
                 let call = OfferConfig {
                     configuration: configuration.clone(),
                 };
-                let addr = control.settings.internal_addr(leader);
-                let timeout = time_left(deadline).min(LEADER_CALL_TIMEOUT);
-                match control.rpc.call(addr, &call, timeout).await {
-                    Ok(reply) => reply,
-                    Err(e) => {
-                        log::debug!(
-                            "the leader {leader} did not answer the offered configuration: {e}"
-                        );
-                        OfferConfigReply::Unknown
-                    }
-                }
+                let reply = search.ask(control, leader, &call).await;
+                reply.unwrap_or(OfferConfigReply::Unknown)
             }
             None => OfferConfigReply::NotLeading { leader: None },
         };
-        hint = match reply {
-            OfferConfigReply::NotLeading { leader } => leader,
-            other => return other,
+        let OfferConfigReply::NotLeading { leader } = reply else {
+            return reply;
         };
-        if deadline <= clock::now() + LEADER_RETRY_INTERVAL {
+        if !search.goes_on(leader).await {
             return reply;
         }
-        compio::time::sleep(LEADER_RETRY_INTERVAL).await;
     }
 }
 
 async fn read_configuration(control: &Rc<ControlHost>) -> Response<Body> {
-    let deadline = clock::now() + OPERATOR_CALL_TIMEOUT;
-    let mut hint = None;
+    let mut search = LeaderSearch::begin();
     loop {
-        let reply = match leader_or_hint(control, hint) {
+        let reply = match search.leader(control) {
             Some(leader) if leader == control.settings.node_id() => lead::read_config(control),
             Some(leader) => {
-                let addr = control.settings.internal_addr(leader);
-                let timeout = time_left(deadline).min(LEADER_CALL_TIMEOUT);
-                match control.rpc.call(addr, &ReadConfig {}, timeout).await {
-                    Ok(reply) => reply,
-                    Err(e) => {
-                        log::debug!(
-                            "the configuration could not be read from the leader {leader}: {e}"
-                        );
-                        ReadConfigReply::NotLeading { leader: None }
-                    }
-                }
+                let reply = search.ask(control, leader, &ReadConfig {}).await;
+                reply.unwrap_or(ReadConfigReply::NotLeading { leader: None })
             }
             None => ReadConfigReply::NotLeading { leader: None },
         };
-        hint = match reply {
+        let leader = match reply {
             ReadConfigReply::Newest(newest) => return configuration_response(&newest),
             ReadConfigReply::None => {
                 return error_response(StatusCode::NOT_FOUND, "there is no configuration yet");
             }
             ReadConfigReply::NotLeading { leader } => leader,
         };
-        if deadline <= clock::now() + LEADER_RETRY_INTERVAL {
+        if !search.goes_on(leader).await {
             return error_response(StatusCode::SERVICE_UNAVAILABLE, "nobody leads");
         }
-        compio::time::sleep(LEADER_RETRY_INTERVAL).await;
     }
 }
 
-fn leader_or_hint(control: &ControlHost, hint: Option<NodeId>) -> Option<NodeId> {
-    match control.is_leader() {
-        true => Some(control.settings.node_id()),
-        false => hint.or_else(|| control.known_leader()),
-    }
-}
-
-fn time_left(deadline: Time) -> Duration {
-    deadline.since(clock::now())
-}
-
 fn json_response(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
     let mut response = Response::new(Body::whole(text));
     *response.status_mut() = status;
