--- a/crates/form/src/adopt.rs
+++ b/crates/form/src/adopt.rs
@@ -1,6 +1,7 @@
 //! Adopts replicas that a controller of an earlier term formed, as their hosts report them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::Controller;
 use crate::replica::Phase;
@@ -132,9 +133,9 @@
             other_hosts: others.filter_map(member).collect(),
             head,
             phase,
-            entered_phase_at: now,
             phase_since: now,
-            head_unreached_at: None,
+            left_hosts: BTreeSet::new(),
+            incomplete_since: None,
             do_hosts_wait_for_head: false,
             last_order_at: Time::ZERO,
         })
--- a/crates/form/src/advance.rs
+++ b/crates/form/src/advance.rs
@@ -32,12 +32,13 @@
 impl Controller {
     /// Advances every replica and returns the orders that are due.
     pub(crate) fn advance(&mut self, now: Time) -> Vec<Order> {
-        self.restart_lost_head_waits(now);
         let epochs: Vec<Fence> = self.replicas.keys().copied().collect();
         let orders = epochs
             .into_iter()
             .filter_map(|epoch| self.advance_replica(epoch, now));
-        orders.collect()
+        let mut orders: Vec<Order> = orders.collect();
+        orders.extend(self.release_waiting_hosts(now));
+        orders
     }
 
     /// Applies the outcome of an order to the replica that the order is about.
@@ -54,13 +55,13 @@
             (Action::Join { .. }, Outcome::Refused | Outcome::NotSent, Phase::Joining) => {
                 replica.enter_phase(Phase::Closing(now), now);
             }
-            (Action::Leave { .. }, Outcome::Begun | Outcome::Done, Phase::Closing(_))
-                if replica
-                    .head
-                    .as_ref()
-                    .is_some_and(|(id, _)| *id == order.host) =>
-            {
-                replica.enter_phase(Phase::Ended, now);
+            (Action::Leave { .. }, Outcome::Begun | Outcome::Done, phase) => {
+                let host = (order.host.clone(), order.incarnation);
+                if replica.other_hosts.contains(&host) {
+                    replica.record_left(&order.host, now);
+                } else if replica.head == Some(host) && matches!(phase, Phase::Closing(_)) {
+                    replica.enter_phase(Phase::Ended, now);
+                }
             }
             _ => {}
         }
@@ -169,19 +170,15 @@
     }
 
     fn close_step(&self, replica: &Replica, not_before: Time, now: Time) -> NextStep {
-        let Some((id, incarnation)) = &replica.head else {
-            return match self.may_give_up(replica, now) {
-                true => NextStep::Enter(Phase::GivenUp),
-                false => NextStep::Wait,
-            };
-        };
-        let host = self.hosts.get(id);
-        let has_left = host.is_some_and(|host| self.has_left(replica, host, *incarnation));
+        let head = replica.head.as_ref();
+        let host = head.and_then(|(id, incarnation)| Some((self.hosts.get(id)?, *incarnation)));
+        let has_left = host
+            .is_some_and(|(host, incarnation)| host.has_gone_on_from(replica.epoch, incarnation));
         if has_left {
             return NextStep::Enter(Phase::Ended);
         }
-        let is_lost = host.is_none_or(|host| host.lost_since.is_some());
-        if is_lost && self.may_give_up(replica, now) {
+        let is_lost = host.is_none_or(|(host, _)| host.lost_since.is_some());
+        if is_lost && self.is_broken(replica, now) {
             return NextStep::Enter(Phase::GivenUp);
         }
         if is_lost || now < not_before || now < replica.last_order_at + self.cfg.retry_interval {
@@ -194,7 +191,7 @@
     }
 
     /// Whether the head host of an ended replica reports that it serves, or the head host of
-    /// a replica that was given up still reports that it belongs to it.
+    /// a replica that was given up is heard again.
     fn has_head_returned(&self, replica: &Replica) -> bool {
         let Some((id, incarnation)) = &replica.head else {
             return false;
@@ -205,26 +202,11 @@
         let Some(host) = host else {
             return false;
         };
-        let place = host.place();
-        let Some(place) = place.filter(|place| place.epoch == replica.epoch) else {
-            return false;
-        };
         // An announcement heard right after the host left may have been sent before.
         let is_fresh = replica.phase_since + self.cfg.retry_interval < host.heard_at;
-        is_fresh && (place.state.may_serve() || replica.phase == Phase::GivenUp)
-    }
-
-    /// Whether a head host has restarted or reports that it no longer belongs to the replica.
-    fn has_left(&self, replica: &Replica, host: &Host, incarnation: Incarnation) -> bool {
-        if incarnation < host.announcement.incarnation {
-            return true;
-        }
-        let reports_replica = host
-            .place()
-            .is_some_and(|place| place.epoch == replica.epoch);
-        // The host may not have reported a join in progress yet.
-        let is_settled = replica.phase_since + self.cfg.effect_timeout < host.heard_at;
-        !reports_replica && is_settled
+        let place = host.place().filter(|place| place.epoch == replica.epoch);
+        let serves = place.is_some_and(|place| place.state.may_serve());
+        is_fresh && (serves || replica.phase == Phase::GivenUp)
     }
 
     /// The closing phase that a replica has to enter, if its hosts require one.
--- a/crates/form/src/config.rs
+++ b/crates/form/src/config.rs
@@ -12,11 +12,11 @@
     pub gather_time: Duration,
     /// A host that has been silent this long is not chosen for a replica.
     pub silence_limit: Duration,
-    /// How long the hosts of a replica stay bound after its head host is lost, as the head
-    /// may still serve. Longer than the stall after which an engine gives up its replica.
+    /// How long after one of its hosts has left a replica is broken. Longer than the stall after
+    /// which an engine gives up its replica.
     pub lost_head_wait: Duration,
-    /// A replica none of whose hosts was heard for this long has ended. Longer than data centres
-    /// lose each other, as a replica that is cut off as a whole may serve on.
+    /// A closing replica none of whose hosts was heard for this long is no longer recorded. Longer
+    /// than data centres lose each other.
     pub silent_replica_limit: Duration,
     /// How long a replica may finish its requests once one of its hosts is leaving.
     pub drain_time: Duration,
--- a/crates/form/src/forget.rs
+++ b/crates/form/src/forget.rs
@@ -5,6 +5,7 @@
 use crate::Controller;
 use crate::replica::Phase;
 use crate::replica::Replica;
+use base::Fence;
 use base::Time;
 use base::UpstreamId;
 
@@ -12,19 +13,19 @@
     /// Forgets hosts of no replica that have departed or were silent for long, and replicas that
     /// ended long ago.
     pub(crate) fn forget_unneeded(&mut self, now: Time) {
-        self.end_silent_replicas(now);
+        self.forget_silent_replicas(now);
         self.forget_departed_hosts();
         self.forget_silent_hosts(now);
         let forget_after = 10 * self.cfg.lost_head_wait;
         self.replicas.retain(|_, replica| {
-            replica.holds_hosts() || now.since(replica.phase_since) < forget_after
+            replica.is_to_end() || now.since(replica.phase_since) < forget_after
         });
     }
 
     /// Forgets hosts of no replica that were silent for long.
     pub(crate) fn forget_silent_hosts(&mut self, now: Time) {
         let forget_after = 10 * self.cfg.lost_head_wait;
-        let held = self.replicas.values().filter(|r| r.holds_hosts());
+        let held = self.replicas.values().filter(|r| r.is_to_end());
         let held = held.flat_map(Replica::hosts).map(|(id, _)| id.clone());
         let held: BTreeSet<UpstreamId> = held.collect();
         self.hosts
@@ -40,24 +41,31 @@
         }
     }
 
-    /// Ends closing replicas none of whose hosts was heard for long.
-    fn end_silent_replicas(&mut self, now: Time) {
-        let (hosts, limit) = (&self.hosts, self.cfg.silent_replica_limit);
-        for replica in self.replicas.values_mut() {
-            let is_silent = |id: &UpstreamId| {
-                let host = hosts.get(id);
-                host.is_none_or(|host| limit <= now.since(host.heard_at))
-            };
-            let are_all_silent = replica.hosts().all(|(id, _)| is_silent(id));
-            if matches!(replica.phase, Phase::Closing(_)) && are_all_silent {
-                replica.enter_phase(Phase::Ended, now);
+    /// Forgets closing replicas none of whose hosts was heard for long, with their hosts. If one
+    /// is heard later, its replica is adopted like any that this process doesn't know.
+    fn forget_silent_replicas(&mut self, now: Time) {
+        let limit = self.cfg.silent_replica_limit;
+        let is_silent = |id: &UpstreamId| {
+            let host = self.hosts.get(id);
+            host.is_none_or(|host| limit <= now.since(host.heard_at))
+        };
+        let closing = self.replicas.values();
+        let closing = closing.filter(|replica| matches!(replica.phase, Phase::Closing(_)));
+        let silent = closing.filter(|replica| replica.hosts().all(|(id, _)| is_silent(id)));
+        let epochs: Vec<Fence> = silent.map(|replica| replica.epoch).collect();
+        for replica in epochs
+            .iter()
+            .filter_map(|epoch| self.replicas.remove(epoch))
+        {
+            for (id, _) in replica.hosts() {
+                self.hosts.remove(id);
             }
         }
     }
 
     /// Whether a host is the head of a replica whose hosts are bound to it.
     fn is_head_of_held_replica(&self, id: &UpstreamId) -> bool {
-        let mut holding = self.replicas.values().filter(|r| r.holds_hosts());
+        let mut holding = self.replicas.values().filter(|r| r.is_to_end());
         holding.any(|replica| replica.head.as_ref().is_some_and(|(head, _)| head == id))
     }
 }
--- a/crates/form/src/host.rs
+++ b/crates/form/src/host.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use crate::OrderId;
+use base::Fence;
+use base::Incarnation;
 use base::ModelName;
 use base::Time;
 use fleet::Announcement;
@@ -116,11 +118,21 @@
         self.announcement.place()
     }
 
+    /// Whether the host has left a replica for certain that it had joined in `incarnation`: it has
+    /// restarted since, or joined another replica.
+    pub fn has_gone_on_from(&self, epoch: Fence, incarnation: Incarnation) -> bool {
+        let has_restarted = incarnation < self.announcement.incarnation;
+        let has_joined_later = self.place().is_some_and(|place| epoch < place.epoch);
+        has_restarted || (self.announcement.incarnation == incarnation && has_joined_later)
+    }
+
+    /// Whether the host is heard, and neither lost nor silent for too long.
+    pub fn is_in_reach(&self, silence_limit: Duration, now: Time) -> bool {
+        self.has_announced && self.lost_since.is_none() && now.since(self.heard_at) < silence_limit
+    }
+
     /// Whether the host is available: heard, and neither lost, leaving nor silent for too long.
     pub fn is_available(&self, silence_limit: Duration, now: Time) -> bool {
-        self.has_announced
-            && self.lost_since.is_none()
-            && !self.announcement.leaving
-            && now.since(self.heard_at) < silence_limit
+        !self.announcement.leaving && self.is_in_reach(silence_limit, now)
     }
 }
--- a/crates/form/src/lost_head.rs
+++ b/crates/form/src/lost_head.rs
@@ -1,8 +1,18 @@
-//! Replicas that are to be closed and whose head host this process cannot reach.
+//! Replicas that are to be closed and whose head host doesn't acknowledge an order to leave.
 //!
-//! Such a head may still serve. Entry hosts are asked to tell it to leave, and its hosts stay
-//! bound until one of them has told it, or the wait is over and one of them could not reach the
-//! head either. Without such a report, nobody may have tried.
+//! Silence doesn't show that such a head host has ended: the other hosts may still reach it, and
+//! it serves with them. Entry hosts are asked to tell it to leave. Each other host is ordered to
+//! leave too, and is free once it has left for certain:
+//!
+//! - it acknowledged an order to leave, in the incarnation that had joined,
+//! - it was heard in a later incarnation, which belongs to nothing that the earlier one joined, or
+//! - it announced that it belongs to a replica with a later epoch. A join replaces the one before.
+//!
+//! A host that has not, stays bound. A controller of a later term doesn't know what was
+//! acknowledged to this one and orders the hosts to leave again.
+//!
+//! A replica that lacks a host stands still, and its engine gives it up after a while. Then
+//! nothing is left to be told to the head host, unless it comes back.
 
 use std::time::Duration;
 
@@ -17,13 +27,15 @@
 use base::Time;
 use base::UpstreamId;
 
-/// A replica whose hosts were set free although its head host could not be told to leave.
+/// A replica that is broken, though its head host could not be told to leave.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GivenUpReplica {
     /// The replica's name.
     pub replica: ReplicaName,
     /// The head host. None if it was never heard.
     pub head: Option<UpstreamId>,
+    /// The other hosts that have left for certain.
+    pub left_hosts: Vec<UpstreamId>,
     /// How long the replica was to be closed.
     pub waited: Duration,
 }
@@ -59,41 +71,15 @@
         }
     }
 
-    /// Records that an entry host could not reach the head host of a replica either.
-    pub fn record_head_unreached(&mut self, epoch: Fence, now: Time) {
-        let replica = self.replicas.get_mut(&epoch);
-        if let Some(replica) = replica.filter(|r| matches!(r.phase, Phase::Closing(_))) {
-            replica.head_unreached_at = Some(now);
-        }
-    }
-
     /// The replicas that were given up since the last call.
     pub fn take_given_up(&mut self) -> Vec<GivenUpReplica> {
         std::mem::take(&mut self.given_up)
     }
 
-    /// Whether the hosts of a closing replica may be set free although its head host has not
-    /// left.
-    pub(crate) fn may_give_up(&self, replica: &Replica, now: Time) -> bool {
-        let wait_is_over = replica.phase_since + self.cfg.lost_head_wait <= now;
-        wait_is_over && self.is_head_unreached(replica)
-    }
-
-    /// Whether entry hosts tried to reach the lost head host of a closing replica and could not.
-    fn is_head_unreached(&self, replica: &Replica) -> bool {
-        let head = replica.head.as_ref().and_then(|(id, _)| self.hosts.get(id));
-        // No entry host can try a head host whose address nobody knows.
-        let Some(head) = head else {
-            return true;
-        };
-        let Some(lost_since) = head.lost_since else {
-            return false;
-        };
-        // Reports take time, so an early one may be of an attempt made before the wait began.
-        let counts_from = replica.phase_since + self.cfg.lost_head_wait / 2;
-        let counts_from = counts_from.max(lost_since);
-        let reported_at = replica.head_unreached_at;
-        reported_at.is_some_and(|at| counts_from <= at)
+    /// Whether a closing replica has lacked a host for so long that it is broken.
+    pub(crate) fn is_broken(&self, replica: &Replica, now: Time) -> bool {
+        let since = replica.incomplete_since;
+        since.is_some_and(|since| since + self.cfg.lost_head_wait <= now)
     }
 
     /// Records for [`Self::take_given_up`] that a replica is given up.
@@ -104,37 +90,88 @@
         self.given_up.push(GivenUpReplica {
             replica: replica.name.clone(),
             head: replica.head.as_ref().map(|(id, _)| id.clone()),
-            waited: now.since(replica.entered_phase_at),
+            left_hosts: replica.left_hosts.iter().cloned().collect(),
+            waited: now.since(replica.phase_since),
         });
     }
 
-    /// Restarts the wait for a lost head host while no other host of its replica is heard
-    /// either: a replica that is partitioned off as a whole may go on serving.
-    pub(crate) fn restart_lost_head_waits(&mut self, now: Time) {
+    /// Orders the hosts to leave that wait for a head host, and records those that have left
+    /// without an order.
+    pub(crate) fn release_waiting_hosts(&mut self, now: Time) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let epochs: Vec<Fence> = self.replicas.keys().copied().collect();
+        for epoch in epochs {
+            self.record_hosts_left(epoch, now);
+            orders.extend(self.order_hosts_to_leave(epoch, now));
+        }
+        orders
+    }
+
+    /// Records which hosts of a replica that is not to serve any more were heard elsewhere.
+    fn record_hosts_left(&mut self, epoch: Fence, now: Time) {
+        let Some(replica) = self.replicas.get_mut(&epoch) else {
+            return;
+        };
+        if !matches!(replica.phase, Phase::Closing(_) | Phase::GivenUp) {
+            return;
+        }
         let hosts = &self.hosts;
-        let max_silence = self.cfg.silence_limit / 2;
-        for replica in self.replicas.values_mut() {
-            let others_heard = replica.other_hosts.iter().any(|(id, incarnation)| {
-                let host = hosts
-                    .get(id)
-                    .filter(|host| host.announcement.incarnation == *incarnation);
-                host.is_some_and(|host| {
-                    let is_heard = host.has_announced && host.lost_since.is_none();
-                    is_heard && now.since(host.heard_at) < max_silence
-                })
-            });
-            let head = replica.head.as_ref();
-            let head = head.and_then(|(id, incarnation)| {
-                hosts
-                    .get(id)
-                    .filter(|h| h.announcement.incarnation == *incarnation)
-            });
-            let is_lost = head.is_none_or(|host| host.lost_since.is_some());
-            let is_waiting = matches!(replica.phase, Phase::Closing(_)) && is_lost;
-            replica.do_hosts_wait_for_head = is_waiting && others_heard;
-            if is_waiting && !others_heard {
-                replica.phase_since = now;
-            }
+        let held = replica
+            .other_hosts
+            .iter()
+            .filter(|(id, _)| replica.holds(id));
+        let left = held.filter(|(id, incarnation)| {
+            let host = hosts.get(id);
+            host.is_some_and(|host| host.has_gone_on_from(epoch, *incarnation))
+        });
+        let left: Vec<UpstreamId> = left.map(|(id, _)| id.clone()).collect();
+        left.iter().for_each(|id| replica.record_left(id, now));
+    }
+
+    /// Orders the hosts of a replica to leave that wait for its head host.
+    fn order_hosts_to_leave(&mut self, epoch: Fence, now: Time) -> Vec<Order> {
+        let is_head_overdue = self.is_head_overdue(epoch, now);
+        let Some(replica) = self.replicas.get_mut(&epoch) else {
+            return Vec::new();
+        };
+        let (hosts, silence_limit) = (&self.hosts, self.cfg.silence_limit);
+        let waiting = replica.other_hosts.iter().filter(|(id, incarnation)| {
+            hosts.get(id).is_some_and(|host| {
+                host.announcement.incarnation == *incarnation
+                    && host.is_in_reach(silence_limit, now)
+            })
+        });
+        let waiting: Vec<UpstreamId> = waiting.map(|(id, _)| id.clone()).collect();
+        let is_closing = matches!(replica.phase, Phase::Closing(_));
+        replica.do_hosts_wait_for_head = is_closing && is_head_overdue && !waiting.is_empty();
+        if !replica.do_hosts_wait_for_head && replica.phase != Phase::GivenUp {
+            return Vec::new();
         }
+        let action = Action::Leave {
+            replica: replica.name.clone(),
+            epoch,
+        };
+        let held: Vec<UpstreamId> = waiting.into_iter().filter(|id| replica.holds(id)).collect();
+        let orders = held.iter();
+        let orders = orders.filter_map(|id| self.issue_order(id, action.clone(), now));
+        orders.collect()
+    }
+
+    /// Whether the head host of a closing replica should have acknowledged that it left.
+    fn is_head_overdue(&self, epoch: Fence, now: Time) -> bool {
+        let Some(replica) = self.replicas.get(&epoch) else {
+            return false;
+        };
+        let Phase::Closing(not_before) = replica.phase else {
+            return false;
+        };
+        let head = replica.head.as_ref();
+        let head = head.and_then(|(id, incarnation)| {
+            let host = self.hosts.get(id);
+            host.filter(|host| host.announcement.incarnation == *incarnation)
+        });
+        let is_lost = head.is_none_or(|host| host.lost_since.is_some());
+        let due_at = replica.phase_since.max(not_before) + self.cfg.effect_timeout;
+        is_lost || due_at <= now
     }
 }
--- a/crates/form/src/place.rs
+++ b/crates/form/src/place.rs
@@ -45,8 +45,8 @@
     /// Available hosts that belong to no replica and can be sent an order.
     pub(crate) fn free_hosts(&self, now: Time) -> Vec<UpstreamId> {
         let mut bound = BTreeSet::new();
-        for replica in self.replicas.values().filter(|r| r.holds_hosts()) {
-            bound.extend(replica.hosts());
+        for replica in self.replicas.values() {
+            bound.extend(replica.held_hosts());
         }
         // While a head host reports that it serves, no host of its replica is free, whatever
         // the phase on record.
@@ -56,17 +56,17 @@
             .filter(|place| place.rank == 0 && place.state.may_serve())
             .map(|place| place.epoch)
             .collect();
-        let is_released = |host: &Host| {
+        let is_released = |id: &UpstreamId, host: &Host| {
             let epoch = host.place().map(|place| place.epoch);
             let replica = epoch.map(|epoch| self.replicas.get(&epoch));
-            replica.is_none_or(|replica| replica.is_some_and(|r| !r.holds_hosts()))
+            replica.is_none_or(|replica| replica.is_some_and(|r| !r.holds(id)))
         };
         let free = self.hosts.iter().filter(|(id, host)| {
             let can_be_ordered = host.pending_order.is_none() && host.no_orders_until <= now;
             host.is_available(self.cfg.silence_limit, now)
                 && can_be_ordered
                 && !bound.contains(&((*id).clone(), host.announcement.incarnation))
-                && is_released(host)
+                && is_released(id, host)
                 && !host
                     .place()
                     .is_some_and(|place| serving_epochs.contains(&place.epoch))
@@ -201,9 +201,9 @@
                 Purpose::Serve => Phase::Joining,
                 Purpose::KeepWarm => Phase::Ended,
             },
-            entered_phase_at: now,
             phase_since: now,
-            head_unreached_at: None,
+            left_hosts: BTreeSet::new(),
+            incomplete_since: None,
             do_hosts_wait_for_head: false,
             last_order_at: now,
         };
--- a/crates/form/src/record.rs
+++ b/crates/form/src/record.rs
@@ -213,9 +213,9 @@
             RecordedPhase::Closing => Phase::Closing(now),
             RecordedPhase::GivenUp => Phase::GivenUp,
         },
-        entered_phase_at: now,
         phase_since: now,
-        head_unreached_at: None,
+        left_hosts: BTreeSet::new(),
+        incomplete_since: None,
         do_hosts_wait_for_head: false,
         last_order_at: Time::ZERO,
     }
--- a/crates/form/src/replica.rs
+++ b/crates/form/src/replica.rs
@@ -1,5 +1,7 @@
 //! A replica as the controller knows it.
 
+use std::collections::BTreeSet;
+
 use derive_more::Display;
 
 use base::Fence;
@@ -32,8 +34,8 @@
     /// The head host has left the replica, so its hosts are free.
     #[display("ended")]
     Ended,
-    /// The head host was unreachable, also for an entry host, for so long that it cannot serve
-    /// any more. The hosts are free, but if the head host comes back, it is ordered to leave.
+    /// The head host was not told to leave, but has lacked a host for so long that the replica is
+    /// broken. If the head host comes back, it is ordered to leave.
     #[display("given up")]
     GivenUp,
 }
@@ -51,12 +53,12 @@
     pub other_hosts: Vec<(UpstreamId, Incarnation)>,
     pub phase: Phase,
     /// When the replica entered its phase.
-    pub entered_phase_at: Time,
-    /// When the replica entered its phase, or the wait for its lost head host last restarted.
     pub phase_since: Time,
-    /// When an entry host last reported in this phase that it could not reach the head host.
-    pub head_unreached_at: Option<Time>,
-    /// Whether other hosts that are heard wait until the lost head host has left.
+    /// The hosts other than the head host that have left for certain.
+    pub left_hosts: BTreeSet<UpstreamId>,
+    /// When the first of them was known to have left.
+    pub incomplete_since: Option<Time>,
+    /// Whether other hosts wait for a head host that doesn't acknowledge an order to leave.
     pub do_hosts_wait_for_head: bool,
     /// When the last order of this phase was issued.
     pub last_order_at: Time,
@@ -70,18 +72,32 @@
 
     pub fn enter_phase(&mut self, phase: Phase, now: Time) {
         self.phase = phase;
-        self.entered_phase_at = now;
         self.phase_since = now;
-        self.head_unreached_at = None;
         self.do_hosts_wait_for_head = false;
         self.last_order_at = Time::ZERO;
     }
 
-    /// Whether the hosts are bound to the replica, so that they cannot join another one.
-    pub fn holds_hosts(&self) -> bool {
+    /// Records that a host other than the head host has left for certain.
+    pub fn record_left(&mut self, host: &UpstreamId, now: Time) {
+        self.left_hosts.insert(host.clone());
+        self.incomplete_since.get_or_insert(now);
+    }
+
+    /// Whether the replica has an end for its hosts that is yet to come.
+    pub fn is_to_end(&self) -> bool {
         !matches!(self.phase, Phase::Ended | Phase::GivenUp)
     }
 
+    /// Whether a host is bound to the replica, so that it cannot join another one.
+    pub fn holds(&self, host: &UpstreamId) -> bool {
+        self.phase != Phase::Ended && !self.left_hosts.contains(host)
+    }
+
+    /// The hosts that are bound to the replica.
+    pub fn held_hosts(&self) -> impl Iterator<Item = &(UpstreamId, Incarnation)> {
+        self.hosts().filter(|(id, _)| self.holds(id))
+    }
+
     /// Whether requests may run at the replica.
     pub fn runs_requests(&self) -> bool {
         matches!(self.phase, Phase::Serving | Phase::Draining(_))
--- a/crates/form/tests/lost_head.rs
+++ b/crates/form/tests/lost_head.rs
@@ -4,11 +4,13 @@
 
 use std::time::Duration;
 
+use world::Membership;
+use world::Partition;
 use world::World;
 use world::world_with_heads;
 
-use base::Fence;
 use base::UpstreamId;
+use form::Action;
 use form::Config;
 use form::GivenUpReplica;
 
@@ -16,76 +18,71 @@
     Duration::from_secs(secs)
 }
 
-fn cut_off(world: &mut World, hosts: &[UpstreamId]) {
-    for host in hosts {
-        world.hosts.get_mut(host).unwrap().is_cut_off = true;
-    }
-}
-
-fn epochs_of(world: &World, heads: &[UpstreamId]) -> Vec<Fence> {
-    let epoch = |head: &UpstreamId| world.hosts[head].membership.as_ref().unwrap().epoch;
-    heads.iter().map(epoch).collect()
-}
-
-fn report_unreached(world: &mut World, epochs: &[Fence]) {
-    for epoch in epochs {
-        world.controller.record_head_unreached(*epoch, world.now);
-    }
-}
-
 // The world panics if a host joins another replica while the head host of its own one serves.
 
 #[test]
 fn hosts_do_not_join_elsewhere_while_a_cut_off_head_serves_that_no_entry_host_tried() {
     for seed in 0..10 {
         let (mut world, heads) = world_with_heads(seed);
-        cut_off(&mut world, &heads);
+        world.partition(&heads, Partition::FromController);
         world.are_entry_hosts_silent = true;
         world.run(secs(8));
         world.are_entry_hosts_silent = false;
         world.run(secs(8));
-        let serving_on = heads
-            .iter()
-            .filter(|head| world.hosts[head].membership.is_some());
-        assert_eq!(serving_on.count(), 0, "seed {seed}: told to leave");
+        let serving_on = heads.iter().filter(|head| {
+            let membership = world.hosts[head].membership.as_ref();
+            membership.is_some_and(Membership::serves)
+        });
+        assert_eq!(
+            serving_on.count(),
+            0,
+            "seed {seed}: told to leave, or broken"
+        );
     }
 }
 
 #[test]
-fn reports_of_attempts_made_before_a_replica_was_closing_do_not_set_its_hosts_free() {
+fn hosts_do_not_join_elsewhere_while_a_head_that_only_they_reach_serves() {
     for seed in 0..10 {
         let (mut world, heads) = world_with_heads(seed);
-        let epochs = epochs_of(&world, &heads);
-        cut_off(&mut world, &heads);
-        world.are_entry_hosts_silent = true;
-        // The head hosts are found to be lost after 0.9 s to 2.1 s.
-        for _ in 0..4 {
-            report_unreached(&mut world, &epochs);
-            world.run(Duration::from_millis(500));
-        }
-        world.run(secs(8));
-        assert_eq!(world.controller.take_given_up(), [], "seed {seed}");
+        world.partition(&heads, Partition::FromDeployment);
+        world.run(secs(15));
     }
 }
 
+/// Has no order reach the hosts of the replicas of `heads`, though they are heard.
+fn silence_members(world: &mut World, heads: &[UpstreamId]) {
+    for host in members(world, heads) {
+        world.hosts.get_mut(&host).unwrap().is_out_of_reach = true;
+    }
+}
+
+/// The hosts other than the head hosts.
+fn members(world: &World, heads: &[UpstreamId]) -> Vec<UpstreamId> {
+    let replicas = heads
+        .iter()
+        .filter_map(|head| world.hosts[head].membership.as_ref());
+    let members = replicas.flat_map(|membership| membership.hosts[1..].iter().cloned());
+    members.collect()
+}
+
 #[test]
-fn a_report_made_before_a_head_was_heard_again_does_not_set_its_hosts_free() {
+fn hosts_that_did_not_acknowledge_that_they_left_are_not_set_free() {
     for seed in 0..10 {
-        let (mut world, heads) = world_with_heads(seed);
-        let epochs = epochs_of(&world, &heads);
-        cut_off(&mut world, &heads);
-        world.are_entry_hosts_silent = true;
-        world.run(Duration::from_millis(4_500));
-        report_unreached(&mut world, &epochs);
-        // The head hosts are heard, but orders to leave reach them late.
-        world.faults.late_order_share = 1.0;
-        for head in &heads {
-            world.hosts.get_mut(head).unwrap().is_cut_off = false;
+        for partition in [Partition::FromController, Partition::FromDeployment] {
+            let (mut world, heads) = world_with_heads(seed);
+            silence_members(&mut world, &heads);
+            world.partition(&heads, partition);
+            world.are_entry_hosts_silent = true;
+            world.run(secs(20));
+            assert_eq!(world.controller.take_given_up(), [], "seed {seed}");
+            let members = members(&world, &heads);
+            let joins = world.orders.iter().filter(|(at, action, host)| {
+                let is_join = matches!(action, Action::Join { .. });
+                world.now.since(*at) < secs(20) && is_join && members.contains(host)
+            });
+            assert_eq!(joins.count(), 0, "seed {seed}");
         }
-        world.run(Duration::from_millis(1_300));
-        cut_off(&mut world, &heads);
-        world.run(secs(8));
-        assert_eq!(world.controller.take_given_up(), [], "seed {seed}");
     }
 }
 
@@ -126,8 +123,12 @@
             world.kill(host);
         }
         world.are_entry_hosts_silent = true;
-        world.run(secs(6));
+        world.run(secs(3));
         let orders = world.controller.leave_orders_for_unreachable_heads();
         assert_eq!(orders.is_empty(), are_all_dead, "{orders:?}");
+        // By then the replica is broken.
+        world.run(secs(5));
+        let orders = world.controller.leave_orders_for_unreachable_heads();
+        assert_eq!(orders, []);
     }
 }
--- a/crates/form/tests/repair.rs
+++ b/crates/form/tests/repair.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use world::Faults;
+use world::Partition;
 use world::World;
 
 use base::UpstreamId;
@@ -92,7 +93,7 @@
 }
 
 #[test]
-fn a_lost_first_host_is_waited_for_and_then_replaced() {
+fn the_hosts_of_a_lost_first_host_leave_before_they_join_elsewhere() {
     let mut world = world_with_spares(3);
     world.begin_traffic();
     let lost_host = member_of_first_replica(&world, 0);
@@ -100,10 +101,12 @@
     world.kill(&lost_host);
     let before = world.orders.len();
     world.run(secs(3));
-    let to_others = world.orders[before..]
-        .iter()
-        .filter(|(_, _, host)| others[1..].contains(host));
-    assert_eq!(to_others.count(), 0, "the head host may still serve");
+    for other in &others[1..] {
+        let mut orders = world.orders[before..].iter();
+        let first = orders.find(|(_, _, host)| host == other);
+        let is_leave = first.is_none_or(|(_, action, _)| matches!(action, Action::Leave { .. }));
+        assert!(is_leave, "the head host may still serve: {first:?}");
+    }
     world.run(secs(6));
     assert!(18 <= world.count_serving("wide") + world.count_serving("slim"));
 }
@@ -119,11 +122,11 @@
         .values_mut()
         .filter(|host| host.domain == domain)
     {
-        host.is_cut_off = true;
+        host.partition = Partition::FromController;
     }
     world.run(secs(8));
     for host in world.hosts.values_mut() {
-        host.is_cut_off = false;
+        host.partition = Partition::None;
     }
     // The world panics if a host of a replica that serves joins another one.
     world.run(secs(30));
@@ -180,11 +183,11 @@
             let domain = world.hosts[&chosen].domain.clone();
             match world.rng.u32(0..5) {
                 0 => world.change_leader(),
-                1 => world.hosts.get_mut(&chosen).unwrap().is_cut_off = true,
+                1 => world.hosts.get_mut(&chosen).unwrap().partition = Partition::FromController,
                 2 => world
                     .hosts
                     .values_mut()
-                    .for_each(|host| host.is_cut_off = false),
+                    .for_each(|host| host.partition = Partition::None),
                 _ => {
                     world.kill(&chosen);
                     world.add_host(&format!("s{seed}-{round}"), &domain);
@@ -196,7 +199,7 @@
         world
             .hosts
             .values_mut()
-            .for_each(|host| host.is_cut_off = false);
+            .for_each(|host| host.partition = Partition::None);
         world.run(secs(90));
         let serving = world.count_serving("wide") + world.count_serving("slim");
         assert!(15 <= serving, "seed {seed}: {serving} serve");
@@ -314,11 +317,11 @@
     world.run(secs(20));
     world.begin_traffic();
     let head = member_of_first_replica(&world, 0);
-    world.hosts.get_mut(&head).unwrap().is_cut_off = true;
+    world.hosts.get_mut(&head).unwrap().partition = Partition::FromController;
     world.restart_controllers();
     // The new leader has settled and adopted the replicas that it heard of.
     world.run(secs(3));
-    world.hosts.get_mut(&head).unwrap().is_cut_off = false;
+    world.hosts.get_mut(&head).unwrap().partition = Partition::None;
     // The world panics if a host joins another replica while its old one serves.
     world.run(secs(12));
     assert!(world.hosts[&head].membership.is_some(), "it serves again");
--- a/crates/form/tests/takeover.rs
+++ b/crates/form/tests/takeover.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use world::Faults;
+use world::Partition;
 use world::World;
 use world::world_with_heads;
 
@@ -39,7 +40,7 @@
     for seed in 0..10 {
         let (mut world, heads) = world_with_heads(seed);
         for head in &heads {
-            world.hosts.get_mut(head).unwrap().is_cut_off = true;
+            world.hosts.get_mut(head).unwrap().partition = Partition::FromController;
         }
         world.restart_controllers();
         world.run(secs(15));
@@ -86,6 +87,7 @@
         world.faults = Faults {
             late_order_share: 0.1,
             lost_commit_share: 0.3,
+            ..Faults::default()
         };
         for round in 0..20 {
             let up: Vec<_> = world.hosts.values().filter(|host| host.is_up).collect();
@@ -94,7 +96,7 @@
             match world.rng.u32(0..6) {
                 0 => world.change_leader(),
                 1 => world.restart_controllers(),
-                2 => world.hosts.get_mut(&chosen).unwrap().is_cut_off = true,
+                2 => world.hosts.get_mut(&chosen).unwrap().partition = Partition::FromController,
                 3 => {
                     world.kill(&chosen);
                     world.add_host(&format!("n{seed}-{round}"), "d1");
@@ -111,7 +113,7 @@
         }
         for host in world.hosts.values_mut() {
             host.is_heard_elsewhere = false;
-            host.is_cut_off = false;
+            host.partition = Partition::None;
         }
         world.faults = Faults::default();
         world.run(secs(60));
--- a/crates/form/tests/world/checks.rs
+++ b/crates/form/tests/world/checks.rs
@@ -5,26 +5,19 @@
 use super::World;
 use super::host::Host;
 use base::Fence;
-use fleet::PlaceState;
 
 impl World {
-    /// Checks that no host joins another replica while the head host of its replica serves.
+    /// Checks that no host joins another replica while the head host of its replica serves or
+    /// stands still. A host that has left belongs to none: the replica breaks without it.
     pub(super) fn check_join(&self, host: &Host, epoch: Fence) {
-        let Some(membership) = host
-            .membership
-            .as_ref()
-            .filter(|membership| membership.epoch != epoch)
-        else {
+        let membership = host.membership.as_ref();
+        let Some(membership) = membership.filter(|membership| membership.epoch != epoch) else {
             return;
         };
         let head = &self.hosts[&membership.hosts[0]];
-        let head_membership = head
-            .membership
-            .as_ref()
-            .filter(|old| old.epoch == membership.epoch);
-        let serves = head_membership.is_some_and(|membership| {
-            membership.state == PlaceState::Open || membership.opens_at.is_some()
-        });
+        let of_head = head.membership.as_ref();
+        let serves =
+            of_head.is_some_and(|of_head| of_head.epoch == membership.epoch && of_head.serves());
         assert!(
             !(head.is_up && serves),
             "{}: {} joins {epoch} while {} serves {}",
@@ -35,15 +28,11 @@
         );
     }
 
-    /// Checks that every replica that serves or is being opened is recorded, unless its head host
-    /// itself seems to say that it has left.
+    /// Checks that every replica that serves or is being opened is recorded.
     pub(super) fn check_records(&self) {
-        let truthful = |host: &&Host| host.is_up && host.repeated_announcement.is_none();
-        for host in self.hosts.values().filter(truthful) {
-            let opens = host.membership.as_ref().filter(|membership| {
-                membership.state == PlaceState::Open || membership.opens_at.is_some()
-            });
-            if let Some(membership) = opens {
+        for host in self.hosts.values().filter(|host| host.is_up) {
+            let serving = host.membership.as_ref().filter(|m| m.serves());
+            if let Some(membership) = serving {
                 assert!(
                     self.records.contains_key(&membership.epoch),
                     "{}: {} serves without a record",
--- a/crates/form/tests/world/host.rs
+++ b/crates/form/tests/world/host.rs
@@ -26,6 +26,29 @@
     pub ready_at: Time,
     /// When a pending order to open takes effect.
     pub opens_at: Option<Time>,
+    /// Since when the replica stands still, because the head host lacks one of its hosts.
+    pub stalled_since: Option<Time>,
+}
+
+impl Membership {
+    /// Whether the head host of the replica serves, will soon, or stands still.
+    pub fn serves(&self) -> bool {
+        self.state == PlaceState::Open || self.opens_at.is_some()
+    }
+}
+
+/// How the hosts of a replica and the processes of the deployment reach a host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Partition {
+    /// Everyone reaches the host.
+    #[default]
+    None,
+    /// Only entry hosts and other hosts reach it.
+    FromController,
+    /// Only other hosts reach it.
+    FromDeployment,
+    /// Everyone but the other hosts of its replica reaches it.
+    FromHosts,
 }
 
 #[derive(Clone, Debug)]
@@ -35,8 +58,8 @@
     pub incarnation: u64,
     pub sequence: u64,
     pub is_up: bool,
-    /// The host runs but cannot reach the controller.
-    pub is_cut_off: bool,
+    /// Who doesn't reach the host, though it runs.
+    pub partition: Partition,
     /// The host's announcements go to a control host that the leader doesn't hear from. Orders
     /// and probes reach it.
     pub is_heard_elsewhere: bool,
@@ -63,6 +86,21 @@
     pub must_announce: bool,
 }
 
+impl Host {
+    /// Whether neither announcements, orders nor probes pass between the host and the controller.
+    pub fn is_cut_from_controller(&self) -> bool {
+        matches!(
+            self.partition,
+            Partition::FromController | Partition::FromDeployment
+        )
+    }
+
+    /// Whether an entry host reaches the host.
+    pub fn is_reached_by_entry_hosts(&self) -> bool {
+        self.is_up && self.partition != Partition::FromDeployment
+    }
+}
+
 /// The announcement of a host that the leader hears now.
 pub fn heard_announcement(host: &Host) -> Announcement {
     match &host.repeated_announcement {
--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -1,7 +1,8 @@
 //! A simulation of engine hosts that carry out the orders of a controller.
 //!
 //! It checks two invariants: no host joins another replica while the head host of its replica
-//! serves, and no replica serves before all its hosts were ready.
+//! serves or stands still, and no replica serves before all its hosts were ready. A replica whose
+//! head host lacks one of its hosts stands still, and breaks after a while.
 
 #![allow(dead_code)]
 
@@ -16,7 +17,8 @@
 use fastrand::Rng;
 
 use self::host::Host;
-use self::host::Membership;
+pub use self::host::Membership;
+pub use self::host::Partition;
 use self::host::heard_announcement;
 use self::host::status;
 use base::Fence;
@@ -39,15 +41,16 @@
 const WARM_JOIN_TIME: Duration = Duration::from_millis(200);
 const COMMIT_TIME: Duration = Duration::from_millis(20);
 const OPEN_TIME: Duration = Duration::from_millis(300);
-/// How long an entry host takes to find that it cannot reach a head host.
-const ENTRY_ATTEMPT_TIME: Duration = Duration::from_millis(600);
-const ENTRY_RETRY_INTERVAL: Duration = Duration::from_millis(700);
+/// How long a replica stands still before it breaks.
+const STALL_TIME: Duration = Duration::from_millis(4_000);
 
 /// The faults that a world injects.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
     /// Share of the orders whose answer is lost and that are carried out late.
     pub late_order_share: f64,
+    /// Share of the orders to open whose answer is lost and that are carried out late.
+    pub late_open_share: f64,
     /// Share of the changes of the records of which the controller doesn't learn whether they
     /// are committed. Half of them are.
     pub lost_commit_share: f64,
@@ -65,10 +68,10 @@
     pub refused_orders: usize,
     /// A host that has been silent this long is lost if it does not answer.
     pub lost_after: Duration,
-    /// Entry hosts neither pass orders to leave on nor report anything.
+    /// Entry hosts don't pass orders to leave on.
     pub are_entry_hosts_silent: bool,
-    /// When entry hosts next report that they cannot reach the head host of a replica.
-    unreached_reports: BTreeMap<Fence, Time>,
+    /// Whether a replica that serves without a record is a fault.
+    pub is_every_serving_replica_recorded: bool,
     /// The hosts that were ever ready in a replica, by its epoch.
     ready_hosts: BTreeMap<Fence, BTreeSet<UpstreamId>>,
     late_orders: VecDeque<(Time, Order)>,
@@ -145,7 +148,7 @@
             refused_orders: 0,
             lost_after: Duration::from_millis(900),
             are_entry_hosts_silent: false,
-            unreached_reports: BTreeMap::new(),
+            is_every_serving_replica_recorded: true,
             ready_hosts: BTreeMap::new(),
             late_orders: VecDeque::new(),
             pending_outcomes: VecDeque::new(),
@@ -171,7 +174,7 @@
             incarnation: self.now.0,
             sequence: 0,
             is_up: true,
-            is_cut_off: false,
+            partition: Partition::None,
             is_heard_elsewhere: false,
             is_out_of_reach: false,
             repeated_announcement: None,
@@ -198,6 +201,29 @@
         host.is_up = false;
     }
 
+    /// Starts a host again under its id, with the models that it had staged.
+    pub fn restart(&mut self, id: &UpstreamId) {
+        let now = self.now;
+        let host = self.hosts.get_mut(id).unwrap();
+        host.is_up = true;
+        host.incarnation = now.0;
+        host.sequence = 0;
+        host.membership = None;
+        host.joined_model = None;
+        host.warm_model = None;
+        host.staging = None;
+        host.highest_epoch = Fence(0);
+        host.begun_orders = 0;
+        host.must_announce = true;
+    }
+
+    /// Changes who reaches some hosts.
+    pub fn partition(&mut self, hosts: &[UpstreamId], partition: Partition) {
+        for host in hosts {
+            self.hosts.get_mut(host).unwrap().partition = partition;
+        }
+    }
+
     /// Makes a host announce its departure, though it still runs.
     pub fn announce_departure(&mut self, id: &UpstreamId) {
         self.hosts.get_mut(id).unwrap().has_departed = true;
@@ -247,6 +273,7 @@
         while self.now < until {
             self.now += STEP;
             self.advance_hosts();
+            self.advance_stalls();
             self.announce();
             self.detect_lost_hosts();
             while self
@@ -271,7 +298,9 @@
             self.commit_record_changes();
             self.leave_via_entry_hosts();
             self.check_serving();
-            self.check_records();
+            if self.is_every_serving_replica_recorded {
+                self.check_records();
+            }
         }
     }
 
@@ -303,8 +332,7 @@
         }
     }
 
-    /// Has entry hosts order those head hosts to leave that the controller cannot reach, and
-    /// report those that are down.
+    /// Has entry hosts order those head hosts to leave that don't acknowledge it to the controller.
     fn leave_via_entry_hosts(&mut self) {
         if self.are_entry_hosts_silent {
             return;
@@ -313,21 +341,39 @@
             let Action::Leave { epoch, .. } = order.action else {
                 continue;
             };
-            if self.hosts[&order.host].is_up {
+            if self.hosts[&order.host].is_reached_by_entry_hosts() {
                 self.carry_out(&order);
                 self.controller.record_head_left(epoch, self.now);
-            } else {
-                self.report_unreached(epoch);
             }
         }
     }
 
-    fn report_unreached(&mut self, epoch: Fence) {
-        let first = self.now + ENTRY_ATTEMPT_TIME;
-        let due = self.unreached_reports.entry(epoch).or_insert(first);
-        if *due <= self.now {
-            *due = self.now + ENTRY_RETRY_INTERVAL + ENTRY_ATTEMPT_TIME;
-            self.controller.record_head_unreached(epoch, self.now);
+    /// Has the open replicas that lack a host stand still, and those that did for long break.
+    fn advance_stalls(&mut self) {
+        let now = self.now;
+        let open: Vec<UpstreamId> = self
+            .hosts
+            .values()
+            .filter(|host| host.is_up)
+            .filter(|host| {
+                host.membership
+                    .as_ref()
+                    .is_some_and(|m| m.state == PlaceState::Open)
+            })
+            .map(|host| host.id.clone())
+            .collect();
+        for id in open {
+            let lacks_host = !self.is_complete(&id);
+            let host = self.hosts.get_mut(&id).unwrap();
+            let membership = host.membership.as_mut().unwrap();
+            if !lacks_host && membership.stalled_since.is_none() {
+                continue;
+            }
+            let since = *membership.stalled_since.get_or_insert(now);
+            if STALL_TIME <= now.since(since) {
+                membership.state = PlaceState::Broken;
+                host.must_announce = true;
+            }
         }
     }
 
@@ -368,7 +414,7 @@
                 .membership
                 .as_ref()
                 .is_some_and(|p| p.epoch == membership.epoch);
-            host.is_up && is_member
+            host.is_up && is_member && host.partition != Partition::FromHosts
         })
     }
 
@@ -406,7 +452,7 @@
         for host in self
             .hosts
             .values_mut()
-            .filter(|host| host.is_up && !host.is_cut_off && !host.has_departed)
+            .filter(|host| host.is_up && !host.is_cut_from_controller() && !host.has_departed)
             .filter(|host| !host.is_heard_elsewhere)
         {
             if !host.must_announce && now < host.next_announcement {
@@ -429,7 +475,7 @@
         let silent = self.controller.silent_hosts(self.lost_after, self.now);
         for announcement in silent {
             let host = &self.hosts[&announcement.id];
-            if !host.is_up || host.is_cut_off {
+            if !host.is_up || host.is_cut_from_controller() {
                 self.controller
                     .mark_lost(&announcement.id, announcement.incarnation, self.now);
             }
@@ -438,7 +484,7 @@
 
     fn send_order(&mut self, mut order: Order) {
         let host = &self.hosts[&order.host];
-        let is_reached = host.is_up && !host.is_cut_off && !host.is_out_of_reach;
+        let is_reached = host.is_up && !host.is_cut_from_controller() && !host.is_out_of_reach;
         self.orders
             .push((self.now, order.action.clone(), order.host.clone()));
         if is_reached && order.begun_orders.is_none() {
@@ -454,7 +500,16 @@
                 .push_back((at, order.id, Outcome::NotSent));
             return;
         }
-        if self.rng.f64() < self.faults.late_order_share {
+        let late_share = match order.action {
+            Action::Open { .. } => self
+                .faults
+                .late_order_share
+                .max(self.faults.late_open_share),
+            Action::Stage { .. } | Action::Join { .. } | Action::Leave { .. } => {
+                self.faults.late_order_share
+            }
+        };
+        if self.rng.f64() < late_share {
             let at = self.now + Duration::from_millis(self.rng.u64(2_000..12_000));
             let index = self.late_orders.partition_point(|(other, _)| *other <= at);
             let answered_at = self.now + Duration::from_secs(1);
@@ -556,6 +611,7 @@
                     state: PlaceState::Joining,
                     ready_at: now + join_time,
                     opens_at: None,
+                    stalled_since: None,
                 });
                 host.must_announce = true;
                 Outcome::Begun
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -112,9 +112,12 @@
 
 fn log_given_up(controller: &mut Controller) {
     for given_up in controller.take_given_up() {
+        let left = given_up.left_hosts.iter();
+        let left: Vec<&str> = left.map(UpstreamId::as_str).collect();
         emit(&Event::ReplicaGivenUp {
             replica: &given_up.replica,
             head: given_up.head.as_ref().map_or("-", UpstreamId::as_str),
+            left: left.join(","),
             waited_ms: given_up.waited.as_millis(),
         });
     }
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -225,9 +225,7 @@
     for epoch in observations.left_replicas {
         record_head_left(control, epoch);
     }
-    for epoch in observations.unreached_replicas {
-        record_head_unreached(control, epoch);
-    }
+    pass_on_unreached(control, &observations.unreached_replicas);
     for head in observations.stalled_heads {
         probe::record_stalled_replica(control, &head);
     }
@@ -277,16 +275,17 @@
     control.observations_added.notify_waiters();
 }
 
-/// Records that an entry host could not reach the head host of a replica.
-fn record_head_unreached(control: &ControlHost, epoch: Fence) {
+/// Passes on that entry hosts could not reach the head hosts of replicas. It shows nothing about
+/// them, but a leader of an earlier release waits for it.
+fn pass_on_unreached(control: &ControlHost, unreached: &[Fence]) {
     if control.is_leader() {
-        let mut controller = control.controller.borrow_mut();
-        controller.record_head_unreached(epoch, clock::now());
         return;
     }
     // Many entry hosts report the same, and the wait is long, so it goes with the next batch.
     let mut unsent_observations = control.unsent_observations.borrow_mut();
-    if !unsent_observations.unreached_replicas.contains(&epoch) {
-        unsent_observations.unreached_replicas.push(epoch);
+    for epoch in unreached {
+        if !unsent_observations.unreached_replicas.contains(epoch) {
+            unsent_observations.unreached_replicas.push(*epoch);
+        }
     }
 }
--- a/crates/site/src/events.rs
+++ b/crates/site/src/events.rs
@@ -83,8 +83,8 @@
         "replica stalled, probing its hosts head={head} hosts={hosts}";
     2404 Info LeaveSent { host: &'a UpstreamId, replica: &'a ReplicaName, outcome: String }
         "head host that the leader cannot reach was told to leave host={host} replica={replica} outcome={outcome}";
-    2405 Warn ReplicaGivenUp { replica: &'a ReplicaName, head: &'a str, waited_ms: u128 }
-        "replica given up, its hosts are free though its head host could not be told to leave replica={replica} head={head} waited_ms={waited_ms}";
+    2405 Warn ReplicaGivenUp { replica: &'a ReplicaName, head: &'a str, left: String, waited_ms: u128 }
+        "replica given up, it broke after other hosts had left it, its head host could not be told to leave replica={replica} head={head} left={left} waited_ms={waited_ms}";
     2406 Info ReplicasTakenOver { term: u64, records: usize }
         "the term begins with the recorded replicas term={term} records={records}";
     2410 Warn PartsBanned { parts: String, crashes: u32 }
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -168,7 +168,8 @@
     /// Replicas whose head host has left, as seen by entry hosts.
     #[serde(rename = "left")]
     pub left_replicas: Vec<Fence>,
-    /// Replicas whose head host entry hosts tried to reach and could not.
+    /// Replicas whose head host entry hosts tried to reach and could not. Only leaders of earlier
+    /// releases use it.
     #[serde(rename = "unreached", default)]
     pub unreached_replicas: Vec<Fence>,
     /// What entry hosts saw and all others are to know.
