--- a/crates/form/src/lib.rs
+++ b/crates/form/src/lib.rs
@@ -42,6 +42,7 @@
 pub use lost_head::GivenUpReplica;
 pub use order::Action;
 pub use order::Order;
+pub use order::OrderAnswer;
 pub use order::OrderId;
 pub use order::Outcome;
 pub use shape::ModelShape;
--- a/crates/form/src/order.rs
+++ b/crates/form/src/order.rs
@@ -73,6 +73,28 @@
     pub begun_orders: Option<u64>,
 }
 
+/// The head of an answer that came on the connection of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OrderAnswer {
+    /// The answer's status.
+    pub status: u16,
+    /// Whether the answer names a caller's request. Orders bear no such id, so it isn't theirs.
+    pub names_request: bool,
+}
+
+impl OrderAnswer {
+    /// What the answer says about the only order of its connection.
+    pub fn outcome(self) -> Outcome {
+        match self.status {
+            _ if self.names_request => Outcome::Unknown,
+            202 => Outcome::Begun,
+            200 => Outcome::Done,
+            400..500 => Outcome::Refused,
+            _ => Outcome::Unknown,
+        }
+    }
+}
+
 impl Outcome {
     /// Whether the order has taken effect or will.
     pub fn is_done(self) -> bool {
--- a/crates/site/src/control/orders.rs
+++ b/crates/site/src/control/orders.rs
@@ -4,18 +4,17 @@
 use std::time::Duration;
 
 use compio::time::timeout;
-use http::StatusCode;
 
 use crate::control::ControlHost;
 use crate::control::probe;
 use crate::events::Event;
 use crate::events::emit;
+use crate::order_request::order_answer;
 use crate::order_request::order_request;
 use form::Order;
 use form::Outcome;
 use net::Connection;
 use net::RequestError;
-use net::read_body;
 use quorum::clock;
 
 /// Orders that are carried out at once. On a small control host, hundreds at once would delay
@@ -28,9 +27,6 @@
 /// How long a host may take to answer an order.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// The largest accepted answer to an order in bytes.
-const MAX_ANSWER_BYTES: usize = 64 * 1024;
-
 /// Carries out an order in a task of its own.
 pub(crate) fn spawn_order(control: &Rc<ControlHost>, order: Order) {
     let control = Rc::clone(control);
@@ -77,17 +73,10 @@
         order = confirmed;
     }
     let order = &order;
-    if let Some(kept) = control.pool.take_idle(&id) {
-        match send_order(control, order, kept).await {
-            Err(RequestError::NotSent) => {}
-            Err(RequestError::Lost | RequestError::Unreadable) => return Outcome::Unknown,
-            Ok(outcome) => return outcome,
-        }
-    }
-    let Ok(fresh) = control.pool.connect(order.addr, CONNECT_TIMEOUT).await else {
+    let Ok(connection) = control.pool.connect(order.addr, CONNECT_TIMEOUT).await else {
         return Outcome::NotSent;
     };
-    match send_order(control, order, fresh).await {
+    match send_order(control, order, connection).await {
         Ok(outcome) => outcome,
         Err(RequestError::NotSent) => Outcome::NotSent,
         Err(RequestError::Lost | RequestError::Unreadable) => Outcome::Unknown,
@@ -110,19 +99,5 @@
     let Ok(sent) = timeout(ANSWER_TIMEOUT, connection.request(req)).await else {
         return Ok(Outcome::Unknown);
     };
-    let response = sent?;
-    let status = response.status();
-    let id = (order.host.clone(), order.incarnation);
-    if read_body(response.into_body(), MAX_ANSWER_BYTES, ANSWER_TIMEOUT)
-        .await
-        .is_ok()
-    {
-        control.pool.put_back(&id, connection, None);
-    }
-    Ok(match status {
-        StatusCode::ACCEPTED => Outcome::Begun,
-        StatusCode::OK => Outcome::Done,
-        _ if status.is_client_error() => Outcome::Refused,
-        _ => Outcome::Unknown,
-    })
+    Ok(order_answer(platform, &sent?).outcome())
 }
--- a/crates/site/src/control/probe.rs
+++ b/crates/site/src/control/probe.rs
@@ -34,8 +34,8 @@
 /// so their reports are as old as their last call.
 const RECENT_OUTPUT: Duration = Duration::from_millis(600);
 
-/// How often a host is probed before it counts as lost.
-const PROBE_ATTEMPTS: usize = 2;
+/// How a host is probed before it counts as lost.
+const PROBE_ATTEMPTS: [ProbeConnection; 2] = [ProbeConnection::KeptOrNew, ProbeConnection::New];
 
 /// Hosts that are probed at once. With more, answers would be processed late for lack of
 /// processor time on this host, and running hosts would count as lost.
@@ -138,18 +138,31 @@
     last_output.is_some_and(|last_output| clock::now().since(last_output) < RECENT_OUTPUT)
 }
 
+/// Which connection a host is asked on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeConnection {
+    /// An idle one, where an earlier answer may come first, or a new one if there is none.
+    KeptOrNew,
+    /// A new one, so the answer is to this question.
+    New,
+}
+
 async fn is_alive(control: &ControlHost, host: &Announcement) -> bool {
-    for _ in 0..PROBE_ATTEMPTS {
-        if answers_probe(control, host).await {
+    for connection in PROBE_ATTEMPTS {
+        if answers_probe(control, host, connection).await {
             return true;
         }
     }
     false
 }
 
-async fn answers_probe(control: &ControlHost, host: &Announcement) -> bool {
+async fn answers_probe(
+    control: &ControlHost,
+    host: &Announcement,
+    connection: ProbeConnection,
+) -> bool {
     let id = (host.id.clone(), host.incarnation);
-    let Some(report) = fetch_report(control, &id, host.addr).await else {
+    let Some(report) = fetch_report(control, &id, host.addr, connection).await else {
         return false;
     };
     // Another process may have the address by now, or another incarnation of the host.
@@ -164,7 +177,7 @@
     id: &TargetId,
     addr: SocketAddr,
 ) -> Option<HostStatus> {
-    let report = fetch_report(control, id, addr).await?;
+    let report = fetch_report(control, id, addr, ProbeConnection::New).await?;
     match control.platform.parse_report(&report) {
         Ok(status) => Some(status),
         Err(e) => {
@@ -175,9 +188,18 @@
 }
 
 /// Requests the report of a host. None if there is no answer, or none that such a host gives.
-async fn fetch_report(control: &ControlHost, id: &TargetId, addr: SocketAddr) -> Option<Bytes> {
+async fn fetch_report(
+    control: &ControlHost,
+    id: &TargetId,
+    addr: SocketAddr,
+    connection: ProbeConnection,
+) -> Option<Bytes> {
     let exchange = async {
-        let mut connection = match control.pool.take_idle(id) {
+        let kept = match connection {
+            ProbeConnection::KeptOrNew => control.pool.take_idle(id),
+            ProbeConnection::New => None,
+        };
+        let mut connection = match kept {
             Some(kept) => kept,
             None => control.pool.connect(addr, ANSWER_TIMEOUT).await.ok()?,
         };
--- a/crates/site/src/entry/leave_orders.rs
+++ b/crates/site/src/entry/leave_orders.rs
@@ -11,8 +11,11 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::message::UnreachableHead;
+use crate::order_request::order_answer;
 use crate::order_request::order_request;
 use form::Action;
+use form::OrderAnswer;
+use form::Outcome;
 
 /// How long connecting to a host that is to leave may take, and how long its answer.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -34,12 +37,12 @@
 }
 
 impl LeaveOutcome {
-    fn of_answer(status: StatusCode) -> Self {
-        match status {
+    fn of_answer(answer: OrderAnswer) -> Self {
+        match answer.outcome() {
+            Outcome::Begun | Outcome::Done => Self::Left,
             // The order names the host that it is for.
-            StatusCode::MISDIRECTED_REQUEST => Self::Unreached,
-            _ if status.is_success() => Self::Left,
-            _ => Self::Refused,
+            Outcome::Refused if answer.status == StatusCode::MISDIRECTED_REQUEST => Self::Unreached,
+            Outcome::Refused | Outcome::Unknown | Outcome::NotSent => Self::Refused,
         }
     }
 }
@@ -70,12 +73,13 @@
         replica: head.replica.clone(),
         epoch: head.epoch,
     };
-    let request = order_request(entry.platform.as_ref(), &head.host, &action, None);
+    let platform = entry.platform.as_ref();
+    let request = order_request(platform, &head.host, &action, None);
     let Ok(mut connection) = entry.pool.connect(head.addr, LEAVE_TIMEOUT).await else {
         return LeaveOutcome::Unreached;
     };
     match timeout(LEAVE_TIMEOUT, connection.request(request)).await {
-        Ok(Ok(response)) => LeaveOutcome::of_answer(response.status()),
+        Ok(Ok(response)) => LeaveOutcome::of_answer(order_answer(platform, &response)),
         // The host runs: one with too many connections accepts new ones and ends them, and one
         // that stands still may go on.
         Ok(Err(_)) | Err(_) => LeaveOutcome::Refused,
