An answer counts only if it names the request, a refusal only if it is new (REFUSED)

Cause: `check_response` compared the request's id with the one in the answer only if the answer had one. A refusal, a 421 or an error without an id counted as this request's. A 408, 429 or 503 that doesn't say that the request did not run was passed on, and with it its promise. An id that two callers use told an earlier refusal apart from the present one neither.

Change: one decision, `forward::AnswerHead`, says what an answer may be taken for; an answer that doesn't name the request has an unknown outcome. A refusal is believed only if no other request with this id was sent to that process before (`forward::SentIds`); such a request doesn't use a connection that was used before.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -5,6 +5,8 @@
 //!
 //! - [`TargetTable`] holds the targets (first hosts of model replicas and processes of
 //!   plain services), their load from all entry hosts, and their recent health.
+//! - [`AnswerHead`] says what an answer may be taken for, and [`SentIds`] whether it may be an
+//!   earlier one.
 //! - [`RetryDecision`] says what follows a failed attempt, and [`RetryBudget`] limits the
 //!   retries of this entry host to its part of the deployment's limit.
 //! - [`LoadAggregator`] sums the load of all entry hosts on a control host.
@@ -16,6 +18,7 @@
 //!   entry host.
 //! - [`KeyFreshness`] says whether callers' keys may still be trusted.
 
+mod answer_head;
 mod control_selector;
 mod event_splitter;
 mod health;
@@ -28,9 +31,15 @@
 mod refusal_cause;
 mod retry_budget;
 mod retry_decision;
+mod sent_ids;
 mod target;
 mod target_table;
 
+pub use answer_head::AnswerDoubt;
+pub use answer_head::AnswerHead;
+pub use answer_head::AnswerMeaning;
+pub use answer_head::AnsweredRequest;
+pub use answer_head::IdUse;
 pub use control_selector::ControlSelector;
 pub use event_splitter::CompleteEvents;
 pub use event_splitter::EventError;
@@ -51,6 +60,7 @@
 pub use retry_budget::RetryBudget;
 pub use retry_decision::Failure;
 pub use retry_decision::RetryDecision;
+pub use sent_ids::SentIds;
 pub use target::Target;
 pub use target::TargetId;
 pub use target_table::ChooseError;
--- a/crates/site/src/entry/attempt.rs
+++ b/crates/site/src/entry/attempt.rs
@@ -6,7 +6,6 @@
 use compio::time::timeout;
 use http::HeaderMap;
 use http::Response;
-use http::StatusCode;
 use http::header;
 use hyper::body::Incoming;
 
@@ -19,8 +18,12 @@
 use crate::events::Event;
 use crate::events::emit;
 use base::Time;
+use forward::AnswerHead;
+use forward::AnswerMeaning;
+use forward::AnsweredRequest;
 use forward::ConnectPath;
 use forward::Failure;
+use forward::IdUse;
 use forward::Target;
 use net::Connection;
 use net::RequestError;
@@ -72,7 +75,12 @@
         .borrow_mut()
         .record_sent(&target.id, sent_at);
     let guard = AttemptGuard::new(entry, id.clone(), request.prompt_secs);
-    let kept = entry.pool.take_idle(&id);
+    let id_use = request.id_use(entry, &id);
+    // On a connection used before, the earlier answer to a request with the same id may come.
+    let kept = match id_use {
+        IdUse::First => entry.pool.take_idle(&id),
+        IdUse::Again => None,
+    };
     let sent = match kept {
         Some(kept) => send(entry, request, target, kept, after, deadline).await,
         None => Err(AttemptError::new(
@@ -99,7 +107,7 @@
         paths::record_sign(entry, target);
     }
     entry.metrics.count_attempt(path);
-    check_response(entry, request, &response, path)?;
+    check_response(entry, request, id_use, &response, path)?;
     entry.targets.borrow_mut().record_output(&id, clock::now());
     Ok(AttemptResponse {
         response,
@@ -141,6 +149,7 @@
         after,
     );
     let id = (target.id.clone(), target.incarnation);
+    request.record_sent(entry, &id);
     let result = {
         let answer = connection.request(outbound);
         let mut answer = std::pin::pin!(answer);
@@ -202,33 +211,30 @@
     is_stalled
 }
 
-/// Checks that a response belongs to this request and is complete.
+/// Checks what a response may be taken for.
 fn check_response(
     entry: &EntryHost,
     request: &OutboundRequest,
+    id_use: IdUse,
     response: &Response<Incoming>,
     path: ConnectPath,
 ) -> Result<(), AttemptError> {
-    let failed = |failure, why| Err(AttemptError::new(failure, why, Some(path)));
     let names = entry.platform.headers();
     let headers = response.headers();
-    let sent = request.headers.get(&names.attempt_id);
-    let echoed = headers.get(&names.attempt_id);
-    if echoed.is_some() && echoed != sent {
-        return failed(Failure::Lost, "an answer to another request");
-    }
-    let refused = headers.contains_key(&names.not_run);
-    if refused || response.status() == StatusCode::MISDIRECTED_REQUEST {
-        return failed(Failure::Refused, "the upstream did not run it");
-    }
-    if headers.contains_key(header::CONTENT_ENCODING) {
-        return failed(Failure::Lost, "an encoded answer");
-    }
-    let is_signed = headers.contains_key(&names.signature) && echoed.is_some();
-    if response.status().is_success() && !is_signed {
-        return failed(Failure::Lost, "an answer without signature");
+    let head = AnswerHead {
+        status: response.status().as_u16(),
+        request: AnsweredRequest::of(request.id(names), headers.get(&names.attempt_id)),
+        id_use,
+        says_not_run: headers.contains_key(&names.not_run),
+        is_signed: headers.contains_key(&names.signature),
+        is_encoded: headers.contains_key(header::CONTENT_ENCODING),
+    };
+    let failed = |failure, why| Err(AttemptError::new(failure, why, Some(path)));
+    match head.meaning() {
+        AnswerMeaning::Answer => Ok(()),
+        AnswerMeaning::NotRun => failed(Failure::Refused, "the upstream did not run it"),
+        AnswerMeaning::Unknown(doubt) => failed(Failure::Lost, doubt.text()),
     }
-    Ok(())
 }
 
 /// How long the connection of a response may be kept, if the upstream says so.
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -49,6 +49,7 @@
 use forward::PathTable;
 use forward::PeerTable;
 use forward::RetryBudget;
+use forward::SentIds;
 use forward::TargetTable;
 use net::RpcClient;
 use net::Server;
@@ -144,6 +145,8 @@
     pub selector: RefCell<ControlSelector>,
     pub targets: RefCell<TargetTable>,
     pub retry_budget: RefCell<RetryBudget>,
+    /// Which requests were sent to which processes.
+    pub sent_ids: RefCell<SentIds>,
     /// Checks requests by the parts of their prompts.
     pub part_guard: RefCell<PartGuard>,
     /// Which way to connect to upstreams.
@@ -295,6 +298,7 @@
             selector: RefCell::new(ControlSelector::new(settings.node_id())),
             targets: RefCell::new(TargetTable::new(settings.centre.clone(), seed)),
             retry_budget: RefCell::new(RetryBudget::new(ratio, slack, window)),
+            sent_ids: RefCell::default(),
             part_guard: RefCell::new(PartGuard::new(settings.node_id())),
             paths: RefCell::default(),
             peers: RefCell::new(PeerTable::new(
--- a/crates/site/src/entry/outbound.rs
+++ b/crates/site/src/entry/outbound.rs
@@ -21,6 +21,8 @@
 use base::RequestDigest;
 use base::RequestPart;
 use base::UpstreamId;
+use forward::IdUse;
+use forward::TargetId;
 use quorum::clock;
 
 /// Headers that concern one connection only (hop-by-hop headers).
@@ -96,6 +98,25 @@
         !self.is_trial && guard.is_banned(&self.parts, clock::now())
     }
 
+    /// The request's id, if its caller gave it one.
+    pub fn id(&self, names: &Headers) -> Option<&HeaderValue> {
+        self.headers.get(&names.attempt_id)
+    }
+
+    /// Whether the target was sent a request with this id before.
+    pub fn id_use(&self, entry: &EntryHost, target: &TargetId) -> IdUse {
+        let id = self.id(entry.platform.headers());
+        let sent_ids = entry.sent_ids.borrow();
+        id.map_or(IdUse::First, |id| sent_ids.next_use(target, id.as_bytes()))
+    }
+
+    /// Records that the request is sent to a target.
+    pub fn record_sent(&self, entry: &EntryHost, target: &TargetId) {
+        if let Some(id) = self.id(entry.platform.headers()) {
+            entry.sent_ids.borrow_mut().record(target, id.as_bytes());
+        }
+    }
+
     /// Builds the request for one target. `left` is the time that the caller still waits, and
     /// `after` the number of the last event that the caller has.
     pub fn for_target(
