--- a/crates/forward/src/event_splitter.rs
+++ b/crates/forward/src/event_splitter.rs
@@ -4,6 +4,10 @@
 //! the stream after the last one. Events carry consecutive numbers. What the splitter calls the
 //! last event is the last one that it has returned: events that came before a bad one, in the
 //! same bytes, are returned together with the error.
+//!
+//! A target that goes on with a stream may answer with something else: an error's text, or the
+//! head of another answer in the bytes of this one. So what is passed on must look like an event,
+//! and must show by its number that the target goes on where the last one ended.
 
 use derive_more::Display;
 use derive_more::Error;
@@ -36,6 +40,15 @@
     /// An event of a stream whose events have numbers has one that cannot be read.
     #[display("the number of an event cannot be read")]
     Unreadable,
+    /// Bytes that end with an empty line are no event.
+    #[display("bytes that are no event")]
+    NoEvent,
+    /// The first event of a target that goes on with the stream has no number.
+    #[display("the first event after event {after} has no number")]
+    Unnumbered {
+        /// The number of the last event.
+        after: u64,
+    },
     /// An event exceeds the largest accepted size.
     #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
     TooLong,
@@ -50,14 +63,30 @@
     Unknown,
 }
 
+/// What tells where the answer of a target ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Framing {
+    /// A length, or chunks.
+    #[default]
+    Framed,
+    /// The end of the connection. Whatever comes before it is part of the answer.
+    UntilClose,
+}
+
 /// Splits the stream of one answer into events, across all targets that it comes from.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
+    framing: Framing,
+    /// Whether the present target must still show that it goes on after the last event.
+    must_number_next: bool,
     partial: Vec<u8>,
     scan: Scan,
     last: Option<u64>,
     /// Whether events without a number followed the last one that has a number.
     has_unnumbered: bool,
+    has_passed_events: bool,
+    /// Whether an event had begun that no target has sent whole yet.
+    is_event_due: bool,
 }
 
 /// How far the bytes of an incomplete event were searched for its end.
@@ -94,12 +123,26 @@
         !self.partial.is_empty()
     }
 
+    /// Whether the stream cannot end yet, because an event has begun.
+    pub fn is_event_due(&self) -> bool {
+        self.is_event_due || self.has_partial_event()
+    }
+
     /// Drops an incomplete event, because another target sends it again from its start.
     pub fn drop_partial_event(&mut self) {
         self.partial.clear();
         self.scan = Scan::default();
     }
 
+    /// Expects the bytes of a target's answer from now on. If there were events, it goes on with the
+    /// stream of another target.
+    pub fn begin_answer(&mut self, framing: Framing) {
+        self.is_event_due |= self.has_partial_event();
+        self.drop_partial_event();
+        self.framing = framing;
+        self.must_number_next = self.has_passed_events && self.last.is_some();
+    }
+
     /// Adds bytes of the stream and returns the events that are complete now. Once bytes are
     /// rejected, no more of the same target may be added.
     pub fn push(&mut self, bytes: &[u8]) -> CompleteEvents {
@@ -114,6 +157,7 @@
                 Ok(None) => return complete,
                 Err(e) => {
                     self.drop_partial_event();
+                    self.is_event_due = true;
                     complete.rejected = Some(e);
                     return complete;
                 }
@@ -132,7 +176,12 @@
         };
         let event: Vec<u8> = self.partial.drain(..len).collect();
         self.scan = Scan::default();
+        if !is_event(&event) || (self.framing == Framing::UntilClose && has_status_line(&event)) {
+            return Err(EventError::NoEvent);
+        }
         self.check_number(&event)?;
+        self.has_passed_events = true;
+        self.is_event_due = false;
         Ok(Some(event))
     }
 
@@ -141,8 +190,7 @@
             (EventNumber::Number(got), _) => got,
             (EventNumber::Unreadable, Some(_)) => return Err(EventError::Unreadable),
             (EventNumber::Unreadable, None) | (EventNumber::Missing, _) => {
-                self.has_unnumbered |= has_data(event);
-                return Ok(());
+                return self.check_unnumbered(event);
             }
         };
         if let Some(last) = self.last
@@ -153,8 +201,22 @@
         }
         self.last = Some(got);
         self.has_unnumbered = false;
+        self.must_number_next = false;
         Ok(())
     }
+
+    fn check_unnumbered(&mut self, event: &[u8]) -> Result<(), EventError> {
+        let says_something = !lines(event).all(|line| line.is_empty() || line.starts_with(b":"));
+        match self.last {
+            Some(after) if self.must_number_next && says_something => {
+                Err(EventError::Unnumbered { after })
+            }
+            _ => {
+                self.has_unnumbered |= has_data(event);
+                Ok(())
+            }
+        }
+    }
 }
 
 impl Scan {
@@ -186,8 +248,7 @@
 }
 
 fn event_number(event: &[u8]) -> EventNumber {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    let Some(id) = lines.find_map(|line| line.strip_prefix(b"id:")) else {
+    let Some(id) = lines(event).find_map(|line| line.strip_prefix(b"id:")) else {
         return EventNumber::Missing;
     };
     let text = std::str::from_utf8(id).ok();
@@ -197,6 +258,45 @@
 
 /// Whether an event carries data. Otherwise it is only a comment, or nothing.
 fn has_data(event: &[u8]) -> bool {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    lines.any(|line| line.starts_with(b"data"))
+    lines(event).any(|line| line.starts_with(b"data"))
+}
+
+/// The lines of an event without their ends.
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = event.split(|byte| *byte == b'\n');
+    lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+}
+
+/// Whether bytes have the form of an event: lines that all end the same way, and that are comments
+/// or fields.
+fn is_event(bytes: &[u8]) -> bool {
+    let mut ends = bytes.split_inclusive(|byte| *byte == b'\n');
+    let has_returns = bytes.ends_with(b"\r\n");
+    let is_uniform = ends.all(|line| line.ends_with(b"\r\n") == has_returns);
+    is_uniform && lines(bytes).all(is_field)
+}
+
+/// Whether a line is empty, a comment or a field. Names of fields have small letters, those of an
+/// answer's head have not, and its first line has no name.
+fn is_field(line: &[u8]) -> bool {
+    let colon = line.iter().position(|byte| *byte == b':');
+    let name = &line[..colon.unwrap_or(line.len())];
+    let is_known = matches!(name, b"data" | b"id" | b"event" | b"retry");
+    let is_name = |byte: &u8| byte.is_ascii_lowercase() || *byte == b'-';
+    line.is_empty() || is_known || (colon.is_some() && name.iter().all(is_name))
+}
+
+/// Whether the first line of an answer's head stands anywhere in an event.
+fn has_status_line(event: &[u8]) -> bool {
+    const VERSION: &[u8] = b"HTTP/1.";
+    let is_status_line = |line: &[u8]| {
+        let digits = |range: std::ops::Range<usize>| {
+            let digits = line.get(range);
+            digits.is_some_and(|digits| digits.iter().all(u8::is_ascii_digit))
+        };
+        line.starts_with(VERSION) && digits(7..8) && line.get(8) == Some(&b' ') && digits(9..12)
+    };
+    let starts = event.windows(VERSION.len()).enumerate();
+    let mut starts = starts.filter(|(_, window)| *window == VERSION);
+    starts.any(|(at, _)| is_status_line(&event[at..]))
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -44,6 +44,7 @@
 pub use event_splitter::CompleteEvents;
 pub use event_splitter::EventError;
 pub use event_splitter::EventSplitter;
+pub use event_splitter::Framing;
 pub use event_splitter::ResumePoint;
 pub use health::Health;
 pub use key_freshness::KeyFreshness;
--- a/crates/forward/tests/event_splitter.rs
+++ b/crates/forward/tests/event_splitter.rs
@@ -2,6 +2,7 @@
 
 use forward::EventError;
 use forward::EventSplitter;
+use forward::Framing;
 use forward::ResumePoint;
 
 /// The largest event that is accepted, in bytes.
@@ -147,3 +148,121 @@
         assert_eq!(splitter.resume_point(), expected, "{text}");
     }
 }
+
+/// Bytes with which a target may go on that are no events of the stream.
+fn strange_bytes() -> Vec<String> {
+    let heads = [
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno",
+        "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 2\r\n\r\nno",
+        "HTTP/1.1 503 X\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nid: 6\r\n\r\ndata: of another answer\n\n",
+    ];
+    let errors = [
+        "upstream failed\n\n",
+        "upstream failed\n\n\n\nat line 3\n\n",
+        "{\"error\": \"overloaded\"}\n\n",
+        "{\n\"error\": \"overloaded\"\n}\n\n",
+        "Error: overloaded\n\n",
+        "error: overloaded\n\n",
+        "event: error\ndata: overloaded\n\n",
+        "data: overloaded\n\n",
+        "data\n\n",
+        "<html>\n\n</html>\n\n",
+    ];
+    heads
+        .iter()
+        .chain(&errors)
+        .map(ToString::to_string)
+        .collect()
+}
+
+/// Guards against an error's text, or the head of another answer, in the middle of a stream.
+#[test]
+fn only_events_of_the_stream_follow_at_another_target() {
+    for framing in [Framing::Framed, Framing::UntilClose] {
+        for begun in ["", "id: 6", "id: 6\ndata: pie"] {
+            for strange in strange_bytes() {
+                let mut splitter = EventSplitter::default();
+                splitter.begin_answer(framing);
+                let first: String = (1..=5).map(event).collect();
+                assert_eq!(splitter.push((first + begun).as_bytes()).count, 5);
+                splitter.begin_answer(framing);
+                let complete = splitter.push(strange.as_bytes());
+                assert_eq!(complete.count, 0, "{strange:?}: {complete:?}");
+                let is_visible = complete.rejected.is_some() || splitter.has_partial_event();
+                assert!(is_visible, "{strange:?}");
+                splitter.begin_answer(framing);
+                let complete = splitter.push(event(6).as_bytes());
+                assert_eq!(
+                    (complete.count, complete.rejected),
+                    (1, None),
+                    "{strange:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against the head of another answer within the bytes of an event that was cut off.
+#[test]
+fn the_head_of_another_answer_is_no_part_of_an_event() {
+    for framing in [Framing::Framed, Framing::UntilClose] {
+        for begun in ["id: 6\ndata: pie", "id: 6\ndata: piece 6\n", "id: 6\n"] {
+            for strange in strange_bytes().into_iter().take(4) {
+                let mut splitter = EventSplitter::resume_after(Some(5));
+                splitter.begin_answer(framing);
+                let complete = splitter.push((begun.to_owned() + &strange).as_bytes());
+                assert_eq!(complete.count, 0, "{begun:?} {strange:?}");
+                assert_eq!(
+                    complete.rejected,
+                    Some(EventError::NoEvent),
+                    "{begun:?} {strange:?}"
+                );
+            }
+        }
+    }
+    // With carriage returns, only the status line tells, and only where nothing says how long the
+    // answer is.
+    let text = "id: 6\r\ndata: pieHTTP/1.1 503 X\r\n\r\n";
+    for (framing, count) in [(Framing::Framed, 1), (Framing::UntilClose, 0)] {
+        let mut splitter = EventSplitter::resume_after(Some(5));
+        splitter.begin_answer(framing);
+        assert_eq!(splitter.push(text.as_bytes()).count, count, "{framing:?}");
+    }
+}
+
+/// Guards against a false alarm: a target that has nothing left to send.
+#[test]
+fn a_stream_may_end_at_another_target_unless_an_event_had_begun() {
+    let cases = [
+        (event(5), false),
+        (event(5) + "id: 6", true),
+        (event(5) + &event(8), true),
+        (event(5) + "upstream failed\n\n", true),
+        (event(5) + ": a comment\n\n", false),
+    ];
+    for (first, is_due) in cases {
+        let mut splitter = EventSplitter::resume_after(Some(4));
+        splitter.begin_answer(Framing::Framed);
+        splitter.push(first.as_bytes());
+        splitter.begin_answer(Framing::Framed);
+        assert_eq!(splitter.is_event_due(), is_due, "{first:?}");
+        splitter.push(event(6).as_bytes());
+        assert!(!splitter.is_event_due(), "{first:?}");
+    }
+}
+
+#[test]
+fn events_with_any_fields_and_comments_are_passed_on() {
+    for text in [
+        "id: 1\ndata\n\n",
+        "id:1\ndata:x\nretry: 30\nevent: piece\n\n",
+        ": comment\nid: 1\ndata: Note: HTTP/1.1 is old\n\n",
+        "id: 1\ndata: HTTP/1.1 200 OK\n\n",
+        "weight-versions: 3\nid: 1\ndata: x\n\n",
+        "\n",
+    ] {
+        let complete = EventSplitter::default().push(text.as_bytes());
+        assert_eq!((complete.count, complete.rejected), (1, None), "{text:?}");
+    }
+}
--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
+use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
 use http::header;
@@ -23,7 +24,6 @@
 use forward::EventSplitter;
 use forward::Failure;
 use forward::ResumePoint;
-use forward::RetryDecision;
 use forward::Target;
 use net::Body;
 use net::BodyAborted;
@@ -32,12 +32,26 @@
 /// Time between two attempts to resume a stalled stream at another target.
 const STALL_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The kind of content of an answer, without parameters and in small letters.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ContentType(String);
+
+impl ContentType {
+    fn of(headers: &HeaderMap) -> Option<Self> {
+        let value = headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+        let kind = value.split(';').next()?;
+        Some(Self(kind.trim().to_ascii_lowercase()))
+    }
+}
+
 /// A stream that is relayed to its caller.
 struct StreamRelay {
     forwarder: RequestForwarder,
     target: Target,
     source: Option<StreamSource>,
     events: EventSplitter,
+    /// The kind of content that the first target answered with.
+    content_type: Option<ContentType>,
     first_event_at: Option<Time>,
     /// When the last complete event arrived.
     last_event_at: Time,
@@ -56,11 +70,14 @@
     after: Option<u64>,
 ) -> Response<Body> {
     let (head, source) = StreamSource::open(answer);
+    let mut events = EventSplitter::resume_after(after);
+    events.begin_answer(source.framing);
     let relay = StreamRelay {
         forwarder,
         target,
         source: Some(source),
-        events: EventSplitter::resume_after(after),
+        events,
+        content_type: ContentType::of(&head.headers),
         first_event_at: None,
         last_event_at: clock::now(),
         longest_gap: Duration::ZERO,
@@ -170,6 +187,9 @@
         if self.events.has_partial_event() {
             return Some("it ended within an event");
         }
+        if self.events.is_event_due() {
+            return Some("it ended before an event that had begun elsewhere");
+        }
         let source = self.source.as_ref()?;
         source
             .may_have_lost_all()
@@ -219,9 +239,13 @@
                     return false;
                 }
             };
-            if answer.response.status() != StatusCode::OK {
-                let decision = self.forwarder.decide_retry(Failure::Lost, clock::now());
-                if decision != RetryDecision::Retry {
+            if let Some(why) = self.why_not_continued_by(&answer) {
+                let path = self.forwarder.path;
+                let failure = Failure::Lost;
+                let error = AttemptError { failure, why, path };
+                // This attempt was already counted when the head of its response came.
+                self.forwarder.attempts -= 1;
+                if self.forwarder.record_failure(&target, error).is_err() {
                     return false;
                 }
                 continue;
@@ -232,13 +256,23 @@
                 to: &target.id,
                 after,
             });
-            self.events.drop_partial_event();
+            let (_, source) = StreamSource::open(answer);
+            self.events.begin_answer(source.framing);
             self.target = target;
-            self.source = Some(StreamSource::open(answer).1);
+            self.source = Some(source);
             return true;
         }
     }
 
+    /// Why an answer can't go on with the stream, if so.
+    fn why_not_continued_by(&self, answer: &AttemptResponse) -> Option<&'static str> {
+        if answer.response.status() != StatusCode::OK {
+            return Some("it does not go on with the stream");
+        }
+        let content_type = ContentType::of(answer.response.headers());
+        (content_type != self.content_type).then_some("it goes on with another kind of content")
+    }
+
     fn finish(&mut self) {
         self.is_over = true;
         if let Some(source) = self.source.take() {
--- a/crates/site/src/entry/stream_source.rs
+++ b/crates/site/src/entry/stream_source.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use compio::time::timeout;
+use http::HeaderMap;
 use http::header;
 use http::response::Parts;
 use http_body_util::BodyExt;
@@ -14,6 +15,7 @@
 use crate::entry::attempt::check_stalled;
 use crate::entry::attempt_guard::AttemptGuard;
 use base::Time;
+use forward::Framing;
 use net::Connection;
 use net::is_connection_end;
 
@@ -33,8 +35,8 @@
     pub keep_alive: Option<Duration>,
     /// When the first complete event arrived from this target.
     pub first_event_at: Option<Time>,
-    /// Whether a length or chunks tell where the answer ends.
-    is_framed: bool,
+    /// What tells where the answer ends.
+    pub framing: Framing,
     /// Whether an event came that is not passed on. Nothing more is read.
     pub is_rejected: bool,
 }
@@ -63,15 +65,14 @@
             keep_alive,
         } = answer;
         let (head, body) = response.into_parts();
-        let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
-            || head.headers.contains_key(header::TRANSFER_ENCODING);
+        let framing = framing_of(&head.headers);
         let source = Self {
             body,
             connection,
             guard,
             keep_alive,
             first_event_at: None,
-            is_framed,
+            framing,
             is_rejected: false,
         };
         (head, source)
@@ -100,7 +101,7 @@
     /// Whether the end may have come before the first event. An answer with neither a length nor
     /// chunks ends with its connection, whatever ended that.
     pub fn may_have_lost_all(&self) -> bool {
-        self.first_event_at.is_none() && !self.is_framed
+        self.first_event_at.is_none() && self.framing == Framing::UntilClose
     }
 
     /// Whether the stream began long enough ago that its request can't be what ends the upstream.
@@ -109,3 +110,12 @@
         began_at.is_some_and(|at| SETTLE_TIME <= now.since(at))
     }
 }
+
+/// What tells where the body of an answer ends.
+pub(crate) fn framing_of(headers: &HeaderMap) -> Framing {
+    let names = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    match names.iter().any(|name| headers.contains_key(name)) {
+        true => Framing::Framed,
+        false => Framing::UntilClose,
+    }
+}
