--- a/crates/site/src/entry/answer_memory.rs
+++ b/crates/site/src/entry/answer_memory.rs
@@ -33,6 +33,8 @@
     TooSlow,
     /// Its connection broke.
     Broken,
+    /// It has neither a length nor a body.
+    MaybeCut,
     /// Its bytes are no body.
     Unreadable,
 }
@@ -45,6 +47,7 @@
             Self::NoMemory => "too many large answers at once",
             Self::TooSlow => "the answer did not come in time",
             Self::Broken => "the answer did not come whole",
+            Self::MaybeCut => "the answer may have ended before its body",
             Self::Unreadable => "the answer cannot be read",
         }
     }
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -8,6 +8,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http::response::Parts;
 
 use crate::entry::EntryHost;
 use crate::entry::answer::Refusal;
@@ -21,6 +22,7 @@
 use crate::entry::outbound::end_to_end;
 use crate::entry::paths::path_of;
 use crate::entry::relay;
+use crate::entry::stream_source::framing_of;
 use crate::events::Event;
 use crate::events::emit;
 use crate::events::join_parts;
@@ -32,6 +34,7 @@
 use fleet::Route;
 use forward::ConnectPath;
 use forward::Failure;
+use forward::Framing;
 use forward::RetryDecision;
 use forward::Target;
 use net::Body;
@@ -227,6 +230,10 @@
         let (head, body) = response.into_parts();
         let left = self.deadline.since(first);
         let read = self.entry.answer_memory.read(body, left).await;
+        let read = read.and_then(|body| match may_lack_body(&head, &body) {
+            true => Err(AnswerError::MaybeCut),
+            false => Ok(body),
+        });
         let id = guard.id.clone();
         drop(guard);
         let body: Bytes = match read {
@@ -235,7 +242,8 @@
                 let why = e.text();
                 let failure = match e {
                     AnswerError::Broken => Failure::Broken,
-                    AnswerError::TooLarge
+                    AnswerError::MaybeCut
+                    | AnswerError::TooLarge
                     | AnswerError::NoMemory
                     | AnswerError::TooSlow
                     | AnswerError::Unreadable => Failure::Lost,
@@ -341,3 +349,13 @@
         value.to_str().ok()?.trim().parse().ok()
     }
 }
+
+/// Whether an answer may have ended before its body. One with neither a length nor chunks ends with
+/// its connection, whatever ended that.
+fn may_lack_body(head: &Parts, body: &Bytes) -> bool {
+    let has_no_body = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    body.is_empty() && !has_no_body && framing_of(&head.headers) == Framing::UntilClose
+}
