A refusal frees an order only if it names the request (REFUSED, daemon)

Cause: `service::exchange` took `x-ran: not-run` for a refusal of this call, whatever request it was for: requests to services bore no id. `Exchange:: open` took any status but 200 for "not run", and asked only after that whose answer it is. A reply to a query of an outcome was not asked either.

Change: both paths ask `forward::AnswerHead`. Requests to services bear an `x-request-id`, those to engines did; a refusal counts with `x-ran: not-run` and that id. Other answers may name none, for each request has a connection of its own here and services of earlier releases repeat nothing; such a service's refusals are unknown outcomes from now on. An engine's error that promises nothing may have run.

--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -13,6 +13,7 @@
 use futures_util::StreamExt;
 use http::HeaderMap;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use http_body_util::BodyDataStream;
 use http_body_util::Full;
@@ -24,10 +25,17 @@
 use crate::entry::chunk::FrameError;
 use crate::entry::chunk::FrameSequence;
 use crate::node::Node;
+use forward::AnswerHead;
+use forward::AnswerMeaning;
+use forward::AnsweredRequest;
+use forward::IdUse;
+use forward::RefusalProtocol;
 use net::Connection;
 use net::SendError;
 use wire::engine::FENCE_HEADER;
+use wire::engine::NOT_RUN;
 use wire::engine::PRIORITY_HEADER;
+use wire::engine::RAN_HEADER;
 use wire::engine::REPLICA_HEADER;
 use wire::engine::REQUEST_ID_HEADER;
 use wire::engine::RESUME_HEADER;
@@ -50,11 +58,18 @@
     /// The route became invalid before anything was sent.
     #[display("the route ended before anything was sent")]
     RouteEnded,
-    /// The engine refused the request: it belongs to another replica, or is full.
+    /// The engine refused the request and said that it did not run it.
     #[display("the engine refused with status {_0}")]
     Refused(#[error(not(source))] StatusCode),
-    /// After the request was sent, the connection broke or timed out, or another replica
-    /// answered.
+    /// The answer cannot be taken for anything. The request may have run.
+    #[display("status {status}: {doubt}")]
+    Doubtful {
+        /// The answer's status.
+        status: StatusCode,
+        /// Why.
+        doubt: &'static str,
+    },
+    /// After the request was sent, the connection broke or timed out.
     #[display("the connection broke off")]
     ConnectionLost,
     /// The answer has a frame that does not belong to it.
@@ -95,17 +110,27 @@
         if !node.dispatch.may_send(placement) {
             return Err(ExchangeError::RouteEnded);
         }
+        let id_use = node.record_sent_id(placement.addr, id);
         let response = connection
             .send(req, HEAD_TIMEOUT)
             .await
             .map_err(|_| ExchangeError::ConnectionLost)?;
-        if response.status() != StatusCode::OK {
-            return Err(ExchangeError::Refused(response.status()));
-        }
-        if !is_from_replica(response.headers(), placement) {
-            return Err(ExchangeError::ConnectionLost);
+        let status = response.status();
+        let is_signed = is_from_replica(response.headers(), placement);
+        match answer_head(&response, id, id_use, is_signed).meaning() {
+            AnswerMeaning::Answer if status == StatusCode::OK => {
+                Ok(Self::read_events(response.into_body()))
+            }
+            AnswerMeaning::Answer => Err(ExchangeError::Doubtful {
+                status,
+                doubt: "an error that does not say that the request did not run",
+            }),
+            AnswerMeaning::NotRun => Err(ExchangeError::Refused(status)),
+            AnswerMeaning::Unknown(doubt) => Err(ExchangeError::Doubtful {
+                status,
+                doubt: doubt.text(),
+            }),
         }
-        Ok(Self::read_events(response.into_body()))
     }
 
     fn read_events(body: Incoming) -> Self {
@@ -151,6 +176,27 @@
     req
 }
 
+/// The head of a response to the only request of its connection.
+pub(crate) fn answer_head(
+    response: &Response<Incoming>,
+    id: &str,
+    id_use: IdUse,
+    is_signed: bool,
+) -> AnswerHead {
+    let headers = response.headers();
+    let named = headers.get(REQUEST_ID_HEADER);
+    let named = named.map(http::HeaderValue::as_bytes);
+    AnswerHead {
+        protocol: RefusalProtocol::Marks,
+        status: response.status().as_u16(),
+        request: AnsweredRequest::of(Some(id.as_bytes()), named),
+        id_use,
+        says_not_run: headers.get(RAN_HEADER).is_some_and(|ran| ran == NOT_RUN),
+        is_signed,
+        is_encoded: headers.contains_key(http::header::CONTENT_ENCODING),
+    }
+}
+
 /// Whether a response comes from the replica and fence that the request was sent to.
 fn is_from_replica(headers: &HeaderMap, placement: &Placement) -> bool {
     let has = |name: &str, value: String| {
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -7,19 +7,27 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
+use hyper::body::Incoming;
 
 use crate::entry::auth;
+use crate::entry::exchange::answer_head;
 use crate::entry::service_calls::stored_answer;
+use crate::events::Event;
+use crate::events::emit;
 use crate::node::Node;
 use base::ServiceName;
 use base::ServiceReport;
+use forward::AnswerMeaning;
+use forward::IdUse;
 use net::Connection;
 use net::SendError;
 use net::read_body;
 use order::QueryReply;
 use state::StoredAnswer;
+use wire::engine::REQUEST_ID_HEADER;
 
 /// Time allowed to connect to a service.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -52,12 +60,14 @@
     Connection::connect(addr, CONNECT_TIMEOUT).await
 }
 
-/// The request to a process for a caller's call.
+/// The request to a process for a caller's call. The process repeats the request's `id` when it
+/// refuses it.
 pub fn request(
     node: &Node,
     addr: SocketAddr,
     body: Bytes,
     headers: &HeaderMap,
+    id: &str,
 ) -> Request<Full<Bytes>> {
     const FORWARDED_HEADERS: [&str; 2] = ["content-type", "idempotency-key"];
     let mut req = Request::new(Full::new(body));
@@ -70,6 +80,9 @@
     }
     req.headers_mut()
         .insert("authorization", auth::upstream_authorization(node));
+    if let Ok(id) = id.parse() {
+        req.headers_mut().insert(REQUEST_ID_HEADER, id);
+    }
     if let Ok(host) = addr.to_string().parse() {
         req.headers_mut().insert("host", host);
     }
@@ -80,17 +93,23 @@
 pub async fn exchange(
     connection: Connection,
     req: Request<Full<Bytes>>,
+    id: &str,
 ) -> Result<Result<Arc<StoredAnswer>, Declined>, SendError> {
     let addr = connection.addr();
     let response = connection.send(req, EXCHANGE_TIMEOUT).await?;
-    let (head, body) = response.into_parts();
-    if head
-        .headers
-        .get("x-ran")
-        .is_some_and(|ran| ran == "not-run")
-    {
-        return Ok(Err(Declined));
+    match meaning_of(&response, id) {
+        AnswerMeaning::Answer => {}
+        AnswerMeaning::NotRun => return Ok(Err(Declined)),
+        AnswerMeaning::Unknown(doubt) => {
+            emit(&Event::ServiceAnswerRejected {
+                addr,
+                status: response.status().as_u16(),
+                why: doubt.text(),
+            });
+            return Err(SendError::Lost { addr });
+        }
     }
+    let (head, body) = response.into_parts();
     let content_type = head.headers.get("content-type");
     let content_type = content_type.and_then(|v| v.to_str().ok()).unwrap_or("");
     let body = read_body(body, MAX_ANSWER_BYTES, EXCHANGE_TIMEOUT).await;
@@ -98,6 +117,13 @@
     Ok(Ok(stored_answer(head.status.as_u16(), content_type, &body)))
 }
 
+/// What a process's answer to the only request of its connection may be taken for. Each request has
+/// an id of its own.
+fn meaning_of(response: &Response<Incoming>, id: &str) -> AnswerMeaning {
+    let is_signed = true;
+    answer_head(response, id, IdUse::First, is_signed).meaning()
+}
+
 /// Queries processes in turn for the outcome of the key in `headers`.
 pub async fn query_outcome(
     node: &Node,
@@ -114,9 +140,13 @@
 
 async fn query_process(node: &Node, addr: SocketAddr, headers: &HeaderMap) -> Option<QueryReply> {
     let connection = Connection::connect(addr, CONNECT_TIMEOUT).await.ok()?;
-    let mut req = request(node, addr, Bytes::new(), headers);
+    let id = node.global_request_id(node.next_request_id());
+    let mut req = request(node, addr, Bytes::new(), headers, &id);
     *req.uri_mut() = http::Uri::from_static("/outcome");
     let response = connection.send(req, QUERY_TIMEOUT).await.ok()?;
+    if meaning_of(&response, &id) != AnswerMeaning::Answer {
+        return None;
+    }
     let (head, body) = response.into_parts();
     if head.status == StatusCode::NOT_FOUND {
         return Some(QueryReply::NotKnown);
--- a/crates/daemon/src/entry/service_calls.rs
+++ b/crates/daemon/src/entry/service_calls.rs
@@ -296,15 +296,17 @@
     let Some(connection) = open_call.connection.take() else {
         return;
     };
+    let id = node.global_request_id(node.next_request_id());
     let req = service::request(
         node,
         connection.addr(),
         open_call.body.clone(),
         &open_call.headers,
+        &id,
     );
     let node = Rc::clone(node);
     open_call.exchange = Some(compio::runtime::spawn(async move {
-        let event = match service::exchange(connection, req).await {
+        let event = match service::exchange(connection, req, &id).await {
             Ok(Ok(answer)) => Event::Answered(answer),
             Ok(Err(Declined)) => Event::Declined,
             Err(_) => Event::ConnectionLost,
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -57,4 +57,6 @@
         "an answer of {replica} was rejected: {error}";
     701 Info AnswerResumed { replica: ReplicaId, delivered: u32 }
         "an answer was resumed at {replica} after {delivered} tokens";
+    702 Warn ServiceAnswerRejected { addr: SocketAddr, status: u16, why: &'a str }
+        "an answer of the service at {addr} with status {status} was rejected: {why}";
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +22,8 @@
 use base::ReplicaId;
 use base::RequestId;
 use base::Version;
+use forward::IdUse;
+use forward::SentIds;
 use net::RpcClient;
 use net::TrafficMeter;
 use quorum::LocalVoter;
@@ -105,6 +108,8 @@
     pub peers: RpcClient,
     /// The client for calls to engines.
     pub engines: RpcClient,
+    /// Which ids of chats were sent to the engines at which addresses.
+    sent_ids: RefCell<SentIds>,
     in_flight: Cell<usize>,
     last_request_id: Cell<u64>,
 }
@@ -178,6 +183,7 @@
             peers,
             engines,
             in_flight: Cell::new(0),
+            sent_ids: RefCell::default(),
             last_request_id: Cell::new(0),
         }))
     }
@@ -209,6 +215,14 @@
         format!("{}.{}.{request}", self.id(), self.incarnation)
     }
 
+    /// Records that a request with this id is sent to an engine, and returns how often it was.
+    pub fn record_sent_id(&self, addr: SocketAddr, id: &str) -> IdUse {
+        let mut sent_ids = self.sent_ids.borrow_mut();
+        let id_use = sent_ids.next_use(&addr, id.as_bytes());
+        sent_ids.record(&addr, id.as_bytes());
+        id_use
+    }
+
     /// Counts a request as in progress until the result is dropped.
     pub fn start_request(self: &Rc<Self>) -> InFlightRequest {
         self.in_flight.set(self.in_flight.get() + 1);
--- a/crates/forward/src/answer_head.rs
+++ b/crates/forward/src/answer_head.rs
@@ -37,9 +37,22 @@
     Again,
 }
 
+/// How upstreams refuse requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalProtocol {
+    /// Every answer names its request. Callers take 408, 421, 429 and 503 for promises, and with
+    /// 421 no upstream runs a request.
+    Statuses,
+    /// Refusals say that the request did not run, and name it. Other answers may name none, and
+    /// their statuses promise nothing.
+    Marks,
+}
+
 /// The head of an answer, as far as it says what the answer may be taken for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerHead {
+    /// How the upstream refuses requests.
+    pub protocol: RefusalProtocol,
     /// The answer's status.
     pub status: u16,
     /// Which request it names.
@@ -107,24 +120,25 @@
     }
 
     fn doubt(self) -> Option<AnswerDoubt> {
+        let must_be_named = self.is_refusal() || self.protocol == RefusalProtocol::Statuses;
         match self.request {
             AnsweredRequest::Other => return Some(AnswerDoubt::Foreign),
-            AnsweredRequest::Unnamed => return Some(AnswerDoubt::Unnamed),
-            AnsweredRequest::Same => {}
+            AnsweredRequest::Unnamed if must_be_named => return Some(AnswerDoubt::Unnamed),
+            AnsweredRequest::Unnamed | AnsweredRequest::Same => {}
         }
         if self.is_refusal() {
             return (self.id_use == IdUse::Again).then_some(AnswerDoubt::MaybeEarlier);
         }
-        match self.status {
-            408 | 429 | 503 => Some(AnswerDoubt::Unpromised),
+        match (self.protocol, self.status) {
+            (RefusalProtocol::Statuses, 408 | 429 | 503) => Some(AnswerDoubt::Unpromised),
             _ if self.is_encoded => Some(AnswerDoubt::Encoded),
-            200..300 if !self.is_signed => Some(AnswerDoubt::Unsigned),
+            (_, 200..300) if !self.is_signed => Some(AnswerDoubt::Unsigned),
             _ => None,
         }
     }
 
-    /// Whether it refuses the request. With 421 no upstream runs a request.
     fn is_refusal(self) -> bool {
-        self.says_not_run || self.status == 421
+        let is_misdirected = self.protocol == RefusalProtocol::Statuses && self.status == 421;
+        self.says_not_run || is_misdirected
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -40,6 +40,7 @@
 pub use answer_head::AnswerMeaning;
 pub use answer_head::AnsweredRequest;
 pub use answer_head::IdUse;
+pub use answer_head::RefusalProtocol;
 pub use control_selector::ControlSelector;
 pub use event_splitter::CompleteEvents;
 pub use event_splitter::EventError;
--- a/crates/forward/src/sent_ids.rs
+++ b/crates/forward/src/sent_ids.rs
@@ -7,7 +7,6 @@
 use std::hash::Hasher;
 
 use crate::IdUse;
-use crate::TargetId;
 
 /// How many sent requests are remembered: more than an entry host sends while an upstream keeps a
 /// connection.
@@ -23,16 +22,16 @@
 
 impl SentIds {
     /// How often the id will have been sent to the process if a request with it is sent now.
-    pub fn next_use(&self, target: &TargetId, id: &[u8]) -> IdUse {
-        match self.digests.contains(&digest(target, id)) {
+    pub fn next_use(&self, process: &impl Hash, id: &[u8]) -> IdUse {
+        match self.digests.contains(&digest(process, id)) {
             true => IdUse::Again,
             false => IdUse::First,
         }
     }
 
     /// Records that a request with this id is sent to the process.
-    pub fn record(&mut self, target: &TargetId, id: &[u8]) {
-        let digest = digest(target, id);
+    pub fn record(&mut self, process: &impl Hash, id: &[u8]) {
+        let digest = digest(process, id);
         if !self.digests.insert(digest) {
             return;
         }
@@ -45,9 +44,9 @@
     }
 }
 
-fn digest(target: &TargetId, id: &[u8]) -> u64 {
+fn digest(process: &impl Hash, id: &[u8]) -> u64 {
     let mut hasher = DefaultHasher::new();
-    target.hash(&mut hasher);
+    process.hash(&mut hasher);
     id.hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/forward/tests/answer_head.rs
+++ b/crates/forward/tests/answer_head.rs
@@ -6,6 +6,7 @@
 use forward::AnswerMeaning;
 use forward::AnsweredRequest;
 use forward::IdUse;
+use forward::RefusalProtocol;
 use forward::SentIds;
 use forward::TargetId;
 
@@ -23,8 +24,12 @@
     for status in statuses {
         for request in requests {
             for id_use in [IdUse::First, IdUse::Again] {
-                for bits in 0..8 {
+                for bits in 0..16 {
                     heads.push(AnswerHead {
+                        protocol: match bits & 8 {
+                            0 => RefusalProtocol::Statuses,
+                            _ => RefusalProtocol::Marks,
+                        },
                         status,
                         request,
                         id_use,
@@ -43,7 +48,8 @@
 #[test]
 fn a_refusal_is_believed_only_if_it_names_the_request_and_can_be_no_earlier_one() {
     for head in all_heads() {
-        let refuses = head.says_not_run || head.status == 421;
+        let is_misdirected = head.protocol == RefusalProtocol::Statuses && head.status == 421;
+        let refuses = head.says_not_run || is_misdirected;
         let is_certain = head.request == AnsweredRequest::Same && head.id_use == IdUse::First;
         let is_believed = head.meaning() == AnswerMeaning::NotRun;
         assert_eq!(is_believed, refuses && is_certain, "{head:?}");
@@ -55,9 +61,12 @@
 fn an_answer_is_passed_on_only_if_it_names_the_request_and_promises_nothing() {
     for head in all_heads() {
         if head.meaning() == AnswerMeaning::Answer {
-            assert_eq!(head.request, AnsweredRequest::Same, "{head:?}");
+            assert_ne!(head.request, AnsweredRequest::Other, "{head:?}");
             assert!(!head.says_not_run, "{head:?}");
-            assert!(![408, 421, 429, 503].contains(&head.status), "{head:?}");
+            if head.protocol == RefusalProtocol::Statuses {
+                assert_eq!(head.request, AnsweredRequest::Same, "{head:?}");
+                assert!(![408, 421, 429, 503].contains(&head.status), "{head:?}");
+            }
             let is_success = (200..300).contains(&head.status);
             assert!(
                 !head.is_encoded && (head.is_signed || !is_success),
@@ -72,6 +81,7 @@
     for status in [200, 206, 302, 400, 404, 409, 500, 504] {
         for id_use in [IdUse::First, IdUse::Again] {
             let head = AnswerHead {
+                protocol: RefusalProtocol::Statuses,
                 status,
                 request: AnsweredRequest::Same,
                 id_use,
--- a/crates/harness/src/spec.rs
+++ b/crates/harness/src/spec.rs
@@ -54,6 +54,8 @@
     ForeignFrames,
     /// The end marker is left out.
     NoEnd,
+    /// Requests are answered with the refusal of an earlier one.
+    EarlierRefusals,
 }
 
 /// A process of a simulated plain service to start.
@@ -67,6 +69,8 @@
     pub delay_ms: u64,
     /// Calls that run but whose answers are dropped.
     pub drop_answers: u32,
+    /// Calls that run but are answered with an earlier refusal.
+    pub earlier_refusals: u32,
 }
 
 impl NodeSpec {
@@ -169,6 +173,7 @@
             Self::RepeatFrames => vec!["--repeat-frames".to_owned()],
             Self::ForeignFrames => vec!["--foreign-frames".to_owned()],
             Self::NoEnd => vec!["--no-end".to_owned()],
+            Self::EarlierRefusals => vec!["--earlier-refusals".to_owned()],
         }
     }
 }
@@ -181,6 +186,7 @@
             centre: CentreId(centre),
             delay_ms: 5,
             drop_answers: 0,
+            earlier_refusals: 0,
         }
     }
 
@@ -196,6 +202,12 @@
         self
     }
 
+    /// Sets how many calls run and are answered with an earlier refusal.
+    pub fn earlier_refusals(mut self, count: u32) -> Self {
+        self.earlier_refusals = count;
+        self
+    }
+
     /// The arguments of `standin` for the service process.
     pub(crate) fn args(&self) -> Vec<String> {
         let mut args = vec!["service".to_owned()];
@@ -204,6 +216,7 @@
         add("--centre", self.centre.to_string());
         add("--delay-ms", self.delay_ms.to_string());
         add("--drop-answers", self.drop_answers.to_string());
+        add("--earlier-refusals", self.earlier_refusals.to_string());
         args
     }
 }
--- a/crates/harness/tests/orders.rs
+++ b/crates/harness/tests/orders.rs
@@ -144,6 +144,28 @@
     assert_eq!(runs_by_key(dispatch)["a-lorry"], 1);
 }
 
+// Callers were told "not run" of orders that ran, or such an order ran again.
+#[test]
+fn an_earlier_refusal_that_comes_once_more_does_not_free_an_order() {
+    // `orders` can be asked for the outcome of a key, `dispatch` cannot.
+    let (mut cluster, orders) = start_cluster(&ServiceSpec::new("orders", 1).earlier_refusals(4));
+    let dispatch = cluster
+        .start_service(&ServiceSpec::new("dispatch", 1).earlier_refusals(4))
+        .unwrap();
+    let caller = cluster.caller(NodeId(3), "stall-7");
+    let known = || cluster.run_tool_json(NodeId(3), &["status"])["services"][1].is_object();
+    assert!(wait_until(START_TIMEOUT, known));
+    for key in ["a", "b", "c", "d"] {
+        let asked = caller.call("orders", "{}", Some(key)).unwrap();
+        assert_eq!((asked.status, asked.ran()), (200, "run"), "{asked:?}");
+        let lorry = format!("{key}-lorry");
+        let lost = caller.call("dispatch", "{}", Some(&lorry)).unwrap();
+        assert_eq!((lost.status, lost.ran()), (502, "unknown"), "{lost:?}");
+        assert_eq!(runs_by_key(orders)[key], 1);
+        assert_eq!(runs_by_key(dispatch)[lorry], 1);
+    }
+}
+
 #[test]
 fn without_a_quorum_an_order_is_truthfully_not_run() {
     let (mut cluster, service) = start_cluster(&ServiceSpec::new("orders", 1));
--- a/crates/harness/tests/streams.rs
+++ b/crates/harness/tests/streams.rs
@@ -15,6 +15,7 @@
 use harness::EngineFault;
 use harness::HostSpec;
 use harness::NodeSpec;
+use harness::Reply;
 use harness::ServiceSpec;
 use harness::caller_secret;
 use harness::expected_text;
@@ -24,20 +25,29 @@
 const START_TIMEOUT: Duration = Duration::from_secs(40);
 const NODE: NodeId = NodeId(1);
 
-/// Starts one node and one host, which is a replica by itself.
+/// Starts one node and one host, which is a replica by itself, and waits until a chat is answered.
 fn start_cluster(node: NodeSpec, host: HostSpec) -> Cluster {
+    start_cluster_until(node, host, |reply| reply.status == 200)
+}
+
+/// Starts one node and one host, and waits until the reply to a chat is as expected.
+fn start_cluster_until(
+    node: NodeSpec,
+    host: HostSpec,
+    is_expected: impl Fn(&Reply) -> bool,
+) -> Cluster {
     let mut cluster = Cluster::start(&[node]).unwrap();
     cluster.start_host(host).unwrap();
     let applied = cluster.apply(NODE, &rules_text(1), START_TIMEOUT).unwrap();
     assert!(applied.status.success(), "{applied:?}\n{}", cluster.logs());
     let serving = || cluster.run_tool_json(NODE, &["status"])["replicas"][0]["state"] == "serving";
-    let taken = || {
+    let replied = || {
         caller(&cluster)
             .chat("up?", 1)
-            .is_ok_and(|r| r.status == 200)
+            .is_ok_and(|reply| is_expected(&reply))
     };
     assert!(
-        wait_until(START_TIMEOUT, || serving() && taken()),
+        wait_until(START_TIMEOUT, || serving() && replied()),
         "{}",
         cluster.logs()
     );
@@ -154,6 +164,20 @@
     assert_eq!(stranger.get("/runs").unwrap().json()["k"], 1);
 }
 
+// Callers were told "not run" of chats that an engine may have run.
+#[test]
+fn an_earlier_refusal_of_an_engine_does_not_say_that_a_chat_did_not_run() {
+    let host = HostSpec::new(1, 1).fault(EngineFault::EarlierRefusals);
+    // Until there is a route, chats are refused without being sent.
+    let is_sent =
+        |reply: &Reply| !matches!(reply.json()["type"].as_str(), Some("no-replica" | "late"));
+    let cluster = start_cluster_until(NodeSpec::voter(1, 1), host, is_sent);
+    for _ in 0..6 {
+        let reply = caller(&cluster).chat("a fox", 4).unwrap();
+        assert_eq!(reply.ran(), "unknown", "{reply:?}");
+    }
+}
+
 #[test]
 fn a_cut_stream_goes_on_at_the_exact_token() {
     let cluster = start_faulty(EngineFault::CutAfter(7));
--- a/crates/site/src/entry/attempt.rs
+++ b/crates/site/src/entry/attempt.rs
@@ -24,6 +24,7 @@
 use forward::ConnectPath;
 use forward::Failure;
 use forward::IdUse;
+use forward::RefusalProtocol;
 use forward::Target;
 use net::Connection;
 use net::RequestError;
@@ -222,6 +223,7 @@
     let names = entry.platform.headers();
     let headers = response.headers();
     let head = AnswerHead {
+        protocol: RefusalProtocol::Statuses,
         status: response.status().as_u16(),
         request: AnsweredRequest::of(request.id(names), headers.get(&names.attempt_id)),
         id_use,
--- a/crates/standin/src/completion.rs
+++ b/crates/standin/src/completion.rs
@@ -14,7 +14,8 @@
 use crate::head::parse_header;
 use crate::prompt::ChatRequest;
 use crate::prompt::Chunk;
-use crate::response::text_response;
+use crate::response::earlier_refusal;
+use crate::response::refusal;
 use base::Assignment;
 use base::Priority;
 use net::Body;
@@ -41,14 +42,16 @@
     body: &[u8],
 ) -> Response<Body> {
     let Some(assignment) = engine.requested_assignment(headers) else {
-        return text_response(
-            StatusCode::CONFLICT,
-            "this host does not serve that replica",
-        );
+        let text = "this host does not serve that replica";
+        return refusal(StatusCode::CONFLICT, text, headers);
     };
     let Ok(chat) = serde_json::from_slice::<ChatRequest>(body) else {
-        return text_response(StatusCode::BAD_REQUEST, "not a chat request");
+        return refusal(StatusCode::BAD_REQUEST, "not a chat request", headers);
     };
+    if engine.faults.earlier_refusals {
+        let turn = fastrand::u32(..);
+        return earlier_refusal(turn);
+    }
     let job = CompletionJob::new(&engine, assignment, chat, headers);
     let (tx, body) = Body::stream();
     let response = job.response(body);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -28,6 +28,7 @@
 use crate::group::Group;
 use crate::head::has_secret;
 use crate::head::parse_header;
+use crate::response::refusal;
 use crate::response::text_response;
 use base::Assignment;
 use base::CentreId;
@@ -96,6 +97,11 @@
     foreign_frames: bool,
     #[options(no_short, help = "leave out the end marker")]
     no_end: bool,
+    #[options(
+        no_short,
+        help = "answer each request with the refusal of an earlier one"
+    )]
+    earlier_refusals: bool,
 }
 
 impl EngineArgs {
@@ -105,6 +111,7 @@
             repeat_frames: self.repeat_frames,
             foreign_frames: self.foreign_frames,
             no_end: self.no_end,
+            earlier_refusals: self.earlier_refusals,
         }
     }
 }
@@ -265,10 +272,12 @@
 ) -> Response<Body> {
     let (head, body) = req.into_parts();
     if !has_secret(&head.headers, &engine.secret) {
-        return text_response(StatusCode::UNAUTHORIZED, "the upstreams' secret is missing");
+        let text = "the upstreams' secret is missing";
+        return refusal(StatusCode::UNAUTHORIZED, text, &head.headers);
     }
     let Ok(body) = read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await else {
-        return text_response(StatusCode::BAD_REQUEST, "the body cannot be read");
+        let text = "the body cannot be read";
+        return refusal(StatusCode::BAD_REQUEST, text, &head.headers);
     };
     match head.uri.path() {
         "/rpc" => Response::new(Body::whole(methods.handle_request(&body).await)),
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -17,6 +17,8 @@
     pub(crate) foreign_frames: bool,
     /// Whether the end marker is left out.
     pub(crate) no_end: bool,
+    /// Whether requests are answered with the refusal of an earlier one.
+    pub(crate) earlier_refusals: bool,
 }
 
 /// Counts an engine's tokens, to tell when a foreign frame is due.
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -22,6 +22,8 @@
 use crate::announce::announce;
 use crate::announce::new_incarnation;
 use crate::head::has_secret;
+use crate::response::earlier_refusal;
+use crate::response::refusal;
 use crate::response::response_with;
 use crate::response::text_response;
 use base::CentreId;
@@ -63,6 +65,12 @@
         default = "0"
     )]
     drop_answers: u32,
+    #[options(
+        no_short,
+        help = "run this many calls, but answer with an earlier refusal",
+        default = "0"
+    )]
+    earlier_refusals: u32,
 }
 
 #[derive(Debug)]
@@ -71,6 +79,8 @@
     delay: Duration,
     /// How many further answers are dropped after their call has run.
     answers_to_drop: Cell<u32>,
+    /// How many further calls are answered with an earlier refusal after they have run.
+    refusals_to_repeat: Cell<u32>,
     /// How often each key has run.
     runs: RefCell<BTreeMap<String, u32>>,
     leaving: Cell<bool>,
@@ -118,7 +128,8 @@
         return service.all_runs_response();
     }
     if !has_secret(&head.headers, &service.secret) {
-        return unauthorized_response();
+        let text = "the upstreams' secret is missing";
+        return refusal(StatusCode::UNAUTHORIZED, text, &head.headers);
     }
     let key = head.headers.get("idempotency-key");
     let key = key
@@ -140,6 +151,7 @@
             name,
             delay: Duration::from_millis(args.delay_ms),
             answers_to_drop: Cell::new(args.drop_answers),
+            refusals_to_repeat: Cell::new(args.earlier_refusals),
             runs: RefCell::default(),
             leaving: Cell::new(false),
             secret: config.secret.clone(),
@@ -193,6 +205,11 @@
             self.answers_to_drop.set(self.answers_to_drop.get() - 1);
             return truncated_response();
         }
+        let repeats = self.refusals_to_repeat.get();
+        if 0 < repeats {
+            self.refusals_to_repeat.set(repeats - 1);
+            return earlier_refusal(repeats);
+        }
         self.outcome_response(key, runs)
     }
 
@@ -227,12 +244,3 @@
     response.headers_mut().insert("content-length", length);
     response
 }
-
-/// Refuses a request without the upstreams' secret, and says that nothing ran.
-fn unauthorized_response() -> Response<Body> {
-    let text = "the upstreams' secret is missing";
-    let mut response = text_response(StatusCode::UNAUTHORIZED, text);
-    let not_run = http::HeaderValue::from_static("not-run");
-    response.headers_mut().insert("x-ran", not_run);
-    response
-}
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -12,7 +12,7 @@
 use base::ModelName;
 use base::ReplicaId;
 
-/// The id of the request, repeated in every frame of the answer.
+/// The id of the request, repeated in every frame of the answer and in the head of a refusal.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// The replica that the request is for. Other replicas refuse it.
 pub const REPLICA_HEADER: &str = "x-replica";
@@ -23,6 +23,11 @@
 /// The number of the request's tokens delivered before. The answer continues after them.
 pub const RESUME_HEADER: &str = "x-resume-from";
 
+/// Says whether the request of an answer ran, in answers of engines, services and nodes.
+pub const RAN_HEADER: &str = "x-ran";
+/// The value of [`RAN_HEADER`] in refusals: the request did not run and never will.
+pub const NOT_RUN: &str = "not-run";
+
 /// An order from a controller to one host of a model engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineOrder {
