--- a/crates/form/src/forget.rs
+++ b/crates/form/src/forget.rs
@@ -18,14 +18,14 @@
         self.forget_silent_hosts(now);
         let forget_after = 10 * self.cfg.lost_head_wait;
         self.replicas.retain(|_, replica| {
-            replica.is_to_end() || now.since(replica.phase_since) < forget_after
+            replica.is_unfinished() || now.since(replica.phase_since) < forget_after
         });
     }
 
     /// Forgets hosts of no replica that were silent for long.
     pub(crate) fn forget_silent_hosts(&mut self, now: Time) {
         let forget_after = 10 * self.cfg.lost_head_wait;
-        let held = self.replicas.values().filter(|r| r.is_to_end());
+        let held = self.replicas.values().filter(|r| r.is_unfinished());
         let held = held.flat_map(Replica::hosts).map(|(id, _)| id.clone());
         let held: BTreeSet<UpstreamId> = held.collect();
         self.hosts
@@ -65,7 +65,7 @@
 
     /// Whether a host is the head of a replica whose hosts are bound to it.
     fn is_head_of_held_replica(&self, id: &UpstreamId) -> bool {
-        let mut holding = self.replicas.values().filter(|r| r.is_to_end());
+        let mut holding = self.replicas.values().filter(|r| r.is_unfinished());
         holding.any(|replica| replica.head.as_ref().is_some_and(|(head, _)| head == id))
     }
 }
--- a/crates/form/src/lost_head.rs
+++ b/crates/form/src/lost_head.rs
@@ -99,7 +99,9 @@
     /// without an order.
     pub(crate) fn release_waiting_hosts(&mut self, now: Time) -> Vec<Order> {
         let mut orders = Vec::new();
-        let epochs: Vec<Fence> = self.replicas.keys().copied().collect();
+        let ending = self.replicas.values();
+        let ending = ending.filter(|r| matches!(r.phase, Phase::Closing(_) | Phase::GivenUp));
+        let epochs: Vec<Fence> = ending.map(|replica| replica.epoch).collect();
         for epoch in epochs {
             self.record_hosts_left(epoch, now);
             orders.extend(self.order_hosts_to_leave(epoch, now));
@@ -112,9 +114,6 @@
         let Some(replica) = self.replicas.get_mut(&epoch) else {
             return;
         };
-        if !matches!(replica.phase, Phase::Closing(_) | Phase::GivenUp) {
-            return;
-        }
         let hosts = &self.hosts;
         let held = replica
             .other_hosts
--- a/crates/form/src/replica.rs
+++ b/crates/form/src/replica.rs
@@ -83,8 +83,8 @@
         self.incomplete_since.get_or_insert(now);
     }
 
-    /// Whether the replica has an end for its hosts that is yet to come.
-    pub fn is_to_end(&self) -> bool {
+    /// Whether the replica serves, is being formed, or is yet to be closed.
+    pub fn is_unfinished(&self) -> bool {
         !matches!(self.phase, Phase::Ended | Phase::GivenUp)
     }
 
--- a/crates/form/tests/unreached_heads.rs
+++ b/crates/form/tests/unreached_heads.rs
@@ -122,6 +122,43 @@
     }
 }
 
+#[test]
+fn a_replica_that_is_cut_off_while_it_forms_keeps_the_hosts_that_did_not_leave() {
+    for seed in 0..20 {
+        let mut world = World::new(Config::default(), seed, 2, 10);
+        while world.count_orders(|action| matches!(action, Action::Join { .. })) < 16 {
+            world.run(Duration::from_millis(20));
+        }
+        world.run(Duration::from_millis(100 * seed));
+        let joined = world.hosts.values().filter_map(|host| {
+            let membership = host.membership.as_ref()?;
+            (1 < membership.hosts.len()).then(|| membership.hosts[0].clone())
+        });
+        let mut heads: Vec<UpstreamId> = joined.collect();
+        heads.sort();
+        heads.dedup();
+        world.partition(&heads, Partition::FromDeployment);
+        world.run(secs(40));
+        world.partition(&heads, Partition::None);
+        world.run(secs(12));
+        assert!(20 - 2 * 3 <= serving_hosts(&world), "seed {seed}");
+    }
+}
+
+// An entry host's order to leave is answered by the later incarnation, which belongs to nothing.
+#[test]
+fn a_head_that_restarts_where_only_entry_hosts_reach_it_has_ended_its_replica() {
+    for seed in 0..10 {
+        let (mut world, heads) = world_with_heads(seed);
+        world.partition(&heads, Partition::FromController);
+        heads.iter().for_each(|head| world.restart(head));
+        world.run(secs(8));
+        world.partition(&heads, Partition::None);
+        world.run(secs(12));
+        assert!(20 - 2 * 3 <= serving_hosts(&world), "seed {seed}");
+    }
+}
+
 #[test]
 fn a_head_that_restarts_behind_the_cut_is_used_again() {
     for seed in 0..10 {
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -58,8 +58,7 @@
 use quorum::clock;
 use vote::Founding;
 
-/// The controller waits this much longer for a lost head host than engines take to give up a
-/// stalled replica.
+/// A replica that lacks a host counts as broken this much later than engines give it up.
 const LOST_HEAD_MARGIN: Duration = Duration::from_millis(400);
 
 /// The settings of a control host.
--- a/crates/site/src/entry/leave_orders.rs
+++ b/crates/site/src/entry/leave_orders.rs
@@ -89,6 +89,7 @@
 fn record_outcome(entry: &EntryHost, head: &UnreachableHead, outcome: LeaveOutcome) {
     match outcome {
         LeaveOutcome::Left => entry.left_replicas.borrow_mut().push(head.epoch),
+        // Leaders of earlier releases wait for it.
         LeaveOutcome::Unreached => entry.unreached_replicas.borrow_mut().push(head.epoch),
         LeaveOutcome::Refused => return,
     }
