--- a/crates/form/tests/world/mod.rs
+++ b/crates/form/tests/world/mod.rs
@@ -9,6 +9,9 @@
 mod checks;
 mod host;
 
+pub use self::host::Membership;
+pub use self::host::Partition;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -17,8 +20,6 @@
 use fastrand::Rng;
 
 use self::host::Host;
-pub use self::host::Membership;
-pub use self::host::Partition;
 use self::host::heard_announcement;
 use self::host::status;
 use base::Fence;
