A stream goes on at the same engine only after its connection broke (daemon)

Found by reading.

Change: after an answer that can't be taken for anything the stream is placed again. Only a broken connection or a bad frame lets the same replica go on. The record's phase says what "given up" means now.

--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -87,10 +87,10 @@
         Err(error)
     }
 
-    /// Places the request on another replica of the model unless the present one may serve it.
+    /// Places the request on another replica of the model unless the present one may go on.
     async fn place_again(&mut self, error: &ExchangeError) -> Result<(), ExchangeError> {
         let placement = self.placed.placement();
-        if error.may_have_run() && self.node.dispatch.may_send(placement) {
+        if error.may_go_on() && self.node.dispatch.may_send(placement) {
             return Ok(());
         }
         let model = placement.model.clone();
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -82,6 +82,11 @@
     pub fn may_have_run(&self) -> bool {
         !matches!(self, Self::NotSent(_) | Self::RouteEnded | Self::Refused(_))
     }
+
+    /// Whether the replica may go on with the answer if it is asked again.
+    pub fn may_go_on(&self) -> bool {
+        matches!(self, Self::ConnectionLost | Self::InvalidFrame(_))
+    }
 }
 
 /// An engine's answer that is being received.
--- a/crates/fleet/src/replica_record.rs
+++ b/crates/fleet/src/replica_record.rs
@@ -36,7 +36,7 @@
     Serving,
     /// Its head host is to leave it.
     Closing,
-    /// Its hosts are free. If the head host comes back, it is to leave.
+    /// It broke after other hosts had left it. If the head host comes back, it is to leave.
     GivenUp,
 }
 
