An answer of a service without a length and a body is not whole (MIXED, daemon)

Callers saw: 200 and "run" with an empty body, recorded as the order's answer, after a service ended its connection right after its head.

Cause: the fault that mended for entry hosts stood in `service.rs` too; I had not looked there. The reply to a query of an outcome as well.

Evidence: harness `service_answers`, nine answers: "HTTP/1.1 200 OK" and FIN gave (200, "run") before in place of (502, "unknown"); now all hold.

Change: `forward::Framing::may_lack_body` decides for both paths.

--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -21,6 +21,7 @@
 use base::ServiceName;
 use base::ServiceReport;
 use forward::AnswerMeaning;
+use forward::Framing;
 use forward::IdUse;
 use net::Connection;
 use net::SendError;
@@ -109,12 +110,8 @@
             return Err(SendError::Lost { addr });
         }
     }
-    let (head, body) = response.into_parts();
-    let content_type = head.headers.get("content-type");
-    let content_type = content_type.and_then(|v| v.to_str().ok()).unwrap_or("");
-    let body = read_body(body, MAX_ANSWER_BYTES, EXCHANGE_TIMEOUT).await;
-    let body = body.map_err(|_| SendError::Lost { addr })?;
-    Ok(Ok(stored_answer(head.status.as_u16(), content_type, &body)))
+    let answer = read_answer(response, EXCHANGE_TIMEOUT).await;
+    answer.map(Ok).ok_or(SendError::Lost { addr })
 }
 
 /// What a process's answer to the only request of its connection may be taken for. Each request has
@@ -147,17 +144,33 @@
     if meaning_of(&response, &id) != AnswerMeaning::Answer {
         return None;
     }
-    let (head, body) = response.into_parts();
-    if head.status == StatusCode::NOT_FOUND {
-        return Some(QueryReply::NotKnown);
-    }
-    if head.status != StatusCode::OK {
-        return None;
+    match response.status() {
+        StatusCode::NOT_FOUND => Some(QueryReply::NotKnown),
+        StatusCode::OK => {
+            let answer = read_answer(response, QUERY_TIMEOUT).await;
+            answer.map(QueryReply::Ran)
+        }
+        _ => None,
     }
-    let content_type = head.headers.get("content-type");
+}
+
+/// Reads an answer. None if it is not whole, or may not be.
+async fn read_answer(
+    response: Response<Incoming>,
+    time_limit: Duration,
+) -> Option<Arc<StoredAnswer>> {
+    let (head, body) = response.into_parts();
+    let headers = &head.headers;
+    let is_framed = headers.contains_key(http::header::CONTENT_LENGTH)
+        || headers.contains_key(http::header::TRANSFER_ENCODING);
+    let framing = match is_framed {
+        true => Framing::Framed,
+        false => Framing::UntilClose,
+    };
+    let status = head.status.as_u16();
+    let content_type = headers.get("content-type");
     let content_type = content_type.and_then(|v| v.to_str().ok()).unwrap_or("");
-    let body = read_body(body, MAX_ANSWER_BYTES, QUERY_TIMEOUT)
-        .await
-        .ok()?;
-    Some(QueryReply::Ran(stored_answer(200, content_type, &body)))
+    let body = read_body(body, MAX_ANSWER_BYTES, time_limit).await.ok()?;
+    let is_whole = !framing.may_lack_body(status, body.len());
+    is_whole.then(|| stored_answer(status, content_type, &body))
 }
--- a/crates/forward/src/event_splitter.rs
+++ b/crates/forward/src/event_splitter.rs
@@ -12,6 +12,8 @@
 use derive_more::Display;
 use derive_more::Error;
 
+use crate::Framing;
+
 /// The longest event that is accepted, in bytes.
 const MAX_EVENT_BYTES: usize = 128 * 1024;
 
@@ -63,16 +65,6 @@
     Unknown,
 }
 
-/// What tells where the answer of a target ends.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Framing {
-    /// A length, or chunks.
-    #[default]
-    Framed,
-    /// The end of the connection. Whatever comes before it is part of the answer.
-    UntilClose,
-}
-
 /// Splits the stream of one answer into events, across all targets that it comes from.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -21,6 +21,7 @@
 mod answer_head;
 mod control_selector;
 mod event_splitter;
+mod framing;
 mod health;
 mod key_freshness;
 mod load_aggregator;
@@ -45,8 +46,8 @@
 pub use event_splitter::CompleteEvents;
 pub use event_splitter::EventError;
 pub use event_splitter::EventSplitter;
-pub use event_splitter::Framing;
 pub use event_splitter::ResumePoint;
+pub use framing::Framing;
 pub use health::Health;
 pub use key_freshness::KeyFreshness;
 pub use load_aggregator::LoadAggregator;
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -8,7 +8,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http::response::Parts;
 
 use crate::entry::EntryHost;
 use crate::entry::answer::Refusal;
@@ -34,7 +33,6 @@
 use fleet::Route;
 use forward::ConnectPath;
 use forward::Failure;
-use forward::Framing;
 use forward::RetryDecision;
 use forward::Target;
 use net::Body;
@@ -230,9 +228,11 @@
         let (head, body) = response.into_parts();
         let left = self.deadline.since(first);
         let read = self.entry.answer_memory.read(body, left).await;
-        let read = read.and_then(|body| match may_lack_body(&head, &body) {
-            true => Err(AnswerError::MaybeCut),
-            false => Ok(body),
+        let read = read.and_then(|body| {
+            match framing_of(&head.headers).may_lack_body(head.status.as_u16(), body.len()) {
+                true => Err(AnswerError::MaybeCut),
+                false => Ok(body),
+            }
         });
         let id = guard.id.clone();
         drop(guard);
@@ -349,13 +349,3 @@
         value.to_str().ok()?.trim().parse().ok()
     }
 }
-
-/// Whether an answer may have ended before its body. One with neither a length nor chunks ends with
-/// its connection, whatever ended that.
-fn may_lack_body(head: &Parts, body: &Bytes) -> bool {
-    let has_no_body = matches!(
-        head.status,
-        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-    );
-    body.is_empty() && !has_no_body && framing_of(&head.headers) == Framing::UntilClose
-}
