--- a/crates/form/tests/lost_head.rs
+++ b/crates/form/tests/lost_head.rs
@@ -9,6 +9,7 @@
 use world::World;
 use world::world_with_heads;
 
+use base::Fence;
 use base::UpstreamId;
 use form::Action;
 use form::Config;
@@ -38,6 +39,14 @@
             0,
             "seed {seed}: told to leave, or broken"
         );
+        // Once they are heard they are told to leave, if nobody told them before.
+        let epochs: Vec<_> = heads.iter().map(|head| epoch_of(&world, head)).collect();
+        world.partition(&heads, Partition::None);
+        world.run(secs(4));
+        for (head, epoch) in heads.iter().zip(epochs) {
+            let has_left = epoch.is_none() || epoch != epoch_of(&world, head);
+            assert!(has_left, "seed {seed}: told to leave");
+        }
     }
 }
 
@@ -50,6 +59,11 @@
     }
 }
 
+fn epoch_of(world: &World, host: &UpstreamId) -> Option<Fence> {
+    let membership = world.hosts[host].membership.as_ref();
+    membership.map(|membership| membership.epoch)
+}
+
 /// Has no order reach the hosts of the replicas of `heads`, though they are heard.
 fn silence_members(world: &mut World, heads: &[UpstreamId]) {
     for host in members(world, heads) {
@@ -86,6 +100,24 @@
     }
 }
 
+#[test]
+fn a_head_that_is_heard_again_for_a_moment_sets_no_host_free() {
+    for seed in 0..10 {
+        let (mut world, heads) = world_with_heads(seed);
+        silence_members(&mut world, &heads);
+        world.partition(&heads, Partition::FromController);
+        world.are_entry_hosts_silent = true;
+        world.run(Duration::from_millis(4_500));
+        // The head hosts are heard, but orders to leave reach them late.
+        world.faults.late_order_share = 1.0;
+        world.partition(&heads, Partition::None);
+        world.run(Duration::from_millis(1_300));
+        world.partition(&heads, Partition::FromController);
+        world.run(secs(8));
+        assert_eq!(world.controller.take_given_up(), [], "seed {seed}");
+    }
+}
+
 #[test]
 fn a_dead_head_that_entry_hosts_try_binds_its_hosts_no_longer_than_the_wait() {
     let wait = Config::default().lost_head_wait;
--- a/crates/net/tests/cut_answers.rs
+++ b/crates/net/tests/cut_answers.rs
@@ -55,7 +55,7 @@
     let mut answers = Vec::new();
     for before in befores {
         for (framing, body) in &framings {
-            let head = format!("{before}HTTP/1.1 200 OK\r\nAttempt-Id: x\r\n{framing}\r\n");
+            let head = format!("{before}HTTP/1.1 200 OK\r\nX-Id: x\r\n{framing}\r\n");
             answers.push(Whole {
                 head_len: head.len(),
                 text: head + body,
