--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,6 +9,8 @@
 //!   earlier one.
 //! - [`RetryDecision`] says what follows a failed attempt, and [`RetryBudget`] limits the
 //!   retries of this entry host to its part of the deployment's limit.
+//! - [`RequestedRest`] reads how long an upstream wants to rest, and [`RestTable`] says when requests
+//!   may go there again.
 //! - [`LoadAggregator`] sums the load of all entry hosts on a control host.
 //! - [`ControlSelector`] chooses the control host that an entry host follows.
 //! - [`EventSplitter`] finds complete events in a stream, so that another target can
@@ -30,6 +32,8 @@
 mod peer_table;
 mod recent_sends;
 mod refusal_cause;
+mod requested_rest;
+mod rest_table;
 mod retry_budget;
 mod retry_decision;
 mod sent_ids;
@@ -60,6 +64,9 @@
 pub use peer_table::PeerTable;
 pub use recent_sends::RecentSends;
 pub use refusal_cause::RefusalCause;
+pub use requested_rest::RequestedRest;
+pub use requested_rest::RestError;
+pub use rest_table::RestTable;
 pub use retry_budget::RetryBudget;
 pub use retry_decision::Failure;
 pub use retry_decision::RetryDecision;
@@ -68,5 +75,6 @@
 pub use target::TargetId;
 pub use target_table::ChooseError;
 pub use target_table::Load;
+pub use target_table::RestingTargets;
 pub use target_table::TargetQuery;
 pub use target_table::TargetTable;
--- a/crates/forward/src/refusal_cause.rs
+++ b/crates/forward/src/refusal_cause.rs
@@ -34,6 +34,9 @@
 /// The largest random deviation of a delay from its mean, as a fraction of the mean.
 const SPREAD: f64 = 0.35;
 
+/// The part of a rest over which callers that were refused during it are spread.
+const RESTING_SPREAD: f64 = 0.1;
+
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalCause {
@@ -47,6 +50,8 @@
     Full,
     /// The targets refused the request without running it.
     NotRun,
+    /// All targets asked for rest. The first is back after this time.
+    Resting(Duration),
 }
 
 impl RefusalCause {
@@ -58,6 +63,11 @@
             Self::NoTarget => NO_TARGET_DELAY,
             Self::Full => FULL_DELAY,
             Self::NotRun => return REFUSED_DELAY,
+            // The caller is told the real time, also if it can't wait as long.
+            Self::Resting(left) => {
+                let spread = left.mul_f64(RESTING_SPREAD).max(MIN_DELAY);
+                return left + spread.mul_f64(rng.f64());
+            }
         };
         let factor = 1.0 + SPREAD * (2.0 * rng.f64() - 1.0);
         mean.mul_f64(factor)
--- a/crates/forward/src/retry_decision.rs
+++ b/crates/forward/src/retry_decision.rs
@@ -10,6 +10,9 @@
     /// No byte of the request was sent, so it has not run.
     #[display("not sent")]
     NotSent,
+    /// No byte of the request was sent, because the upstream had asked for rest.
+    #[display("held back")]
+    HeldBack,
     /// The upstream answered that it did not run the request.
     #[display("refused")]
     Refused,
@@ -23,6 +26,11 @@
 }
 
 impl Failure {
+    /// Whether no byte of the request was sent.
+    pub fn is_unsent(self) -> bool {
+        matches!(self, Self::NotSent | Self::HeldBack)
+    }
+
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
         matches!(self, Self::Broken | Self::Lost)
--- a/crates/forward/src/target_table.rs
+++ b/crates/forward/src/target_table.rs
@@ -57,6 +57,8 @@
     pub avoid: &'a BTreeSet<UpstreamId>,
     /// Targets that may get no request now.
     pub closed: &'a BTreeSet<UpstreamId>,
+    /// Targets that asked for rest.
+    pub resting: &'a RestingTargets,
     /// Whether failures speak against targets, and not against this host's way to them.
     pub trusts_health: bool,
 }
@@ -70,6 +72,16 @@
     }
 }
 
+/// Targets that asked for rest.
+#[derive(Clone, Debug, Default)]
+pub struct RestingTargets {
+    /// Those that asked this host, and until when. They get no request.
+    pub own: BTreeMap<UpstreamId, Time>,
+    /// Those that asked another host. They get a request only if no other target takes it: they are
+    /// probably overloaded, but said nothing to this host.
+    pub elsewhere: BTreeSet<UpstreamId>,
+}
+
 /// Why no target could be chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 pub enum ChooseError {
@@ -79,6 +91,10 @@
     /// Every known target is full, excluded, or already failed this request.
     #[display("all targets are full")]
     AllFull,
+    /// Every known target that has not failed this request asked for rest. The first is back at
+    /// this time.
+    #[display("all targets rest until {_0}")]
+    AllResting(Time),
 }
 
 /// The load of all entry hosts together on a target.
@@ -160,17 +176,14 @@
     /// Chooses a target for a request.
     pub fn choose(&mut self, query: &TargetQuery<'_>, now: Time) -> Result<Target, ChooseError> {
         let candidates = candidates(&self.targets, query, now)?;
-        let costs = candidates.into_iter().map(|target| {
-            let random = self.rng.f64() * RANDOM_COST;
-            (cost(target, &self.centre, now) + random, target)
-        });
-        let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
-        let (_, best) = best.ok_or(ChooseError::NoneKnown)?;
-        let max_load = f64::from(best.slots) * (1.0 + MAX_QUEUED_PER_SLOT);
-        match f64::from(best.load()) < max_load {
-            true => Ok(best.clone()),
-            false => Err(ChooseError::AllFull),
+        let mut preferred = candidates.clone();
+        preferred.retain(|target| !query.resting.elsewhere.contains(&target.id));
+        let all_are_preferred = preferred.len() == candidates.len();
+        let mut best = best_of(preferred, &self.centre, &mut self.rng, now);
+        if best.is_none() && !all_are_preferred {
+            best = best_of(candidates, &self.centre, &mut self.rng, now);
         }
+        best.cloned().ok_or(ChooseError::AllFull)
     }
 
     /// Counts a request that is sent to a target. Reading its prompt takes `prompt_secs`
@@ -276,7 +289,15 @@
         return Err(ChooseError::NoneKnown);
     }
     let mut allowed = fitting.clone();
-    allowed.retain(|t| !query.avoid.contains(&t.id) && !query.closed.contains(&t.id));
+    allowed.retain(|t| !query.avoid.contains(&t.id));
+    let resting = &query.resting.own;
+    let is_resting = |t: &&Target| resting.contains_key(&t.id);
+    if !allowed.is_empty() && allowed.iter().all(is_resting) {
+        let first_back = allowed.iter().filter_map(|t| resting.get(&t.id));
+        let first_back = first_back.min().copied().unwrap_or(now);
+        return Err(ChooseError::AllResting(first_back));
+    }
+    allowed.retain(|t| !query.closed.contains(&t.id) && !is_resting(t));
     let mut healthy = allowed.clone();
     healthy.retain(|t| !t.health.is_excluded(now));
     if !healthy.is_empty() {
@@ -289,6 +310,22 @@
     }
 }
 
+/// The target with the least cost, unless it is full.
+fn best_of<'a>(
+    candidates: Vec<&'a Target>,
+    centre: &CentreName,
+    rng: &mut Rng,
+    now: Time,
+) -> Option<&'a Target> {
+    let costs = candidates.into_iter().map(|target| {
+        let random = rng.f64() * RANDOM_COST;
+        (cost(target, centre, now) + random, target)
+    });
+    let (_, best) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+    let max_load = f64::from(best.slots) * (1.0 + MAX_QUEUED_PER_SLOT);
+    (f64::from(best.load()) < max_load).then_some(best)
+}
+
 /// The cost of sending a request from a data centre to a target, in requests per slot.
 fn cost(target: &Target, centre: &CentreName, now: Time) -> f64 {
     let remote = match target.centre == *centre {
--- a/crates/forward/tests/paths_world/mod.rs
+++ b/crates/forward/tests/paths_world/mod.rs
@@ -22,6 +22,7 @@
 use forward::PathTable;
 use forward::PeerTable;
 use forward::RecentSends;
+use forward::RestingTargets;
 use forward::Target;
 use forward::TargetId;
 use forward::TargetQuery;
@@ -431,6 +432,7 @@
                 model: Some(&"m".parse().unwrap()),
                 avoid: &avoid,
                 closed: &BTreeSet::new(),
+                resting: &RestingTargets::default(),
                 trusts_health: !own.paths.is_suspect(service),
             };
             let Ok(chosen) = own.targets.choose(&query, at) else {
--- a/crates/forward/tests/stale_views.rs
+++ b/crates/forward/tests/stale_views.rs
@@ -18,6 +18,7 @@
 use forward::Health;
 use forward::Load;
 use forward::RecentSends;
+use forward::RestingTargets;
 use forward::Target;
 use forward::TargetQuery;
 use forward::TargetTable;
@@ -182,6 +183,7 @@
                     model: Some(&"wide".parse().unwrap()),
                     avoid: &BTreeSet::new(),
                     closed: &BTreeSet::new(),
+                    resting: &RestingTargets::default(),
                     trusts_health: true,
                 };
                 let target = self.tables[host].choose(&query, self.now).ok()?;
--- a/crates/forward/tests/target_table.rs
+++ b/crates/forward/tests/target_table.rs
@@ -11,6 +11,7 @@
 use forward::Health;
 use forward::Load;
 use forward::RecentSends;
+use forward::RestingTargets;
 use forward::Target;
 use forward::TargetId;
 use forward::TargetQuery;
@@ -49,6 +50,15 @@
     table: &mut TargetTable,
     model: Option<&str>,
     now_ms: u64,
+) -> Result<TargetId, ChooseError> {
+    choose_beside(table, model, &RestingTargets::default(), now_ms)
+}
+
+fn choose_beside(
+    table: &mut TargetTable,
+    model: Option<&str>,
+    resting: &RestingTargets,
+    now_ms: u64,
 ) -> Result<TargetId, ChooseError> {
     let service = "s".parse().unwrap();
     let model = model.map(|model| model.parse().unwrap());
@@ -58,6 +68,7 @@
         model: model.as_ref(),
         avoid: &avoid,
         closed: &BTreeSet::new(),
+        resting,
         trusts_health: true,
     };
     let chosen = table.choose(&query, Time::from_millis(now_ms))?;
@@ -170,3 +181,35 @@
     table.record_prompt_read(&reading, 0.4);
     assert_eq!(choose(&mut table, Some("wide"), 10).unwrap(), reading);
 }
+
+#[test]
+fn a_target_that_rests_gets_no_request_even_if_no_other_is_left() {
+    let mut table = table(vec![target("a", "here", None), target("b", "here", None)]);
+    let (a, b): (UpstreamId, UpstreamId) = ("a".parse().unwrap(), "b".parse().unwrap());
+    let mut resting = RestingTargets::default();
+    resting.own.insert(a.clone(), Time::from_millis(5_000));
+    for _ in 0..5 {
+        let id = choose_beside(&mut table, None, &resting, 0).unwrap();
+        assert_eq!(id.0, b);
+        table.record_sent(&id, 0.0, Time::ZERO);
+    }
+    // The other one is full, which is worth a wait.
+    let full = choose_beside(&mut table, None, &resting, 0);
+    assert_eq!(full, Err(ChooseError::AllFull));
+    resting.own.insert(b, Time::from_millis(3_000));
+    let all = choose_beside(&mut table, None, &resting, 0);
+    assert_eq!(all, Err(ChooseError::AllResting(Time::from_millis(3_000))));
+}
+
+#[test]
+fn a_target_that_asked_another_host_for_rest_is_taken_last() {
+    let mut table = table(vec![target("a", "here", None), target("b", "there", None)]);
+    let mut resting = RestingTargets::default();
+    resting.elsewhere.insert("a".parse().unwrap());
+    for index in 0..10 {
+        let id = choose_beside(&mut table, None, &resting, 0).unwrap();
+        let expected = if index < 5 { "b" } else { "a" };
+        assert_eq!(id.0.as_str(), expected);
+        table.record_sent(&id, 0.0, Time::ZERO);
+    }
+}
--- a/crates/site/src/control/follow.rs
+++ b/crates/site/src/control/follow.rs
@@ -74,6 +74,7 @@
             notices: control.quarantine.borrow().published().edition,
             shares: control.allotment.borrow().published().edition,
             entries: control.entry_directory.borrow().published().edition,
+            rests: control.rest_directory.borrow().edition(),
             watcher: Watcher::Control,
             reports_departures: true,
             load_report: control
@@ -162,6 +163,11 @@
         control.entry_directory.borrow_mut().follow(newer);
         control.watch_changed.notify_waiters();
     }
+    if let Some(newer) = update.rests {
+        let mut rest_directory = control.rest_directory.borrow_mut();
+        rest_directory.follow(newer, clock::now());
+        control.watch_changed.notify_waiters();
+    }
     if let Some(newer) = update.routing_table
         && control.routing_table.borrow().edition < newer.edition
     {
@@ -183,6 +189,7 @@
         evidence: control.quarantine.borrow().known_evidence(),
         limits: control.allotment.borrow().known_reports(),
         entries: control.entry_directory.borrow().published().items.clone(),
+        rests: control.rest_directory.borrow().known(clock::now()),
     };
     if !known.is_empty() {
         let mut unsent = control.unsent_reports.borrow_mut();
--- a/crates/site/src/control/lead.rs
+++ b/crates/site/src/control/lead.rs
@@ -81,12 +81,14 @@
         control.quarantine.borrow_mut().set_term(term, now);
         control.allotment.borrow_mut().set_term(term, now);
         control.entry_directory.borrow_mut().set_term(term, now);
+        control.rest_directory.borrow_mut().set_term(term);
         if term.is_some() {
             RecordWriter::commit_changes(&control);
             publish_routing_table(&control);
             publish_notices(&control, now);
             publish_shares(&control, now);
             publish_entries(&control, now);
+            publish_rests(&control, now);
         }
         compio::time::sleep(REST_PER_TICK * clock::now().since(now)).await;
         if EXPIRY_INTERVAL <= now.since(last_expiry_at) {
@@ -204,6 +206,13 @@
     }
 }
 
+/// Publishes the rests that upstreams asked for if there are new ones.
+fn publish_rests(control: &ControlHost, now: Time) {
+    if control.rest_directory.borrow_mut().tick(now) {
+        control.watch_changed.notify_waiters();
+    }
+}
+
 /// Publishes the shares of limits if they have changed.
 fn publish_shares(control: &ControlHost, now: Time) {
     let roster = control.roster.borrow();
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -44,6 +44,7 @@
 use fleet::EntryDirectory;
 use fleet::LeaderReports;
 use fleet::Probes;
+use fleet::RestDirectory;
 use fleet::RevisionHolders;
 use fleet::Roster;
 use fleet::RoutingTable;
@@ -119,6 +120,8 @@
     pub entry_directory: RefCell<EntryDirectory>,
     /// The limits that upstreams name, and the entry hosts that share them.
     pub allotment: RefCell<Allotment>,
+    /// The rests that upstreams asked for.
+    pub rest_directory: RefCell<RestDirectory>,
     /// Hosts that are being probed or were lost.
     pub probes: RefCell<Probes>,
     /// The leading control host, as the last reply to this control host's watch calls showed.
@@ -230,6 +233,7 @@
             quarantine: RefCell::default(),
             entry_directory: RefCell::default(),
             allotment: RefCell::default(),
+            rest_directory: RefCell::default(),
             probes: RefCell::default(),
             reported_leader: Cell::new(None),
             reported_unreachable: RefCell::default(),
--- a/crates/site/src/control/watch.rs
+++ b/crates/site/src/control/watch.rs
@@ -106,6 +106,7 @@
             || call.notices < control.quarantine.borrow().published().edition
             || call.shares < control.allotment.borrow().published().edition
             || call.entries < control.entry_directory.borrow().published().edition
+            || call.rests < control.rest_directory.borrow().edition()
     };
     if !has_newer(&control) {
         control.watch_changed.wait(watch_wait(&control)).await;
@@ -137,6 +138,9 @@
     let entry_directory = control.entry_directory.borrow();
     let is_newer = call.entries < entry_directory.published().edition;
     update.entries = is_newer.then(|| entry_directory.published().clone());
+    let rest_directory = control.rest_directory.borrow();
+    let is_newer = call.rests < rest_directory.edition();
+    update.rests = is_newer.then(|| rest_directory.published(clock::now()));
     WatchReply::Update(Box::new(update))
 }
 
@@ -162,6 +166,7 @@
         notices: None,
         shares: None,
         entries: None,
+        rests: None,
         unreachable: control.unreachable_heads(),
         confirmed_ago,
         controls: control.control_hosts().into_iter().collect(),
@@ -247,6 +252,9 @@
         let mut entry_directory = control.entry_directory.borrow_mut();
         let entries = report.entries.into_iter();
         entries.for_each(|report| entry_directory.record(report, now));
+        let mut rest_directory = control.rest_directory.borrow_mut();
+        let rests = report.rests.into_iter();
+        rests.for_each(|rest| rest_directory.record(rest, now));
         control.controller_changed.notify_waiters();
         return;
     }
--- a/crates/site/src/entry/answer.rs
+++ b/crates/site/src/entry/answer.rs
@@ -32,6 +32,8 @@
     NoTarget,
     /// All targets for the request are full.
     Full,
+    /// All targets for the request asked for rest, and the first is back after this time.
+    Resting(Duration),
     /// Upstreams ended under this request, or under others with parts of its prompt.
     Banned,
     /// Every target that got the request refused it.
@@ -57,6 +59,7 @@
             Self::TooLarge => "the body is too large",
             Self::NoTarget => "no upstream is there for it",
             Self::Full => "all upstreams are full",
+            Self::Resting(_) => "all its upstreams asked for rest",
             Self::Banned => "upstreams ended under it or requests like it",
             Self::NotRun => "no upstream took it",
             Self::Lost => "its answer was lost, it may have run",
@@ -79,6 +82,7 @@
             | Self::KeysUncertain
             | Self::NoTarget
             | Self::Full
+            | Self::Resting(_)
             | Self::Banned
             | Self::NotRun
             | Self::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
@@ -96,6 +100,7 @@
             }
             Self::NoTarget => Some(RefusalCause::NoTarget),
             Self::Full => Some(RefusalCause::Full),
+            Self::Resting(left) => Some(RefusalCause::Resting(left)),
             Self::NotRun => Some(RefusalCause::NotRun),
             _ => None,
         }
--- a/crates/site/src/entry/attempt.rs
+++ b/crates/site/src/entry/attempt.rs
@@ -11,10 +11,10 @@
 
 use crate::entry::EntryHost;
 use crate::entry::attempt_guard::AttemptGuard;
-use crate::entry::limits::record_limit;
 use crate::entry::outbound::OutboundRequest;
 use crate::entry::paths;
 use crate::entry::paths::path_of;
+use crate::entry::statements;
 use crate::events::Event;
 use crate::events::emit;
 use base::Time;
@@ -91,7 +91,7 @@
         )),
     };
     let sent = match sent {
-        Err(error) if error.failure == Failure::NotSent => {
+        Err(error) if error.failure.is_unsent() => {
             let left = deadline.since(clock::now());
             let fresh = paths::connect(entry, target, left).await;
             let cannot_connect = AttemptError::new(Failure::NotSent, "cannot connect", None);
@@ -101,9 +101,9 @@
         other => other,
     };
     let (response, connection) = sent?;
-    record_limit(entry, target, &response, sent_at);
-    let keep_alive = keep_alive_time(response.headers());
     let path = path_of(&connection);
+    statements::record_statements(entry, target, &response, path, sent_at);
+    let keep_alive = keep_alive_time(response.headers());
     if path == ConnectPath::Direct {
         paths::record_sign(entry, target);
     }
@@ -143,6 +143,9 @@
     if !is_known {
         return failed(Failure::NotSent, "the target is gone");
     }
+    if !statements::may_send(entry, target, path) {
+        return failed(Failure::HeldBack, "the target asked for rest");
+    }
     let outbound = request.for_target(
         entry.platform.headers(),
         &target.id,
@@ -151,6 +154,7 @@
     );
     let id = (target.id.clone(), target.incarnation);
     request.record_sent(entry, &id);
+    statements::record_sent(entry, target, path);
     let result = {
         let answer = connection.request(outbound);
         let mut answer = std::pin::pin!(answer);
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -186,6 +186,7 @@
         notices: entry.part_guard.borrow().list().edition,
         shares: entry.limit_guard.borrow().list().edition,
         entries: entry.peers.borrow().list().edition,
+        rests: entry.rests.borrow().edition(),
         watcher: Watcher::Entry,
         reports_departures: false,
         load_report: Some(LoadReport {
@@ -234,6 +235,9 @@
         entry.peers.borrow_mut().apply(newer);
         paths::close_stale_tunnels(entry);
     }
+    if let Some(newer) = update.rests {
+        entry.rests.borrow_mut().apply(newer, clock::now());
+    }
     if let Some(load_report) = update.load_report {
         apply_load_report(entry, &load_report);
     }
@@ -295,6 +299,7 @@
                 evidence: entry.part_guard.borrow_mut().take_evidence(clock::now()),
                 limits: entry.limit_guard.borrow_mut().take_reports(clock::now()),
                 entries: paths::due_report(&entry).into_iter().collect(),
+                rests: entry.rests.borrow_mut().take_reports(clock::now()),
             },
             ..Observations::default()
         };
@@ -328,5 +333,6 @@
 fn report_again(entry: &EntryHost) {
     entry.part_guard.borrow_mut().report_again();
     entry.limit_guard.borrow_mut().report_again();
+    entry.rests.borrow_mut().report_again(clock::now());
     paths::report_again(entry);
 }
--- a/crates/site/src/entry/metrics.rs
+++ b/crates/site/src/entry/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
@@ -50,6 +51,8 @@
     total: Times,
     outcomes: Family<OutcomeLabels, Counter>,
     attempts: Family<PathLabels, Counter>,
+    held_back: Counter,
+    resting: Gauge,
 }
 
 impl Default for Metrics {
@@ -76,7 +79,21 @@
             "Attempts with an answer by the way of their connection",
             attempts.clone(),
         );
+        let held_back = Counter::default();
+        registry.register(
+            "held_back",
+            "Requests that were not sent to a target because it had asked for rest meanwhile",
+            held_back.clone(),
+        );
+        let resting = Gauge::default();
+        registry.register(
+            "resting_upstreams",
+            "Upstreams that asked this host for rest",
+            resting.clone(),
+        );
         Self {
+            held_back,
+            resting,
             registry,
             first,
             total,
@@ -106,6 +123,16 @@
         self.attempts.get_or_create(&PathLabels { path }).inc();
     }
 
+    /// Counts a request that was held back because its target rests.
+    pub fn count_held_back(&self) {
+        self.held_back.inc();
+    }
+
+    /// Sets how many upstreams asked this host for rest.
+    pub fn set_resting(&self, count: usize) {
+        self.resting.set(count as i64);
+    }
+
     /// Records how long a request's first bytes and its whole answer took.
     pub fn observe_times(&self, labels: &RequestLabels, first: Duration, total: Duration) {
         let first_times = self.first.get_or_create(labels);
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod paths;
 mod relay;
 mod request_forwarder;
+mod statements;
 mod stream_source;
 mod target_choice;
 mod targets;
@@ -30,6 +31,7 @@
 use crate::entry::answer_memory::AnswerMemory;
 use crate::entry::metrics::Metrics;
 use crate::entry::paths::OwnReport;
+use crate::entry::statements::KnownRests;
 use crate::notify::Notify;
 use crate::platform::Platform;
 use crate::settings::Settings;
@@ -157,6 +159,8 @@
     pub own_report: RefCell<OwnReport>,
     /// The limits that upstreams name, and the shares of this entry host.
     pub limit_guard: RefCell<LimitGuard>,
+    /// The rests that upstreams asked for.
+    pub rests: RefCell<KnownRests>,
     /// The recent requests for each model.
     pub arrivals: RefCell<BTreeMap<ModelName, ModelArrivals>>,
     /// Stalled head hosts that have not been reported to a control host yet.
@@ -308,6 +312,7 @@
             )),
             own_report: RefCell::default(),
             limit_guard: RefCell::new(LimitGuard::new(settings.node_id())),
+            rests: RefCell::new(KnownRests::new(seed)),
             arrivals: RefCell::default(),
             stalled_heads: RefCell::default(),
             left_replicas: RefCell::default(),
--- a/crates/site/src/entry/paths.rs
+++ b/crates/site/src/entry/paths.rs
@@ -1,7 +1,6 @@
 //! Connects to upstreams, directly or through another entry host, and probes direct paths that
 //! were lost.
 
-use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,6 +12,7 @@
 
 use crate::connection_pool::USER_TIMEOUT;
 use crate::entry::EntryHost;
+use crate::entry::statements;
 use crate::events::Event;
 use crate::events::emit;
 use crate::settings::node_at;
@@ -97,7 +97,8 @@
             return false;
         };
         let is_entry_host = self.0.peers.borrow().is_entry_host(node_at(peer));
-        is_entry_host && self.target_at(addr).is_some()
+        let target = self.target_at(addr).filter(|_| is_entry_host);
+        target.is_some_and(|target| statements::may_send(&self.0, &target, ConnectPath::Direct))
     }
 
     fn record_connect(&self, addr: SocketAddr, is_connected: bool) {
@@ -187,8 +188,8 @@
     limit: Duration,
 ) -> Option<Connection> {
     let give_up_at = clock::now() + limit;
-    let mut asked = BTreeSet::new();
-    while asked.len() < MAX_PEERS {
+    let mut asked = statements::resting_peers(entry, target);
+    for _ in 0..MAX_PEERS {
         let now = clock::now();
         let left = give_up_at.since(now).min(PEER_TIMEOUT);
         let peer = entry
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -127,7 +127,7 @@
         let id = (target.id.clone(), target.incarnation);
         self.path = error.path;
         match error.failure {
-            Failure::NotSent => self.unsent_attempts += 1,
+            Failure::NotSent | Failure::HeldBack => self.unsent_attempts += 1,
             Failure::Refused | Failure::Broken | Failure::Lost => self.attempts += 1,
         }
         let is_own_path = error.path == Some(ConnectPath::Direct) && !self.trusts_health();
@@ -136,6 +136,7 @@
         }
         let speaks_against_target = match error.failure {
             Failure::NotSent => self.trusts_health(),
+            Failure::HeldBack => false,
             Failure::Refused => target.model.is_none(),
             Failure::Broken | Failure::Lost => true,
         };
@@ -191,7 +192,7 @@
     pub fn decide_retry(&self, failure: Failure, now: Time) -> RetryDecision {
         let has_time = now < self.deadline;
         let has_attempts = match failure {
-            Failure::NotSent => self.unsent_attempts < MAX_UNSENT_ATTEMPTS,
+            Failure::NotSent | Failure::HeldBack => self.unsent_attempts < MAX_UNSENT_ATTEMPTS,
             Failure::Refused | Failure::Broken | Failure::Lost => {
                 self.attempts < self.route.attempts
             }
@@ -199,7 +200,7 @@
         let may_have_run = self.may_have_run || failure.may_have_run();
         let may_repeat = !may_have_run || (self.route.kind.is_retryable() && self.may_repeat(now));
         let allowed = has_time && has_attempts && may_repeat && {
-            let nothing_sent = failure == Failure::NotSent && self.attempts == 0;
+            let nothing_sent = failure.is_unsent() && self.attempts == 0;
             nothing_sent
                 || self
                     .entry
--- /dev/null
+++ b/crates/site/src/entry/statements.rs
@@ -0,0 +1,236 @@
+//! What upstreams say of themselves in the heads of their answers, whatever request they answer:
+//! the limits on their requests, and the rests that they ask for.
+//!
+//! A rest is told to the machine that a request came from. It is kept by this host, and by the one
+//! that the connection leads through, which learns of it from the leader.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use http::Response;
+use http::header;
+use hyper::body::Incoming;
+
+use crate::entry::EntryHost;
+use crate::entry::limits::record_limit;
+use crate::events::Event;
+use crate::events::emit;
+use base::NodeId;
+use base::Time;
+use fleet::AskedRest;
+use fleet::RestList;
+use forward::ConnectPath;
+use forward::RequestedRest;
+use forward::RestTable;
+use forward::RestingTargets;
+use forward::Target;
+use forward::TargetId;
+use quorum::clock;
+
+/// Time between two log lines about rests that cannot be read.
+const UNREADABLE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The longest part of an unreadable value that is logged, in characters.
+const MAX_LOGGED_CHARS: usize = 40;
+
+/// The rests that this host knows.
+#[derive(Debug)]
+pub(crate) struct KnownRests {
+    /// By the upstream, and the machine that was asked.
+    table: RestTable<(TargetId, NodeId)>,
+    /// The leader's list as this host knows it.
+    edition: fleet::Edition,
+    /// Rests that are to be reported.
+    unreported: BTreeSet<(TargetId, NodeId)>,
+    unreadable_logged_at: Option<Time>,
+}
+
+impl KnownRests {
+    /// Knows no rests. `seed` is for the random part of the waits.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            table: RestTable::new(seed),
+            edition: fleet::Edition::default(),
+            unreported: BTreeSet::new(),
+            unreadable_logged_at: None,
+        }
+    }
+
+    /// The version of the leader's list that this host knows.
+    pub fn edition(&self) -> fleet::Edition {
+        self.edition
+    }
+
+    /// Takes over the leader's list, if it is newer.
+    pub fn apply(&mut self, list: RestList, now: Time) {
+        if list.edition <= self.edition {
+            return;
+        }
+        self.edition = list.edition;
+        for rest in list.items {
+            let left = RequestedRest::new(rest.left());
+            let key = ((rest.process, rest.incarnation), rest.entry);
+            self.table.record_rest(&key, left, now);
+        }
+    }
+
+    /// The rests that are to be reported now.
+    pub fn take_reports(&mut self, now: Time) -> Vec<AskedRest> {
+        let due = std::mem::take(&mut self.unreported);
+        let known = self.table.unfinished(now);
+        let known = known.filter(|(key, _)| due.contains(key));
+        let reports = known.map(|(((process, incarnation), entry), left)| AskedRest {
+            process: process.clone(),
+            incarnation: *incarnation,
+            entry: *entry,
+            left_ms: left.as_millis() as u64,
+        });
+        reports.collect()
+    }
+
+    /// Has all rests reported again, because another control host may lead.
+    pub fn report_again(&mut self, now: Time) {
+        let known = self.table.unfinished(now).map(|(key, _)| key.clone());
+        self.unreported = known.collect();
+    }
+}
+
+impl EntryHost {
+    /// How many upstreams asked this host for rest.
+    pub fn count_resting(&self) -> usize {
+        resting_targets(self, clock::now()).own.len()
+    }
+}
+
+/// The targets that asked for rest.
+pub(crate) fn resting_targets(entry: &EntryHost, now: Time) -> RestingTargets {
+    let rests = entry.rests.borrow();
+    let targets = entry.targets.borrow();
+    let own_id = entry.settings.node_id();
+    let is_current = |(id, incarnation): &TargetId| {
+        let target = targets.get(id);
+        target.is_some_and(|target| target.incarnation == *incarnation)
+    };
+    let mut resting = RestingTargets::default();
+    for ((id, asked), at) in rests
+        .table
+        .closed(now)
+        .filter(|((id, _), _)| is_current(id))
+    {
+        match *asked == own_id {
+            true => drop(resting.own.insert(id.0.clone(), at)),
+            false => drop(resting.elsewhere.insert(id.0.clone())),
+        }
+    }
+    resting
+}
+
+/// The other entry hosts that a target asked for rest.
+pub(crate) fn resting_peers(entry: &EntryHost, target: &Target) -> BTreeSet<NodeId> {
+    let rests = entry.rests.borrow();
+    let closed = rests.table.closed(clock::now());
+    let id = (target.id.clone(), target.incarnation);
+    let asked = closed.filter(|((resting, _), _)| *resting == id);
+    asked.map(|((_, asked), _)| *asked).collect()
+}
+
+/// Whether a request may be sent to a target over this path now.
+pub(crate) fn may_send(entry: &EntryHost, target: &Target, path: ConnectPath) -> bool {
+    let now = clock::now();
+    let rests = entry.rests.borrow();
+    let asked = machines(entry, path).into_iter();
+    let mut keys = asked.map(|machine| ((target.id.clone(), target.incarnation), machine));
+    let may_send = keys.all(|key| rests.table.may_send(&key, now));
+    if !may_send {
+        entry.metrics.count_held_back();
+    }
+    may_send
+}
+
+/// Records that a request is sent to a target.
+pub(crate) fn record_sent(entry: &EntryHost, target: &Target, path: ConnectPath) {
+    let now = clock::now();
+    let mut rests = entry.rests.borrow_mut();
+    for machine in machines(entry, path) {
+        let key = ((target.id.clone(), target.incarnation), machine);
+        rests.table.record_sent(&key, now);
+    }
+}
+
+/// Records what an answer says of its upstream. `sent_at` is when the request was sent.
+pub(crate) fn record_statements(
+    entry: &EntryHost,
+    target: &Target,
+    response: &Response<Incoming>,
+    path: ConnectPath,
+    sent_at: Time,
+) {
+    record_limit(entry, target, response, sent_at);
+    let headers = response.headers();
+    let values = headers.get_all(&entry.platform.headers().rest);
+    let values = values.iter().map(http::HeaderValue::as_bytes);
+    let date = headers.get(header::DATE);
+    let date = date.map(http::HeaderValue::as_bytes);
+    let asked = RequestedRest::of_answer(response.status().as_u16(), values, date);
+    match asked {
+        Ok(Some(rest)) => record_rest(entry, target, path, rest),
+        Ok(None) => record_no_rest(entry, target, path, sent_at),
+        Err(e) => {
+            let value = headers.get(&entry.platform.headers().rest);
+            let value = value.map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned());
+            log_unreadable(entry, target, &value.unwrap_or_default(), &e);
+        }
+    }
+}
+
+fn record_rest(entry: &EntryHost, target: &Target, path: ConnectPath, rest: RequestedRest) {
+    let now = clock::now();
+    let mut is_new = false;
+    let mut rests = entry.rests.borrow_mut();
+    for machine in machines(entry, path) {
+        let key = ((target.id.clone(), target.incarnation), machine);
+        is_new |= rests.table.record_rest(&key, rest, now);
+        rests.unreported.insert(key);
+    }
+    drop(rests);
+    if is_new {
+        let ms = rest.length().as_millis();
+        let target = &target.id;
+        emit(&Event::RestAsked { target, path, ms });
+    }
+    entry.observations_added.notify_waiters();
+}
+
+fn record_no_rest(entry: &EntryHost, target: &Target, path: ConnectPath, sent_at: Time) {
+    let mut rests = entry.rests.borrow_mut();
+    for machine in machines(entry, path) {
+        let key = ((target.id.clone(), target.incarnation), machine);
+        rests.table.record_answer(&key, sent_at);
+    }
+    drop(rests);
+    entry.capacity_changed.notify_waiters();
+}
+
+/// The machines that a request over this path comes from for its target: this one sends it, the
+/// other one's address is what the target sees.
+fn machines(entry: &EntryHost, path: ConnectPath) -> Vec<NodeId> {
+    let own_id = entry.settings.node_id();
+    match path {
+        ConnectPath::Direct => vec![own_id],
+        ConnectPath::Through(peer) => vec![own_id, peer],
+    }
+}
+
+fn log_unreadable(entry: &EntryHost, target: &Target, value: &str, why: &forward::RestError) {
+    let now = clock::now();
+    let mut rests = entry.rests.borrow_mut();
+    let last = rests.unreadable_logged_at;
+    if last.is_some_and(|at| now.since(at) < UNREADABLE_LOG_INTERVAL) {
+        return;
+    }
+    rests.unreadable_logged_at = Some(now);
+    let target = &target.id;
+    let value = value.chars().take(MAX_LOGGED_CHARS).collect();
+    let why = why.to_string();
+    emit(&Event::RestUnreadable { target, value, why });
+}
--- a/crates/site/src/entry/target_choice.rs
+++ b/crates/site/src/entry/target_choice.rs
@@ -1,14 +1,17 @@
 //! The choice of a request's target: when one is free, which ones may get it, and whether failures
 //! speak against them.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::entry::answer::Refusal;
 use crate::entry::limits::closed_targets;
 use crate::entry::request_forwarder::RequestForwarder;
+use crate::entry::statements::resting_targets;
 use base::UpstreamId;
 use forward::ChooseError;
+use forward::RestingTargets;
 use forward::Target;
 use forward::TargetQuery;
 use quorum::clock;
@@ -21,6 +24,11 @@
 
 static NONE_CLOSED: BTreeSet<UpstreamId> = BTreeSet::new();
 
+static NONE_RESTING: RestingTargets = RestingTargets {
+    own: BTreeMap::new(),
+    elsewhere: BTreeSet::new(),
+};
+
 impl RequestForwarder {
     /// Chooses the target, waiting a short time for one with a free slot.
     pub(super) async fn choose_target(&mut self) -> Result<Target, Refusal> {
@@ -30,16 +38,24 @@
             let now = clock::now();
             let query = self.target_query(&NONE_CLOSED);
             let closed = closed_targets(&self.entry, &query);
-            let query = self.target_query(&closed);
+            let resting = resting_targets(&self.entry, now);
+            let query = TargetQuery {
+                resting: &resting,
+                ..self.target_query(&closed)
+            };
             let choose_error = match self.entry.targets.borrow_mut().choose(&query, now) {
                 Ok(target) => return Ok(target),
                 Err(choose_error) => choose_error,
             };
-            if give_up_at <= now {
+            // Nothing else is worth a wait until the first of them is back.
+            let is_hopeless =
+                matches!(choose_error, ChooseError::AllResting(at) if give_up_at < at);
+            if give_up_at <= now || is_hopeless {
                 return Err(match (self.may_have_run, choose_error) {
                     (true, _) => Refusal::Lost,
                     (false, ChooseError::NoneKnown) => Refusal::NoTarget,
                     (false, ChooseError::AllFull) => Refusal::Full,
+                    (false, ChooseError::AllResting(at)) => Refusal::Resting(at.since(now)),
                 });
             }
             let left = give_up_at.since(now);
@@ -56,6 +72,7 @@
             model: self.model.as_ref(),
             avoid: &self.avoid,
             closed,
+            resting: &NONE_RESTING,
             trusts_health: self.trusts_health(),
         }
     }
@@ -73,7 +90,11 @@
             && self.may_repeat(now);
         let query = self.target_query(&NONE_CLOSED);
         let closed = closed_targets(&self.entry, &query);
-        let query = self.target_query(&closed);
+        let resting = resting_targets(&self.entry, now);
+        let query = TargetQuery {
+            resting: &resting,
+            ..self.target_query(&closed)
+        };
         may_retry
             && now < self.deadline
             && self.entry.targets.borrow_mut().choose(&query, now).is_ok()
--- a/crates/site/src/events.rs
+++ b/crates/site/src/events.rs
@@ -117,4 +117,8 @@
         "this host reaches upstreams of a service again service={service}";
     2510 Warn EventsRejected { id: &'a str, target: &'a UpstreamId, error: String, complete: usize, after: Option<u64> }
         "a target sent an event that is not passed on id={id} target={target} error={error:?} complete_before={complete} after={after:?}";
+    2511 Info RestAsked { target: &'a UpstreamId, path: ConnectPath, ms: u128 }
+        "a target asked for rest target={target} path={path} ms={ms}";
+    2512 Warn RestUnreadable { target: &'a UpstreamId, value: String, why: String }
+        "a target asked for rest for a time that cannot be read, it gets none target={target} value={value:?} why={why:?}";
 }
--- a/crates/site/src/message.rs
+++ b/crates/site/src/message.rs
@@ -15,12 +15,14 @@
 use base::ReplicaName;
 use base::UpstreamId;
 use base::Version;
+use fleet::AskedRest;
 use fleet::CompressedText;
 use fleet::DeparturesHeld;
 use fleet::Edition;
 use fleet::EntryList;
 use fleet::EntryReport;
 use fleet::Heartbeat;
+use fleet::RestList;
 use fleet::Revision;
 use fleet::RosterChange;
 use fleet::RoutingTable;
@@ -83,6 +85,9 @@
     /// The known edition of the list of entry hosts.
     #[serde(default)]
     pub entries: Edition,
+    /// The known edition of the list of rests.
+    #[serde(default)]
+    pub rests: Edition,
     /// The kind of process that asks.
     pub watcher: Watcher,
     /// Whether a control host reports the departures that it knows of to a new leader. Those of
@@ -119,6 +124,9 @@
     /// The entry hosts, if the list is newer.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub entries: Option<EntryList>,
+    /// The rests that upstreams asked for, if the list is newer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rests: Option<RestList>,
     /// Head hosts that are to leave their replicas. An entry host that can reach one tells it.
     pub unreachable: Vec<UnreachableHead>,
     /// How long ago a majority last confirmed the configuration, if ever.
@@ -189,12 +197,18 @@
     /// What they say of themselves, the latest last.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub entries: Vec<EntryReport>,
+    /// The rests that upstreams asked for.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rests: Vec<AskedRest>,
 }
 
 impl FleetReport {
     /// Whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
-        self.evidence.is_empty() && self.limits.is_empty() && self.entries.is_empty()
+        self.evidence.is_empty()
+            && self.limits.is_empty()
+            && self.entries.is_empty()
+            && self.rests.is_empty()
     }
 
     /// Adds what was reported later.
@@ -202,15 +216,18 @@
         self.evidence.add(other.evidence);
         self.limits.extend(other.limits);
         self.entries.extend(other.entries);
+        self.rests.extend(other.rests);
     }
 
     /// The report as it reads after another `span`.
     pub fn aged(self, span: Duration) -> Self {
         let limits = self.limits.into_iter();
+        let rests = self.rests.into_iter();
         Self {
             evidence: self.evidence.aged(span),
             limits: limits.map(|report| report.aged(span)).collect(),
             entries: self.entries,
+            rests: rests.filter_map(|rest| rest.aged(span)).collect(),
         }
     }
 }
--- a/crates/site/src/platform.rs
+++ b/crates/site/src/platform.rs
@@ -41,6 +41,8 @@
     pub prompt_parts: HeaderName,
     /// The requests a second that an upstream takes from all entry hosts together.
     pub limit: HeaderName,
+    /// How long an upstream that turned a request away wants none, in seconds or as a date.
+    pub rest: HeaderName,
 }
 
 /// A call to the API of a control host.
--- a/crates/site/src/run.rs
+++ b/crates/site/src/run.rs
@@ -149,6 +149,7 @@
     let bound = Server::bind(addr, ServerLimits::default(), move |_| {
         let entry = Rc::clone(&entry);
         async move {
+            entry.metrics.set_resting(entry.count_resting());
             let mut response = Response::new(Body::whole(entry.metrics.encode()));
             *response.status_mut() = StatusCode::OK;
             response
