--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::node::Node;
 use crate::problem::Problem;
+use crate::rests::RestingUpstream;
 use admit::Arrival;
 use admit::Decision;
 use admit::DemandReport;
@@ -30,6 +31,7 @@
 use base::RequestId;
 use base::Time;
 use base::TokenCount;
+use plan::Route;
 use plan::RouteTable;
 use quorum::clock;
 
@@ -92,6 +94,13 @@
     controllers: RefCell<BTreeMap<CentreId, NodeId>>,
 }
 
+impl Placement {
+    /// The replica as an upstream that may rest.
+    pub fn resting_upstream(&self) -> RestingUpstream {
+        RestingUpstream::Replica(self.replica, self.fence)
+    }
+}
+
 impl Dispatch {
     /// Starts without routes and contracts.
     pub fn open(cfg: admit::Config) -> Self {
@@ -118,6 +127,13 @@
             .apply_peer_reports(reports, live, now);
     }
 
+    /// The replicas of a model that routes lead to, as upstreams that may rest.
+    pub fn replicas_of(&self, model: &ModelName) -> Vec<RestingUpstream> {
+        let routes = self.routes.borrow();
+        let routes = routes.valid_routes(model, clock::now());
+        routes.into_iter().map(resting_replica).collect()
+    }
+
     /// Whether a request may be sent to its replica now.
     pub fn may_send(&self, placement: &Placement) -> bool {
         let routes = self.routes.borrow();
@@ -172,6 +188,11 @@
     }
 }
 
+/// The replica that a route leads to, as an upstream that may rest.
+fn resting_replica(route: &Route) -> RestingUpstream {
+    RestingUpstream::Replica(route.replica, route.fence)
+}
+
 /// Places a request on a replica, waits until one has room, or refuses it.
 pub async fn place_request(
     node: &Rc<Node>,
@@ -190,5 +211,5 @@
         .dispatcher
         .borrow_mut()
         .handle_arrival(arrival);
-    PlacedRequest::resolve(node, request.request, decision).await
+    PlacedRequest::resolve(node, request, decision).await
 }
--- a/crates/daemon/src/dispatch/placed_request.rs
+++ b/crates/daemon/src/dispatch/placed_request.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::dispatch::Placement;
+use crate::dispatch::PlacementRequest;
 use crate::dispatch::refresh::poll_dispatcher;
 use crate::entry::ExchangeError;
 use crate::node::Node;
@@ -12,6 +13,7 @@
 use admit::Decision;
 use admit::Failure;
 use admit::RefusalReason;
+use base::ModelName;
 use base::RequestId;
 use quorum::clock;
 
@@ -27,6 +29,7 @@
 struct DispatcherEntry {
     node: Rc<Node>,
     request: RequestId,
+    model: ModelName,
     is_over: bool,
 }
 
@@ -34,12 +37,13 @@
     /// Follows the dispatcher's decisions on a request until it is placed or refused.
     pub(super) async fn resolve(
         node: &Rc<Node>,
-        request: RequestId,
+        request: &PlacementRequest,
         decision: Decision,
     ) -> Result<Self, Problem> {
         let mut entry = DispatcherEntry {
             node: Rc::clone(node),
-            request,
+            request: request.request,
+            model: request.contract.model.clone(),
             is_over: false,
         };
         let placement = entry.resolve(decision).await?;
@@ -118,12 +122,25 @@
                     retry_after,
                 } => {
                     self.is_over = true;
-                    return Err(refusal(reason, retry_after));
+                    return Err(self.refusal(reason, retry_after));
                 }
             };
         }
     }
 
+    /// Replicas that rest are none to the dispatcher.
+    fn refusal(&self, reason: RefusalReason, retry_after: Duration) -> Problem {
+        let node = &self.node;
+        let replicas = node.dispatch.replicas_of(&self.model);
+        match (reason, node.rests.time_to_first(replicas)) {
+            (RefusalReason::NoReplica, Some(left)) => {
+                let what = "all replicas of the model asked for rest";
+                Problem::not_run(ProblemKind::Resting, what).retry_after(left)
+            }
+            _ => refusal(reason, retry_after),
+        }
+    }
+
     fn handle_failure(&self, failure: Failure) -> Decision {
         let mut dispatcher = self.node.dispatch.dispatcher.borrow_mut();
         let decision = dispatcher.handle_failure(self.request, failure, clock::now());
--- a/crates/daemon/src/dispatch/refresh.rs
+++ b/crates/daemon/src/dispatch/refresh.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use crate::dispatch::Dispatch;
+use crate::dispatch::resting_replica;
 use crate::node::Node;
-use base::CentreId;
 use base::Contract;
 use base::ModelName;
 use base::Time;
@@ -78,7 +78,7 @@
 fn refresh(node: &Node, now: Time) {
     let rules = node.rules();
     for model in rules.models.keys() {
-        let candidates = candidates(&node.dispatch, model, node.settings.node.centre, now);
+        let candidates = candidates(node, model, now);
         let mut dispatcher = node.dispatch.dispatcher.borrow_mut();
         dispatcher.set_replicas(model, candidates, now);
     }
@@ -95,7 +95,8 @@
     }
 }
 
-fn candidates(dispatch: &Dispatch, model: &ModelName, here: CentreId, now: Time) -> Vec<Candidate> {
+fn candidates(node: &Node, model: &ModelName, now: Time) -> Vec<Candidate> {
+    let (dispatch, here) = (&node.dispatch, node.settings.node.centre);
     let routes = dispatch.routes.borrow();
     let loads = dispatch.loads.borrow();
     let routes = routes.valid_routes(model, now);
@@ -115,6 +116,7 @@
     };
     routes
         .iter()
+        .filter(|route| node.rests.may_send(resting_replica(route)))
         .filter_map(|route| candidate(route.replica))
         .collect()
 }
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -12,6 +12,7 @@
 use http::StatusCode;
 
 use crate::entry::Arrival;
+use crate::entry::service;
 use crate::entry::service_calls;
 use crate::metrics::Class;
 use crate::metrics::observe_time;
@@ -76,13 +77,29 @@
     };
     let answer = service_calls::make_call(node, request).await;
     let answer = answer.map_err(|e| open_error_problem(&e).with_class(&class))?;
-    let response = respond(answer).map_err(|problem| problem.with_class(&class))?;
+    let response = respond(answer).map_err(|problem| {
+        let problem = tell_rest(problem, service::time_to_first(node, &name));
+        problem.with_class(&class)
+    })?;
     class_request.mark_answered();
     let total = clock::now().since(arrival.arrived);
     observe_time(&node.metrics.total, &class, total);
     Ok(response)
 }
 
+/// Tells a caller that no process was reached because all of them rest, and for how long.
+fn tell_rest(problem: Problem, left: Option<Duration>) -> Problem {
+    match (problem.kind, left) {
+        (ProblemKind::NoUpstream, Some(left)) => {
+            let what = "all processes of the service asked for rest";
+            problem
+                .replaced_by(ProblemKind::Resting, what)
+                .retry_after(left)
+        }
+        _ => problem,
+    }
+}
+
 fn open_error_problem(why: &OpenError) -> Problem {
     let kind = match why {
         OpenError::Busy { .. } => ProblemKind::NodeFull,
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -32,6 +32,7 @@
 use forward::RefusalProtocol;
 use net::Connection;
 use net::SendError;
+use quorum::clock;
 use wire::engine::FENCE_HEADER;
 use wire::engine::NOT_RUN;
 use wire::engine::PRIORITY_HEADER;
@@ -58,6 +59,9 @@
     /// The route became invalid before anything was sent.
     #[display("the route ended before anything was sent")]
     RouteEnded,
+    /// The replica asked for rest before anything was sent.
+    #[display("the replica asked for rest before anything was sent")]
+    Resting,
     /// The engine refused the request and said that it did not run it.
     #[display("the engine refused with status {_0}")]
     Refused(#[error(not(source))] StatusCode),
@@ -80,7 +84,10 @@
 impl ExchangeError {
     /// Whether the engine may have started to run the request.
     pub fn may_have_run(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::RouteEnded | Self::Refused(_))
+        !matches!(
+            self,
+            Self::NotSent(_) | Self::RouteEnded | Self::Resting | Self::Refused(_)
+        )
     }
 
     /// Whether the replica may go on with the answer if it is asked again.
@@ -115,11 +122,18 @@
         if !node.dispatch.may_send(placement) {
             return Err(ExchangeError::RouteEnded);
         }
+        let upstream = placement.resting_upstream();
+        if !node.rests.may_send(upstream) {
+            return Err(ExchangeError::Resting);
+        }
+        node.rests.record_sent(upstream);
+        let sent_at = clock::now();
         let id_use = node.record_sent_id(placement.addr, id);
         let response = connection
             .send(req, HEAD_TIMEOUT)
             .await
             .map_err(|_| ExchangeError::ConnectionLost)?;
+        node.rests.record_answer(upstream, &response, sent_at);
         let status = response.status();
         let is_signed = is_from_replica(response.headers(), placement);
         match answer_head(&response, id, id_use, is_signed).meaning() {
--- a/crates/daemon/src/entry/service.rs
+++ b/crates/daemon/src/entry/service.rs
@@ -18,6 +18,7 @@
 use crate::events::Event;
 use crate::events::emit;
 use crate::node::Node;
+use crate::rests::RestingUpstream;
 use base::ServiceName;
 use base::ServiceReport;
 use forward::AnswerMeaning;
@@ -27,6 +28,7 @@
 use net::SendError;
 use net::read_body;
 use order::QueryReply;
+use quorum::clock;
 use state::StoredAnswer;
 use wire::engine::REQUEST_ID_HEADER;
 
@@ -46,11 +48,25 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Declined;
 
-/// The processes of a service that accept calls, in random order, those of this data
-/// centre first.
+/// A process as an upstream that may rest.
+pub fn resting_process(process: &ServiceReport) -> RestingUpstream {
+    RestingUpstream::Process(process.addr, process.incarnation)
+}
+
+/// How long until a process of a service takes calls again, if all of them asked for rest.
+pub fn time_to_first(node: &Node, service: &ServiceName) -> Option<Duration> {
+    let upstreams = node.upstreams.borrow();
+    let processes = upstreams.active_processes(service).map(resting_process);
+    node.rests.time_to_first(processes)
+}
+
+/// The processes of a service that accept calls and don't rest, in random order, those of this
+/// data centre first.
 pub fn processes(node: &Node, service: &ServiceName) -> Vec<ServiceReport> {
     let upstreams = node.upstreams.borrow();
-    let mut processes: Vec<_> = upstreams.active_processes(service).cloned().collect();
+    let active = upstreams.active_processes(service);
+    let awake = active.filter(|process| node.rests.may_send(resting_process(process)));
+    let mut processes: Vec<_> = awake.cloned().collect();
     fastrand::shuffle(&mut processes);
     processes.sort_by_key(|p| p.centre != node.settings.node.centre);
     processes
@@ -92,12 +108,14 @@
 
 /// Sends a call and reads the complete answer.
 pub async fn exchange(
+    node: &Node,
+    process: RestingUpstream,
     connection: Connection,
     req: Request<Full<Bytes>>,
     id: &str,
 ) -> Result<Result<Arc<StoredAnswer>, Declined>, SendError> {
     let addr = connection.addr();
-    let response = connection.send(req, EXCHANGE_TIMEOUT).await?;
+    let response = send(node, process, connection, req, EXCHANGE_TIMEOUT).await?;
     match meaning_of(&response, id) {
         AnswerMeaning::Answer => {}
         AnswerMeaning::NotRun => return Ok(Err(Declined)),
@@ -114,6 +132,21 @@
     answer.map(Ok).ok_or(SendError::Lost { addr })
 }
 
+/// Sends a request, and records what the answer says of the process.
+async fn send(
+    node: &Node,
+    process: RestingUpstream,
+    connection: Connection,
+    req: Request<Full<Bytes>>,
+    time_limit: Duration,
+) -> Result<Response<Incoming>, SendError> {
+    node.rests.record_sent(process);
+    let sent_at = clock::now();
+    let response = connection.send(req, time_limit).await?;
+    node.rests.record_answer(process, &response, sent_at);
+    Ok(response)
+}
+
 /// What a process's answer to the only request of its connection may be taken for. Each request has
 /// an id of its own.
 fn meaning_of(response: &Response<Incoming>, id: &str) -> AnswerMeaning {
@@ -128,19 +161,29 @@
     headers: &HeaderMap,
 ) -> QueryReply {
     for process in processes {
-        if let Some(reply) = query_process(node, process.addr, headers).await {
+        if let Some(reply) = query_process(node, process, headers).await {
             return reply;
         }
     }
     QueryReply::Failed
 }
 
-async fn query_process(node: &Node, addr: SocketAddr, headers: &HeaderMap) -> Option<QueryReply> {
+async fn query_process(
+    node: &Node,
+    process: &ServiceReport,
+    headers: &HeaderMap,
+) -> Option<QueryReply> {
+    let addr = process.addr;
     let connection = Connection::connect(addr, CONNECT_TIMEOUT).await.ok()?;
+    let process = resting_process(process);
+    if !node.rests.may_send(process) {
+        return None;
+    }
     let id = node.global_request_id(node.next_request_id());
     let mut req = request(node, addr, Bytes::new(), headers, &id);
     *req.uri_mut() = http::Uri::from_static("/outcome");
-    let response = connection.send(req, QUERY_TIMEOUT).await.ok()?;
+    let response = send(node, process, connection, req, QUERY_TIMEOUT).await;
+    let response = response.ok()?;
     if meaning_of(&response, &id) != AnswerMeaning::Answer {
         return None;
     }
--- a/crates/daemon/src/entry/service_calls.rs
+++ b/crates/daemon/src/entry/service_calls.rs
@@ -20,12 +20,14 @@
 use crate::events;
 use crate::events::emit;
 use crate::node::Node;
+use crate::rests::RestingUpstream;
 use crate::voters;
 use crate::voters::ProposalOutcome;
 use base::Incarnation;
 use base::NodeId;
 use base::Ran;
 use base::ServiceName;
+use base::ServiceReport;
 use net::Connection;
 use order::Action;
 use order::Answer;
@@ -70,7 +72,7 @@
     body: Bytes,
     headers: HeaderMap,
     answer_tx: Sender<Answer>,
-    connection: Option<Connection>,
+    connection: Option<(Connection, RestingUpstream)>,
     /// Attempts to connect, by which the next process is chosen.
     connect_attempts: usize,
     /// The task of the exchange with the service. Dropping it ends the exchange.
@@ -262,12 +264,8 @@
     open_call.connect_attempts += 1;
     let node = Rc::clone(node);
     let task = compio::runtime::spawn(async move {
-        let connected = match process {
-            Some(process) => service::connect(process.addr).await.ok(),
-            None => None,
-        };
-        let event = match connected {
-            Some(connection) => keep_connection(&node, sequence, connection),
+        let event = match process {
+            Some(process) => connect_to(&node, sequence, &process).await,
             None => Event::ConnectFailed,
         };
         handle_event(&node, sequence, event);
@@ -275,15 +273,24 @@
     task.detach();
 }
 
-/// Keeps a connection until the attempt table decides whether the request is written to it.
-fn keep_connection(node: &Node, sequence: u64, connection: Connection) -> Event {
+/// Connects to a process, and keeps the connection until the attempt table decides whether the
+/// request is written to it.
+async fn connect_to(node: &Node, sequence: u64, process: &ServiceReport) -> Event {
+    let Ok(connection) = service::connect(process.addr).await else {
+        return Event::ConnectFailed;
+    };
+    let process = service::resting_process(process);
+    // It may have asked for rest meanwhile. Nothing is waited for before the request is written.
+    if !node.rests.may_send(process) {
+        return Event::ConnectFailed;
+    }
     if let Some(open_call) = node
         .service_calls
         .open_calls
         .borrow_mut()
         .get_mut(&sequence)
     {
-        open_call.connection = Some(connection);
+        open_call.connection = Some((connection, process));
     }
     Event::Connected
 }
@@ -293,7 +300,7 @@
     let Some(open_call) = open_calls.get_mut(&sequence) else {
         return;
     };
-    let Some(connection) = open_call.connection.take() else {
+    let Some((connection, process)) = open_call.connection.take() else {
         return;
     };
     let id = node.global_request_id(node.next_request_id());
@@ -306,7 +313,7 @@
     );
     let node = Rc::clone(node);
     open_call.exchange = Some(compio::runtime::spawn(async move {
-        let event = match service::exchange(connection, req, &id).await {
+        let event = match service::exchange(&node, process, connection, req, &id).await {
             Ok(Ok(answer)) => Event::Answered(answer),
             Ok(Err(Declined)) => Event::Declined,
             Err(_) => Event::ConnectionLost,
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -59,4 +59,8 @@
         "an answer was resumed at {replica} after {delivered} tokens";
     702 Warn ServiceAnswerRejected { addr: SocketAddr, status: u16, why: &'a str }
         "an answer of the service at {addr} with status {status} was rejected: {why}";
+    703 Info RestAsked { upstream: String, ms: u128 }
+        "{upstream} asked for {ms} ms without requests";
+    704 Warn RestUnreadable { upstream: String, why: String }
+        "{upstream} asked for rest for a time that cannot be read, it gets none: {why}";
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -11,6 +11,7 @@
 mod node;
 mod problem;
 mod problem_kind;
+mod rests;
 mod run;
 mod upstreams;
 mod voters;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,6 +16,7 @@
 use crate::inner::PendingRelay;
 use crate::metrics::Class;
 use crate::metrics::Metrics;
+use crate::rests::Rests;
 use crate::upstreams::Upstreams;
 use base::Incarnation;
 use base::NodeId;
@@ -108,6 +109,8 @@
     pub peers: RpcClient,
     /// The client for calls to engines.
     pub engines: RpcClient,
+    /// The rests that upstreams asked for.
+    pub rests: Rests,
     /// Which ids of chats were sent to the engines at which addresses.
     sent_ids: RefCell<SentIds>,
     in_flight: Cell<usize>,
@@ -183,6 +186,7 @@
             peers,
             engines,
             in_flight: Cell::new(0),
+            rests: Rests::open(incarnation.0),
             sent_ids: RefCell::default(),
             last_request_id: Cell::new(0),
         }))
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -50,6 +50,16 @@
         }
     }
 
+    /// The same refusal with a more exact kind and cause.
+    pub fn replaced_by(self, kind: ProblemKind, detail: impl ToString) -> Self {
+        Self {
+            kind,
+            status: kind.status().as_u16(),
+            detail: detail.to_string(),
+            ..self
+        }
+    }
+
     /// Sets whether the request ran.
     pub fn ran(mut self, ran: Ran) -> Self {
         self.ran = ran;
--- a/crates/daemon/src/problem_kind.rs
+++ b/crates/daemon/src/problem_kind.rs
@@ -63,6 +63,7 @@
     OutcomeUnknown CONFLICT "outcome-unknown" "A call under the key may have run.";
     JustRefused SERVICE_UNAVAILABLE "just-refused" "A call under the key was just refused.";
     NoUpstream SERVICE_UNAVAILABLE "no-upstream" "No process of the service could be reached.";
+    Resting SERVICE_UNAVAILABLE "resting" "All upstreams for it asked for rest.";
     Declined SERVICE_UNAVAILABLE "declined" "The service refused the call without running it.";
     TooLate SERVICE_UNAVAILABLE "too-late" "The call could not be sent in time.";
     AnswerLost BAD_GATEWAY "answer-lost" "The call was sent and its answer was lost.";
--- a/crates/harness/src/spec.rs
+++ b/crates/harness/src/spec.rs
@@ -56,6 +56,8 @@
     NoEnd,
     /// Requests are answered with the refusal of an earlier one.
     EarlierRefusals,
+    /// Requests are turned away with so many seconds of rest.
+    Rest(u32),
 }
 
 /// A process of a simulated plain service to start.
@@ -174,6 +176,7 @@
             Self::ForeignFrames => vec!["--foreign-frames".to_owned()],
             Self::NoEnd => vec!["--no-end".to_owned()],
             Self::EarlierRefusals => vec!["--earlier-refusals".to_owned()],
+            Self::Rest(secs) => vec!["--rest-secs".to_owned(), secs.to_string()],
         }
     }
 }
--- a/crates/standin/src/completion.rs
+++ b/crates/standin/src/completion.rs
@@ -14,6 +14,7 @@
 use crate::head::parse_header;
 use crate::prompt::ChatRequest;
 use crate::prompt::Chunk;
+use crate::response::asking_for_rest;
 use crate::response::earlier_refusal;
 use crate::response::refusal;
 use base::Assignment;
@@ -48,6 +49,10 @@
     let Ok(chat) = serde_json::from_slice::<ChatRequest>(body) else {
         return refusal(StatusCode::BAD_REQUEST, "not a chat request", headers);
     };
+    if let Some(secs) = engine.faults.rest_secs {
+        eprintln!("a request is turned away, {secs} s of rest are asked for");
+        return asking_for_rest(secs, headers);
+    }
     if engine.faults.earlier_refusals {
         let turn = fastrand::u32(..);
         return earlier_refusal(turn);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -102,6 +102,8 @@
         help = "answer each request with the refusal of an earlier one"
     )]
     earlier_refusals: bool,
+    #[options(no_short, help = "turn each request away and ask for rest, in seconds")]
+    rest_secs: Option<u32>,
 }
 
 impl EngineArgs {
@@ -112,6 +114,7 @@
             foreign_frames: self.foreign_frames,
             no_end: self.no_end,
             earlier_refusals: self.earlier_refusals,
+            rest_secs: self.rest_secs,
         }
     }
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -19,6 +19,8 @@
     pub(crate) no_end: bool,
     /// Whether requests are answered with the refusal of an earlier one.
     pub(crate) earlier_refusals: bool,
+    /// The seconds of rest that each request is turned away with.
+    pub(crate) rest_secs: Option<u32>,
 }
 
 /// Counts an engine's tokens, to tell when a foreign frame is due.
--- a/crates/standin/src/response.rs
+++ b/crates/standin/src/response.rs
@@ -30,6 +30,14 @@
     response
 }
 
+/// A refusal that asks for rest.
+pub(crate) fn asking_for_rest(secs: u32, request: &HeaderMap) -> Response<Body> {
+    let mut response = refusal(StatusCode::SERVICE_UNAVAILABLE, "full", request);
+    let headers = response.headers_mut();
+    headers.insert(http::header::RETRY_AFTER, HeaderValue::from(secs));
+    response
+}
+
 /// The refusal of an earlier request. It names that one, or none, in turn.
 pub(crate) fn earlier_refusal(turn: u32) -> Response<Body> {
     let mut earlier = HeaderMap::new();
