Odd headers cost no answer and no entry host its control host (LOST)

What callers saw: answers that an upstream had given, cut without a byte; changes that an entry host did not follow. Cause: a caller's token count of infinity made the offered work infinite, which JSON writes as null, so control hosts refused the watch calls; an upstream's idle time of 2^64-1 s overflowed when three quarters of it were taken. Change: both, and limits, are bounded where they are read.

--- a/crates/site/src/connection_pool.rs
+++ b/crates/site/src/connection_pool.rs
@@ -92,8 +92,9 @@
     /// upstream allows (`keep_alive`).
     pub fn put_back(&self, id: &TargetId, connection: Connection, keep_alive: Option<Duration>) {
         let keep_alive = keep_alive.map_or(MAX_IDLE_TIME, |keep_alive| {
-            (keep_alive * 3 / 4).min(MAX_IDLE_TIME)
+            keep_alive.min(MAX_IDLE_TIME * 2) * 3 / 4
         });
+        let keep_alive = keep_alive.min(MAX_IDLE_TIME);
         if keep_alive.is_zero() {
             return;
         }
--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -35,6 +35,9 @@
 use quarantine::Admission;
 use quorum::clock;
 
+/// The most tokens that a prompt counts for, whatever its caller says.
+const MAX_PROMPT_TOKENS: f64 = 1e7;
+
 /// Answers one request.
 pub(crate) async fn handle(entry: Rc<EntryHost>, req: Request<Incoming>) -> Response<Body> {
     if entry.platform.is_readiness_path(req.uri().path()) {
@@ -151,6 +154,10 @@
     let prompt_tokens =
         prompt_tokens.and_then(|value| value.to_str().ok()?.split(',').next()?.parse().ok());
     let prompt_tokens: f64 = prompt_tokens.unwrap_or(0.0);
+    let prompt_tokens = match prompt_tokens.is_nan() {
+        true => 0.0,
+        false => prompt_tokens.clamp(0.0, MAX_PROMPT_TOKENS),
+    };
     let model = head.headers.get(&names.model);
     let model: Option<ModelName> = model.and_then(|model| model.to_str().ok()?.parse().ok());
     let parts = head.headers.get(&names.prompt_parts);
--- a/crates/site/src/entry/limits.rs
+++ b/crates/site/src/entry/limits.rs
@@ -15,6 +15,9 @@
 use forward::TargetQuery;
 use quorum::clock;
 
+/// The largest limit that is read, in requests a second. More than any process takes.
+const MAX_RATE: f64 = 1e6;
+
 /// The targets of a request that may get none now, because this entry host has no turn of their
 /// limits. That it wants one is told to the leader.
 pub(crate) fn closed_targets(entry: &EntryHost, query: &TargetQuery<'_>) -> BTreeSet<UpstreamId> {
@@ -49,7 +52,7 @@
         .get(&entry.platform.headers().limit)
         .and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok())
         .filter(|rate| rate.is_finite() && 0.0 <= *rate)
-        .map(RequestRate);
+        .map(|rate| RequestRate(rate.min(MAX_RATE)));
     if named.is_none() && !response.status().is_success() {
         return;
     }
