--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -62,4 +62,5 @@
 pub use request_part::RequestPart;
 pub use request_part::RequestPartError;
 pub use time::Time;
+pub use time::span_from_secs;
 pub use truth::Ran;
--- a/crates/base/src/rate.rs
+++ b/crates/base/src/rate.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::ParseIdError;
+use crate::span_from_secs;
 
 /// A number of tokens.
 #[derive(
@@ -64,14 +65,14 @@
 impl TokenRate {
     /// How long this number of tokens takes.
     pub fn time_for(self, tokens: TokenCount) -> Duration {
-        Duration::from_secs_f64(f64::from(tokens.0) / self.0.max(f64::MIN_POSITIVE).max(1e-6))
+        span_from_secs(f64::from(tokens.0) / self.0.max(1e-6))
     }
 }
 
 impl RequestRate {
     /// The time between two requests at this rate.
     pub fn interval(self) -> Duration {
-        Duration::from_secs_f64(1.0 / self.0.max(1e-6))
+        span_from_secs(1.0 / self.0.max(1e-6))
     }
 }
 
--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -12,6 +12,18 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// The longest span that is read from a number of seconds. Sums and multiples of it don't overflow.
+const MAX_SPAN: Duration = Duration::from_secs(366 * 86_400);
+
+/// Converts seconds to a span. Numbers that are too large become the longest one, those that are
+/// negative or no numbers zero.
+pub fn span_from_secs(secs: f64) -> Duration {
+    match secs.is_nan() {
+        true => Duration::ZERO,
+        false => Duration::from_secs_f64(secs.clamp(0.0, MAX_SPAN.as_secs_f64())),
+    }
+}
+
 /// A time on the clock of one process, in microseconds.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -257,10 +257,12 @@
         if let Some(host) = host {
             host.pending_order = None;
             match outcome {
-                Outcome::Begun => host.begun_orders = host.begun_orders.map(|begun| begun + 1),
+                Outcome::Begun => {
+                    host.begun_orders = host.begun_orders.map(|begun| begun.saturating_add(1))
+                }
                 // A host counts an order to leave, which is done at once.
                 Outcome::Done if outstanding.ends_place() => {
-                    host.begun_orders = host.begun_orders.map(|begun| begun + 1);
+                    host.begun_orders = host.begun_orders.map(|begun| begun.saturating_add(1));
                 }
                 Outcome::Done | Outcome::NotSent => {}
                 Outcome::Refused | Outcome::Unknown => host.begun_orders = None,
