Odd rates of an engine end no request (LOST, daemon)

What callers saw: nothing yet; by reading, then by test. Cause: the inverse of a reported rate was taken for a time that no clock can hold. Change: base::span_from_secs.

--- a/crates/admit/src/bucket.rs
+++ b/crates/admit/src/bucket.rs
@@ -13,6 +13,7 @@
 use base::Incarnation;
 use base::NodeId;
 use base::Time;
+use base::span_from_secs;
 
 /// Averaging time of the demand.
 const DEMAND_AVERAGING_TIME: Duration = Duration::from_millis(400);
@@ -127,7 +128,7 @@
         let refill = (self.rate * self.visible_part).max(1e-6);
         let level_wait = (self.min_level - self.level) / refill;
         let held_wait = -self.held / (refill * self.share.max(1e-3));
-        Duration::from_secs_f64(level_wait.max(held_wait).clamp(0.001, 3_600.0))
+        span_from_secs(level_wait.max(held_wait).clamp(0.001, 3_600.0))
     }
 
     /// Units asked for at this node per second.
--- a/crates/admit/src/pump.rs
+++ b/crates/admit/src/pump.rs
@@ -13,6 +13,7 @@
 use base::ModelName;
 use base::RequestId;
 use base::Time;
+use base::span_from_secs;
 use route::Choice;
 use route::Length;
 use route::NoChoice;
@@ -208,7 +209,7 @@
         };
         let late = queue.take_late(now, |accepted, wait| {
             let unloaded_time = router.min_first_token_time(&accepted.model, accepted.prompt);
-            let sent = now + Duration::from_secs_f64(wait);
+            let sent = now + span_from_secs(wait);
             accepted.due < sent + unloaded_time || accepted.queue_until < sent
         });
         for accepted in late {
@@ -263,7 +264,7 @@
             .router
             .min_first_token_time(&accepted.model, accepted.prompt);
         let slack = accepted.due.since(now).saturating_sub(unloaded_time);
-        let wait = Duration::from_secs_f64(wait.min(MAX_RETRY_AFTER.as_secs_f64()));
+        let wait = span_from_secs(wait).min(MAX_RETRY_AFTER);
         let excess = wait.saturating_sub(slack).max(MIN_RETRY_AFTER);
         let Some(state) = self.contracts.get_mut(&accepted.contract) else {
             return excess;
--- a/crates/route/src/forecast.rs
+++ b/crates/route/src/forecast.rs
@@ -5,6 +5,7 @@
 use crate::RouteRequest;
 use crate::replica::Replica;
 use base::TokenRate;
+use base::span_from_secs;
 
 /// Assumed prefill rate of a replica that has not reported one, in tokens a second.
 const DEFAULT_PREFILL_RATE: f64 = 4_000.0;
@@ -72,12 +73,12 @@
         let first_token =
             unloaded_time + slot_wait + learned.backlog_fraction * backlog + unreported + overdue;
         Self {
-            first_token: Duration::from_secs_f64(first_token),
+            first_token: span_from_secs(first_token),
             token_rate: token_rate_at(replica, occupied),
             fill: occupied / slots,
-            unloaded_time: Duration::from_secs_f64(unloaded_time),
-            slot_wait: Duration::from_secs_f64(slot_wait),
-            backlog: Duration::from_secs_f64(backlog + unreported),
+            unloaded_time: span_from_secs(unloaded_time),
+            slot_wait: span_from_secs(slot_wait),
+            backlog: span_from_secs(backlog + unreported),
         }
     }
 }
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -320,3 +320,37 @@
     }
     assert_eq!(owners, [1; 60]);
 }
+
+// A request panicked when a host reported rates whose inverse no time can hold.
+#[test]
+fn odd_loads_of_a_host_end_no_request() {
+    let odd = [
+        0.0,
+        -1.0,
+        1e-320,
+        1e-300,
+        f64::MIN_POSITIVE,
+        1e308,
+        f64::MAX,
+        f64::INFINITY,
+        f64::NAN,
+    ];
+    for prefill_rate in odd {
+        for token_rate in odd {
+            let mut candidate = candidate(1, 3, 0);
+            candidate.load = Load {
+                running: u32::MAX,
+                waiting: u32::MAX,
+                prefill: TokenCount(u32::MAX),
+                slots: 1,
+                prefill_rate: TokenRate(prefill_rate),
+                token_rate: TokenRate(token_rate),
+            };
+            let mut router = router_with(vec![candidate], Config::default());
+            let now = Time::from_millis(2_000);
+            // Whether it is chosen doesn't matter.
+            let _ = router.choose_replica(&model(), &short_request(), now);
+            let _ = router.min_first_token_time(&model(), TokenCount(u32::MAX));
+        }
+    }
+}
