Requests that outlast a planned stop get a whole and true answer (LOST)

What callers saw: connections closed without a byte at the end of the grace, orders among them. Cause: nothing bounded what a stopping process had taken by its end, and it exits over it.

--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -17,8 +17,11 @@
 pub use service_calls::ServiceCalls;
 pub use service_calls::run_service_calls;
 
+use std::pin::pin;
 use std::rc::Rc;
 
+use futures_util::future::Either;
+use futures_util::future::select;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -31,6 +34,7 @@
 use crate::node::Phase;
 use crate::problem::Problem;
 use crate::problem_kind::ProblemKind;
+use base::Ran;
 use net::Body;
 use net::BodyError;
 use net::Server;
@@ -62,7 +66,7 @@
         true => req.headers().clone(),
         false => HeaderMap::new(),
     };
-    match serve(&node, req).await {
+    match serve_until_last_call(&node, req).await {
         Ok(response) => response,
         Err(problem) => {
             let problem = call::refused_before_ledger(problem, &call_headers);
@@ -78,6 +82,22 @@
     }
 }
 
+/// Serves a request. One that has no answer when this process ends may have run.
+async fn serve_until_last_call(
+    node: &Rc<Node>,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Problem> {
+    let served = pin!(serve(node, req));
+    let last_call = pin!(node.last_call.given());
+    match select(served, last_call).await {
+        Either::Left((served, _)) => served,
+        Either::Right(_) => {
+            let what = "the node stopped before the answer came";
+            Err(Problem::not_run(ProblemKind::AnswerLost, what).ran(Ran::Unknown))
+        }
+    }
+}
+
 async fn serve(node: &Rc<Node>, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
     let arrived = clock::now();
     check_capacity(node)?;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -25,6 +25,7 @@
 use base::Version;
 use forward::IdUse;
 use forward::SentIds;
+use net::LastCall;
 use net::RpcClient;
 use net::TrafficMeter;
 use quorum::LocalVoter;
@@ -76,6 +77,10 @@
     pub incarnation: Incarnation,
     /// The phase of the node's lifecycle.
     pub phase: Cell<Phase>,
+    /// All answers that are due must be given now, because this process stops.
+    pub last_call: LastCall,
+    /// The voter's disk failed, so the process is to end.
+    pub disk_failed: LastCall,
     /// The configuration in force.
     pub config: RefCell<ActiveConfig>,
     /// Writes configurations to disk before they come into force.
@@ -168,6 +173,8 @@
             settings,
             incarnation,
             phase: Cell::new(Phase::Starting),
+            last_call: LastCall::default(),
+            disk_failed: LastCall::default(),
             config: RefCell::default(),
             config_store: ConfigStore::default(),
             upstreams: RefCell::default(),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,12 +1,16 @@
 //! Starts the node, serves until a stop signal, and shuts down gracefully.
 
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
 use futures_util::FutureExt;
+use futures_util::future::Either;
+use futures_util::future::select;
 use futures_util::select_biased;
 
 use crate::control;
@@ -24,6 +28,10 @@
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
 
+/// How long before the end of the drain every answer is given that is still due, so that it leaves
+/// this host on a slow link.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(400);
+
 /// An error that ends the process.
 #[derive(Debug, Display, Error, From)]
 pub enum RunError {
@@ -33,6 +41,10 @@
     /// The HTTP client could not be created.
     #[display("{_0}")]
     Client(cyper::Error),
+    /// The state could not be written, and what the disk holds is not known.
+    #[display("the disk failed, the process must start again")]
+    #[from(skip)]
+    DiskFailed,
 }
 
 /// Runs a node until SIGINT or SIGTERM.
@@ -64,11 +76,18 @@
         callers: entry.addr(),
         internal: inner.addr(),
     });
-    wait_for_stop_signal().await;
+    let is_disk_sound = {
+        let signal = pin!(wait_for_stop_signal());
+        let disk_failed = pin!(node.disk_failed.given());
+        matches!(select(signal, disk_failed).await, Either::Left(_))
+    };
     stop(&node).await;
     entry.stop_accepting();
     inner.stop_accepting();
-    Ok(())
+    match is_disk_sound {
+        true => Ok(()),
+        false => Err(RunError::DiskFailed),
+    }
 }
 
 /// Logs a listener that could not be bound, and returns it unchanged.
@@ -106,9 +125,14 @@
     control::release_lease(node).await;
     voters::hand_over_leadership(node);
     gossip::announce_leave(node).await;
-    node.wait_until_drained(limits.drain_timeout).await;
+    let drain_timeout = limits.drain_timeout;
+    node.wait_until_drained(drain_timeout.saturating_sub(LAST_ANSWERS_TIME))
+        .await;
+    node.last_call.give();
+    node.wait_until_drained(drain_timeout.min(LAST_ANSWERS_TIME))
+        .await;
     // The connections may still hold the last frames: allow time to send them.
-    compio::time::sleep(std::time::Duration::from_millis(100)).await;
+    compio::time::sleep(Duration::from_millis(100)).await;
     let aborted = node.in_flight();
     emit(&Event::Stopped { aborted });
 }
--- a/crates/form/src/controller.rs
+++ b/crates/form/src/controller.rs
@@ -258,7 +258,7 @@
             host.pending_order = None;
             match outcome {
                 Outcome::Begun => {
-                    host.begun_orders = host.begun_orders.map(|begun| begun.saturating_add(1))
+                    host.begun_orders = host.begun_orders.map(|begun| begun.saturating_add(1));
                 }
                 // A host counts an order to leave, which is done at once.
                 Outcome::Done if outstanding.ends_place() => {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -7,6 +7,7 @@
 //!   plain services), their load from all entry hosts, and their recent health.
 //! - [`AnswerHead`] says what an answer may be taken for, and [`SentIds`] whether it may be an
 //!   earlier one.
+//! - [`AnswerTimes`] tells whether a request still fits before an end.
 //! - [`RetryDecision`] says what follows a failed attempt, and [`RetryBudget`] limits the
 //!   retries of this entry host to its part of the deployment's limit.
 //! - [`RequestedRest`] reads how long an upstream wants to rest, and [`RestTable`] says when requests
@@ -21,6 +22,7 @@
 //! - [`KeyFreshness`] says whether callers' keys may still be trusted.
 
 mod answer_head;
+mod answer_times;
 mod control_selector;
 mod event_splitter;
 mod framing;
@@ -46,6 +48,7 @@
 pub use answer_head::AnsweredRequest;
 pub use answer_head::IdUse;
 pub use answer_head::RefusalProtocol;
+pub use answer_times::AnswerTimes;
 pub use control_selector::ControlSelector;
 pub use event_splitter::CompleteEvents;
 pub use event_splitter::EventError;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod connection;
 mod flush;
+mod last_call;
 mod line_reader;
 mod line_stream;
 mod rpc;
@@ -29,6 +30,7 @@
 pub use connection::RequestError;
 pub use connection::SendError;
 pub use connection::is_connection_end;
+pub use last_call::LastCall;
 pub use line_reader::LineReader;
 pub use line_stream::LineStream;
 pub use rpc::RpcClient;
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -51,6 +51,7 @@
 use form::Action;
 use form::Controller;
 use forward::LoadAggregator;
+use net::LastCall;
 use net::RpcClient;
 use net::RpcMethods;
 use net::Server;
@@ -62,6 +63,9 @@
 /// A replica that lacks a host counts as broken this much later than engines give it up.
 const LOST_HEAD_MARGIN: Duration = Duration::from_millis(400);
 
+/// How long before the end of a stop the calls that have not been answered are abandoned.
+const LAST_CALLS_MARGIN: Duration = Duration::from_millis(400);
+
 /// The settings of a control host.
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
@@ -107,6 +111,8 @@
     pub confirmed_at: Cell<Option<Time>>,
     /// The load of the entry hosts.
     pub loads: RefCell<LoadAggregator>,
+    /// The voter's disk failed, so the process is to end.
+    pub disk_failed: LastCall,
     /// What is to be reported to the leader of the upstreams that announce themselves here.
     pub leader_reports: RefCell<LeaderReports>,
     /// Other observations that have not been sent to the leader yet.
@@ -192,12 +198,21 @@
         self.control.seeds.replace(settings.seeds.clone());
     }
 
-    /// Hands leadership over to another voter, then closes the listeners.
-    pub async fn stop(&self) {
+    /// Waits until the voter's disk has failed.
+    pub async fn disk_failed(&self) {
+        self.control.disk_failed.given().await;
+    }
+
+    /// Hands leadership over to another voter, closes the listeners, and answers the calls that
+    /// have begun.
+    pub async fn stop(&self, deadline: Time) {
         quorum::hand_over_leadership(&voter::VoterEnvironment(Rc::clone(&self.control)));
         compio::time::sleep(Duration::from_millis(300)).await;
         self.api.close_idle_connections();
         self.api.stop_accepting();
+        while 0 < self.api.open_connections() && clock::now() + LAST_CALLS_MARGIN < deadline {
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
         self.internal.close_idle_connections();
         self.internal.stop_accepting();
     }
@@ -227,6 +242,7 @@
             routing_table: RefCell::default(),
             confirmed_at: Cell::new(None),
             loads: RefCell::default(),
+            disk_failed: LastCall::default(),
             leader_reports: RefCell::default(),
             unsent_observations: RefCell::default(),
             unsent_reports: RefCell::default(),
--- a/crates/site/src/entry/attempt.rs
+++ b/crates/site/src/entry/attempt.rs
@@ -161,7 +161,7 @@
         loop {
             match timeout(STALL_CHECK_INTERVAL, answer.as_mut()).await {
                 Ok(result) => break result,
-                Err(_) if deadline <= clock::now() => {
+                Err(_) if entry.answer_by(deadline) <= clock::now() => {
                     return failed(Failure::Lost, "no answer in time");
                 }
                 Err(_) if request.is_banned(entry) => {
--- a/crates/site/src/entry/handle.rs
+++ b/crates/site/src/entry/handle.rs
@@ -1,9 +1,12 @@
 //! Handles incoming requests up to the first attempt: readiness, route, key and body.
 
 use std::collections::BTreeSet;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::Either;
+use futures_util::future::select;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -119,6 +122,7 @@
         Phase::Draining => return Err(Refusal::Stopping.into()),
         Phase::Serving | Phase::Leaving => {}
     }
+    let last_call = entry.last_call.given();
     let host = head
         .headers
         .get(header::HOST)
@@ -126,8 +130,15 @@
     let route = host.and_then(|host| configuration.route(host, head.uri.path()));
     let route = route.ok_or(Refusal::NoRoute)?.clone();
     let organisation = authenticate(entry, configuration, head, &route)?;
+    if entry.is_leaving() && entry.is_too_late_for(&route) {
+        return Err(Refusal::Stopping.into());
+    }
     let limits = configuration.caller_limits;
-    let read = read_body(body, limits.body_bytes, limits.receive_timeout).await;
+    let read = pin!(read_body(body, limits.body_bytes, limits.receive_timeout));
+    let read = match select(read, pin!(last_call)).await {
+        Either::Left((read, _)) => read,
+        Either::Right(_) => return Err(Refusal::Stopping.into()),
+    };
     let body = read.map_err(|e| match e {
         BodyError::TooLarge { .. } => Refusal::TooLarge,
         BodyError::TooSlow { .. } | BodyError::Broken => Refusal::BodyIncomplete,
--- a/crates/site/src/entry/mod.rs
+++ b/crates/site/src/entry/mod.rs
@@ -45,7 +45,9 @@
 use fleet::Configuration;
 use fleet::Edition;
 use fleet::Roster;
+use fleet::Route;
 use fleet::RoutingTable;
+use forward::AnswerTimes;
 use forward::ControlSelector;
 use forward::KeyFreshness;
 use forward::PathTable;
@@ -53,6 +55,7 @@
 use forward::RetryBudget;
 use forward::SentIds;
 use forward::TargetTable;
+use net::LastCall;
 use net::RpcClient;
 use net::Server;
 use net::ServerLimits;
@@ -81,6 +84,10 @@
 /// How long before the end of the stop the remaining requests are abandoned.
 const ABANDON_MARGIN: Duration = Duration::from_millis(400);
 
+/// How long before that every answer is given that is still due, so that it leaves this host on a
+/// slow link.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(400);
+
 /// The settings of an entry host.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
@@ -136,6 +143,12 @@
     /// When this process started.
     pub started_at: Time,
     pub phase: Cell<Phase>,
+    /// The time by which all answers must be given, because this process stops.
+    answers_by: Cell<Time>,
+    /// That time has come.
+    pub last_call: LastCall,
+    /// How long the answers of each route take.
+    pub answer_times: RefCell<AnswerTimes>,
     pub seeds: RefCell<Vec<NodeId>>,
     pub roster: RefCell<Roster>,
     pub routing_table: RefCell<RoutingTable>,
@@ -254,9 +267,16 @@
     }
 
     /// Reports that the host isn't ready, serves until no new connections arrive, and finishes
-    /// the requests in flight.
-    pub async fn stop(&self) {
-        let deadline = clock::now() + self.entry.settings.stop_timeout;
+    /// the requests in flight. Those that last longer than the stop are answered before its end.
+    pub async fn stop(&self, deadline: Time) {
+        let answers_by = deadline - ABANDON_MARGIN - LAST_ANSWERS_TIME;
+        self.entry.answers_by.set(answers_by);
+        let entry = Rc::clone(&self.entry);
+        compio::runtime::spawn(async move {
+            compio::time::sleep(answers_by.since(clock::now())).await;
+            entry.last_call.give();
+        })
+        .detach();
         self.entry.phase.set(Phase::Leaving);
         // Other entry hosts choose no tunnel through this one any more.
         self.entry.observations_added.notify_waiters();
@@ -293,6 +313,9 @@
         Ok(Self {
             started_at: clock::now(),
             phase: Cell::new(Phase::Starting),
+            answers_by: Cell::new(Time::NEVER),
+            last_call: LastCall::default(),
+            answer_times: RefCell::default(),
             seeds: RefCell::new(settings.seeds.clone()),
             roster: RefCell::default(),
             routing_table: RefCell::default(),
@@ -336,6 +359,17 @@
         matches!(self.phase.get(), Phase::Leaving | Phase::Draining)
     }
 
+    /// The time by which a request must be answered that may take until `deadline`.
+    pub fn answer_by(&self, deadline: Time) -> Time {
+        deadline.min(self.answers_by.get())
+    }
+
+    /// Whether a request of a route would probably not be answered before this process ends.
+    pub fn is_too_late_for(&self, route: &Route) -> bool {
+        let expected = self.answer_times.borrow().expected(&route.name, route.kind);
+        self.answers_by.get() < clock::now() + expected
+    }
+
     /// How long ago this process started.
     pub fn uptime(&self) -> Duration {
         clock::now().since(self.started_at)
--- a/crates/site/src/entry/relay.rs
+++ b/crates/site/src/entry/relay.rs
@@ -99,6 +99,10 @@
     /// The next complete events. None once the stream is complete.
     async fn next(&mut self) -> Option<Result<Bytes, BodyAborted>> {
         while !self.is_over {
+            // An end between two events is visible; the caller can resume the stream elsewhere.
+            if self.forwarder.entry.last_call.is_given() {
+                return Some(Err(self.break_off("this process stops")));
+            }
             let (failure, why) = match self.next_input().await {
                 StreamInput::Bytes(bytes) => match self.push(&bytes) {
                     Some(events) => return Some(Ok(events)),
@@ -115,7 +119,7 @@
                 StreamInput::Unreadable => (Failure::Lost, "bytes that are no answer"),
                 StreamInput::Rejected => (Failure::Lost, "events out of order"),
                 StreamInput::Nothing | StreamInput::Stalled
-                    if self.forwarder.deadline <= clock::now() =>
+                    if self.forwarder.time_limit() <= clock::now() =>
                 {
                     return Some(Err(self.break_off("its time is over")));
                 }
--- a/crates/site/src/entry/request_forwarder.rs
+++ b/crates/site/src/entry/request_forwarder.rs
@@ -1,13 +1,17 @@
 //! Forwards one request to one target after the other until one answers.
 
 use std::collections::BTreeSet;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::Either;
+use futures_util::future::select;
 use http::Response;
 use http::StatusCode;
 use http::header;
+use hyper::body::Incoming;
 
 use crate::entry::EntryHost;
 use crate::entry::answer::Refusal;
@@ -52,7 +56,7 @@
     pub id: String,
     pub labels: RequestLabels,
     pub arrived: Time,
-    /// The time by which the final answer must be given.
+    /// The time by which its caller and its route want the final answer.
     pub deadline: Time,
     /// When the last attempt began.
     pub sent_at: Time,
@@ -92,6 +96,11 @@
         }
     }
 
+    /// The time by which the final answer must be given.
+    pub fn time_limit(&self) -> Time {
+        self.entry.answer_by(self.deadline)
+    }
+
     /// Sends the request to one target after the other until one answers.
     pub async fn next_response(
         &mut self,
@@ -101,7 +110,15 @@
             let target = self.choose_target().await?;
             self.check_ban()?;
             self.sent_at = clock::now();
-            match attempt(&self.entry, &self.request, &target, after, self.deadline).await {
+            match attempt(
+                &self.entry,
+                &self.request,
+                &target,
+                after,
+                self.time_limit(),
+            )
+            .await
+            {
                 Ok(answer) => {
                     self.attempts += 1;
                     self.path = Some(path_of(&answer.connection));
@@ -152,11 +169,11 @@
             failure: error.failure.to_string(),
             why: error.why.to_owned(),
             next: next.to_string(),
-            left_ms: self.deadline.since(now).as_millis(),
+            left_ms: self.time_limit().since(now).as_millis(),
             path: error.path.map_or("-".to_owned(), |path| path.to_string()),
             parts: join_parts(&*self.request.parts),
         });
-        let is_expired = self.deadline <= now;
+        let is_expired = self.time_limit() <= now;
         match next {
             RetryDecision::Retry => Ok(()),
             RetryDecision::ReportNotRun if is_expired => Err(Refusal::OutOfTime),
@@ -190,7 +207,7 @@
 
     /// Decides what follows an attempt that failed just now. Takes a retry from the budget.
     pub fn decide_retry(&self, failure: Failure, now: Time) -> RetryDecision {
-        let has_time = now < self.deadline;
+        let has_time = now < self.time_limit();
         let has_attempts = match failure {
             Failure::NotSent | Failure::HeldBack => self.unsent_attempts < MAX_UNSENT_ATTEMPTS,
             Failure::Refused | Failure::Broken | Failure::Lost => {
@@ -227,8 +244,7 @@
         let first = clock::now();
         let path = Some(path_of(&connection));
         let (head, body) = response.into_parts();
-        let left = self.deadline.since(first);
-        let read = self.entry.answer_memory.read(body, left).await;
+        let read = self.read_answer(body).await;
         let read = read.and_then(|body| {
             match framing_of(&head.headers).may_lack_body(head.status.as_u16(), body.len()) {
                 true => Err(AnswerError::MaybeCut),
@@ -285,6 +301,17 @@
         Ok(answer)
     }
 
+    /// Reads an answer completely, as long as there is time.
+    async fn read_answer(&self, body: Incoming) -> Result<Bytes, AnswerError> {
+        let left = self.time_limit().since(clock::now());
+        let read = pin!(self.entry.answer_memory.read(body, left));
+        let last_call = pin!(self.entry.last_call.given());
+        match select(read, last_call).await {
+            Either::Left((read, _)) => read,
+            Either::Right(_) => Err(AnswerError::TooSlow),
+        }
+    }
+
     /// Records an answer that is passed on in the metrics and the log. `longest_gap` is the
     /// longest time between two of its events.
     pub fn record_answer(
@@ -297,6 +324,9 @@
         let first = first.since(self.arrived);
         let punctuality = self.route.punctuality(first, longest_gap);
         let total = clock::now().since(self.arrived);
+        let mut answer_times = self.entry.answer_times.borrow_mut();
+        answer_times.record(&self.route.name, total);
+        drop(answer_times);
         if let Some(model) = &self.model {
             let mut arrivals = self.entry.arrivals.borrow_mut();
             arrivals
@@ -337,7 +367,7 @@
             age_ms: self.entry.confirmed_ago().as_millis(),
             parts: join_parts(&*self.request.parts),
         });
-        let left = self.deadline.since(clock::now());
+        let left = self.time_limit().since(clock::now());
         refusal.response(&self.entry, Some(left))
     }
 
--- a/crates/site/src/entry/target_choice.rs
+++ b/crates/site/src/entry/target_choice.rs
@@ -33,8 +33,8 @@
     /// Chooses the target, waiting a short time for one with a free slot.
     pub(super) async fn choose_target(&mut self) -> Result<Target, Refusal> {
         let give_up_at = clock::now() + self.route.latency_target / TARGET_WAIT_DIVISOR;
-        let give_up_at = give_up_at.min(self.deadline);
         loop {
+            let give_up_at = give_up_at.min(self.time_limit());
             let now = clock::now();
             let query = self.target_query(&NONE_CLOSED);
             let closed = closed_targets(&self.entry, &query);
@@ -96,7 +96,7 @@
             ..self.target_query(&closed)
         };
         may_retry
-            && now < self.deadline
+            && now < self.time_limit()
             && self.entry.targets.borrow_mut().choose(&query, now).is_ok()
     }
 }
--- a/crates/site/src/run.rs
+++ b/crates/site/src/run.rs
@@ -1,14 +1,18 @@
 //! Runs a process: start, reload of the settings, stop.
 
+use std::future::pending;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
 use futures_util::FutureExt;
+use futures_util::future::Either;
 use futures_util::future::Fuse;
 use futures_util::future::LocalBoxFuture;
+use futures_util::future::select;
 use futures_util::select_biased;
 use http::Response;
 use http::StatusCode;
@@ -22,6 +26,7 @@
 use net::Body;
 use net::Server;
 use net::ServerLimits;
+use quorum::clock;
 
 const SIGHUP: i32 = 1;
 const SIGINT: i32 = 2;
@@ -36,6 +41,10 @@
     /// The client for calls to other processes could not be created.
     #[display("{_0}")]
     Client(cyper::Error),
+    /// The state could not be written, and what the disk holds is not known.
+    #[display("the disk failed, the process must start again")]
+    #[from(skip)]
+    DiskFailed,
 }
 
 /// What a signal asks the process to do.
@@ -72,7 +81,21 @@
         roles: roles.names(),
     });
     let mut signals = Signals::register();
-    while let SignalAction::Reload = signals.next().await {
+    let mut is_disk_sound = true;
+    loop {
+        let action = {
+            let signal = pin!(signals.next());
+            match select(signal, pin!(roles.disk_failed())).await {
+                Either::Left((action, _)) => action,
+                Either::Right(_) => {
+                    is_disk_sound = false;
+                    SignalAction::Stop
+                }
+            }
+        };
+        if let SignalAction::Stop = action {
+            break;
+        }
         match load() {
             Ok(newer) => {
                 emit(&Event::Reloaded {
@@ -85,15 +108,19 @@
     }
     let in_flight = roles.in_flight();
     emit(&Event::Stopping { in_flight });
+    let deadline = clock::now() + settings.stop_timeout;
     if let Some(entry) = &roles.entry {
-        entry.stop().await;
+        entry.stop(deadline).await;
     }
     if let Some(control) = &roles.control {
-        control.stop().await;
+        control.stop(deadline).await;
     }
     let in_flight = roles.in_flight();
     emit(&Event::Stopped { in_flight });
-    Ok(())
+    match is_disk_sound {
+        true => Ok(()),
+        false => Err(RunError::DiskFailed),
+    }
 }
 
 impl Roles {
@@ -117,6 +144,14 @@
         Ok(Self { control, entry })
     }
 
+    /// Waits until the disk has failed; for ever, if there is none.
+    async fn disk_failed(&self) {
+        match &self.control {
+            Some(control) => control.disk_failed().await,
+            None => pending().await,
+        }
+    }
+
     fn names(&self) -> &'static str {
         match (&self.control, &self.entry) {
             (Some(_), Some(_)) => "control,entry",
