A voter goes on after its disk was full, whichever operation failed (Acks, CONFIG)

What operators saw: changes refused or unanswered long after all disks had room.

Change: each is tried again; old files are removed later; a voter that can't write hands over; on any other error the process ends and starts again. Formats on disk are unchanged.

--- a/crates/daemon/src/voters/driver.rs
+++ b/crates/daemon/src/voters/driver.rs
@@ -106,6 +106,10 @@
         }
     }
 
+    fn disk_failed(&self) {
+        self.0.disk_failed.give();
+    }
+
     fn log_event(&self, event: &VoterEvent<'_>) {
         emit(&match event {
             VoterEvent::Leading { term } => Event::Leading { term: *term },
--- a/crates/disk/src/error.rs
+++ b/crates/disk/src/error.rs
@@ -98,7 +98,10 @@
     pub(crate) fn io(path: &Path) -> impl FnOnce(io::Error) -> Self {
         let path = path.to_owned();
         move |source| match source.kind() {
-            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => Self::Full { path },
+            // A write that takes no byte met the end of the room, too.
+            io::ErrorKind::StorageFull
+            | io::ErrorKind::QuotaExceeded
+            | io::ErrorKind::WriteZero => Self::Full { path },
             _ => Self::Io { path, source },
         }
     }
--- a/crates/disk/src/folder.rs
+++ b/crates/disk/src/folder.rs
@@ -11,7 +11,10 @@
 use rustix::fs::FlockOperation;
 use rustix::fs::flock;
 
+use crate::FileFaults;
+use crate::FileOp;
 use crate::OpenError;
+use crate::Options;
 
 const LOCK_FILE: &str = "lock";
 const SEGMENT_PREFIX: &str = "log-";
@@ -24,6 +27,7 @@
     pub(crate) path: PathBuf,
     /// The most bytes that all files of the folder together may take.
     pub(crate) quota: Option<u64>,
+    faults: Option<FileFaults>,
     _lock: File,
 }
 
@@ -36,7 +40,7 @@
 }
 
 impl Folder {
-    pub(crate) fn open(path: &Path, quota: Option<u64>) -> Result<Self, OpenError> {
+    pub(crate) fn open(path: &Path, options: &Options) -> Result<Self, OpenError> {
         fs::create_dir_all(path).map_err(OpenError::io(path))?;
         let lock_path = path.join(LOCK_FILE);
         let lock = OpenOptions::new()
@@ -48,7 +52,8 @@
         match flock(&lock, FlockOperation::NonBlockingLockExclusive) {
             Ok(()) => Ok(Self {
                 path: path.to_owned(),
-                quota,
+                quota: options.quota.map(|size| size.0),
+                faults: options.faults.clone(),
                 _lock: lock,
             }),
             Err(rustix::io::Errno::WOULDBLOCK) => Err(OpenError::InUse {
@@ -87,35 +92,74 @@
         Ok(listing)
     }
 
+    fn check(&self, op: FileOp) -> io::Result<()> {
+        match &self.faults {
+            Some(faults) => faults.check(op),
+            None => Ok(()),
+        }
+    }
+
+    /// Creates an empty file, or empties the one there is.
+    pub(crate) fn create(&self, path: &Path) -> io::Result<File> {
+        self.check(FileOp::Create)?;
+        let mut options = OpenOptions::new();
+        options.create(true).truncate(true).write(true).open(path)
+    }
+
+    /// Makes the bytes of a file durable.
+    pub(crate) fn sync_data(&self, file: &File) -> io::Result<()> {
+        self.check(FileOp::SyncFile)?;
+        file.sync_data()
+    }
+
+    /// Makes the bytes and the length of a file durable.
+    pub(crate) fn sync_all(&self, file: &File) -> io::Result<()> {
+        self.check(FileOp::SyncFile)?;
+        file.sync_all()
+    }
+
+    /// Sets a file's length.
+    pub(crate) fn set_len(&self, file: &File, len: u64) -> io::Result<()> {
+        self.check(FileOp::SetLength)?;
+        file.set_len(len)
+    }
+
+    /// Removes a file. One that isn't there is removed already.
+    pub(crate) fn remove(&self, path: &Path) -> io::Result<()> {
+        self.check(FileOp::Remove)?;
+        match fs::remove_file(path) {
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(()),
+            removed => removed,
+        }
+    }
+
     /// Makes created, renamed and removed names durable.
     pub(crate) fn sync(&self) -> io::Result<()> {
+        self.check(FileOp::SyncFolder)?;
         File::open(&self.path)?.sync_all()
     }
 
     /// Writes and syncs a whole file under a temporary name.
     pub(crate) fn write_temporary(&self, target: &Path, bytes: &[u8]) -> io::Result<()> {
-        let temporary = temporary_path(target);
-        let file = OpenOptions::new()
-            .create(true)
-            .truncate(true)
-            .write(true)
-            .open(&temporary)?;
+        let file = self.create(&temporary_path(target))?;
         let written = self
             .write_at(&file, bytes, 0)
-            .and_then(|()| file.sync_all());
+            .and_then(|()| self.sync_all(&file));
         if written.is_err() {
-            fs::remove_file(&temporary)?;
+            self.discard_temporary(target);
         }
         written
     }
 
-    /// Removes a temporary file. If that fails, the next opening of the folder removes it.
+    /// Removes a temporary file. If that fails, the next attempt empties it, or the next opening
+    /// of the folder removes it.
     pub(crate) fn discard_temporary(&self, target: &Path) {
-        let _ = fs::remove_file(temporary_path(target));
+        let _ = self.remove(&temporary_path(target));
     }
 
     /// Durably renames the temporary file for `target` to `target`.
     pub(crate) fn publish_temporary(&self, target: &Path) -> io::Result<()> {
+        self.check(FileOp::Rename)?;
         fs::rename(temporary_path(target), target)?;
         self.sync()
     }
@@ -123,6 +167,10 @@
     /// Writes bytes to a file at an offset. If they exceed the folder's quota, the part that
     /// fits is written and the call fails, as on a full disk.
     pub(crate) fn write_at(&self, file: &File, bytes: &[u8], offset: u64) -> io::Result<()> {
+        if let Err(e) = self.check(FileOp::Write) {
+            file.write_all_at(&bytes[..bytes.len() / 2], offset)?;
+            return Err(e);
+        }
         let Some(quota) = self.quota else {
             return file.write_all_at(bytes, offset);
         };
--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -8,6 +8,7 @@
 //! All calls block, so they belong on a thread that may block.
 
 mod error;
+mod file_faults;
 mod folder;
 mod frame;
 mod identity;
@@ -18,6 +19,9 @@
 
 pub use crate::error::OpenError;
 pub use crate::error::WriteError;
+pub use crate::file_faults::FaultPlan;
+pub use crate::file_faults::FileFaults;
+pub use crate::file_faults::FileOp;
 pub use crate::log::Log;
 pub use crate::log::Options;
 pub use crate::log::Origin;
--- a/crates/disk/src/log.rs
+++ b/crates/disk/src/log.rs
@@ -1,11 +1,11 @@
 //! The log: opening it, appending and syncing records, writing snapshots.
 
-use std::fs;
 use std::fs::File;
 use std::io;
 use std::path::Path;
 use std::path::PathBuf;
 
+use crate::FileFaults;
 use crate::OpenError;
 use crate::WriteError;
 use crate::folder::Folder;
@@ -26,6 +26,8 @@
     pub segment_size: ByteSize,
     /// The most that all files of the folder together may take; none for no limit.
     pub quota: Option<ByteSize>,
+    /// Failures that operations on files meet; for tests.
+    pub faults: Option<FileFaults>,
 }
 
 /// Whether a data folder has been used before.
@@ -73,6 +75,8 @@
     /// First frame numbers of the segments; the last segment is open.
     segments: Vec<u64>,
     snapshots: Vec<u64>,
+    /// Files from before the last snapshot that could not be removed yet.
+    leftover: Listing,
     /// The number of the next frame.
     next_seq: u64,
     written_bytes: u64,
@@ -85,6 +89,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Health {
     Good,
+    /// The open segment may be longer than what is synced, and must be truncated before anything
+    /// is written.
+    Untruncated,
     /// What the disk holds is not known.
     Failed,
 }
@@ -94,6 +101,7 @@
         Self {
             segment_size: DEFAULT_SEGMENT_SIZE,
             quota: None,
+            faults: None,
         }
     }
 }
@@ -109,8 +117,7 @@
         folder: impl AsRef<Path>,
         options: Options,
     ) -> Result<(Self, Restored), OpenError> {
-        let quota = options.quota.map(|size| size.0);
-        let folder = Folder::open(folder.as_ref(), quota)?;
+        let folder = Folder::open(folder.as_ref(), &options)?;
         let listing = folder
             .list_and_clean()
             .map_err(OpenError::io(&folder.path))?;
@@ -126,21 +133,21 @@
         let segments = restore::live_segments(&folder, &listing, first)?;
         let (next_seq, valid_bytes) = restore::load_segments(&folder, &segments, &mut restored)?;
         let (file, path) = restore::open_last(&folder, &segments, &restored)?;
-        let log = Self {
+        let mut log = Self {
             folder,
             segment_limit: options.segment_size.0,
             file,
             path,
             segments,
             snapshots: listing.snapshots.last().copied().into_iter().collect(),
+            leftover: Listing::default(),
             next_seq,
             written_bytes: valid_bytes,
             synced_bytes: valid_bytes,
             synced_seq: next_seq,
             health: Health::Good,
         };
-        log.remove_files_before(first, &listing)
-            .map_err(OpenError::io(&log.folder.path))?;
+        log.remove_files_before(first, listing);
         Ok((log, restored))
     }
 
@@ -149,7 +156,7 @@
     /// They are durable once [`Log::sync`] has returned. After an error, everything
     /// appended since the last sync is lost and must be appended again.
     pub fn append(&mut self, records: &[Vec<u8>]) -> Result<(), WriteError> {
-        self.check_health()?;
+        self.regain_health()?;
         if records.is_empty() {
             return Ok(());
         }
@@ -169,11 +176,11 @@
 
     /// Makes everything appended so far durable.
     pub fn sync(&mut self) -> Result<(), WriteError> {
-        self.check_health()?;
+        self.regain_health()?;
         if self.synced_bytes == self.written_bytes {
             return Ok(());
         }
-        if let Err(e) = self.file.sync_data() {
+        if let Err(e) = self.folder.sync_data(&self.file) {
             return Err(self.roll_back(e));
         }
         self.synced_bytes = self.written_bytes;
@@ -201,15 +208,20 @@
             return Err(e);
         }
         if let Err(e) = self.folder.publish_temporary(&path) {
-            self.health = Health::Failed;
-            return Err(WriteError::io(&path)(e));
+            let error = WriteError::io(&path)(e);
+            // Without room nothing is lost: the older files are kept, and the new snapshot holds
+            // the same state whether its name is durable or not.
+            if !matches!(error, WriteError::Full { .. }) {
+                self.health = Health::Failed;
+            }
+            return Err(error);
         }
         let old = Listing {
             segments: std::mem::replace(&mut self.segments, vec![seq]),
             snapshots: std::mem::replace(&mut self.snapshots, vec![seq]),
         };
-        self.remove_files_before(seq, &old)
-            .map_err(WriteError::io(&self.folder.path))
+        self.remove_files_before(seq, old);
+        Ok(())
     }
 
     /// The approximate size of the segments since the last snapshot.
@@ -218,13 +230,23 @@
         ByteSize(full_segments * self.segment_limit + self.written_bytes)
     }
 
-    fn check_health(&self) -> Result<(), WriteError> {
+    /// Completes what an earlier failure left behind.
+    fn regain_health(&mut self) -> Result<(), WriteError> {
         match self.health {
             Health::Good => Ok(()),
+            Health::Untruncated => self.truncate().map_err(WriteError::io(&self.path)),
             Health::Failed => Err(WriteError::Failed),
         }
     }
 
+    /// Truncates the open segment to its synced length.
+    fn truncate(&mut self) -> io::Result<()> {
+        self.folder.set_len(&self.file, self.synced_bytes)?;
+        self.folder.sync_all(&self.file)?;
+        self.health = Health::Good;
+        Ok(())
+    }
+
     fn rotate(&mut self) -> Result<(), WriteError> {
         self.sync()?;
         self.begin_segment()
@@ -246,28 +268,38 @@
     /// Truncates the segment to its synced length after a failed write or sync, so that no
     /// partial frame remains. The log stays usable only if the disk was full.
     fn roll_back(&mut self, error: io::Error) -> WriteError {
-        let truncated = self
-            .file
-            .set_len(self.synced_bytes)
-            .and_then(|()| self.file.sync_all());
         self.written_bytes = self.synced_bytes;
         self.next_seq = self.synced_seq;
+        self.health = Health::Untruncated;
         let error = WriteError::io(&self.path)(error);
-        if truncated.is_err() || !matches!(error, WriteError::Full { .. }) {
+        let is_without_room = |e: &WriteError| matches!(e, WriteError::Full { .. });
+        let truncated = self.truncate().map_err(WriteError::io(&self.path));
+        if !is_without_room(&error) || truncated.is_err_and(|e| !is_without_room(&e)) {
             self.health = Health::Failed;
         }
         error
     }
 
-    /// Removes the listed segments and snapshots whose numbers are below `first`.
-    fn remove_files_before(&self, first: u64, listing: &Listing) -> io::Result<()> {
-        for old in listing.segments.iter().filter(|s| **s < first) {
-            fs::remove_file(self.folder.segment_path(*old))?;
-        }
-        for old in listing.snapshots.iter().filter(|s| **s < first) {
-            fs::remove_file(self.folder.snapshot_path(*old))?;
-        }
-        Ok(())
+    /// Removes the listed segments and snapshots whose numbers are below `first`. Those that
+    /// cannot be removed are no part of the log any more, and are tried again later.
+    fn remove_files_before(&mut self, first: u64, listing: Listing) {
+        self.leftover.segments.extend(listing.segments);
+        self.leftover.snapshots.extend(listing.snapshots);
+        let folder = &self.folder;
+        let is_left = |path: PathBuf| match folder.remove(&path) {
+            Ok(()) => false,
+            Err(e) => {
+                log::warn!(
+                    "{} is not needed, and cannot be removed: {e}",
+                    path.display()
+                );
+                true
+            }
+        };
+        let segments = &mut self.leftover.segments;
+        segments.retain(|old| *old < first && is_left(folder.segment_path(*old)));
+        let snapshots = &mut self.leftover.snapshots;
+        snapshots.retain(|old| *old < first && is_left(folder.snapshot_path(*old)));
     }
 }
 
--- a/crates/disk/src/restore.rs
+++ b/crates/disk/src/restore.rs
@@ -84,13 +84,26 @@
     let last = live[live.len() - 1];
     let path = folder.segment_path(last);
     let incomplete = segment::is_incomplete(&path, last).map_err(OpenError::io(&path))?;
-    if 1 < live.len() && incomplete {
-        fs::remove_file(&path).map_err(OpenError::io(&path))?;
+    if 1 < live.len() && (incomplete || is_abandoned(folder, &live)?) {
+        folder.remove(&path).map_err(OpenError::io(&path))?;
         live.pop();
     }
     Ok(live)
 }
 
+/// Whether the last segment's creation failed without room, and the segment before it went on.
+fn is_abandoned(folder: &Folder, live: &[u64]) -> Result<bool, OpenError> {
+    let [.., before, last] = live else {
+        return Ok(false);
+    };
+    let path = folder.segment_path(*last);
+    if !segment::is_empty(&path).map_err(OpenError::io(&path))? {
+        return Ok(false);
+    }
+    let before = segment::load(&folder.segment_path(*before), *before, Position::Last)?;
+    Ok(*last < before.next_seq)
+}
+
 /// Loads all segments. Returns the next frame's number and the last segment's valid bytes.
 pub(crate) fn load_segments(
     folder: &Folder,
--- a/crates/disk/src/segment.rs
+++ b/crates/disk/src/segment.rs
@@ -2,7 +2,6 @@
 
 use std::fs;
 use std::fs::File;
-use std::fs::OpenOptions;
 use std::io;
 use std::path::Path;
 
@@ -37,18 +36,16 @@
 /// Creates a segment durably.
 pub(crate) fn create(folder: &Folder, first: u64) -> io::Result<File> {
     let path = folder.segment_path(first);
-    let file = OpenOptions::new()
-        .create(true)
-        .truncate(true)
-        .write(true)
-        .open(&path)?;
+    let file = folder.create(&path)?;
     let header = frame::encode::<&[u8]>(first, first, &[]);
     let written = folder
         .write_at(&file, &header, 0)
-        .and_then(|()| file.sync_all())
+        .and_then(|()| folder.sync_all(&file))
         .and_then(|()| folder.sync());
     if written.is_err() {
-        fs::remove_file(&path)?;
+        // If it can't be removed, or comes back, it holds no frames, and the next opening of the
+        // folder removes it.
+        let _ = folder.remove(&path);
     }
     written.map(|()| file)
 }
@@ -59,6 +56,11 @@
     Ok(bytes.len() as u64 <= HEADER_BYTES && !has_header(&bytes, first))
 }
 
+/// Whether a segment holds no frames.
+pub(crate) fn is_empty(path: &Path) -> io::Result<bool> {
+    Ok(fs::metadata(path)?.len() <= HEADER_BYTES)
+}
+
 pub(crate) fn load(path: &Path, first: u64, position: Position) -> Result<Content, OpenError> {
     let bytes = fs::read(path).map_err(OpenError::io(path))?;
     if !has_header(&bytes, first) {
--- a/crates/disk/tests/log.rs
+++ b/crates/disk/tests/log.rs
@@ -44,6 +44,7 @@
     Options {
         segment_size: ByteSize(300),
         quota: None,
+        ..Options::default()
     }
 }
 
--- a/crates/quorum/src/disk_writer.rs
+++ b/crates/quorum/src/disk_writer.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::environment::Environment;
 use crate::environment::VoterEvent;
+use crate::local_voter::hand_over_leadership;
 use crate::local_voter::run_effects;
 use disk::Log;
 use disk::WriteError;
@@ -46,13 +47,15 @@
     }
 }
 
-/// Writes one batch and retries while the disk is full. Returns `None` if the disk
-/// failed: this voter then takes no further part, but the process keeps serving.
+/// Writes one batch and retries while the disk is full. Meanwhile another voter leads. Returns
+/// `None` if the disk failed: what it holds is known only once the folder is opened again, so the
+/// process is to end.
 async fn write_batch<Env: Environment>(
     env: &Env,
     mut log: Log,
     mut encoded: EncodedWrite,
 ) -> Option<Log> {
+    let mut is_reported = false;
     loop {
         let task = compio::runtime::spawn_blocking(move || {
             let written = encoded.write(&mut log);
@@ -64,7 +67,15 @@
             Err(e) => e,
         };
         report_error(env, &error);
+        if !is_reported {
+            hand_over_leadership(env);
+            is_reported = true;
+        }
         if !matches!(error, WriteError::Full { .. }) {
+            if let Some(local_voter) = env.local_voter() {
+                local_voter.halt(env, error.to_string());
+            }
+            env.disk_failed();
             return None;
         }
         log = returned_log;
--- a/crates/quorum/src/environment.rs
+++ b/crates/quorum/src/environment.rs
@@ -41,6 +41,9 @@
     fn send(&self, outgoing: Outgoing);
     /// Called after committed entries were applied.
     fn entries_applied(&self);
+    /// Called once the voter's disk failed. The process is to end, and to start again with what the
+    /// disk holds.
+    fn disk_failed(&self);
     /// Writes an event of the voter to the log.
     fn log_event(&self, event: &VoterEvent<'_>);
 }
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -16,6 +16,7 @@
 pub use local_voter::WriteQueue;
 pub use local_voter::hand_over_leadership;
 pub use local_voter::open;
+pub use local_voter::open_with;
 pub use local_voter::receive;
 pub use local_voter::run_effects;
 pub use local_voter::run_voter;
--- a/crates/quorum/src/local_voter.rs
+++ b/crates/quorum/src/local_voter.rs
@@ -19,6 +19,7 @@
 use base::Time;
 use base::Version;
 use disk::Log;
+use disk::Options;
 use fleet::ReplicaRecord;
 use state::Command;
 use state::LogClock;
@@ -82,7 +83,16 @@
     folder: &Path,
     cfg: impl FnOnce(base::DiskId) -> vote::Config,
 ) -> io::Result<(LocalVoter, WriteQueue)> {
-    let (log, restored) = Log::open(folder).map_err(io::Error::other)?;
+    open_with(folder, Options::default(), cfg)
+}
+
+/// Opens a voter as [`open`] does, with the given options of its log.
+pub fn open_with(
+    folder: &Path,
+    options: Options,
+    cfg: impl FnOnce(base::DiskId) -> vote::Config,
+) -> io::Result<(LocalVoter, WriteQueue)> {
+    let (log, restored) = Log::open_with(folder, options).map_err(io::Error::other)?;
     let restored_voter = disk_writer::decode(&restored).map_err(io::Error::other)?;
     let cfg = cfg(restored.disk);
     let now = clock::now();
@@ -259,7 +269,7 @@
         self.halted.get()
     }
 
-    fn halt<Env: Environment>(&self, env: &Env, reason: String) {
+    pub(crate) fn halt<Env: Environment>(&self, env: &Env, reason: String) {
         self.halted.set(true);
         env.log_event(&VoterEvent::NotVoting { reason });
     }
--- a/crates/quorum/tests/restart.rs
+++ b/crates/quorum/tests/restart.rs
@@ -28,6 +28,10 @@
 
     fn entries_applied(&self) {}
 
+    fn disk_failed(&self) {
+        self.1.borrow_mut().push("the process ends".to_owned());
+    }
+
     fn log_event(&self, event: &VoterEvent<'_>) {
         self.1.borrow_mut().push(format!("{event:?}"));
     }
--- a/crates/site/src/control/voter.rs
+++ b/crates/site/src/control/voter.rs
@@ -74,6 +74,10 @@
         self.0.activate_config(version, &text);
     }
 
+    fn disk_failed(&self) {
+        self.0.disk_failed.give();
+    }
+
     fn log_event(&self, event: &VoterEvent<'_>) {
         emit(&match event {
             VoterEvent::Leading { term } => Event::Leading { term: *term },
