--- a/crates/disk/tests/without_room.rs
+++ b/crates/disk/tests/without_room.rs
@@ -2,6 +2,7 @@
 
 mod scratch;
 
+use crate::scratch::Scratch;
 use base::ByteSize;
 use disk::FaultPlan;
 use disk::FileFaults;
@@ -10,8 +11,6 @@
 use disk::Options;
 use disk::WriteError;
 
-use crate::scratch::Scratch;
-
 const ENOSPC: i32 = 28;
 const EDQUOT: i32 = 122;
 const EIO: i32 = 5;
