--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -1,42 +1,43 @@
-//! Entry hosts are stopped one after the other with SIGTERM, each while it sends a large answer to
-//! a consumer that reads it steadily and would have it whole well before the end of `GraceS`.
+//! A manifest adds a route for long documents. Its requests ask for a model that is otherwise idle,
+//! and sound replicas read each prompt for two seconds before they make the first token.
 
 #[path = "../common-2/lab.rs"]
 mod lab;
 
-use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
-use std::os::fd::AsRawFd;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use lab::*;
 
-const ENTRIES: u8 = 2;
+/// Requests on each of the two routes.
+const REQUESTS: usize = 24;
 
-/// The size of the answer in bytes.
-const ANSWER_BYTES: usize = 12_000_000;
+/// Time between two requests on one route.
+const GAP: Duration = Duration::from_secs(1);
 
-/// How fast a consumer reads, in bytes a second: the answer is whole after 6 s.
-const READ_RATE: f64 = 2_000_000.0;
+/// Prompt tokens of a chat, and of a document.
+const CHAT_TOKENS: u64 = 714;
+const DOCUMENT_TOKENS: u64 = 60_000;
 
-/// The window of the consumer's channel, in bytes.
-const WINDOW_BYTES: i32 = 65_536;
+/// As in the manifest: `read_per_s`, and `pairs_per_m` in ms for a million pairs of a token and any
+/// earlier one.
+const READ_PER_S: f64 = 45_900.0;
+const PAIRS_PER_M: f64 = 0.433;
 
-const DEADLINE_MS: &str = "12000";
+/// Tokens of an answer, tokens of an event, and the time of a step.
+const ANSWER_TOKENS: u64 = 50;
+const EVENT_TOKENS: u64 = 5;
+const STEP_MS: f64 = 7.8;
 
-/// When SIGTERM comes after the request.
-const STOP_AFTER: Duration = Duration::from_millis(500);
+const DEADLINE_MS: &str = "8000";
 
-const SOL_SOCKET: i32 = 1;
-const SO_RCVBUF: i32 = 8;
-
-unsafe extern "C" {
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
-}
+/// The rule speaks of so many requests, and of this part of the share that is served elsewhere.
+const MIN_REQUESTS: usize = 20;
+const MIN_PART: f64 = 0.25;
 
 fn main() {
     std::process::exit(run());
@@ -44,112 +45,152 @@
 
 fn run() -> i32 {
     let record = Record::begin();
-    let lab = Lab::start(&record, ENTRIES, BOUNDS);
-    lab.configure(&manifest(
-        7,
-        &[plain_route("/read/", "idempotent", 12_000, 1_000)],
-    ));
-    let _desk: Vec<_> = (0..2)
-        .map(|_| Replica::plain(&lab, "desk", answer))
+    let lab = Lab::start(&record, 1, BOUNDS);
+    let chat = stream_route("/chat/", 6_000, 400, true);
+    let documents = stream_route("/documents/", 8_000, 4_000, true);
+    lab.configure(&with_two_models(&manifest(7, std::slice::from_ref(&chat))));
+    let hosts: Vec<_> = (0..8)
+        .map(|_| Replica::engine(&lab, "lm", answer))
         .collect();
-    for entry in 0..ENTRIES {
-        lab.wait_until_ready(entry);
-        let front = lab.front(entry);
-        wait_until(
-            &record,
-            "a request is answered",
-            Duration::from_secs(15),
-            || {
-                let headers = plain_headers("warm", "1500");
-                call(
-                    front,
-                    "POST",
-                    "/read/small",
-                    &headers,
-                    "?",
-                    Duration::from_secs(2),
-                )
-                .is_complete
-            },
-        );
+    wait_until(
+        &record,
+        "four groups are open",
+        Duration::from_secs(30),
+        || hosts.iter().filter(|host| host.is_open()).count() == 4,
+    );
+    lab.wait_until_ready(0);
+    let front = lab.front(0);
+    for model in ["slim", "wide"] {
+        wait_until(&record, "a model answers", Duration::from_secs(15), || {
+            ask(
+                &record,
+                front,
+                "/chat/1",
+                &format!("warm-{model}"),
+                model,
+                100,
+            )
+        });
     }
-    // No unplanned disruption for the whole of ContactMs.
-    thread::sleep(Duration::from_secs(4));
-    let mut lost = 0;
-    for entry in 0..ENTRIES {
-        let front = lab.front(entry);
-        let consumer = {
-            let record = record.clone();
-            thread::spawn(move || download(&record, front, &format!("big-{entry}")))
-        };
-        if is_troubled() {
-            thread::sleep(STOP_AFTER);
-            lab.signal(&entry_name(entry), "TERM");
-        }
-        match consumer.join() {
-            Ok(Ok(true)) => {}
-            Ok(Ok(false)) => lost += 1,
-            Ok(Err(e)) => give_up(&record, &format!("the consumer has no channel: {e}")),
-            Err(_) => give_up(&record, "the consumer failed"),
+    lab.configure(&with_two_models(&manifest(8, &[chat, documents])));
+    // The manifest is in force (`ConfigApplyMs`), and all machines have been in touch for the whole
+    // of ContactMs.
+    thread::sleep(Duration::from_secs(5));
+    let tokens = match is_troubled() {
+        true => DOCUMENT_TOKENS,
+        false => CHAT_TOKENS,
+    };
+    let first_ms = reading_time(tokens).as_millis();
+    record.line(format!(
+        "a prompt of {tokens} tokens is read in {first_ms} ms"
+    ));
+    let mut consumers = Vec::new();
+    for index in 0..REQUESTS {
+        for (path, model, tokens) in [
+            ("/chat/1", "slim", CHAT_TOKENS),
+            ("/documents/1", "wide", tokens),
+        ] {
+            let (record, id) = (record.clone(), format!("{model}-{index}"));
+            let consumer = thread::spawn(move || ask(&record, front, path, &id, model, tokens));
+            consumers.push((path, consumer));
         }
-        for line in lab.log_lines(&entry_name(entry), &["stopping", "stopped"]) {
-            record.line(format!("log of entry-{entry}: {line}"));
+        thread::sleep(GAP);
+    }
+    let (mut chats, mut documents) = (0, 0);
+    for (path, consumer) in consumers {
+        let is_served = consumer.join().unwrap_or(false);
+        match path {
+            "/chat/1" => chats += usize::from(is_served),
+            _ => documents += usize::from(is_served),
         }
     }
-    record.line(format!("{lost} of {ENTRIES} answers were cut, none may be"));
-    match lost {
-        0 => HELD,
-        _ => BROKEN,
+    for name in lab.ended() {
+        record.line(format!("ended by itself: {name}"));
+    }
+    for line in lab.log_lines(&entry_name(0), &["[2502]"]).iter().take(6) {
+        record.line(format!("log of entry-0: {line}"));
+    }
+    record.line(format!(
+        "first route: {chats} of {REQUESTS} served; route that was added later: {documents} of \
+         {REQUESTS}"
+    ));
+    if chats < REQUESTS / 2 {
+        give_up(&record, "the first route was not served");
+    }
+    let is_broken = MIN_REQUESTS <= REQUESTS && (documents as f64) < MIN_PART * chats as f64;
+    match is_broken {
+        true => BROKEN,
+        false => HELD,
     }
 }
 
-/// Reads a large answer at a steady rate. Returns whether it came whole.
-fn download(record: &Record, front: SocketAddr, id: &str) -> std::io::Result<bool> {
-    let mut stream = TcpStream::connect(front)?;
-    // SAFETY: the socket is open, and the value lives as long as the call.
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &WINDOW_BYTES, 4) };
+/// Adds a second model of the same size. Both have half of the work.
+fn with_two_models(manifest: &str) -> String {
+    let wide = "\"Models\":[{\"Name\":\"wide\",\"size\":2,\"Share\":0.5,\"pace\":1.0,\"LoadS\":0.2,\
+        \"WarmupS\":0.1},";
+    let manifest = manifest.replace("\"Share\":1.0", "\"Share\":0.5");
+    manifest.replace("\"Models\":[", wide)
+}
+
+/// How long an idle replica reads a prompt.
+fn reading_time(tokens: u64) -> Duration {
+    let tokens = tokens as f64;
+    let million_pairs = tokens * tokens / 2.0 / 1e6;
+    Duration::from_secs_f64(tokens / READ_PER_S + million_pairs * PAIRS_PER_M / 1_000.0)
+}
+
+/// Asks for a stream. Returns whether it came whole.
+fn ask(record: &Record, front: SocketAddr, path: &str, id: &str, model: &str, tokens: u64) -> bool {
+    let usage = format!("{tokens},{ANSWER_TOKENS}");
+    let headers = [
+        ("Attempt-Id", id),
+        ("Authorization", KEY),
+        ("Model", model),
+        ("Token-Usage", usage.as_str()),
+        ("Deadline-Ms", DEADLINE_MS),
+    ];
     let began_at = Instant::now();
-    let text = request_text("POST", "/read/big", &plain_headers(id, DEADLINE_MS), "?");
-    stream.write_all(text.as_bytes())?;
-    record.line(format!("{id}: sent with Deadline-Ms {DEADLINE_MS}"));
-    stream.set_read_timeout(Some(Duration::from_secs(12)))?;
-    let mut bytes = Vec::with_capacity(ANSWER_BYTES + 1_000);
-    let mut buf = vec![0; 32_768];
-    let end = loop {
-        match stream.read(&mut buf) {
-            Ok(0) => break "the channel was closed".to_owned(),
-            Ok(len) => bytes.extend_from_slice(&buf[..len]),
-            Err(e) => break e.to_string(),
-        }
-        let head_len = bytes.windows(4).take(2_000).position(|w| w == b"\r\n\r\n");
-        if head_len.is_some_and(|len| len + 4 + ANSWER_BYTES <= bytes.len()) {
-            break "the answer is whole".to_owned();
-        }
-        let due = Duration::from_secs_f64(bytes.len() as f64 / READ_RATE);
-        thread::sleep(due.saturating_sub(began_at.elapsed()));
-    };
-    let head = String::from_utf8_lossy(&bytes[..bytes.len().min(400)]).into_owned();
-    let head = head
-        .split("\r\n\r\n")
-        .next()
-        .unwrap_or_default()
-        .replace("\r\n", " | ");
-    record.line(format!("{id}: head: {head}"));
-    let ms = began_at.elapsed().as_millis();
+    let answer = call(front, "POST", path, &headers, "?", Duration::from_secs(9));
     record.line(format!(
-        "{id}: {} bytes with the head after {ms} ms: {end}",
-        bytes.len()
+        "{id} on {path}: {} complete={} after {} ms",
+        answer.status,
+        answer.is_complete,
+        began_at.elapsed().as_millis()
     ));
-    Ok(end == "the answer is whole")
+    answer.status == 200 && answer.is_complete
 }
 
+/// A sound replica that has nothing else to do.
 fn answer(me: &Replica, request: &Request, stream: &mut TcpStream) -> bool {
-    let len = match request.path.as_str() {
-        "/read/big" => ANSWER_BYTES,
-        _ => 100,
-    };
     let id = request.id();
-    let sent = respond(stream, 200, &signature(&id), &"x".repeat(len));
-    me.note(format!("{} ran {id} and sent {len} bytes: {sent}", me.id));
-    sent
+    let usage = request.header("Token-Usage").unwrap_or_default();
+    let tokens = usage.split(',').next().and_then(|text| text.parse().ok());
+    let after: u64 = request
+        .header("Last-Event-Id")
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0);
+    let reading = reading_time(tokens.unwrap_or(0));
+    me.note(format!(
+        "{} reads the prompt of {id} for {} ms",
+        me.id,
+        reading.as_millis()
+    ));
+    thread::sleep(reading);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+        signature(&id)
+    );
+    let mut is_open = stream.write_all(head.as_bytes()).is_ok();
+    for number in after + 1..=ANSWER_TOKENS / EVENT_TOKENS {
+        thread::sleep(Duration::from_secs_f64(
+            EVENT_TOKENS as f64 * STEP_MS / 1_000.0,
+        ));
+        is_open = is_open && send_chunk(stream, event(number).as_bytes());
+    }
+    is_open = is_open && stream.write_all(b"0\r\n\r\n").is_ok();
+    me.note(format!(
+        "{} made the answer to {id}; its channel was open: {is_open}",
+        me.id
+    ));
+    is_open
 }
