A voter that was replaced offers itself again

Seen: a control host that was frozen or cut off for some seconds while a spare one was at hand was replaced, and stayed out for good although its disk is sound. The next loss found no spare.

Cause: only a node without a group said hello. A removed voter, a removed learner, and a node with a new disk whose configured voters are gone waited for messages that nobody sends.

Now each says hello to the members it knows, to the configured voters and to nodes that wrote to it, unless its own disk has lost something.

--- a/crates/site/src/control/membership.rs
+++ b/crates/site/src/control/membership.rs
@@ -19,6 +19,7 @@
     loop {
         compio::time::sleep(CHECK_INTERVAL).await;
         if !control.is_leader() {
+            update_contacts(&control);
             continue;
         }
         let status = control.local_voter.voter.borrow().status();
@@ -40,3 +41,11 @@
         quorum::run_effects(&VoterEnvironment(Rc::clone(&control)));
     }
 }
+
+/// Tells the voter of the leader, which knows the group when the control hosts of the settings are
+/// gone.
+fn update_contacts(control: &ControlHost) {
+    if let Some(leader) = control.reported_leader.get() {
+        control.local_voter.voter.borrow_mut().add_contact(leader);
+    }
+}
--- a/crates/vote/src/election.rs
+++ b/crates/vote/src/election.rs
@@ -41,6 +41,10 @@
 
     pub(crate) fn start_election(&mut self) {
         self.reset_election_timer();
+        if self.trust == Trust::Trusted && !self.is_voter() {
+            // A learner that no leader sends to may have been removed meanwhile.
+            self.offer_as_spare();
+        }
         if self.now < self.votes_withheld_until || !self.can_campaign() {
             return;
         }
--- a/crates/vote/src/form.rs
+++ b/crates/vote/src/form.rs
@@ -21,7 +21,9 @@
 use crate::Payload;
 use crate::Record;
 use crate::Rejection;
+use crate::Standing;
 use crate::Term;
+use crate::Trust;
 use crate::Voter;
 use base::DiskId;
 use base::NodeId;
@@ -29,6 +31,9 @@
 
 const MAX_NON_MEMBERS: usize = 64;
 
+/// The most nodes outside the settings that a node says hello to.
+const MAX_CONTACTS: usize = 16;
+
 /// A node without a group sends hello messages at the full rate for this long.
 const FAST_HELLO_PERIOD: Duration = Duration::from_secs(5);
 
@@ -43,6 +48,10 @@
     hello_senders: BTreeMap<NodeId, HelloSender>,
     /// The nodes that joined the group that this node formed, until a majority has.
     pub(crate) joined: Option<BTreeSet<NodeId>>,
+    /// Nodes outside the settings that may know the group.
+    pub(crate) contacts: BTreeSet<NodeId>,
+    /// Whether this node stops and offers itself no more.
+    pub(crate) is_stopping: bool,
 }
 
 /// A node that sent a hello message.
@@ -69,6 +78,8 @@
             opened_at: now,
             hello_senders: BTreeMap::new(),
             joined: None,
+            contacts: BTreeSet::new(),
+            is_stopping: false,
         }
     }
 }
@@ -82,15 +93,62 @@
         let is_slow = FAST_HELLO_PERIOD < self.now.since(self.forming.opened_at);
         let factor = if is_slow { SLOW_HELLO_FACTOR } else { 1 };
         self.forming.next_hello_at = self.now + factor * self.cfg.timing.hello_interval;
-        for node in self.cfg.voters.clone() {
+        self.send_hello_to_all();
+        self.try_form_group();
+    }
+
+    /// Whether this node's disk belongs to a group of which the node is no longer a
+    /// member. It could be one again, as its disk has lost nothing.
+    pub(crate) fn is_spare(&self) -> bool {
+        self.group_id.is_some()
+            && self.trust == Trust::Trusted
+            && self.standing() == Standing::NotMember
+    }
+
+    /// Offers this node to the group as a node with an empty disk does.
+    pub(crate) fn offer_as_spare(&mut self) {
+        self.forming.next_hello_at = self.now + SLOW_HELLO_FACTOR * self.cfg.timing.hello_interval;
+        if !self.forming.is_stopping {
+            self.send_hello_to_all();
+        }
+    }
+
+    /// Says hello to this node as well while this one is no member. It may know the
+    /// group when none of the configured voters is left.
+    pub fn add_contact(&mut self, node: NodeId) {
+        if self.forming.contacts.len() < MAX_CONTACTS {
+            self.forming.contacts.insert(node);
+        }
+    }
+
+    /// Offers this node to the group no more, because its process is about to end.
+    pub fn stop_offering(&mut self) {
+        self.forming.is_stopping = true;
+    }
+
+    fn send_hello_to_all(&mut self) {
+        let members = self.group().into_iter().flat_map(|g| g.members.keys());
+        let mut nodes: BTreeSet<NodeId> = members.copied().collect();
+        nodes.extend(&self.cfg.voters);
+        nodes.extend(&self.forming.contacts);
+        for node in nodes {
             self.send_hello(node);
         }
-        self.try_form_group();
     }
 
-    pub(crate) fn on_hello(&mut self, from: NodeId, disk: DiskId, seen: Option<DiskId>) {
+    pub(crate) fn on_hello(
+        &mut self,
+        from: NodeId,
+        disk: DiskId,
+        group: Option<GroupId>,
+        seen: Option<DiskId>,
+    ) {
         if self.group_id.is_some() {
-            self.answer_hello(from, disk);
+            self.answer_hello(from, disk, group);
+            return;
+        }
+        if group.is_some() {
+            // It looks for its group, and this node knows none.
             return;
         }
         if self.cfg.founding == Founding::Forbidden {
@@ -265,8 +323,8 @@
         self.outbox.send_once_synced(node, invite);
     }
 
-    /// Answers a node with an empty disk.
-    fn answer_hello(&mut self, node: NodeId, disk: DiskId) {
+    /// Answers a node with an empty disk, or one that takes itself for no member.
+    fn answer_hello(&mut self, node: NodeId, disk: DiskId, bound_to: Option<GroupId>) {
         let acked = self.acked_index(node, disk);
         let Some(group) = self.group() else {
             return;
@@ -275,6 +333,8 @@
             self.record_non_member(node, disk);
             self.report_non_member(node, disk);
             self.reject_unless_member(node, disk);
+        } else if bound_to.is_some() {
+            // It was taken back, and hears of it from the leader.
         } else if Index::default() < acked {
             self.send_rejection(node, Rejection::RolledBack(acked));
         } else {
--- a/crates/vote/src/voter.rs
+++ b/crates/vote/src/voter.rs
@@ -117,7 +117,7 @@
             return;
         }
         match body {
-            Body::Hello { seen } => self.on_hello(from, disk, seen),
+            Body::Hello { seen } => self.on_hello(from, disk, group, seen),
             Body::Invite {
                 disk: to,
                 first_entry,
@@ -128,7 +128,9 @@
             }
             Body::Joined => self.on_joined(from, disk),
             Body::Rejected { since, reason } => self.on_rejected(since, reason),
-            _ if self.group_id.is_none() || group.is_none() => {}
+            // The leader of a group that knows this node with a disk that was lost.
+            _ if self.group_id.is_none() && group.is_some() => self.add_contact(from),
+            _ if group.is_none() => {}
             Body::RequestVote(request) => self.on_request_vote(from, disk, request),
             Body::VoteReply(reply) => self.on_vote_reply(from, disk, reply),
             Body::HandOver { term } => self.on_hand_over(from, term),
@@ -146,10 +148,15 @@
             self.tick_without_group();
             return;
         }
-        match &self.state {
-            RoleState::Leader(_) => self.leader_tick(),
-            _ if self.election_deadline <= self.now => self.start_election(),
-            _ => {}
+        if let RoleState::Leader(_) = self.state {
+            self.leader_tick();
+            return;
+        }
+        if self.is_spare() && self.forming.next_hello_at <= self.now {
+            self.offer_as_spare();
+        }
+        if self.election_deadline <= self.now {
+            self.start_election();
         }
     }
 
@@ -160,6 +167,7 @@
         }
         match &self.state {
             RoleState::Leader(leader) => leader.next_heartbeat_at,
+            _ if self.is_spare() => self.election_deadline.min(self.forming.next_hello_at),
             _ => self.election_deadline,
         }
     }
