A learner that is gone keeps no other node out

Seen: a control host that was added and ended before it had caught up kept every other one out, and a voter with a new disk too ("another change of the voters is under way"), for good.

Cause: a group has one learner at a time, and the policy waited for any learner.

Now a learner that is as silent as a voter may be is removed, if another node waits or a voter's new disk does.

--- a/crates/vote/src/membership_policy.rs
+++ b/crates/vote/src/membership_policy.rs
@@ -76,6 +76,14 @@
         let replacement = disk_replacement(self.replace_disk_after, status, group);
         let candidate = candidate(status, group);
         let learner = status.peers.iter().find(|peer| peer.duty == Duty::Learner);
+        if let Some(learner) = learner.filter(|learner| self.is_lost(learner))
+            && replacement.is_none_or(|returned| returned.node != learner.node)
+            && (replacement.is_some() || candidate.is_some())
+        {
+            // There is one learner at a time, so this one keeps all others out.
+            let node = learner.node;
+            return Some(Change::Remove { node });
+        }
         if let Some(NonMember { node, disk }) = replacement {
             return Some(Change::Replace { node, disk });
         }
--- a/crates/vote/tests/replacements.rs
+++ b/crates/vote/tests/replacements.rs
@@ -15,6 +15,7 @@
 use base::DiskId;
 use base::NodeId;
 use base::Time;
+use vote::Change;
 use vote::MembershipPolicy;
 use vote::Release;
 use vote::Standing;
@@ -379,3 +380,35 @@
         assert_eq!(group.voters(), (1..=3).map(NodeId).collect());
     });
 }
+
+#[test]
+fn a_learner_that_is_gone_keeps_no_other_node_out() {
+    for_seeds(SEED_COUNT, |seed| {
+        let mut group = Group::new(1, seed);
+        let first = group.add_node();
+        group.run(Duration::from_secs(1));
+        let leader = group.cluster.leader().unwrap();
+        let disk = group.cluster.nodes[&first].disk;
+        group.cluster.crash(first);
+        let change = Change::Add { node: first, disk };
+        assert!(group.cluster.change(change));
+        group.run(Duration::from_secs(1));
+        let others = group.voters().into_iter().filter(|id| *id != leader);
+        let others = others.collect();
+        let victim = group.pick(&others);
+        let second = match group.rng.bool() {
+            true => {
+                group.cluster.crash(victim);
+                Some(group.add_node())
+            }
+            false => {
+                group.lose_disk(victim);
+                group.cluster.start(victim);
+                None
+            }
+        };
+        group.run_until_complete();
+        let voters = group.voters();
+        assert!(second.is_none_or(|second| voters.contains(&second)));
+    });
+}
