A group with one voter too many lets one go

Seen: a voter that was frozen woke just before its removal, when a spare one already voted. The group kept four voters for good: it needs three for each commit, has no majority when its hosts are cut into halves, and no spare one waits outside.

Cause: the policy removed only silent voters.

Now the slowest of them is removed once the leader has led so many for as long as a voter may be silent, and all answer. By then it would know of one that is lost or about to stop.

--- a/crates/vote/src/membership_policy.rs
+++ b/crates/vote/src/membership_policy.rs
@@ -89,9 +89,8 @@
         }
         let replaceable = self.replaceable_voter(status, group);
         let voter_count = group.voters().count();
-        if self.voters < voter_count
-            && let Some(node) = replaceable
-        {
+        if self.voters < voter_count {
+            let node = replaceable.or_else(|| self.surplus_voter(status))?;
             return Some(Change::Remove { node });
         }
         let needs_voter = voter_count < self.voters || replaceable.is_some();
@@ -120,6 +119,22 @@
         lost.or_else(|| leaving.into_iter().find(|node| group.is_voter(*node)))
     }
 
+    /// The voter to do without if there are more than there should be and all answer: one that was
+    /// taken for lost came back before it was removed. An even number of voters bears no more
+    /// losses than the odd one below it, and may be cut into halves. A new leader waits until it
+    /// would know of those that are lost or about to stop.
+    fn surplus_voter(&self, status: &Status) -> Option<NodeId> {
+        if status.members_for < self.replace_after {
+            return None;
+        }
+        let voters = status.peers.iter().filter(|p| p.duty == Duty::Voter);
+        let slowest = voters.max_by_key(|peer| peer.silent)?;
+        let answers = slowest
+            .silent
+            .is_some_and(|ago| ago < self.replace_disk_after);
+        answers.then_some(slowest.node)
+    }
+
     fn is_lost(&self, peer: &Peer) -> bool {
         let is_silent = peer.silent.is_some_and(|ago| self.replace_after <= ago);
         is_silent || peer.trust == Trust::Distrusted
--- a/crates/vote/tests/replacements.rs
+++ b/crates/vote/tests/replacements.rs
@@ -9,6 +9,7 @@
 
 use fastrand::Rng;
 
+use crate::fake::Clock;
 use crate::fake::Cluster;
 use crate::fake::Stored;
 use crate::fake::seeds::for_seeds;
@@ -412,3 +413,64 @@
         assert!(second.is_none_or(|second| voters.contains(&second)));
     });
 }
+
+#[test]
+fn a_voter_that_was_frozen_and_replaced_is_a_spare_again() {
+    for_seeds(SEED_COUNT, |seed| {
+        let mut group = Group::new(1, seed);
+        group.add_node();
+        group.run(Duration::from_secs(1));
+        // Each of the nodes in turn, so the second needs the first.
+        for _ in 0..4 {
+            let voters = group.voters();
+            let victim = group.pick(&voters);
+            let clock = match group.rng.bool() {
+                true => Clock::Runs,
+                false => Clock::Stopped,
+            };
+            group.cluster.freeze(victim, clock);
+            let span = Duration::from_secs(2) + group.random_span(5_000);
+            group.run(span);
+            group.cluster.unfreeze(victim);
+            group.run_until_complete();
+            group.run(CATCH_UP);
+        }
+        let voters = group.voters();
+        let dead = group.pick(&voters);
+        group.cluster.crash(dead);
+        group.run_until_complete();
+        assert!(!group.voters().contains(&dead));
+        let dead = group.pick(&group.voters());
+        group.lose_disk(dead);
+        group.cluster.start(dead);
+        group.run_until_complete();
+    });
+}
+
+#[test]
+fn at_no_moment_does_a_voter_on_the_way_out_cost_the_group_more_than_one_loss() {
+    for_seeds(SEED_COUNT, |seed| {
+        let mut group = Group::new(1, seed);
+        group.add_node();
+        group.run(Duration::from_secs(1));
+        let voters = group.voters();
+        let frozen = group.pick(&voters);
+        group.cluster.freeze(frozen, Clock::Runs);
+        let at = Duration::from_millis(group.rng.u64(1_500..2_500));
+        group.run(at);
+        group.cluster.unfreeze(frozen);
+        group.run(CATCH_UP);
+        let running: BTreeSet<NodeId> = group.cluster.ids().into_iter().collect();
+        let emptied = group.pick(&running);
+        group.lose_disk(emptied);
+        let away = group.random_span(3_000);
+        group.run(away);
+        group.cluster.start(emptied);
+        let end = group.cluster.now + RECOVERY;
+        while group.voters().len() < 3 || group.cluster.leader().is_none() {
+            assert!(group.cluster.now < end, "the group is gone");
+            group.run(STEP);
+        }
+        group.cluster.commit_one(Duration::from_secs(5));
+    });
+}
