--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -57,6 +57,7 @@
 pub use rest_directory::RestList;
 pub use revision_holders::RevisionHolders;
 pub use revision_holders::required_followers;
+pub use roster::IgnoreReason;
 pub use roster::Revision;
 pub use roster::Roster;
 pub use roster::RosterChange;
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -1,16 +1,22 @@
 //! The latest announcement of each upstream process.
 //!
 //! The announcements of a process are ordered by incarnation and sequence number. Of two
-//! processes that claim the same address, the one with the later incarnation holds it. A short
-//! silence removes no process, as one that is not heard here may still serve elsewhere. A
+//! processes that claim the same address, the one with the later incarnation holds it, if its
+//! service is in the configuration. An entry for another service may come from any writer: it is
+//! kept, as the service may still come into the configuration, but takes no address. That a
+//! process leaves is recorded whoever holds its address.
+//!
+//! A short silence removes no process, as one that is not heard here may still serve elsewhere. A
 //! process is forgotten after a long silence, and no longer listed once it has departed. The
 //! departure of a process that is not known is kept as well, because a late announcement of it may
 //! still come.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use derive_more::Display;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -18,6 +24,7 @@
 use crate::Heartbeat;
 use crate::HeartbeatOutcome;
 use base::Incarnation;
+use base::ServiceName;
 use base::Time;
 use base::UpstreamId;
 
@@ -39,11 +46,30 @@
     Changed,
     /// A newer announcement reports the same state.
     Refreshed,
-    /// The update is not newer than what is known, another process with a later incarnation
-    /// holds the address, or the roster is full.
+    /// The update changed nothing. [`Roster::reason_to_ignore`] says why.
     Ignored,
 }
 
+/// Why an announcement is ignored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum IgnoreReason {
+    /// It is not newer than what is known of its process.
+    #[display("outdated")]
+    Outdated,
+    /// Its process has departed.
+    #[display("departed")]
+    Departed,
+    /// Another process with a later incarnation holds its address.
+    #[display("address-taken")]
+    AddressTaken,
+    /// It names a service that is not in the configuration, in place of one that is.
+    #[display("unknown-service")]
+    UnknownService,
+    /// The roster is full.
+    #[display("roster-full")]
+    RosterFull,
+}
+
 /// What a roster holds of one process.
 #[derive(Clone, Debug)]
 pub struct RosterEntry {
@@ -89,7 +115,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     entries: BTreeMap<UpstreamId, RosterEntry>,
-    by_addr: BTreeMap<SocketAddr, UpstreamId>,
+    /// The processes that announced each address last.
+    claims: BTreeMap<SocketAddr, BTreeSet<UpstreamId>>,
+    /// The services of the configuration, once there is one.
+    known_services: Option<BTreeSet<ServiceName>>,
     unknown_departures: BTreeMap<UpstreamId, UnknownDeparture>,
     revision: Revision,
 }
@@ -136,25 +165,58 @@
 }
 
 impl Roster {
+    /// Sets the services of the configuration in force.
+    pub fn set_known_services(&mut self, services: BTreeSet<ServiceName>) {
+        self.known_services = Some(services);
+    }
+
+    /// Why an announcement would be ignored, if it would be.
+    pub fn reason_to_ignore(&self, announcement: &Announcement) -> Option<IgnoreReason> {
+        let is_taken = !announcement.leaving && self.has_newer_holder_of_addr(announcement);
+        let taken = is_taken.then_some(IgnoreReason::AddressTaken);
+        self.reason_to_reject_update(announcement).or(taken)
+    }
+
     /// Records an announcement that was heard at `heard_at`, unless a newer one is known.
     pub fn record_announcement(
         &mut self,
         announcement: Announcement,
         heard_at: Time,
     ) -> UpdateOutcome {
-        let known = self.entries.get(&announcement.id);
-        if known.is_some_and(|known| !is_newer(known, &announcement)) {
-            return UpdateOutcome::Ignored;
+        match self.reason_to_ignore(&announcement) {
+            Some(_) => UpdateOutcome::Ignored,
+            None => self.store(announcement, heard_at),
         }
-        if known.is_none() && MAX_ENTRIES <= self.entries.len() {
-            return UpdateOutcome::Ignored;
+    }
+
+    /// Why an announcement says nothing new of its process, whoever holds its address.
+    fn reason_to_reject_update(&self, announcement: &Announcement) -> Option<IgnoreReason> {
+        let id = &announcement.id;
+        if self.has_departed_unknown(id, announcement.incarnation) {
+            return Some(IgnoreReason::Departed);
         }
-        if self.has_departed_unknown(&announcement.id, announcement.incarnation) {
-            return UpdateOutcome::Ignored;
+        let Some(known) = self.entries.get(id) else {
+            let is_full = MAX_ENTRIES <= self.entries.len();
+            return is_full.then_some(IgnoreReason::RosterFull);
+        };
+        let was_known = self.is_known_service(&known.announcement.service);
+        let is_known = self.is_known_service(&announcement.service);
+        if was_known && !is_known {
+            return Some(IgnoreReason::UnknownService);
         }
-        if self.has_newer_holder_of_addr(&announcement) {
-            return UpdateOutcome::Ignored;
+        // The order of an entry for an unknown service may be another writer's.
+        let is_foreign = !was_known && is_known && !known.has_departed;
+        if is_foreign || is_newer(known, announcement) {
+            return None;
         }
+        Some(match known.has_departed {
+            true => IgnoreReason::Departed,
+            false => IgnoreReason::Outdated,
+        })
+    }
+
+    fn store(&mut self, announcement: Announcement, heard_at: Time) -> UpdateOutcome {
+        let known = self.entries.get(&announcement.id);
         let is_same_state = known.is_some_and(|known| {
             !known.has_departed && known.announcement.has_same_state(&announcement)
         });
@@ -168,8 +230,7 @@
             return UpdateOutcome::Refreshed;
         }
         self.unknown_departures.remove(&announcement.id);
-        self.by_addr
-            .insert(announcement.addr, announcement.id.clone());
+        self.claim_addr(&announcement);
         let entry = RosterEntry {
             whole_sequence: announcement.sequence,
             heard_at,
@@ -275,7 +336,10 @@
         self.entries
             .retain(|_, entry| now.since(entry.alive_at) < FORGET_AFTER);
         let entries = &self.entries;
-        self.by_addr.retain(|_, id| entries.contains_key(id));
+        self.claims.retain(|_, ids| {
+            ids.retain(|id| entries.contains_key(id));
+            !ids.is_empty()
+        });
         self.unknown_departures
             .retain(|_, departure| now.since(departure.heard_at) < FORGET_AFTER);
     }
@@ -342,13 +406,46 @@
         }
     }
 
+    /// Applies a change of a roster that this one only follows. That roster has decided who holds
+    /// the address, by the configuration that it knew.
+    pub fn follow_change(&mut self, change: RosterChange, heard_at: Time) -> UpdateOutcome {
+        match change {
+            RosterChange::Announced(announcement) => {
+                match self.reason_to_reject_update(&announcement) {
+                    Some(_) => UpdateOutcome::Ignored,
+                    None => self.store(announcement, heard_at),
+                }
+            }
+            RosterChange::Gone { .. } => self.apply_change(change, heard_at),
+        }
+    }
+
+    /// Whether another process of a known service with a later incarnation announced the address.
     fn has_newer_holder_of_addr(&self, announcement: &Announcement) -> bool {
-        let holder = self
-            .by_addr
-            .get(&announcement.addr)
-            .filter(|id| **id != announcement.id);
-        let holder = holder.and_then(|id| self.entries.get(id));
-        holder.is_some_and(|holder| announcement.incarnation < holder.announcement.incarnation)
+        let claims = self.claims.get(&announcement.addr);
+        let others = claims.into_iter().flatten();
+        let others = others.filter(|id| **id != announcement.id);
+        let mut others = others.filter_map(|id| Some(&self.entries.get(id)?.announcement));
+        others.any(|other| {
+            announcement.incarnation < other.incarnation && self.is_known_service(&other.service)
+        })
+    }
+
+    /// Whether a service is in the configuration. Before there is one, each may come to be in it.
+    fn is_known_service(&self, service: &ServiceName) -> bool {
+        let known = self.known_services.as_ref();
+        known.is_none_or(|known| known.contains(service))
+    }
+
+    fn claim_addr(&mut self, announcement: &Announcement) {
+        let (id, addr) = (&announcement.id, announcement.addr);
+        let before = self.entries.get(id).map(|known| known.announcement.addr);
+        if let Some(before) = before.filter(|before| *before != addr)
+            && let Some(ids) = self.claims.get_mut(&before)
+        {
+            ids.remove(id);
+        }
+        self.claims.entry(addr).or_default().insert(id.clone());
     }
 
     fn next_revision(&mut self) -> Revision {
--- a/crates/site/src/control/api.rs
+++ b/crates/site/src/control/api.rs
@@ -25,6 +25,7 @@
 use base::UpstreamId;
 use fleet::CompressedText;
 use fleet::DeparturesHeld;
+use fleet::IgnoreReason;
 use fleet::UpdateOutcome;
 use memory::ListenerShare;
 use net::Body;
@@ -91,6 +92,10 @@
         }
     };
     let now = clock::now();
+    let ignored = control.roster.borrow().reason_to_ignore(&announcement);
+    if let Some(reason) = ignored {
+        control.record_ignored(&announcement, reason);
+    }
     let outcome = control
         .roster
         .borrow_mut()
@@ -103,9 +108,15 @@
     if outcome == UpdateOutcome::Changed {
         control.observations_added.notify_waiters();
     }
-    match announcement.leaving && outcome != UpdateOutcome::Ignored {
-        true => acknowledge_departure(control, &id).await,
-        false => json_response(StatusCode::OK, "{}"),
+    match (ignored, announcement.leaving) {
+        // Nothing of the process is recorded, so nothing may be promised.
+        (Some(IgnoreReason::RosterFull | IgnoreReason::UnknownService), _) => {
+            let what = "the announcement is not recorded here";
+            error_response(StatusCode::SERVICE_UNAVAILABLE, what)
+        }
+        // What is recorded of the process is as new, and may not be held by enough hosts yet.
+        (_, true) => acknowledge_departure(control, &id).await,
+        (_, false) => json_response(StatusCode::OK, "{}"),
     }
 }
 
--- a/crates/site/src/control/mod.rs
+++ b/crates/site/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod bans;
 mod departures;
 mod follow;
+mod ignored;
 mod lead;
 mod leader_search;
 mod membership;
@@ -25,6 +26,7 @@
 use std::time::Duration;
 
 use crate::connection_pool::ConnectionPool;
+use crate::control::ignored::IgnoredAnnouncements;
 use crate::control::records::RecordWriter;
 use crate::events::Event;
 use crate::events::emit;
@@ -103,6 +105,8 @@
     pub local_voter: LocalVoter,
     pub seeds: RefCell<Vec<NodeId>>,
     pub roster: RefCell<Roster>,
+    /// How often announcements were ignored.
+    pub ignored: RefCell<IgnoredAnnouncements>,
     pub controller: RefCell<Controller>,
     pub record_writer: RecordWriter,
     pub active_config: RefCell<ActiveConfig>,
@@ -247,6 +251,7 @@
             local_voter,
             seeds: RefCell::new(settings.seeds.clone()),
             roster: RefCell::default(),
+            ignored: RefCell::default(),
             controller: RefCell::new(Controller::new(cfg)),
             record_writer: RecordWriter::default(),
             active_config: RefCell::default(),
@@ -323,6 +328,8 @@
         };
         let routes = configuration.routes.values().map(Vec::len).sum();
         emit(&Event::ConfigInForce { version, routes });
+        let services = configuration.services.keys().cloned().collect();
+        self.roster.borrow_mut().set_known_services(services);
         let engines = configuration.engines();
         let engines = engines.map(|(name, engine)| (name.clone(), engine.clone()));
         self.controller.borrow_mut().set_engines(engines.collect());
--- a/crates/site/src/entry/follow.rs
+++ b/crates/site/src/entry/follow.rs
@@ -228,7 +228,7 @@
     }
     let mut is_changed = !update.changes.is_empty();
     for change in update.changes {
-        entry.roster.borrow_mut().apply_change(change, asked);
+        entry.roster.borrow_mut().follow_change(change, asked);
     }
     if let Some(newer) = update.configuration
         && entry.version.get() < newer.version
--- a/crates/site/src/events.rs
+++ b/crates/site/src/events.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 
 use base::CentreName;
+use base::Incarnation;
 use base::NodeId;
 use base::ReplicaName;
 use base::RouteName;
@@ -12,6 +13,7 @@
 use base::UpstreamId;
 use base::Version;
 use fleet::Edition;
+use fleet::IgnoreReason;
 use forward::ConnectPath;
 use memory::Figures;
 
@@ -66,6 +68,8 @@
         "the leader's release does not say how many control hosts hold departures, it counts as one that does leader={leader}";
     2207 Warn FollowerReportsLess { follower: NodeId }
         "this follower's release does not report departures to a new leader follower={follower}";
+    2208 Info AnnouncementIgnored { id: &'a UpstreamId, service: &'a ServiceName, addr: SocketAddr, incarnation: Incarnation, reason: IgnoreReason, total: u64 }
+        "announcement ignored id={id} service={service} addr={addr} life={incarnation} reason={reason} total={total}";
     2300 Info Leading { term: u64 }
         "this voter leads term={term}";
     2301 Info Following { leader: NodeId }
