A spare voter takes part as soon as it is added

Cause: a node without a group drops what a leader sends and waits for its own next hello, each 0.5 s; the leader sends its entries again only 0.3 s after it had sent them too early.

Now the node asks a leader that writes to it at once, and the leader sends a member that joins everything again.

--- a/crates/vote/src/form.rs
+++ b/crates/vote/src/form.rs
@@ -45,6 +45,8 @@
 pub(crate) struct Forming {
     pub(crate) next_hello_at: Time,
     opened_at: Time,
+    /// When this node last asked a leader for an invitation.
+    asked_at: Time,
     hello_senders: BTreeMap<NodeId, HelloSender>,
     /// The nodes that joined the group that this node formed, until a majority has.
     pub(crate) joined: Option<BTreeSet<NodeId>>,
@@ -76,6 +78,7 @@
         Self {
             next_hello_at: now,
             opened_at: now,
+            asked_at: Time::ZERO,
             hello_senders: BTreeMap::new(),
             joined: None,
             contacts: BTreeSet::new(),
@@ -126,6 +129,17 @@
         self.forming.is_stopping = true;
     }
 
+    /// A leader sends entries to this node, which knows no group: it is a member, or was one with a
+    /// disk that was lost. It takes part once it is invited.
+    pub(crate) fn ask_for_invitation(&mut self, leader: NodeId) {
+        self.add_contact(leader);
+        let earliest = self.forming.asked_at + self.cfg.timing.hello_interval;
+        if earliest <= self.now {
+            self.forming.asked_at = self.now;
+            self.send_hello(leader);
+        }
+    }
+
     fn send_hello_to_all(&mut self) {
         let members = self.group().into_iter().flat_map(|g| g.members.keys());
         let mut nodes: BTreeSet<NodeId> = members.copied().collect();
@@ -190,8 +204,10 @@
         self.outbox.send_once_synced(from, joined);
     }
 
-    /// Starts an election early once a majority has joined the formed group.
+    /// Starts an election early once a majority has joined the formed group, and sends a new
+    /// member again what it could not take before.
     pub(crate) fn on_joined(&mut self, from: NodeId, disk: DiskId) {
+        self.resend_to(from, disk);
         let Some((_, group)) = self.log.latest_group() else {
             return;
         };
--- a/crates/vote/src/replicate.rs
+++ b/crates/vote/src/replicate.rs
@@ -146,6 +146,18 @@
         self.advance_commit_index();
     }
 
+    /// Sends a member again what is under way to it, as it has taken nothing yet.
+    pub(crate) fn resend_to(&mut self, node: NodeId, disk: DiskId) {
+        if let RoleState::Leader(leader) = &mut self.state
+            && let Some(progress) = leader.progress.get_mut(&node)
+            && progress.disk == disk
+            && progress.matched == Index::default()
+        {
+            progress.in_flight = None;
+            progress.next = Index::default().next();
+        }
+    }
+
     pub(crate) fn next_stamp(&mut self) -> SendStamp {
         let sent = self.now;
         let RoleState::Leader(leader) = &mut self.state else {
--- a/crates/vote/src/voter.rs
+++ b/crates/vote/src/voter.rs
@@ -132,8 +132,7 @@
             }
             Body::Joined => self.on_joined(from, disk),
             Body::Rejected { since, reason } => self.on_rejected(since, reason),
-            // The leader of a group that knows this node with a disk that was lost.
-            _ if self.group_id.is_none() && group.is_some() => self.add_contact(from),
+            _ if self.group_id.is_none() && group.is_some() => self.ask_for_invitation(from),
             _ if group.is_none() => {}
             Body::RequestVote(request) => self.on_request_vote(from, disk, request),
             Body::VoteReply(reply) => self.on_vote_reply(from, disk, reply),
--- a/crates/vote/tests/replacements.rs
+++ b/crates/vote/tests/replacements.rs
@@ -474,3 +474,19 @@
         group.cluster.commit_one(Duration::from_secs(5));
     });
 }
+
+/// Guards against a successor that waits for its own next hello, and then for the leader to send
+/// again what it had sent too early: two thirds of a second of the time that an exchange has.
+#[test]
+fn a_spare_that_has_waited_long_votes_at_once_when_it_is_added() {
+    for_seeds(SEED_COUNT, |seed| {
+        let mut group = Group::new(1, seed);
+        let spare = group.add_node();
+        let wait = Duration::from_secs(6) + group.random_span(1_000);
+        group.run(wait);
+        let disk = group.cluster.nodes[&spare].disk;
+        assert!(group.cluster.change(Change::Add { node: spare, disk }));
+        group.cluster.run(Duration::from_millis(100));
+        assert_eq!(group.cluster.standing(spare), Some(Standing::Voter));
+    });
+}
