--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! of each upstream process. A [`RoutingTable`] lists the replicas of models that requests may
 //! be sent to. This crate holds the state only; other crates decide based on it.
 
+mod address_claims;
 mod announcement;
 mod compressed_text;
 mod configuration;
@@ -19,6 +20,8 @@
 mod rest_directory;
 mod revision_holders;
 mod roster;
+mod roster_change;
+mod roster_entry;
 mod route;
 mod routing_table;
 
@@ -57,12 +60,12 @@
 pub use rest_directory::RestList;
 pub use revision_holders::RevisionHolders;
 pub use revision_holders::required_followers;
-pub use roster::IgnoreReason;
-pub use roster::Revision;
 pub use roster::Roster;
-pub use roster::RosterChange;
-pub use roster::RosterEntry;
-pub use roster::UpdateOutcome;
+pub use roster_change::IgnoreReason;
+pub use roster_change::RosterChange;
+pub use roster_change::UpdateOutcome;
+pub use roster_entry::Revision;
+pub use roster_entry::RosterEntry;
 pub use route::Punctuality;
 pub use route::RequestKind;
 pub use route::Route;
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -13,16 +13,18 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use derive_more::Display;
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::Announcement;
 use crate::Heartbeat;
 use crate::HeartbeatOutcome;
+use crate::IgnoreReason;
+use crate::Revision;
+use crate::RosterChange;
+use crate::RosterEntry;
+use crate::UpdateOutcome;
+use crate::address_claims::AddressClaims;
+use crate::roster_entry::UnknownDeparture;
 use base::Incarnation;
 use base::ServiceName;
 use base::Time;
@@ -34,136 +36,17 @@
 /// Largest number of processes in a roster. Announcements of further ones are ignored.
 const MAX_ENTRIES: usize = 20_000;
 
-/// The number of a change of a roster. Each roster counts its own changes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Revision(pub u64);
-
-/// The effect that an update has on a roster.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum UpdateOutcome {
-    /// The state of a process changed.
-    Changed,
-    /// A newer announcement reports the same state.
-    Refreshed,
-    /// The update changed nothing. [`Roster::reason_to_ignore`] says why.
-    Ignored,
-}
-
-/// Why an announcement is ignored.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
-pub enum IgnoreReason {
-    /// It is not newer than what is known of its process.
-    #[display("outdated")]
-    Outdated,
-    /// Its process has departed.
-    #[display("departed")]
-    Departed,
-    /// Another process with a later incarnation holds its address.
-    #[display("address-taken")]
-    AddressTaken,
-    /// It names a service that is not in the configuration, in place of one that is.
-    #[display("unknown-service")]
-    UnknownService,
-    /// The roster is full.
-    #[display("roster-full")]
-    RosterFull,
-}
-
-/// What a roster holds of one process.
-#[derive(Clone, Debug)]
-pub struct RosterEntry {
-    /// The latest announcement.
-    pub announcement: Announcement,
-    /// The sequence number of the last announcement of this state that arrived whole.
-    pub whole_sequence: u64,
-    /// When the process was last heard in this state.
-    pub heard_at: Time,
-    /// When the last sign of the process arrived, which may say nothing of its state.
-    pub alive_at: Time,
-    /// Whether the process has departed.
-    pub has_departed: bool,
-    /// The roster's revision at the last change of this entry.
-    pub revision: Revision,
-}
-
-/// The departure of a process that this roster held no announcement of.
-#[derive(Clone, Copy, Debug)]
-struct UnknownDeparture {
-    incarnation: Incarnation,
-    heard_at: Time,
-    revision: Revision,
-}
-
-/// A change of a roster, sent to processes that follow it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RosterChange {
-    /// A process announced a new state.
-    #[serde(rename = "Says")]
-    Announced(Announcement),
-    /// A process has departed.
-    Gone {
-        /// The process.
-        id: UpstreamId,
-        /// The incarnation that ended.
-        #[serde(rename = "life")]
-        incarnation: Incarnation,
-    },
-}
-
 /// The latest announcement of each upstream process.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     entries: BTreeMap<UpstreamId, RosterEntry>,
-    /// The processes that announced each address last.
-    claims: BTreeMap<SocketAddr, BTreeSet<UpstreamId>>,
+    claims: AddressClaims,
     /// The services of the configuration, once there is one.
     known_services: Option<BTreeSet<ServiceName>>,
     unknown_departures: BTreeMap<UpstreamId, UnknownDeparture>,
     revision: Revision,
 }
 
-impl RosterChange {
-    /// The process that the change is about.
-    pub fn id(&self) -> &UpstreamId {
-        match self {
-            Self::Announced(announcement) => &announcement.id,
-            Self::Gone { id, .. } => id,
-        }
-    }
-
-    /// Whether the process takes no more requests from now on.
-    pub fn is_departure(&self) -> bool {
-        match self {
-            Self::Announced(announcement) => announcement.leaving,
-            Self::Gone { .. } => true,
-        }
-    }
-}
-
-impl RosterEntry {
-    /// The change that tells another roster of this entry.
-    fn to_change(&self) -> RosterChange {
-        let announcement = &self.announcement;
-        match self.has_departed {
-            false => RosterChange::Announced(announcement.clone()),
-            true => RosterChange::Gone {
-                id: announcement.id.clone(),
-                incarnation: announcement.incarnation,
-            },
-        }
-    }
-}
-
-impl UnknownDeparture {
-    fn to_change(self, id: &UpstreamId) -> RosterChange {
-        RosterChange::Gone {
-            id: id.clone(),
-            incarnation: self.incarnation,
-        }
-    }
-}
-
 impl Roster {
     /// Sets the services of the configuration in force.
     pub fn set_known_services(&mut self, services: BTreeSet<ServiceName>) {
@@ -206,7 +89,7 @@
         }
         // The order of an entry for an unknown service may be another writer's.
         let is_foreign = !was_known && is_known && !known.has_departed;
-        if is_foreign || is_newer(known, announcement) {
+        if is_foreign || known.is_older_than(announcement) {
             return None;
         }
         Some(match known.has_departed {
@@ -336,10 +219,7 @@
         self.entries
             .retain(|_, entry| now.since(entry.alive_at) < FORGET_AFTER);
         let entries = &self.entries;
-        self.claims.retain(|_, ids| {
-            ids.retain(|id| entries.contains_key(id));
-            !ids.is_empty()
-        });
+        self.claims.retain(|id| entries.contains_key(id));
         self.unknown_departures
             .retain(|_, departure| now.since(departure.heard_at) < FORGET_AFTER);
     }
@@ -422,9 +302,7 @@
 
     /// Whether another process of a known service with a later incarnation announced the address.
     fn has_newer_holder_of_addr(&self, announcement: &Announcement) -> bool {
-        let claims = self.claims.get(&announcement.addr);
-        let others = claims.into_iter().flatten();
-        let others = others.filter(|id| **id != announcement.id);
+        let others = self.claims.others_at(announcement.addr, &announcement.id);
         let mut others = others.filter_map(|id| Some(&self.entries.get(id)?.announcement));
         others.any(|other| {
             announcement.incarnation < other.incarnation && self.is_known_service(&other.service)
@@ -438,14 +316,11 @@
     }
 
     fn claim_addr(&mut self, announcement: &Announcement) {
-        let (id, addr) = (&announcement.id, announcement.addr);
-        let before = self.entries.get(id).map(|known| known.announcement.addr);
-        if let Some(before) = before.filter(|before| *before != addr)
-            && let Some(ids) = self.claims.get_mut(&before)
-        {
-            ids.remove(id);
+        let id = &announcement.id;
+        if let Some(known) = self.entries.get(id) {
+            self.claims.remove(known.announcement.addr, id);
         }
-        self.claims.entry(addr).or_default().insert(id.clone());
+        self.claims.add(announcement.addr, id);
     }
 
     fn next_revision(&mut self) -> Revision {
@@ -453,13 +328,3 @@
         self.revision
     }
 }
-
-/// Whether an announcement is newer than what is known of its process. A process that has
-/// departed comes back only in a later incarnation.
-fn is_newer(known: &RosterEntry, announcement: &Announcement) -> bool {
-    let order = |a: &Announcement| (a.incarnation, a.sequence);
-    match known.has_departed {
-        true => known.announcement.incarnation < announcement.incarnation,
-        false => order(&known.announcement) < order(announcement),
-    }
-}
--- a/crates/vote/src/form.rs
+++ b/crates/vote/src/form.rs
@@ -21,9 +21,7 @@
 use crate::Payload;
 use crate::Record;
 use crate::Rejection;
-use crate::Standing;
 use crate::Term;
-use crate::Trust;
 use crate::Voter;
 use base::DiskId;
 use base::NodeId;
@@ -31,14 +29,11 @@
 
 const MAX_NON_MEMBERS: usize = 64;
 
-/// The most nodes outside the settings that a node says hello to.
-const MAX_CONTACTS: usize = 16;
-
 /// A node without a group sends hello messages at the full rate for this long.
 const FAST_HELLO_PERIOD: Duration = Duration::from_secs(5);
 
 /// After that, the interval between hello messages is longer by this factor.
-const SLOW_HELLO_FACTOR: u32 = 10;
+pub(crate) const SLOW_HELLO_FACTOR: u32 = 10;
 
 /// What a node knows of the other nodes before it belongs to a group.
 #[derive(Debug)]
@@ -46,7 +41,7 @@
     pub(crate) next_hello_at: Time,
     opened_at: Time,
     /// When this node last asked a leader for an invitation.
-    asked_at: Time,
+    pub(crate) asked_at: Time,
     hello_senders: BTreeMap<NodeId, HelloSender>,
     /// The nodes that joined the group that this node formed, until a majority has.
     pub(crate) joined: Option<BTreeSet<NodeId>>,
@@ -100,56 +95,6 @@
         self.try_form_group();
     }
 
-    /// Whether this node's disk belongs to a group of which the node is no longer a
-    /// member. It could be one again, as its disk has lost nothing.
-    pub(crate) fn is_spare(&self) -> bool {
-        self.group_id.is_some()
-            && self.trust == Trust::Trusted
-            && self.standing() == Standing::NotMember
-    }
-
-    /// Offers this node to the group as a node with an empty disk does.
-    pub(crate) fn offer_as_spare(&mut self) {
-        self.forming.next_hello_at = self.now + SLOW_HELLO_FACTOR * self.cfg.timing.hello_interval;
-        if !self.forming.is_stopping {
-            self.send_hello_to_all();
-        }
-    }
-
-    /// Says hello to this node as well while this one is no member. It may know the
-    /// group when none of the configured voters is left.
-    pub fn add_contact(&mut self, node: NodeId) {
-        if self.forming.contacts.len() < MAX_CONTACTS {
-            self.forming.contacts.insert(node);
-        }
-    }
-
-    /// Offers this node to the group no more, because its process is about to end.
-    pub fn stop_offering(&mut self) {
-        self.forming.is_stopping = true;
-    }
-
-    /// A leader sends entries to this node, which knows no group: it is a member, or was one with a
-    /// disk that was lost. It takes part once it is invited.
-    pub(crate) fn ask_for_invitation(&mut self, leader: NodeId) {
-        self.add_contact(leader);
-        let earliest = self.forming.asked_at + self.cfg.timing.hello_interval;
-        if earliest <= self.now {
-            self.forming.asked_at = self.now;
-            self.send_hello(leader);
-        }
-    }
-
-    fn send_hello_to_all(&mut self) {
-        let members = self.group().into_iter().flat_map(|g| g.members.keys());
-        let mut nodes: BTreeSet<NodeId> = members.copied().collect();
-        nodes.extend(&self.cfg.voters);
-        nodes.extend(&self.forming.contacts);
-        for node in nodes {
-            self.send_hello(node);
-        }
-    }
-
     pub(crate) fn on_hello(
         &mut self,
         from: NodeId,
@@ -254,7 +199,7 @@
         self.outbox.send(node, message);
     }
 
-    fn send_hello(&mut self, node: NodeId) {
+    pub(crate) fn send_hello(&mut self, node: NodeId) {
         if node == self.cfg.id {
             return;
         }
--- a/crates/vote/src/lib.rs
+++ b/crates/vote/src/lib.rs
@@ -36,7 +36,9 @@
 mod read;
 mod replicate;
 mod role;
+mod spare;
 mod status;
+mod storage;
 mod voter;
 
 pub use crate::blob::Blob;
