--- a/crates/vote/tests/replacements.rs
+++ b/crates/vote/tests/replacements.rs
@@ -199,12 +199,49 @@
         Duration::from_millis(self.rng.u64(..=max_ms))
     }
 
+    fn random_trouble(&mut self) -> Trouble {
+        match self.rng.usize(..4) {
+            0 => Trouble::Freeze(Clock::Runs),
+            1 => Trouble::Freeze(Clock::Stopped),
+            2 => Trouble::Cut,
+            _ => Trouble::StuckDisk,
+        }
+    }
+
+    fn begin(&mut self, trouble: Trouble, id: NodeId, span: Duration) {
+        let ids = self.cluster.ids();
+        match trouble {
+            Trouble::Freeze(clock) => self.cluster.freeze(id, clock),
+            Trouble::Cut => self.cluster.network.isolate(id, &ids),
+            Trouble::StuckDisk => {
+                let until = self.cluster.now + span;
+                self.cluster.node(id).disk_stuck_until = until;
+            }
+        }
+    }
+
+    fn end(&mut self, trouble: Trouble, id: NodeId) {
+        match trouble {
+            Trouble::Freeze(_) => self.cluster.unfreeze(id),
+            Trouble::Cut => self.cluster.network.heal(),
+            Trouble::StuckDisk => {}
+        }
+    }
+
     fn trouble_network(&mut self) {
         self.cluster.network.loss = 0.02 * self.rng.f64();
         self.cluster.network.delay = Duration::from_millis(self.rng.u64(1..20));
     }
 }
 
+/// Why a voter is away for some seconds.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    Freeze(Clock),
+    Cut,
+    StuckDisk,
+}
+
 /// How a voter is removed.
 #[derive(Clone, Copy, Debug)]
 enum Removal {
@@ -415,7 +452,7 @@
 }
 
 #[test]
-fn a_voter_that_was_frozen_and_replaced_is_a_spare_again() {
+fn a_voter_that_was_away_and_replaced_is_a_spare_again() {
     for_seeds(SEED_COUNT, |seed| {
         let mut group = Group::new(1, seed);
         group.add_node();
@@ -424,14 +461,11 @@
         for _ in 0..4 {
             let voters = group.voters();
             let victim = group.pick(&voters);
-            let clock = match group.rng.bool() {
-                true => Clock::Runs,
-                false => Clock::Stopped,
-            };
-            group.cluster.freeze(victim, clock);
             let span = Duration::from_secs(2) + group.random_span(5_000);
+            let trouble = group.random_trouble();
+            group.begin(trouble, victim, span);
             group.run(span);
-            group.cluster.unfreeze(victim);
+            group.end(trouble, victim);
             group.run_until_complete();
             group.run(CATCH_UP);
         }
@@ -490,3 +524,14 @@
         assert_eq!(group.cluster.standing(spare), Some(Standing::Voter));
     });
 }
+
+#[test]
+fn the_silence_before_a_replacement_leaves_time_for_the_exchange() {
+    let rows = [(0, 1_500), (3, 1_500), (4, 2_000), (5, 3_000), (20, 4_000)];
+    for (catch_up_secs, silence_ms) in rows {
+        let catch_up = Duration::from_secs(catch_up_secs);
+        let policy = MembershipPolicy::tolerating_losses(1).with_catch_up(catch_up);
+        let silence = Duration::from_millis(silence_ms);
+        assert_eq!(policy.replace_after, silence, "{catch_up:?}");
+    }
+}
