--- a/crates/site/src/control/release.rs
+++ b/crates/site/src/control/release.rs
@@ -23,8 +23,8 @@
 /// message may be lost with each.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The most of the time for the stop that is spent so.
-const MAX_SHARE_OF_STOP: u32 = 4;
+/// At most one part in this many of the time for the stop is spent so.
+const STOP_TIME_PARTS: u32 = 4;
 
 /// The time between two questions to the leader.
 const ASK_INTERVAL: Duration = Duration::from_millis(50);
@@ -43,7 +43,7 @@
 pub(crate) async fn release_vote(control: &Rc<ControlHost>, deadline: Time) {
     control.local_voter.voter.borrow_mut().stop_offering();
     let began_at = clock::now();
-    let max_wait = RELEASE_TIMEOUT.min(deadline.since(began_at) / MAX_SHARE_OF_STOP);
+    let max_wait = RELEASE_TIMEOUT.min(deadline.since(began_at) / STOP_TIME_PARTS);
     let mut outcome = ask_leader(control).await;
     while outcome == Release::Pending && clock::now() < began_at + max_wait {
         control.members_changed.wait(ASK_INTERVAL).await;
