A stop waits for the exchange of its voter that has begun

The stopping leader ended while its successor was being promoted; two of four voters were gone with the next disk.

Cause: its lease had run out for a moment.

Now an exchange that has begun is waited for whoever leads, for 4 s or half of the time for a stop. A change that waits for an earlier one's commit is no longer logged each time.

--- a/crates/site/src/control/membership.rs
+++ b/crates/site/src/control/membership.rs
@@ -8,6 +8,7 @@
 use crate::events::Event;
 use crate::events::emit;
 use quorum::clock;
+use vote::ChangeError;
 use vote::MembershipPolicy;
 
 /// The longest time between two checks of the group of voters. A change that is committed is
@@ -48,6 +49,8 @@
         .change_members(change, clock::now());
     let outcome = match changed {
         Ok(_) => "begun".to_owned(),
+        // The check that follows its commit tries again.
+        Err(ChangeError::Busy) => return,
         Err(e) => e.to_string(),
     };
     let change = format!("{change:?}");
--- a/crates/site/src/control/release.rs
+++ b/crates/site/src/control/release.rs
@@ -18,13 +18,14 @@
 use net::RpcMethods;
 use quorum::clock;
 use vote::Release;
+use vote::ReleaseWait;
 
-/// How long the process waits until its voter is replaced. An exchange is three commits, and a
-/// message may be lost with each.
-const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long the process waits until its voter is replaced, once that has begun. An exchange is
+/// three commits, and the leader may change meanwhile.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// At most one part in this many of the time for the stop is spent so.
-const STOP_TIME_PARTS: u32 = 4;
+const STOP_TIME_PARTS: u32 = 2;
 
 /// The time between two questions to the leader.
 const ASK_INTERVAL: Duration = Duration::from_millis(50);
@@ -44,8 +45,12 @@
     control.local_voter.voter.borrow_mut().stop_offering();
     let began_at = clock::now();
     let max_wait = RELEASE_TIMEOUT.min(deadline.since(began_at) / STOP_TIME_PARTS);
+    let mut wait = {
+        let voter = control.local_voter.voter.borrow();
+        ReleaseWait::begin(&voter, &membership_policy(control))
+    };
     let mut outcome = ask_leader(control).await;
-    while outcome == Release::Pending && clock::now() < began_at + max_wait {
+    while wait.goes_on(outcome) && clock::now() < began_at + max_wait {
         control.members_changed.wait(ASK_INTERVAL).await;
         outcome = ask_leader(control).await;
     }
@@ -64,38 +69,22 @@
     }
     let leader = control.local_voter.voter.borrow().leader();
     let leader = match leader.or(control.reported_leader.get()) {
-        Some(leader) if leader == node => {
-            return match release(control, call) {
-                Release::NotLeading => outcome_without_leader(control),
-                reply => reply,
-            };
-        }
+        Some(leader) if leader == node => return release(control, call),
         Some(leader) => leader,
-        None => return outcome_without_leader(control),
+        None => return Release::NotLeading,
     };
     let addr = control.settings.internal_addr(leader);
     match control.rpc.call(addr, &call, CALL_TIMEOUT).await {
-        Ok(Release::NotLeading) => outcome_without_leader(control),
         Ok(reply) => reply,
         // An earlier release doesn't know the call.
         Err(RpcError::Refused { .. }) => Release::NoSpare,
         Err(e) => {
             log::debug!("the leader {leader} can't be asked: {e}");
-            outcome_without_leader(control)
+            Release::NotLeading
         }
     }
 }
 
-/// Whether it is worth the time to wait for a leader: only if a control host waits to become a
-/// voter. Each says hello to all members that it knows.
-fn outcome_without_leader(control: &ControlHost) -> Release {
-    let status = control.local_voter.voter.borrow().status();
-    match status.non_members.is_empty() {
-        true => Release::NoSpare,
-        false => Release::Pending,
-    }
-}
-
 /// Begins to replace the voter of a control host, if this one leads.
 fn release(control: &Rc<ControlHost>, call: ReleaseVoter) -> Release {
     if !control.is_leader() {
--- a/crates/vote/src/leaving.rs
+++ b/crates/vote/src/leaving.rs
@@ -32,6 +32,44 @@
     NotLeading,
 }
 
+/// Whether a member that is about to stop goes on waiting for its release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReleaseWait {
+    /// No other node is known here that could take its place.
+    Unexpected,
+    /// Another node is known here.
+    Expected,
+    /// A leader has begun to replace this member. The next one may not know the other node yet.
+    Begun,
+}
+
+impl ReleaseWait {
+    /// Begins to wait for the release of this voter.
+    pub fn begin(voter: &Voter, policy: &MembershipPolicy) -> Self {
+        let status = voter.status();
+        let group = voter.group();
+        let is_member = |group: &Group| group.members.contains_key(&voter.cfg.id);
+        let is_expected = |group| !is_member(group) || policy.can_release(&status, group);
+        match group.is_some_and(is_expected) {
+            true => Self::Expected,
+            false => Self::Unexpected,
+        }
+    }
+
+    /// Whether to ask again after this answer.
+    pub fn goes_on(&mut self, answer: Release) -> bool {
+        match answer {
+            Release::Pending => {
+                *self = Self::Begun;
+                true
+            }
+            Release::NotLeading => *self != Self::Unexpected,
+            Release::NoSpare => *self == Self::Begun,
+            Release::Released => false,
+        }
+    }
+}
+
 impl Voter {
     /// Has a member that is about to stop replaced, if this voter leads and another node
     /// is at hand. The member asks until it is released.
--- a/crates/vote/src/lib.rs
+++ b/crates/vote/src/lib.rs
@@ -70,6 +70,7 @@
 pub use crate::group::GroupId;
 pub use crate::group::Member;
 pub use crate::leaving::Release;
+pub use crate::leaving::ReleaseWait;
 pub use crate::membership_policy::DEFAULT_CATCH_UP;
 pub use crate::membership_policy::MembershipPolicy;
 pub use crate::message::Ack;
